--- /dev/null
+++ b/src/fleet/budget.rs
@@ -0,0 +1,9 @@
+use serde::{Deserialize, Serialize};
+
+/// Availability budget of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Budget {
+    /// Most instances that may be down or draining at once, planned or not.
+    pub unavailable: u32,
+}
--- /dev/null
+++ b/src/fleet/plan.rs
@@ -0,0 +1,18 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A maintenance plan: every instance of a pool is drained and rebooted once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Plan {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Pool that is maintained.
+    pub pool: Arc<str>,
+    /// Days within which each instance is maintained once.
+    pub period_days: u32,
+    /// True while operators hold the plan.
+    #[serde(default)]
+    pub paused: bool,
+}
--- /dev/null
+++ b/src/fleet/queue.rs
@@ -0,0 +1,16 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A queue of jobs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Queue {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Pool whose workers run the jobs.
+    pub pool: Arc<str>,
+    /// Teams that may submit; empty means that the queue is open to all.
+    #[serde(default)]
+    pub teams: Vec<Arc<str>>,
+}
--- /dev/null
+++ b/src/fleet/registry.rs
@@ -0,0 +1,47 @@
+use std::sync::Arc;
+
+use super::{DataCentreId, PoolId, QueueId, ServiceId, TeamId};
+use crate::collections::Map;
+
+/// Gives ids to names and keeps them for the life of the process.
+#[derive(Debug, Default)]
+pub struct Registry {
+    teams: Names,
+    services: Names,
+    pools: Names,
+    data_centres: Names,
+    queues: Names,
+}
+
+/// One kind of name.
+#[derive(Debug, Default)]
+struct Names(Map<Arc<str>, u32>);
+
+impl Names {
+    fn intern(&mut self, name: &Arc<str>) -> u32 {
+        let next = u32::try_from(self.0.len()).expect("fewer than 2^32 names");
+        *self.0.entry(name.clone()).or_insert(next)
+    }
+}
+
+impl Registry {
+    pub(crate) fn team(&mut self, name: &Arc<str>) -> TeamId {
+        TeamId(self.teams.intern(name))
+    }
+
+    pub(crate) fn service(&mut self, name: &Arc<str>) -> ServiceId {
+        ServiceId(self.services.intern(name))
+    }
+
+    pub(crate) fn pool(&mut self, name: &Arc<str>) -> PoolId {
+        PoolId(self.pools.intern(name))
+    }
+
+    pub(crate) fn data_centre(&mut self, name: &Arc<str>) -> DataCentreId {
+        DataCentreId(self.data_centres.intern(name))
+    }
+
+    pub(crate) fn queue(&mut self, name: &Arc<str>) -> QueueId {
+        QueueId(self.queues.intern(name))
+    }
+}
--- /dev/null
+++ b/src/fleet/service.rs
@@ -0,0 +1,51 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A service whose targets answer calls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Service {
+    /// Unique name, used in the path of calls.
+    pub name: Arc<str>,
+    /// Pool whose instances are the targets.
+    pub pool: Arc<str>,
+    /// Teams that may call it; empty means that its queue is open to all.
+    #[serde(default)]
+    pub teams: Vec<Arc<str>>,
+    /// Calls that one target runs at once.
+    #[serde(default = "default_slots")]
+    pub slots: u32,
+    /// Connections that one target accepts from the whole fleet.
+    #[serde(default = "default_connections")]
+    pub connections: u32,
+    /// Time in milliseconds after which a call without a deadline of its own is given up.
+    #[serde(default = "default_timeout_ms")]
+    pub timeout_ms: u32,
+    /// Largest request body in bytes.
+    #[serde(default = "default_body_limit")]
+    pub body_limit: u64,
+    /// Most calls of one team that wait in one entry instance.
+    #[serde(default = "default_queue_limit")]
+    pub queue_limit: u32,
+}
+
+fn default_slots() -> u32 {
+    8
+}
+
+fn default_connections() -> u32 {
+    64
+}
+
+fn default_timeout_ms() -> u32 {
+    10_000
+}
+
+fn default_body_limit() -> u64 {
+    8 << 20
+}
+
+fn default_queue_limit() -> u32 {
+    1_000
+}
--- /dev/null
+++ b/src/fleet/snapshot.rs
@@ -0,0 +1,205 @@
+use std::sync::Arc;
+
+use super::{
+    DataCentre, DataCentreId, Digest, Direction, Document, Pool, PoolId, Queue, QueueId, Registry,
+    Service, ServiceId, Team, TeamId,
+};
+use crate::collections::Map;
+
+/// One version of the intended fleet, indexed for decisions.
+#[derive(Debug, Default)]
+pub struct Snapshot {
+    version: u64,
+    document: Option<Arc<Document>>,
+    teams: Vec<Option<Team>>,
+    services: Vec<Option<Service>>,
+    pools: Vec<Option<Pool>>,
+    data_centres: Vec<Option<DataCentre>>,
+    queues: Vec<Option<Queue>>,
+    /// Teams that may call each service; an inner `None` means open to all.
+    callers: Vec<Option<Option<Vec<TeamId>>>>,
+    service_pools: Vec<Option<Option<PoolId>>>,
+    team_ids: Map<Arc<str>, TeamId>,
+    service_ids: Map<Arc<str>, ServiceId>,
+    pool_ids: Map<Arc<str>, PoolId>,
+    data_centre_ids: Map<Arc<str>, DataCentreId>,
+    queue_ids: Map<Arc<str>, QueueId>,
+    instance_pools: Map<Arc<str>, PoolId>,
+    keys: Map<Digest, TeamId>,
+}
+
+impl Snapshot {
+    /// Indexes `document` as `version`.
+    ///
+    /// ```
+    /// use coriandernotch::fleet::{Document, Registry, Snapshot};
+    ///
+    /// let text = r#"{"name": "f", "data-centres": [], "teams": [
+    ///     {"name": "quotes", "share": 1, "limit": 5}], "pools": []}"#;
+    /// let document: Document = serde_json::from_str(text).unwrap();
+    /// let snapshot = Snapshot::build(7, document.into(), &mut Registry::default());
+    /// let team = snapshot.team_id("quotes").unwrap();
+    /// assert_eq!(snapshot.team(team).unwrap().limit, 5);
+    /// ```
+    pub fn build(version: u64, document: Arc<Document>, registry: &mut Registry) -> Self {
+        let mut out = Self {
+            version,
+            ..Self::default()
+        };
+        for team in &document.teams {
+            let id = registry.team(&team.name);
+            out.team_ids.insert(team.name.clone(), id);
+            out.keys.extend(
+                team.keys
+                    .iter()
+                    .filter(|k| !k.withdrawn)
+                    .map(|k| (k.digest, id)),
+            );
+            put(&mut out.teams, id.index(), team.clone());
+        }
+        for pool in &document.pools {
+            let id = registry.pool(&pool.name);
+            out.pool_ids.insert(pool.name.clone(), id);
+            out.instance_pools
+                .extend(pool.instances.iter().map(|name| (name.clone(), id)));
+            put(&mut out.pools, id.index(), pool.clone());
+        }
+        for data_centre in &document.data_centres {
+            let id = registry.data_centre(&data_centre.name);
+            out.data_centre_ids.insert(data_centre.name.clone(), id);
+            put(&mut out.data_centres, id.index(), data_centre.clone());
+        }
+        for service in &document.services {
+            let id = registry.service(&service.name);
+            out.service_ids.insert(service.name.clone(), id);
+            let callers = out.allowed(&service.teams);
+            let pool = out.pool_ids.get(&service.pool).copied();
+            put(&mut out.callers, id.index(), callers);
+            put(&mut out.service_pools, id.index(), pool);
+            put(&mut out.services, id.index(), service.clone());
+        }
+        for queue in &document.queues {
+            let id = registry.queue(&queue.name);
+            out.queue_ids.insert(queue.name.clone(), id);
+            put(&mut out.queues, id.index(), queue.clone());
+        }
+        out.document = Some(document);
+        out
+    }
+
+    /// Returns the version, 0 before the first document.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the document from which the snapshot was built.
+    pub fn document(&self) -> Option<&Arc<Document>> {
+        self.document.as_ref()
+    }
+
+    /// Returns the id of a team by name.
+    pub fn team_id(&self, name: &str) -> Option<TeamId> {
+        self.team_ids.get(name).copied()
+    }
+
+    /// Returns the id of a service by name.
+    pub fn service_id(&self, name: &str) -> Option<ServiceId> {
+        self.service_ids.get(name).copied()
+    }
+
+    /// Returns the id of a pool by name.
+    pub fn pool_id(&self, name: &str) -> Option<PoolId> {
+        self.pool_ids.get(name).copied()
+    }
+
+    /// Returns the id of a data centre by name.
+    pub fn data_centre_id(&self, name: &str) -> Option<DataCentreId> {
+        self.data_centre_ids.get(name).copied()
+    }
+
+    /// Returns the id of a queue by name.
+    pub fn queue_id(&self, name: &str) -> Option<QueueId> {
+        self.queue_ids.get(name).copied()
+    }
+
+    /// Returns a team.
+    pub fn team(&self, id: TeamId) -> Option<&Team> {
+        self.teams.get(id.index())?.as_ref()
+    }
+
+    /// Returns a service.
+    pub fn service(&self, id: ServiceId) -> Option<&Service> {
+        self.services.get(id.index())?.as_ref()
+    }
+
+    /// Returns a pool.
+    pub fn pool(&self, id: PoolId) -> Option<&Pool> {
+        self.pools.get(id.index())?.as_ref()
+    }
+
+    /// Returns a data centre.
+    pub fn data_centre(&self, id: DataCentreId) -> Option<&DataCentre> {
+        self.data_centres.get(id.index())?.as_ref()
+    }
+
+    /// Returns a queue.
+    pub fn queue(&self, id: QueueId) -> Option<&Queue> {
+        self.queues.get(id.index())?.as_ref()
+    }
+
+    /// Lists the teams of this version.
+    pub fn teams(&self) -> impl Iterator<Item = (TeamId, &Team)> {
+        (0..)
+            .zip(&self.teams)
+            .filter_map(|(i, t)| Some((TeamId(i), t.as_ref()?)))
+    }
+
+    /// Lists the services of this version.
+    pub fn services(&self) -> impl Iterator<Item = (ServiceId, &Service)> {
+        (0..)
+            .zip(&self.services)
+            .filter_map(|(i, s)| Some((ServiceId(i), s.as_ref()?)))
+    }
+
+    /// Returns the pool of an instance as the document states it.
+    pub fn pool_of(&self, instance: &str) -> Option<PoolId> {
+        self.instance_pools.get(instance).copied()
+    }
+
+    /// Returns the pool whose instances answer a service.
+    pub fn service_pool(&self, id: ServiceId) -> Option<PoolId> {
+        self.service_pools.get(id.index()).copied().flatten()?
+    }
+
+    /// Returns the team to which a key belongs, unless the key is unknown or withdrawn.
+    pub fn authenticate(&self, key: &Digest) -> Option<TeamId> {
+        let (digest, team) = self.keys.get_key_value(key)?;
+        digest.matches(key).then_some(*team)
+    }
+
+    /// Returns whether a team may call a service.
+    pub fn may_call(&self, team: TeamId, service: ServiceId) -> bool {
+        match self.callers.get(service.index()) {
+            Some(Some(Some(teams))) => teams.contains(&team),
+            Some(Some(None)) => true,
+            _ => false,
+        }
+    }
+
+    /// Returns whether new work may start in a data centre.
+    pub fn is_in(&self, id: DataCentreId) -> bool {
+        self.data_centre(id)
+            .is_some_and(|d| d.state == Direction::In)
+    }
+
+    fn allowed(&self, names: &[Arc<str>]) -> Option<Vec<TeamId>> {
+        (!names.is_empty()).then(|| names.iter().filter_map(|n| self.team_id(n)).collect())
+    }
+}
+
+fn put<T>(arena: &mut Vec<Option<T>>, index: usize, value: T) {
+    if arena.len() <= index {
+        arena.resize_with(index + 1, || None);
+    }
+    arena[index] = Some(value);
+}
--- /dev/null
+++ b/src/fleet/team.rs
@@ -0,0 +1,20 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::Key;
+
+/// A team that calls services and submits jobs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Team {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Weight of the team when capacity is full.
+    pub share: u32,
+    /// Most units that may run at once in the whole fleet.
+    pub limit: u32,
+    /// Keys of the team.
+    #[serde(default)]
+    pub keys: Vec<Key>,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,17 @@
+//! Fleet capacity and maintenance manager.
+//!
+//! Entry instances stand between callers and targets. Each holds a [`fleet::Snapshot`] of the
+//! intended fleet and decides from it and from what it has heard of its peers.
+//!
+//! ```
+//! use coriandernotch::fleet::{Document, Registry, Snapshot};
+//!
+//! let text = r#"{"name": "f", "data-centres": [], "teams": [], "pools": []}"#;
+//! let document: Document = serde_json::from_str(text).unwrap();
+//! assert_eq!(Snapshot::build(1, document.into(), &mut Registry::default()).version(), 1);
+//! ```
+
+pub mod clock;
+pub mod collections;
+pub mod fleet;
+pub mod platform;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `coriandernotch` program.
+
+fn main() {}
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,17 @@
+//! HTTP/JSON client of the platform services.
+//!
+//! | call | request | answer |
+//! |---|---|---|
+//! | read | `GET /table/rows/{key}` | 200 row, 404 |
+//! | scan | `GET /table/scan?prefix=P&after=A&limit=N` | 200 list of rows |
+//! | transact | `POST /table/transact` with a list of writes | 200 versions, 409 key |
+//! | put object | `PUT /objects/{name}` | 204 |
+//! | get object | `GET /objects/{name}` | 200 content, 404 |
+//! | list | `GET /instances` | 200 list of instances |
+//!
+//! Any 5xx answer to a read, and 503 to a write, means that there was no effect. Any other failure
+//! of a write after the connection was made leaves its result unknown.
+
+mod client;
+
+pub use client::Client;
--- /dev/null
+++ b/src/platform/listing.rs
@@ -0,0 +1,7 @@
+use super::{Answer, Instance};
+
+/// The platform's list of live and leaving instances, which lags behind the truth.
+pub trait Listing: Send + Sync + 'static {
+    /// Reads the whole list.
+    fn instances(&self) -> Answer<'_, Vec<Instance>>;
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,41 @@
+//! Access to the platform: table service, object store and instance list.
+//!
+//! The traits here are the edge of the process. Decision modules never call them; tasks that own
+//! a connection or a loop do.
+
+mod condition;
+mod error;
+pub mod http;
+mod instance;
+mod listing;
+mod objects;
+mod row;
+mod table;
+mod write;
+
+use std::sync::Arc;
+
+pub use condition::Condition;
+pub use error::Error;
+pub use instance::{Instance, State};
+pub use listing::Listing;
+pub use objects::Objects;
+pub use row::Row;
+pub use table::Table;
+pub use write::Write;
+
+use futures_util::future::BoxFuture;
+
+/// Answer of a platform call, boxed so that the traits can be used as objects.
+pub type Answer<'a, T> = BoxFuture<'a, Result<T, Error>>;
+
+/// Handles to the three platform services.
+#[derive(Clone)]
+pub struct Platform {
+    /// Transactional table service.
+    pub table: Arc<dyn Table>,
+    /// Object store.
+    pub objects: Arc<dyn Objects>,
+    /// Lagging list of instances.
+    pub listing: Arc<dyn Listing>,
+}
--- /dev/null
+++ b/src/platform/objects.rs
@@ -0,0 +1,14 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use super::Answer;
+
+/// The object store.
+pub trait Objects: Send + Sync + 'static {
+    /// Stores `content` under `name`; storing the same content again is harmless.
+    fn put(&self, name: Arc<str>, content: Bytes) -> Answer<'_, ()>;
+
+    /// Reads the object `name`, or `None` when it does not exist.
+    fn get(&self, name: Arc<str>) -> Answer<'_, Option<Bytes>>;
+}
