--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,9 @@
 //! assert_eq!(Snapshot::build(1, document.into(), &mut Registry::default()).version(), 1);
 //! ```
 
+pub mod admit;
 pub mod clock;
 pub mod collections;
 pub mod fleet;
 pub mod platform;
+pub mod route;
