Add stand-ins of the platform services, targets and workers

Cause: tests and the demonstration need the outside systems with faults that can be injected at run time.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod collections;
 pub mod fleet;
 pub mod platform;
+pub mod standin;
