--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod fleet;
 pub mod platform;
 pub mod route;
+pub mod standin;
