Add the permit ledger for fleet-wide upper limits

Cause: teams need a limit over all entry instances without a store write per call. Change: limit::Ledger splits each limit over the voters of a version, lends permits for a fixed term, and grows homes only when older homes cannot be in use any more. Conclusion: the interface of take, check, give, install and tick can be built on.

--- /dev/null
+++ b/src/limit/basis.rs
@@ -0,0 +1,26 @@
+use super::Mark;
+
+/// What a lender knew when it granted or renewed a loan.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Basis {
+    /// Newest committed version.
+    pub version: u64,
+    /// Newest change that it had acknowledged without knowing the result.
+    pub pending: Option<Mark>,
+}
+
+impl Basis {
+    /// Returns whether the lender already obeyed the terms `mark`.
+    ///
+    /// ```
+    /// use coriandernotch::limit::{Basis, Mark};
+    ///
+    /// let basis = Basis { version: 4, pending: Some(Mark { version: 5, tag: 9 }) };
+    /// assert!(basis.covers(Mark { version: 4, tag: 1 }));
+    /// assert!(basis.covers(Mark { version: 5, tag: 9 }));
+    /// assert!(!basis.covers(Mark { version: 5, tag: 8 }));
+    /// ```
+    pub fn covers(self, mark: Mark) -> bool {
+        self.version >= mark.version || self.pending == Some(mark)
+    }
+}
--- /dev/null
+++ b/src/limit/ledger.rs
@@ -0,0 +1,339 @@
+mod borrow;
+mod lend;
+mod report;
+mod upkeep;
+mod versions;
+
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use super::account::Account;
+use super::edition::Edition;
+use super::lent::Lent;
+use super::peer::Peer;
+use super::phase::Phase;
+use super::{Denial, Loan, LoanId, PeerId, Permit, Source, Voter};
+use crate::clock::Instant;
+use crate::collections::Map;
+use crate::fleet::TeamId;
+
+/// All permits of one entry instance.
+///
+/// Taking, checking and giving back look up one account and at most one loan, except that a take
+/// beyond the home searches the loans of the team, of which there is at most one per peer.
+/// Installing a version hashes once per team and voter. Periodic calls visit each team and each
+/// loan once. Memory: per known version 4 bytes per team and voter, per peer 4 bytes per team for
+/// its reported counts, and about 150 bytes per loan; versions are dropped once closed.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    own: PeerId,
+    peers: SlotMap<PeerId, Peer>,
+    names: Map<Voter, PeerId>,
+    accounts: Vec<Account>,
+    loans: Map<LoanId, Loan>,
+    lends: Map<(PeerId, LoanId), Lent>,
+    /// Committed versions whose homes may still be in use, oldest first.
+    editions: Vec<Edition>,
+    /// Acknowledged changes whose result is unknown.
+    pending: Vec<Edition>,
+    /// Newest version known to be closed.
+    closed: u64,
+    /// Longest run of dropped versions, and until when work admitted under them may run.
+    past_run: (Duration, Instant),
+    /// Peers that recently refused a loan, and until when they are not asked again.
+    refused: Map<(PeerId, TeamId), Instant>,
+    next_loan: u64,
+    round: u64,
+    retired: bool,
+}
+
+impl Ledger {
+    /// Makes the ledger of one life of an instance; it has no permits before the first version.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::{Denial, Ledger, Voter};
+    ///
+    /// let mut ledger = Ledger::new(Voter::new("a", 1));
+    /// let denied = ledger.take(TeamId(0), Instant::default());
+    /// assert_eq!(denied, Err(Denial::UnknownTeam));
+    /// ```
+    pub fn new(own: Voter) -> Self {
+        let mut peers = SlotMap::with_key();
+        let id = peers.insert(Peer::new(own.clone()));
+        Self {
+            own: id,
+            peers,
+            names: Map::from_iter([(own, id)]),
+            accounts: Vec::new(),
+            loans: Map::default(),
+            lends: Map::default(),
+            editions: Vec::new(),
+            pending: Vec::new(),
+            closed: 0,
+            past_run: Default::default(),
+            refused: Map::default(),
+            next_loan: 0,
+            round: 0,
+            retired: false,
+        }
+    }
+
+    /// Makes the ledger of voter `a` with version 1 of [`super::Terms::example`] in force, for
+    /// examples and tests.
+    ///
+    /// ```
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::Ledger;
+    ///
+    /// assert_eq!(Ledger::example(2, 10).home(TeamId(0)), 5);
+    /// ```
+    pub fn example(voters: u8, limit: u32) -> Self {
+        let mut out = Self::new(Voter::new("a", 1));
+        out.install(&super::Terms::example(1, voters, limit), Instant::default());
+        out
+    }
+
+    /// Returns the id of a peer, which is valid until a version drops it and no loan is left.
+    ///
+    /// ```
+    /// use coriandernotch::limit::{Ledger, Voter};
+    ///
+    /// let mut ledger = Ledger::example(2, 10);
+    /// let peer = ledger.peer(&Voter::new("b", 1));
+    /// assert_eq!(ledger.voter(peer), Some(&Voter::new("b", 1)));
+    /// ```
+    pub fn peer(&mut self, voter: &Voter) -> PeerId {
+        if let Some(id) = self.names.get(voter) {
+            return *id;
+        }
+        let id = self.peers.insert(Peer::new(voter.clone()));
+        self.names.insert(voter.clone(), id);
+        id
+    }
+
+    /// Returns the name and incarnation of a peer.
+    ///
+    /// ```
+    /// use coriandernotch::limit::{Ledger, PeerId};
+    ///
+    /// assert_eq!(Ledger::example(2, 10).voter(PeerId::default()), None);
+    /// ```
+    pub fn voter(&self, peer: PeerId) -> Option<&Voter> {
+        self.peers.get(peer).map(|p| &p.voter)
+    }
+
+    /// Takes a permit: first from the home, then from a loan.
+    ///
+    /// A failed take counts as one waiting unit; see [`Ledger::wait`].
+    ///
+    /// # Errors
+    ///
+    /// States why there is none; after [`Denial::Exhausted`] ask [`Ledger::tick`] for requests.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::{Denial, Ledger};
+    ///
+    /// let (team, now) = (TeamId(0), Instant::default());
+    /// let mut ledger = Ledger::example(2, 2);
+    /// let permit = ledger.take(team, now).unwrap();
+    /// assert_eq!(ledger.take(team, now), Err(Denial::Exhausted));
+    /// ledger.give(permit);
+    /// assert!(ledger.take(team, now).is_ok());
+    /// ```
+    pub fn take(&mut self, team: TeamId, now: Instant) -> Result<Permit, Denial> {
+        if self.retired {
+            return Err(Denial::Retired);
+        }
+        let account = self.accounts.get_mut(team.index());
+        let account = account.ok_or(Denial::UnknownTeam)?;
+        account.limit.ok_or(Denial::UnknownTeam)?;
+        let source = if account.idle() > 0 {
+            account.own += 1;
+            Source::Home
+        } else if let Some((place, id)) = idle_loan(&self.loans, account, now) {
+            account.cursor = place;
+            account.borrowed += 1;
+            self.loans.entry(id).and_modify(|l| l.used += 1);
+            Source::Loan(id)
+        } else {
+            let waiting = account.waiting(now).max(1);
+            account.wait(waiting, now);
+            return Err(Denial::Exhausted);
+        };
+        account.served(now);
+        Ok(Permit { team, source })
+    }
+
+    /// Returns by when a unit that is started now must have ended.
+    ///
+    /// Call it immediately before the start: a home may have shrunk and a loan may have lapsed
+    /// since the permit was taken, also because this process was paused.
+    ///
+    /// # Errors
+    ///
+    /// States why the unit must not start; give the permit back then.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::Ledger;
+    ///
+    /// let now = Instant::default();
+    /// let mut ledger = Ledger::example(2, 10);
+    /// let permit = ledger.take(TeamId(0), now).unwrap();
+    /// assert_eq!(ledger.check(permit, now), Ok(now + Duration::from_secs(30)));
+    /// ```
+    pub fn check(&self, permit: Permit, now: Instant) -> Result<Instant, Denial> {
+        let account = self.accounts.get(permit.team.index());
+        let account = account.ok_or(Denial::UnknownTeam)?;
+        match permit.source {
+            Source::Home if account.own + account.lent <= account.home => {
+                Ok(now + self.longest_run())
+            }
+            Source::Home => Err(Denial::Shrunk),
+            Source::Loan(id) => match self.loans.get(&id) {
+                Some(loan) if loan.used <= loan.usable(now) => Ok(now + loan.run),
+                _ => Err(Denial::Lapsed),
+            },
+        }
+    }
+
+    /// Gives a permit back, when its unit has ended or was not started.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::Ledger;
+    ///
+    /// let mut ledger = Ledger::example(2, 10);
+    /// let permit = ledger.take(TeamId(0), Instant::default()).unwrap();
+    /// ledger.give(permit);
+    /// assert_eq!(ledger.running(TeamId(0)), 0);
+    /// ```
+    pub fn give(&mut self, permit: Permit) {
+        let Some(account) = self.accounts.get_mut(permit.team.index()) else {
+            return;
+        };
+        match permit.source {
+            Source::Home => account.own = account.own.saturating_sub(1),
+            Source::Loan(id) => {
+                if let Some(loan) = self.loans.get_mut(&id).filter(|l| l.used > 0) {
+                    loan.used -= 1;
+                    account.borrowed -= 1;
+                }
+            }
+        }
+    }
+
+    /// Records how many units of a team wait for a permit, which decides how many to borrow.
+    ///
+    /// The count is forgotten after a second, so a queue with waiting units repeats it.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::Ledger;
+    ///
+    /// let (team, now) = (TeamId(0), Instant::default());
+    /// let mut ledger = Ledger::example(2, 10);
+    /// while ledger.take(team, now).is_ok() {}
+    /// ledger.wait(team, 5, now);
+    /// assert_eq!(ledger.tick(now).len(), 1);
+    /// ```
+    pub fn wait(&mut self, team: TeamId, count: u32, now: Instant) {
+        if let Some(account) = self.accounts.get_mut(team.index()) {
+            account.wait(count, now);
+        }
+    }
+
+    /// Returns the units of a team in use at this instance.
+    ///
+    /// ```
+    /// use coriandernotch::fleet::TeamId;
+    ///
+    /// assert_eq!(coriandernotch::limit::Ledger::example(2, 10).running(TeamId(7)), 0);
+    /// ```
+    pub fn running(&self, team: TeamId) -> u32 {
+        self.accounts.get(team.index()).map_or(0, Account::running)
+    }
+
+    /// Returns the home of this instance for a team: the smallest over all versions that may be
+    /// in force.
+    ///
+    /// ```
+    /// use coriandernotch::fleet::TeamId;
+    ///
+    /// assert_eq!(coriandernotch::limit::Ledger::example(4, 8).home(TeamId(0)), 2);
+    /// ```
+    pub fn home(&self, team: TeamId) -> u32 {
+        self.accounts.get(team.index()).map_or(0, |a| a.home)
+    }
+
+    /// Returns how many permits of the home borrowers hold or may still be using.
+    ///
+    /// ```
+    /// use coriandernotch::fleet::TeamId;
+    ///
+    /// assert_eq!(coriandernotch::limit::Ledger::example(4, 8).lent(TeamId(0)), 0);
+    /// ```
+    pub fn lent(&self, team: TeamId) -> u32 {
+        self.accounts.get(team.index()).map_or(0, |a| a.lent)
+    }
+
+    /// Lists the loans from peers.
+    ///
+    /// ```
+    /// assert_eq!(coriandernotch::limit::Ledger::example(4, 8).loans().count(), 0);
+    /// ```
+    pub fn loans(&self) -> impl Iterator<Item = (LoanId, &Loan)> {
+        self.loans.iter().map(|(id, loan)| (*id, loan))
+    }
+
+    /// Returns the longest time for which a unit may run, the smallest over all known versions.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use coriandernotch::limit::Ledger;
+    ///
+    /// assert_eq!(Ledger::example(2, 10).longest_run(), Duration::from_secs(30));
+    /// ```
+    pub fn longest_run(&self) -> Duration {
+        let known = self.editions.iter().chain(&self.pending);
+        known.map(|e| e.longest_run).min().unwrap_or_default()
+    }
+}
+
+/// Finds a loan with an idle permit, beginning with the one that had the last.
+fn idle_loan(
+    loans: &Map<LoanId, Loan>,
+    account: &Account,
+    now: Instant,
+) -> Option<(usize, LoanId)> {
+    let count = account.loans.len();
+    (account.cursor..account.cursor + count)
+        .map(|i| (i % count, account.loans[i % count]))
+        .find(|(_, id)| loans.get(id).is_some_and(|l| l.used < l.usable(now)))
+}
+
+/// Drops a loan without running units.
+fn forget(loans: &mut Map<LoanId, Loan>, account: &mut Account, id: LoanId) {
+    debug_assert!(loans.get(&id).is_none_or(|l| l.used == 0));
+    loans.remove(&id);
+    account.loans.retain(|l| *l != id);
+    account.cursor = 0;
+}
+
+/// Returns whether a loan was granted without knowledge of terms that moved its permits.
+fn is_stale(editions: &[Edition], pending: &[Edition], account: &Account, loan: &Loan) -> bool {
+    let newest = editions.last();
+    let mut unknown = pending.iter().filter(|p| !loan.basis.covers(p.mark));
+    loan.phase == Phase::Held
+        && (!loan.basis.covers(account.moved)
+            || unknown.any(|p| newest.is_none_or(|e| !e.same(p, loan.team))))
+}
--- /dev/null
+++ b/src/limit/ledger/report.rs
@@ -0,0 +1,100 @@
+use super::Ledger;
+use crate::clock::Instant;
+use crate::fleet::TeamId;
+use crate::limit::account::Account;
+use crate::limit::{Basis, PeerId, Report};
+
+impl Ledger {
+    /// Returns what to tell peers.
+    ///
+    /// ```
+    /// let report = coriandernotch::limit::Ledger::example(2, 10).report();
+    /// assert_eq!((report.settled, report.closed), (1, 1));
+    /// ```
+    pub fn report(&self) -> Report {
+        let running = self.teams().map(|(team, a)| (team, a.running()));
+        Report {
+            settled: self.settled(),
+            closed: self.closed,
+            running: running.filter(|(_, count)| *count > 0).collect(),
+        }
+    }
+
+    /// Takes in the report of a peer: where it has idle permits, and whether it is within the
+    /// homes of a version, so that homes grow as soon as all voters concerned are.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::{Ledger, Report, Terms, Voter};
+    ///
+    /// let now = Instant::default();
+    /// let mut ledger = Ledger::example(2, 10);
+    /// let peer = ledger.peer(&Voter::new("b", 1));
+    /// ledger.install(&Terms::example(2, 2, 20), now);
+    /// assert_eq!(ledger.home(TeamId(0)), 5);
+    /// ledger.learn(peer, Report { settled: 2, ..Report::default() }, now);
+    /// assert_eq!(ledger.home(TeamId(0)), 10);
+    /// ```
+    pub fn learn(&mut self, from: PeerId, report: Report, now: Instant) {
+        let Some(peer) = self.peers.get_mut(from) else {
+            return;
+        };
+        // Reports may arrive out of order; both statements stay true once made.
+        peer.settled = peer.settled.max(report.settled);
+        self.closed = self.closed.max(report.closed);
+        peer.running.clear();
+        for (team, count) in report.running {
+            // Only teams with an account, so that a peer cannot enlarge the arena.
+            if team.index() < self.accounts.len() {
+                let size = peer.running.len().max(team.index() + 1);
+                peer.running.resize(size, 0);
+                peer.running[team.index()] = count;
+            }
+        }
+        self.close(now);
+    }
+
+    /// Returns the newest version within whose homes, and within those of all older unclosed
+    /// versions, this instance is; `u64::MAX` once it has retired and holds nothing.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::{Ledger, Terms};
+    ///
+    /// let (team, now) = (TeamId(0), Instant::default());
+    /// let mut ledger = Ledger::example(2, 2);
+    /// let permit = ledger.take(team, now).unwrap();
+    /// ledger.install(&Terms::example(2, 2, 0), now);
+    /// assert_eq!(ledger.settled(), 1);
+    /// ledger.give(permit);
+    /// assert_eq!(ledger.settled(), 2);
+    /// ```
+    pub fn settled(&self) -> u64 {
+        let counted = |a: &Account| a.own + a.lent;
+        if self.retired && self.accounts.iter().all(|a| a.running() + a.lent == 0) {
+            return u64::MAX;
+        }
+        let fits = |e: &&super::Edition| {
+            self.teams().all(|(team, a)| {
+                let home = if e.gap { 0 } else { e.home(team) };
+                counted(a) <= home
+            })
+        };
+        let within = self.editions.iter().take_while(fits);
+        within.last().map_or(0, |e| e.mark.version)
+    }
+
+    /// Returns what this instance obeys, to be stated with each loan.
+    pub(super) fn basis(&self) -> Basis {
+        Basis {
+            version: self.editions.last().map_or(0, |e| e.mark.version),
+            pending: self.pending.last().map(|p| p.mark),
+        }
+    }
+
+    pub(super) fn teams(&self) -> impl Iterator<Item = (TeamId, &Account)> {
+        (0..).map(TeamId).zip(&self.accounts)
+    }
+}
--- /dev/null
+++ b/src/limit/mod.rs
@@ -0,0 +1,76 @@
+//! Fleet-wide upper limits by permits, without a store write per call.
+//!
+//! The limit of a team is split over the voters of a version ([`Home`]); permits move towards
+//! demand by loans of a fixed term ([`Loan`]). A [`Ledger`] holds the permits of one entry
+//! instance. It opens no socket: it returns [`Order`]s to send and consumes what peers sent.
+//!
+//! Safety rests on four assumptions about the caller:
+//! - work starts only after [`Ledger::check`], while the configuration evidence is at most
+//!   [`FRESHNESS`] old, and ends before the instant that `check` returned;
+//! - a change that was acknowledged is passed to [`Ledger::prepare`] before the acknowledgement
+//!   is sent;
+//! - a committed version is passed to [`Ledger::install`] before any evidence for it is used;
+//! - a restarted process uses a new incarnation.
+
+mod account;
+mod basis;
+mod cap;
+mod denial;
+mod edition;
+mod home;
+mod ledger;
+mod lent;
+mod loan;
+mod loan_id;
+mod mark;
+mod order;
+mod peer;
+mod permit;
+mod phase;
+mod reply;
+mod report;
+mod request;
+mod terms;
+mod voter;
+
+pub use basis::Basis;
+pub use cap::Cap;
+pub use denial::Denial;
+pub use home::Home;
+pub use ledger::Ledger;
+pub use loan::Loan;
+pub use loan_id::LoanId;
+pub use mark::Mark;
+pub use order::Order;
+pub use peer::PeerId;
+pub use permit::{Permit, Source};
+pub use reply::Reply;
+pub use report::Report;
+pub use request::Request;
+pub use terms::Terms;
+pub use voter::Voter;
+
+use std::time::Duration;
+
+/// Greatest age of the evidence under which an instance starts work.
+pub const FRESHNESS: Duration = Duration::from_secs(3);
+
+/// Time for which a loan may be used, counted by the borrower from its request.
+pub const TERM: Duration = Duration::from_secs(5);
+
+/// Hashes bytes in the same way in every build, since all instances must agree on the split.
+///
+/// FNV-1a with the finalizer of SplitMix64, because FNV alone leaves short names correlated.
+fn hash(seed: u64, bytes: &[u8]) -> u64 {
+    let fnv = bytes.iter().fold(seed ^ 0xcbf2_9ce4_8422_2325, |h, b| {
+        (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3)
+    });
+    mix(fnv)
+}
+
+fn mix(value: u64) -> u64 {
+    let z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
