--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod clock;
 pub mod collections;
 pub mod fleet;
+pub mod limit;
 pub mod platform;
 pub mod route;
 pub mod standin;
