--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,5 +13,6 @@
 
 pub mod clock;
 pub mod collections;
+pub mod config;
 pub mod fleet;
 pub mod platform;
