--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod admit;
 pub mod clock;
 pub mod collections;
+pub mod config;
 pub mod fleet;
 pub mod limit;
 pub mod platform;
