Read and validate settings and fleet documents

Cause: nothing read the settings of a process or the fleet document. Change: `document::read` gives an arena of positioned values; shapes state fields, ranges and defaults; `settings::parse` and `fleet::parse` report every problem with line, column, path, value and what is accepted; `fleet::diff` lists differences by name; `cli::check` validates a file. Budgets gain `rack`, plans a daily window.

--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,5 @@
+//! Commands of the program.
+
+mod check;
+
+pub use check::{check, check_to};
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -6,4 +6,7 @@
 pub struct Budget {
     /// Most instances that may be down or draining at once, planned or not.
     pub unavailable: u32,
+    /// Instances that share a rack, when one whole rack may be down; 0 when that is not asked.
+    #[serde(default)]
+    pub rack: u32,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,7 +4,10 @@
 //! over versions for the life of the process, so state kept per id survives a change.
 
 mod budget;
+mod check;
 mod data_centre;
+mod diff;
+mod difference;
 mod digest;
 mod document;
 mod id;
@@ -14,11 +17,14 @@
 mod queue;
 mod registry;
 mod service;
+mod shape;
 mod snapshot;
 mod team;
 
 pub use budget::Budget;
 pub use data_centre::{DataCentre, Direction};
+pub use diff::diff;
+pub use difference::Difference;
 pub use digest::Digest;
 pub use document::Document;
 pub use id::{DataCentreId, PoolId, QueueId, ServiceId, TeamId};
@@ -30,3 +36,35 @@
 pub use service::Service;
 pub use snapshot::Snapshot;
 pub use team::Team;
+
+use crate::document::{Faults, Problem, Shape, conform, convert, load};
+
+/// Reads and validates a fleet document.
+///
+/// # Errors
+///
+/// Returns every problem of the document.
+///
+/// ```
+/// use coriandernotch::fleet;
+///
+/// let text = include_str!("../../examples/huallaga.jsonc");
+/// assert_eq!(fleet::parse("huallaga.jsonc", text).unwrap().data_centres.len(), 3);
+/// let problems = fleet::parse("fleet.jsonc", "{\"name\": 5}").unwrap_err();
+/// assert_eq!(problems.last().unwrap().field, "name");
+/// ```
+pub fn parse(file: &str, text: &str) -> Result<Document, Vec<Problem>> {
+    let (tree, mut faults): (_, Faults) = load(file, text)?;
+    conform(&tree, shape(), &mut faults);
+    check::check(&tree, &mut faults);
+    convert(&tree, faults)
+}
+
+/// Returns the fields that a fleet document accepts.
+///
+/// ```
+/// assert!(coriandernotch::fleet::shape().field("pools").is_some());
+/// ```
+pub fn shape() -> &'static Shape {
+    &shape::DOCUMENT
+}
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -12,7 +12,17 @@
     pub pool: Arc<str>,
     /// Days within which each instance is maintained once.
     pub period_days: u32,
+    /// Hour of the day, in UTC, at which the window opens.
+    #[serde(default)]
+    pub window_start_hour: u32,
+    /// Hours for which the window stays open each day.
+    #[serde(default = "default_window_hours")]
+    pub window_hours: u32,
     /// True while operators hold the plan.
     #[serde(default)]
     pub paused: bool,
 }
+
+fn default_window_hours() -> u32 {
+    24
+}
--- a/src/fleet/service.rs
+++ b/src/fleet/service.rs
@@ -30,12 +30,18 @@
     pub queue_limit: u32,
 }
 
+/// Calls that one target runs at once, unless the service says otherwise.
+pub(super) const DEFAULT_SLOTS: u32 = 8;
+
+/// Connections that one target accepts, unless the service says otherwise.
+pub(super) const DEFAULT_CONNECTIONS: u32 = 64;
+
 fn default_slots() -> u32 {
-    8
+    DEFAULT_SLOTS
 }
 
 fn default_connections() -> u32 {
-    64
+    DEFAULT_CONNECTIONS
 }
 
 fn default_timeout_ms() -> u32 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,10 @@
 //! assert_eq!(Snapshot::build(1, document.into(), &mut Registry::default()).version(), 1);
 //! ```
 
+pub mod cli;
 pub mod clock;
 pub mod collections;
+pub mod document;
 pub mod fleet;
 pub mod platform;
+pub mod settings;
