--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,11 +12,14 @@
 //! ```
 
 pub mod admit;
+pub mod cli;
 pub mod clock;
 pub mod collections;
 pub mod config;
+pub mod document;
 pub mod fleet;
 pub mod limit;
 pub mod platform;
 pub mod route;
+pub mod settings;
 pub mod standin;
