Add the callers' path from connection to target

Cause: callers need one whole path. Change: dispatcher (slot and permit granted together, last check before the first byte), callers' port on hyper with bounded headers, bodies and times, connections to targets reused only after a whole answer, calls whose caller went away keep their permit until the target has ended.

--- a/src/clock/instant.rs
+++ b/src/clock/instant.rs
@@ -20,6 +20,11 @@
         Self(u64::try_from(elapsed.as_nanos()).unwrap_or(u64::MAX))
     }
 
+    /// Returns the nanoseconds since the machine started, for storage in an atomic.
+    pub fn as_nanos(self) -> u64 {
+        self.0
+    }
+
     /// Returns the time since `earlier`, or zero when `earlier` is later.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_nanos(self.0.saturating_sub(earlier.0))
--- /dev/null
+++ b/src/front/callers/mod.rs
@@ -0,0 +1,18 @@
+//! The callers' port: `/v1/services/{service}/{path}`.
+
+mod answer;
+mod body;
+mod connections;
+mod exchange;
+mod flight;
+mod guard;
+mod limits;
+mod meter;
+mod reply;
+mod request;
+mod serve;
+
+pub use body::Body;
+pub use connections::Connections;
+pub use limits::Limits;
+pub use serve::{Port, serve};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,12 +12,14 @@
 //! ```
 
 pub mod admit;
+pub mod call;
 pub mod cli;
 pub mod clock;
 pub mod collections;
 pub mod config;
 pub mod document;
 pub mod fleet;
+pub mod front;
 pub mod limit;
 pub mod platform;
 pub mod route;
--- a/src/limit/ledger.rs
+++ b/src/limit/ledger.rs
@@ -1,5 +1,6 @@
 mod borrow;
 mod lend;
+mod probe;
 mod report;
 mod upkeep;
 mod versions;
--- a/src/route/targets.rs
+++ b/src/route/targets.rs
@@ -175,10 +175,16 @@
     /// Ends a call that [`Targets::choose`] counted, and ejects the target when its health says
     /// so. Returns the ejection time.
     pub fn finish(&mut self, id: TargetId, verdict: Verdict, now: Instant) -> Option<Duration> {
+        let target = self.arena.get_mut(id)?;
+        target.running = target.running.saturating_sub(1);
+        self.judge(id, verdict, now)
+    }
+
+    /// Takes account of a verdict while the call goes on. Returns the ejection time.
+    pub fn judge(&mut self, id: TargetId, verdict: Verdict, now: Instant) -> Option<Duration> {
         let pool_rate = self.rate_without(id);
         let room = self.may_eject_more(now);
         let target = self.arena.get_mut(id)?;
-        target.running = target.running.saturating_sub(1);
         if verdict == Verdict::Leaving {
             target.state = State::Leaving;
         }
--- /dev/null
+++ b/tests/admit.rs
@@ -0,0 +1,160 @@
+//! Queues of waiting calls: fairness, deadlines and bounds.
+
+use std::time::Duration;
+
+use coriandernotch::admit::{Queues, Refusal};
+use coriandernotch::clock::Instant;
+use coriandernotch::fleet::TeamId;
+use quickcheck::{Arbitrary, Gen};
+
+const A: TeamId = TeamId(0);
+const B: TeamId = TeamId(1);
+
+fn at(millis: u64) -> Instant {
+    Instant::default() + Duration::from_millis(1_000 + millis)
+}
+
+/// Guards against one team taking more than its share while others wait.
+#[test]
+fn a_full_service_is_divided_by_share() {
+    let shares = [1.0, 3.0];
+    let mut queues = Queues::default();
+    for team in [A, B] {
+        for i in 0..1000 {
+            queues.push(team, at(1_000_000), at(0), 1, 1000, i).unwrap();
+        }
+    }
+    let mut running = [0u32; 2];
+    let mut served = [0u32; 2];
+    let mut busy = std::collections::VecDeque::new();
+    for step in 0..800 {
+        if busy.len() == 16 {
+            let team: usize = busy.pop_front().unwrap();
+            running[team] -= 1;
+        }
+        let (next, _) = queues.next(at(step), |team| {
+            Some(f64::from(running[team.index()]) / shares[team.index()])
+        });
+        let team = next.unwrap().team.index();
+        running[team] += 1;
+        served[team] += 1;
+        busy.push_back(team);
+    }
+    let part = f64::from(served[1]) / 800.0;
+    assert!(
+        (part - 0.75).abs() < 0.0375,
+        "team B got {part} of the service, share 0.75"
+    );
+}
+
+/// Guards against idle slots while a team with work may start.
+#[test]
+fn a_team_alone_gets_everything() {
+    let mut queues = Queues::default();
+    queues.push(B, at(1_000), at(0), 1, 10, ()).unwrap();
+    let (next, _) = queues.next(at(0), |team| (team == B).then_some(100.0));
+    assert!(next.is_some());
+}
+
+/// Guards against calls that are started although they can no longer be answered in time.
+#[test]
+fn calls_that_cannot_be_met_are_refused() {
+    let mut queues = Queues::default();
+    queues.record(Duration::from_millis(100));
+    let refused = queues.push(A, at(50), at(0), 1, 10, ()).unwrap_err().0;
+    assert_eq!(refused, Refusal::DeadlineUnmeetable);
+    queues.push(A, at(150), at(0), 1, 10, ()).unwrap();
+    let refused = queues.push(A, at(150), at(0), 1, 10, ()).unwrap_err().0;
+    assert_eq!(
+        refused,
+        Refusal::DeadlineUnmeetable,
+        "one call waits before it"
+    );
+    let (next, late) = queues.next(at(60), |_| Some(0.0));
+    assert!(next.is_none(), "90 ms left, 100 ms needed");
+    assert_eq!(late.len(), 1);
+}
+
+/// Guards against a queue without bound, and against cancelled calls that count towards it.
+#[test]
+fn a_wave_of_cancellations_frees_the_queue() {
+    let mut queues = Queues::default();
+    let tickets: Vec<_> = (0..100)
+        .map(|i| queues.push(A, at(9_999), at(0), 1, 100, i).unwrap())
+        .collect();
+    assert_eq!(
+        queues.push(A, at(9_999), at(0), 1, 100, 0).unwrap_err().0,
+        Refusal::QueueFull
+    );
+    for ticket in &tickets {
+        assert!(queues.cancel(*ticket).is_some());
+        assert!(queues.cancel(*ticket).is_none(), "a call ends once");
+    }
+    assert!(queues.is_empty());
+    queues.push(A, at(9_999), at(0), 1, 100, 7).unwrap();
+    let (next, _) = queues.next(at(1), |_| Some(0.0));
+    assert_eq!(next.unwrap().value, 7);
+}
+
+/// An operation on the queues.
+#[derive(Clone, Debug)]
+enum Operation {
+    Push(u8, u8),
+    Next(u8),
+    Cancel(u8),
+}
+
+impl Arbitrary for Operation {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 4 {
+            0 | 1 => Self::Push(u8::arbitrary(g) % 3, u8::arbitrary(g)),
+            2 => Self::Next(u8::arbitrary(g)),
+            _ => Self::Cancel(u8::arbitrary(g)),
+        }
+    }
+}
+
+/// Guards against calls that end twice, get lost, or are served out of order within a team.
+#[test]
+fn every_call_ends_once_and_in_order() {
+    let mut gen_ = Gen::from_size_and_seed(120, 7);
+    for _ in 0..300 {
+        let operations = Vec::<Operation>::arbitrary(&mut gen_);
+        let mut queues = Queues::default();
+        let mut open: Vec<(TeamId, u32, coriandernotch::admit::Ticket)> = Vec::new();
+        let mut now = 0;
+        for (number, operation) in (0..).zip(&operations) {
+            now += 10;
+            match *operation {
+                Operation::Push(team, patience) => {
+                    let team = TeamId(team.into());
+                    let deadline = at(now + u64::from(patience) * 4);
+                    if let Ok(t) = queues.push(team, deadline, at(now), 4, 20, number) {
+                        open.push((team, number, t));
+                    }
+                }
+                Operation::Next(only) => {
+                    let allowed = |team: TeamId| team.0 != u32::from(only % 4);
+                    let (next, late) =
+                        queues.next(at(now), |team| allowed(team).then_some(team.0.into()));
+                    for call in &late {
+                        assert!(call.deadline < at(now));
+                        open.retain(|(_, n, _)| *n != call.value);
+                    }
+                    if let Some(call) = next {
+                        assert!(allowed(call.team) && call.deadline >= at(now));
+                        let first = open.iter().find(|(t, ..)| *t == call.team).unwrap();
+                        assert_eq!(first.1, call.value);
+                        open.retain(|(_, n, _)| *n != call.value);
+                    }
+                }
+                Operation::Cancel(i) if !open.is_empty() => {
+                    let (_, number, ticket) = open.remove(usize::from(i) % open.len());
+                    assert_eq!(queues.cancel(ticket).unwrap().value, number);
+                }
+                Operation::Cancel(_) => {}
+            }
+            assert_eq!(queues.len(), open.len());
+        }
+    }
+}
