--- a/src/config/state.rs
+++ b/src/config/state.rs
@@ -1,3 +1,5 @@
+mod until;
+
 use std::sync::Arc;
 
 use super::{
--- /dev/null
+++ b/src/config/state/until.rs
@@ -0,0 +1,23 @@
+use super::{FRESHNESS, PAUSE_LIMIT, State};
+use crate::clock::Instant;
+
+impl State {
+    /// Returns until when [`State::is_fresh`] holds if nothing else is heard.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::config::{FRESHNESS, State};
+    ///
+    /// let now = Instant::default();
+    /// let state = State::example("a", &["a", "b"], now);
+    /// assert_eq!(state.fresh_until(), Some(now + FRESHNESS));
+    /// ```
+    pub fn fresh_until(&self) -> Option<Instant> {
+        self.in_force.as_ref()?;
+        let by_head = self.freshness.head_read().map(|at| at + FRESHNESS);
+        let by_majority = self
+            .majority
+            .map(|at| (at + FRESHNESS).min(self.touched + PAUSE_LIMIT));
+        by_head.max(by_majority)
+    }
+}
--- /dev/null
+++ b/src/peer/handle.rs
@@ -0,0 +1,187 @@
+use std::sync::Arc;
+
+use super::{Hub, Link};
+use crate::call::Load;
+use crate::clock::Instant;
+use crate::config::{State, Want};
+use crate::control::to_limit;
+use crate::fleet::Snapshot;
+use crate::limit::{self, Request};
+use crate::wire::{Body, Count, Fetched, Malformed, Report};
+
+/// What goes back to the peer.
+pub(super) enum Answer {
+    None,
+    /// A message that stands for itself.
+    Tell(Body),
+    /// The reply to the message.
+    Reply(Body),
+}
+
+/// Passes a message to the part that decides on it.
+pub(super) fn handle(
+    hub: &Arc<Hub>,
+    link: &Link,
+    body: Body,
+    now: Instant,
+) -> Result<Answer, Malformed> {
+    let control = hub.control();
+    control.with_presence(|presence| presence.on_message(&link.voter().name));
+    match body {
+        Body::Pull(_) => {
+            let affirmation = control.act(now, |state| state.on_pull(now));
+            Ok(Answer::Reply(Body::Affirmation((&affirmation).into())))
+        }
+        Body::Prepare(prepare) => {
+            let ack = control.prepare(&prepare.try_into()?, now);
+            hub.wants().notify_one();
+            Ok(Answer::Reply(Body::Ack((&ack).into())))
+        }
+        Body::Commit(revision) => {
+            let revision = revision.try_into()?;
+            control.act(now, |state| state.on_commit(now, &revision));
+            hub.wants().notify_one();
+            Ok(Answer::None)
+        }
+        Body::Abort(operation) => {
+            let operation = operation.try_into().map_err(|_| Malformed("operation"))?;
+            control.act(now, |state| state.on_abort(now, operation));
+            Ok(Answer::None)
+        }
+        Body::Fetch(fetch) => {
+            let want = fetch.try_into()?;
+            Ok(Answer::Reply(Body::Fetched(
+                control.read(|state| find(state, want)),
+            )))
+        }
+        Body::Borrow(borrow) => {
+            let team = control.current().and_then(|s| s.team_id(&borrow.team));
+            Ok(lend(hub, link, borrow.to_request(team)?, now))
+        }
+        Body::Renew(renew) => Ok(lend(hub, link, renew.into(), now)),
+        Body::Return(give) => Ok(lend(hub, link, give.into(), now)),
+        Body::Lent(lent) => {
+            let dispatcher = control.dispatcher();
+            dispatcher.with_ledger(|ledger| {
+                let peer = ledger.peer(&to_limit(link.voter()));
+                ledger.accept(peer, lent.into(), now);
+            });
+            dispatcher.pump(now);
+            Ok(Answer::None)
+        }
+        Body::Report(report) => {
+            take_report(hub, link, &report, now);
+            Ok(Answer::None)
+        }
+        Body::Retire(affirmation) => {
+            let affirmation = affirmation.try_into()?;
+            control.act(now, |state| state.on_retire(now, &affirmation));
+            Ok(Answer::None)
+        }
+        Body::Hello(_) | Body::Affirmation(_) | Body::Ack(_) | Body::Fetched(_) => Ok(Answer::None),
+    }
+}
+
+fn lend(hub: &Hub, link: &Link, request: Request, now: Instant) -> Answer {
+    let dispatcher = hub.control().dispatcher();
+    let reply = dispatcher.with_ledger(|ledger| {
+        let peer = ledger.peer(&to_limit(link.voter()));
+        ledger.lend(peer, request, now)
+    });
+    if matches!(request, Request::Return { .. }) {
+        dispatcher.pump(now);
+    }
+    reply.map_or(Answer::None, |reply| Answer::Tell(Body::Lent(reply.into())))
+}
+
+/// Looks up what a peer lacks.
+fn find(state: &State, want: Want) -> Fetched {
+    let mut out = Fetched::default();
+    match want {
+        Want::Head(_) => out.head = state.revision().as_ref().map(Into::into),
+        Want::Content(digest) => {
+            let version = state.enforced().find(|v| v.head.digest == digest);
+            out.content = version.map(|v| v.content.to_string());
+        }
+        Want::Pending(operation) => {
+            let pending = state
+                .pending()
+                .iter()
+                .find(|p| p.prepare.operation() == operation);
+            out.pending = pending.map(|p| (&p.prepare).into());
+        }
+    }
+    out
+}
+
+fn take_report(hub: &Hub, link: &Link, report: &Report, now: Instant) {
+    let Some(current) = hub.control().current() else {
+        return;
+    };
+    let permits = report
+        .permits
+        .iter()
+        .filter_map(|c| Some((current.team_id(&c.name)?, c.count)));
+    let permits = limit::Report {
+        settled: report.settled,
+        closed: report.closed,
+        running: permits.collect(),
+    };
+    hub.control().dispatcher().with_ledger(|ledger| {
+        let peer = ledger.peer(&to_limit(link.voter()));
+        ledger.learn(peer, permits, now);
+    });
+    hub.learn_load(&link.voter().name, read_load(&current, report), now);
+}
+
+fn read_load(current: &Snapshot, report: &Report) -> Load {
+    let teams = report.calls.iter().filter_map(|c| {
+        Some((
+            (current.service_id(&c.service)?, current.team_id(&c.name)?),
+            c.count,
+        ))
+    });
+    let targets = report
+        .targets
+        .iter()
+        .map(|c| (c.name.as_str().into(), c.count));
+    Load {
+        teams: teams.collect(),
+        targets: targets.collect(),
+    }
+}
+
+/// Makes what this instance tells its peers.
+pub(super) fn make_report(hub: &Hub) -> Report {
+    let Some(current) = hub.control().current() else {
+        return Report::default();
+    };
+    let dispatcher = hub.control().dispatcher();
+    let permits = dispatcher.with_ledger(|ledger| ledger.report());
+    let load = dispatcher.load();
+    let count = |name: &str, service: &str, count| Count {
+        name: name.to_owned(),
+        service: service.to_owned(),
+        count,
+    };
+    let team = |id| current.team(id).map(|t| t.name.clone());
+    Report {
+        settled: permits.settled,
+        closed: permits.closed,
+        permits: permits
+            .running
+            .iter()
+            .filter_map(|(id, n)| Some(count(&team(*id)?, "", *n)))
+            .collect(),
+        calls: load
+            .teams
+            .iter()
+            .filter_map(|((s, t), n)| Some(count(&team(*t)?, &current.service(*s)?.name, *n)))
+            .collect(),
+        targets: load
+            .targets
+            .iter()
+            .map(|(name, n)| count(name, "", *n))
+            .collect(),
+    }
+}
--- /dev/null
+++ b/src/peer/hub.rs
@@ -0,0 +1,137 @@
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::{Notify, watch};
+
+use super::Link;
+use crate::call::Load;
+use crate::clock::Instant;
+use crate::collections::Map;
+use crate::config::Voter;
+use crate::control::Control;
+use crate::wire::{Body, Hello, PROTOCOL};
+
+/// Connected peers of one entry instance.
+pub struct Hub {
+    control: Arc<Control>,
+    data_centre: Arc<str>,
+    links: Mutex<Map<Arc<str>, Link>>,
+    /// What each connected peer last said that it runs.
+    loads: Mutex<Map<Arc<str>, Load>>,
+    /// Woken when something must be fetched.
+    wants: Notify,
+    stop: watch::Sender<bool>,
+}
+
+impl Hub {
+    /// Makes a hub without peers.
+    pub fn new(control: Arc<Control>, data_centre: &str) -> Arc<Self> {
+        Arc::new(Self {
+            control,
+            data_centre: data_centre.into(),
+            links: Mutex::default(),
+            loads: Mutex::default(),
+            wants: Notify::new(),
+            stop: watch::Sender::new(false),
+        })
+    }
+
+    /// Returns the configuration of this instance.
+    pub fn control(&self) -> &Arc<Control> {
+        &self.control
+    }
+
+    /// Lists the connected peers.
+    pub fn links(&self) -> Vec<Link> {
+        self.links
+            .lock()
+            .expect("links lock")
+            .values()
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the connection to one life of a peer.
+    pub fn link(&self, voter: &Voter) -> Option<Link> {
+        let links = self.links.lock().expect("links lock");
+        links
+            .get(&voter.name)
+            .filter(|link| link.voter() == voter)
+            .cloned()
+    }
+
+    /// Returns whether a peer of this name is connected.
+    pub fn is_connected(&self, name: &str) -> bool {
+        self.links.lock().expect("links lock").contains_key(name)
+    }
+
+    /// Sends a message to all connected peers.
+    pub fn tell_all(&self, body: &Body) {
+        for link in self.links() {
+            link.tell(body.clone());
+        }
+    }
+
+    /// Returns the sign that is woken when something must be fetched.
+    pub fn wants(&self) -> &Notify {
+        &self.wants
+    }
+
+    /// Ends all connections.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
+    pub(super) fn stopped(&self) -> watch::Receiver<bool> {
+        self.stop.subscribe()
+    }
+
+    pub(super) fn hello(&self) -> Hello {
+        let own = self.control.own();
+        Hello {
+            protocol: PROTOCOL,
+            name: own.name.to_string(),
+            incarnation: own.incarnation,
+            data_centre: self.data_centre.to_string(),
+        }
+    }
+
+    /// Adds a connected peer, unless a newer life of it is connected.
+    pub(super) fn attach(&self, link: &Link) -> bool {
+        let mut links = self.links.lock().expect("links lock");
+        let old = links.get(&link.voter().name).map(|l| l.voter().incarnation);
+        if old.is_some_and(|incarnation| incarnation > link.voter().incarnation) {
+            return false;
+        }
+        links.insert(link.voter().name.clone(), link.clone());
+        true
+    }
+
+    pub(super) fn detach(&self, link: &Link, now: Instant) {
+        let mut links = self.links.lock().expect("links lock");
+        let name = &link.voter().name;
+        if links.get(name).is_some_and(|current| current.is_same(link)) {
+            links.remove(name);
+            drop(links);
+            self.loads.lock().expect("loads lock").remove(name);
+            self.pass_loads(now);
+        }
+    }
+
+    pub(super) fn learn_load(&self, name: &Arc<str>, load: Load, now: Instant) {
+        self.loads
+            .lock()
+            .expect("loads lock")
+            .insert(name.clone(), load);
+        self.pass_loads(now);
+    }
+
+    fn pass_loads(&self, now: Instant) {
+        let mut sum = Load::default();
+        self.loads
+            .lock()
+            .expect("loads lock")
+            .values()
+            .for_each(|load| sum.add(load));
+        self.control.dispatcher().report(&sum, now);
+    }
+}
