--- a/src/document/conform.rs
+++ b/src/document/conform.rs
@@ -54,24 +54,31 @@
         Type::Integer(min, max) => tree.integer(id).is_some_and(|n| (*min..=*max).contains(&n)),
         Type::Boolean => tree.boolean(id).is_some(),
         Type::Choice(words) => tree.text(id).is_some_and(|text| words.contains(&text)),
-        Type::Digest => {
-            if !tree.text(id).is_some_and(Type::is_digest) {
-                // Someone may have pasted the key itself, which must not reach a log.
-                let value = || match tree.text(id) {
-                    Some(text) => format!("(text of {} characters)", text.chars().count()),
-                    None => "(not text)".to_owned(),
-                };
-                faults.refuse_as(tree, id, value, || accepts.to_string());
-            }
-            true
-        }
+        Type::Digest => tree.text(id).is_some_and(Type::is_digest),
         Type::Listen => address(tree, id).is_some(),
         Type::Address => {
             address(tree, id).is_some_and(|a| a.port() != 0 && !a.ip().is_unspecified())
         }
     };
     if !accepted {
-        faults.refuse(tree, id, || accepts.to_string());
+        let value = || match tree.text(id) {
+            // It may be the key itself or a part of one.
+            Some(text) if hides(accepts) => {
+                format!("(text of {} characters)", text.chars().count())
+            }
+            _ => tree.shown(id),
+        };
+        faults.refuse_as(tree, id, value, || accepts.to_string());
+    }
+}
+
+/// Tells whether text in the place of such a value may be a secret, which must not reach a log.
+fn hides(accepts: &Type) -> bool {
+    match accepts {
+        Type::Digest => true,
+        Type::Object(shape) => shape.fields.iter().any(|field| hides(&field.accepts)),
+        Type::List(of, ..) => hides(of),
+        _ => false,
     }
 }
 
@@ -101,11 +108,8 @@
     let names = || shape.fields.iter().map(|field| field.name);
     let list = names().collect::<Vec<_>>().join(", ");
     match closest(name, names()) {
-        Some(close) => format!(
-            "{close:?} (closest), or another field of a {}: {list}",
-            shape.name
-        ),
-        None => format!("a field of a {}: {list}", shape.name),
+        Some(close) => format!("{close:?} (closest) or another of the fields {list}"),
+        None => format!("one of the fields {list}"),
     }
 }
 
--- a/src/document/load.rs
+++ b/src/document/load.rs
@@ -37,11 +37,7 @@
     };
     let parsed = parse_to_ast(text, &collect, &options).map_err(|error| {
         let start = error.range().start.min(text.len());
-        let line = text[start..].lines().next().unwrap_or_default();
-        let value = match line {
-            "" => "end of line".to_owned(),
-            line => shorten(line),
-        };
+        let value = first_token(&text[start..]);
         let accepted = format!("JSON with comments ({})", error.kind());
         single(file, text, start, value, accepted)
     })?;
@@ -67,6 +63,18 @@
     Ok((builder.tree, builder.faults))
 }
 
+/// Returns the word or the sign with which a text begins. Quoted text is not repeated, since it
+/// may be a secret.
+fn first_token(text: &str) -> String {
+    let is_word = |c: char| c.is_ascii_alphanumeric() || "+-_.".contains(c);
+    let word = text.find(|c| !is_word(c)).unwrap_or(text.len());
+    match (word, text.chars().next()) {
+        (_, None) => "end of text".to_owned(),
+        (0, Some(sign)) => shorten(&sign.to_string()),
+        (word, _) => shorten(&text[..word]),
+    }
+}
+
 pub(super) fn single(
     file: &str,
     text: &str,
@@ -138,9 +146,15 @@
         let mut items = Vec::with_capacity(list.elements.len());
         let mut last = None;
         for (index, element) in list.elements.iter().enumerate() {
-            self.check_comma(id, last, element.range());
-            last = Some(element.range());
-            items.push(self.add(element, Some(id), Step::Index(index), depth + 1));
+            let range = element.range();
+            let item = self.add(element, Some(id), Step::Index(index), depth + 1);
+            if last.is_some_and(|last| !self.has_comma(last, range)) {
+                let accepted = || "a comma before it".to_owned();
+                self.faults
+                    .refuse_as(&self.tree, item, || "(entry)".to_owned(), accepted);
+            }
+            last = Some(range);
+            items.push(item);
         }
         Value::List(items)
     }
@@ -150,10 +164,14 @@
         let mut seen = BTreeSet::new();
         let mut last = None;
         for property in &object.properties {
-            self.check_comma(id, last, property.range);
-            last = Some(property.range);
             let name: Arc<str> = property.name.as_str().into();
             let start = property.name.range().start;
+            if last.is_some_and(|last| !self.has_comma(last, property.range)) {
+                let (tree, shown) = (&self.tree, shorten(&format!("{name:?}")));
+                let accepted = "a comma before it".to_owned();
+                self.faults.push(start, || (tree.path(id), shown, accepted));
+            }
+            last = Some(property.range);
             match &property.name {
                 ast::ObjectPropName::String(lit) => self.check_quotes(lit.range, id),
                 ast::ObjectPropName::Word(lit) => self.refuse_quotes(lit.range, id),
@@ -173,17 +191,9 @@
         Value::Object(members)
     }
 
-    fn check_comma(&mut self, id: NodeId, last: Option<Range>, next: Range) {
-        let Some(last) = last else { return };
+    fn has_comma(&self, last: Range, next: Range) -> bool {
         let after = self.commas.partition_point(|comma| *comma < last.end);
-        if self.commas.get(after).is_some_and(|c| *c < next.start) {
-            return;
-        }
-        let tree = &self.tree;
-        self.faults.push(next.start, || {
-            let value = shorten(&tree.text[next.start..next.end]);
-            (tree.path(id), value, "a comma before it".to_owned())
-        });
+        self.commas.get(after).is_some_and(|c| *c < next.start)
     }
 
     fn check_quotes(&mut self, range: Range, id: NodeId) {
@@ -195,7 +205,10 @@
     fn refuse_quotes(&mut self, range: Range, id: NodeId) {
         let tree = &self.tree;
         self.faults.push(range.start, || {
-            let value = shorten(&tree.text[range.start..range.end]);
+            let value = match &tree.text[range.start..range.end] {
+                quoted if quoted.starts_with('\'') => "'...'".to_owned(),
+                word => shorten(word),
+            };
             (tree.path(id), value, "text in double quotes".to_owned())
         });
     }
--- a/src/document/tree.rs
+++ b/src/document/tree.rs
@@ -113,7 +113,13 @@
     /// Returns a value as it stands in the text, on one line and shortened.
     pub(crate) fn shown(&self, id: NodeId) -> String {
         let node = self.node(id);
-        shorten(&self.text[node.start..node.end])
+        match &self.text[node.start..node.end] {
+            // The content of these may be a secret, and is seldom what is wrong.
+            text if text.starts_with('{') => "{...}".to_owned(),
+            text if text.starts_with('[') => format!("[{} entries]", self.items(id).len()),
+            text if text.starts_with('\'') => "'...'".to_owned(),
+            text => shorten(text),
+        }
     }
 
     pub(crate) fn start(&self, id: NodeId) -> usize {
--- a/src/document/type.rs
+++ b/src/document/type.rs
@@ -54,7 +54,7 @@
             Self::Address => {
                 f.write_str("a numeric IP address, not 0.0.0.0, with a port from 1 to 65535")
             }
-            Self::Object(shape) => write!(f, "an object of the fields of a {}", shape.name),
+            Self::Object(shape) => write!(f, "an object ({})", shape.name),
             Self::List(of, min, max) => {
                 write!(f, "a list of {min} to {max} entries, each {of}")
             }
--- /dev/null
+++ b/tests/document.rs
@@ -0,0 +1,424 @@
+//! Reading and validation of settings and fleet documents.
+
+use std::process::ExitCode;
+
+use coriandernotch::document::{self, Kind, MAX_BYTES, Problem};
+use coriandernotch::{cli, fleet, settings};
+
+const SETTINGS: &str = include_str!("../examples/settings.jsonc");
+const HUALLAGA: &str = include_str!("../examples/huallaga.jsonc");
+const RENNES: &str = include_str!("../examples/rennes.jsonc");
+
+/// Smallest fleet with one of each kind of thing; the table below changes one place each.
+const FLEET: &str = r#"{
+  "name": "small",
+  "data-centres": [{"name": "east", "region": "r"}],
+  "teams": [
+    {"name": "red", "share": 1, "limit": 5, "keys": [{"name": "k", "digest": "D1"}]},
+    {"name": "blue", "share": 2, "limit": 6}
+  ],
+  "pools": [
+    {"name": "web", "size": 3, "budget": {"unavailable": 1}, "instances": ["a", "b", "c"]},
+    {"name": "rest", "size": 1, "spare": true, "budget": {"unavailable": 0}, "instances": ["d"]}
+  ],
+  "services": [{"name": "shop", "pool": "web", "teams": ["red"], "slots": 4}],
+  "queues": [{"name": "mail", "pool": "web", "teams": ["blue"]}],
+  "plans": [{"name": "tidy", "pool": "web", "period-days": 21}]
+}"#;
+
+const D1: &str = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08";
+
+fn small() -> String {
+    FLEET.replace("D1", D1)
+}
+
+/// What is replaced, by what, then place and a part of `value|accepted` of each problem.
+type Case = (
+    &'static str,
+    &'static str,
+    &'static [(&'static str, &'static str)],
+);
+
+#[rustfmt::skip]
+const FLEET_CASES: &[Case] = &[
+    // Fields.
+    (r#""limit": 5"#, r#""limt": 5"#, &[
+        ("5:5 teams[0].limit", "nothing|an integer from 1 to 1000000 (the field is required)"),
+        ("5:33 teams[0].limt", r#""limt"|"limit" (closest) or another of the fields name, share"#),
+    ]),
+    (r#""limit": 5"#, r#""limit": 5, "colour": 1"#, &[
+        ("5:45 teams[0].colour", r#""colour"|one of the fields name, share, limit, keys"#),
+    ]),
+    (r#""limit": 5"#, r#""limit": 5, "limit": 6"#, &[
+        ("5:45 teams[0].limit", r#""limit"|each field once"#),
+    ]),
+    (r#""name": "small","#, "", &[("1:1 name", "nothing|a name of 1 to 63")]),
+    // Types and ranges.
+    (r#""limit": 5"#, r#""limit": "5""#, &[
+        ("5:42 teams[0].limit", r#""5"|an integer from 1 to 1000000"#),
+    ]),
+    (r#""limit": 5"#, r#""limit": 0"#, &[("5:42 teams[0].limit", "0|an integer from 1")]),
+    (r#""share": 2"#, r#""share": 0"#, &[("6:31 teams[1].share", "0|an integer from 1")]),
+    (r#""limit": 5"#, r#""limit": -5"#, &[("5:42 teams[0].limit", "-5|an integer")]),
+    (r#""limit": 5"#, r#""limit": 5.5"#, &[("5:42 teams[0].limit", "5.5|an integer")]),
+    (r#""limit": 5"#, r#""limit": 1e3"#, &[("5:42 teams[0].limit", "1e3|an integer")]),
+    (r#""limit": 5"#, r#""limit": 0x5"#, &[("5:42 teams[0].limit", "0x5|a decimal number")]),
+    (r#""limit": 5"#, r#""limit": null"#, &[("5:42 teams[0].limit", "null|an integer")]),
+    (r#""limit": 5"#, r#""limit": 99999999999999999999"#, &[
+        ("5:42 teams[0].limit", "99999999999999999999|an integer from 1 to 1000000"),
+    ]),
+    (r#""period-days": 21"#, r#""period-days": 0"#, &[
+        ("14:60 plans[0].period-days", "0|an integer from 1 to 366"),
+    ]),
+    (r#""period-days": 21"#, r#""period-days": 367"#, &[
+        ("14:60 plans[0].period-days", "367|an integer from 1 to 366"),
+    ]),
+    (r#""period-days": 21"#, r#""period-days": 2, "window-hours": 25"#, &[
+        ("14:79 plans[0].window-hours", "25|an integer from 1 to 24"),
+    ]),
+    (r#""spare": true"#, r#""spare": "yes""#, &[
+        ("8:12 pools", r#"no pool with "spare": true|exactly one spare pool"#),
+        ("10:42 pools[1].spare", r#""yes"|true or false"#),
+    ]),
+    (r#""region": "r"}"#, r#""region": "r", "state": "up"}"#, &[
+        ("3:61 data-centres[0].state", r#""up"|one of in, out"#),
+    ]),
+    (r#"[{"name": "east", "region": "r"}]"#, "[]", &[
+        ("3:19 data-centres", "[0 entries]|a list of 1 to 200 entries"),
+    ]),
+    (r#"{"unavailable": 1}"#, "1", &[("9:42 pools[0].budget", "1|an object")]),
+    // Names.
+    (r#""name": "red""#, r#""name": "Red team""#, &[
+        ("5:14 teams[0].name", r#""Red team"|a name of 1 to 63 characters of [a-z0-9-]"#),
+        ("12:58 services[0].teams[0]", r#""red"|the name of a team: Red team, blue"#),
+    ]),
+    (r#""name": "mail""#, r#""name": """#, &[("13:23 queues[0].name", r#"""|a name"#)]),
+    (r#""name": "mail""#, r#""name": "ñ""#, &[("13:23 queues[0].name", r#""ñ"|a name"#)]),
+    (r#""name": "blue""#, r#""name": "red""#, &[
+        ("6:14 teams[1].name", r#""red"|a value that teams[0].name does not have"#),
+        ("13:56 queues[0].teams[0]", r#""blue"|the name of a team: red"#),
+    ]),
+    (r#"["red"]"#, r#"["red", "red"]"#, &[
+        ("12:65 services[0].teams[1]", "a value that services[0].teams[0] does not have"),
+    ]),
+    // References.
+    (r#""shop", "pool": "web""#, r#""shop", "pool": "wed""#, &[
+        ("12:41 services[0].pool", r#""wed"|the name of a pool, "web" being closest: rest, web"#),
+    ]),
+    (r#""mail", "pool": "web""#, r#""mail", "pool": "x""#, &[
+        ("13:39 queues[0].pool", r#""x"|the name of a pool: rest, web"#),
+    ]),
+    (r#""tidy", "pool": "web""#, r#""tidy", "pool": "x""#, &[
+        ("14:38 plans[0].pool", r#""x"|the name of a pool"#),
+    ]),
+    (r#"["blue"]"#, r#"["green"]"#, &[
+        ("13:56 queues[0].teams[0]", r#""green"|the name of a team: blue, red"#),
+    ]),
+    // Keys. A pasted secret must not be repeated.
+    (r#""D1""#, r#""my-secret""#, &[
+        ("5:78 teams[0].keys[0].digest", "(text of 9 characters)|a SHA-256 digest"),
+    ]),
+    (r#""limit": 6"#, r#""limit": 6, "keys": [{"name": "z", "digest": "D1"}]"#, &[
+        ("6:79 teams[1].keys[0].digest", "a value that teams[0].keys[0].digest does not"),
+    ]),
+    // Budgets.
+    (r#"{"unavailable": 1}"#, r#"{"unavailable": 3}"#, &[
+        ("9:58 pools[0].budget.unavailable", "3|less than the size of the pool, which is 3"),
+    ]),
+    (r#"{"unavailable": 1}"#, r#"{"unavailable": 1, "rack": 2}"#, &[
+        ("9:58 pools[0].budget.unavailable", "1|at least one rack, which is 2 instances"),
+    ]),
+    (r#"{"unavailable": 1}"#, r#"{"unavailable": 0}"#, &[
+        ("14:38 plans[0].pool", r#""web"|a pool with a budget of at least 1"#),
+    ]),
+    (r#""size": 3"#, r#""size": 0"#, &[("9:29 pools[0].size", "0|at least 1, or 0 in the")]),
+    // Instances.
+    (r#"["d"]"#, r#"["a"]"#, &[
+        ("10:92 pools[1].instances[0]", r#""a"|a value that pools[0].instances[0] does not"#),
+    ]),
+    (r#""size": 3"#, r#""size": 4"#, &[
+        ("8:12 pools", "sizes that add up to 5|sizes of at most the 4 instances listed"),
+    ]),
+    (r#""size": 3"#, r#""size": 3, "spare": true"#, &[
+        ("10:42 pools[1].spare", "true|true for one pool only"),
+    ]),
+    (r#""slots": 4"#, r#""slots": 65"#, &[
+        ("12:75 services[0].slots", "64 connections for 65 slots|at least as many"),
+    ]),
+    // Syntax; reading goes on where it can.
+    (r#""share": 2, "#, r#""share": 0 "#, &[
+        ("6:31 teams[1].share", "0|an integer from 1"),
+        ("6:33 teams[1]", r#""limit"|a comma before it"#),
+    ]),
+    (r#""share": 2"#, r#"share: 2"#, &[("6:22 teams[1]", "share|text in double quotes")]),
+    (r#""red", "share""#, r#"'red', "share""#, &[
+        ("5:14 teams[0].name", "'...'|text in double quotes"),
+    ]),
+    (r#""share": 2"#, r#""share": two"#, &[
+        ("6:31 document", "two|JSON with comments (Unexpected token)"),
+    ]),
+];
+
+/// Guards against a fault of the document that passes, or that is reported in the wrong place.
+#[test]
+fn fleet_problems_have_their_place() {
+    let mut wrong = Vec::new();
+    for (from, to, expected) in FLEET_CASES {
+        assert_eq!(
+            FLEET.matches(from).count(),
+            1,
+            "{from} does not name one place"
+        );
+        let text = FLEET.replace(from, to).replace("D1", D1);
+        let problems = fleet::parse("f.jsonc", &text).err().unwrap_or_default();
+        let matches = |p: &Problem, (place, part): &(&str, &str)| {
+            format!("{}:{} {}", p.line, p.column, p.field) == *place
+                && format!("{}|{}", p.value, p.accepted).contains(part)
+        };
+        let same = problems.len() == expected.len()
+            && problems.iter().zip(*expected).all(|(p, e)| matches(p, e));
+        if !same {
+            let found: Vec<String> = problems.iter().map(Problem::to_string).collect();
+            wrong.push(format!(
+                "{from} -> {to}\nfound {found:#?}\nexpected {expected:#?}"
+            ));
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+}
+
+#[rustfmt::skip]
+const SETTINGS_CASES: &[(&str, &str, &str, &str)] = &[
+    (r#""127.0.0.1:7100""#, r#""localhost:7100""#, "listen.callers", "a numeric IP address"),
+    (r#""127.0.0.1:7100""#, r#""127.0.0.1""#, "listen.callers", "a numeric IP address"),
+    (r#""127.0.0.1:7200""#, r#""127.0.0.1:7100""#, "listen.operators", "of listen.callers"),
+    (r#""127.0.0.1:7300""#, r#""0.0.0.0:7300""#, "listen.peers", "listen.advertised-peers"),
+    (r#"["127.0.0.1:7400"]"#, r#"["127.0.0.1:0"]"#, "platform.table[0]", "from 1 to 65535"),
+    (r#"["127.0.0.1:7400"]"#, "[]", "platform.table", "1 to 3 entries"),
+    (r#"["127.0.0.1:7400"]"#, r#"["127.0.0.1:1", "127.0.0.1:2"]"#, "platform.table", "one address or three"),
+    (r#""log": "info""#, r#""log": "loud""#, "log", "one of error, warn"),
+    (r#""header-bytes": 32768"#, r#""header-bytes": 8191"#, "bounds.header-bytes", "8192"),
+    (r#""idle-ms": 60000"#, r#""idle-ms": 999"#, "bounds.idle-ms", "from 1000"),
+    (r#""idle-ms": 60000"#, r#""idel-ms": 60000"#, "bounds.idel-ms", r#""idle-ms" (closest)"#),
+    (r#""role": "view""#, r#""role": "root""#, "operators[0].role", "one of view, operate"),
+    (r#""on-call""#, r#""dashboard""#, "operators[1].name", "operators[0].name does not"),
+    (r#""huanuco""#, r#""Huánuco""#, "data-centre", "a name of 1 to 63"),
+];
+
+/// Guards against a fault of the settings that passes, or that is reported in the wrong place.
+#[test]
+fn settings_problems_have_their_place() {
+    for (from, to, field, part) in SETTINGS_CASES {
+        let text = SETTINGS.replacen(from, to, 1);
+        let problems = settings::parse("s.jsonc", &text).expect_err(to);
+        let [problem] = &problems[..] else {
+            panic!("{to}: {problems:#?}");
+        };
+        assert_eq!(problem.field, *field, "{problem}");
+        assert!(problem.accepted.contains(part), "{problem}");
+        let line = text.lines().nth(problem.line as usize - 1).unwrap();
+        let shown: String = line.chars().skip(problem.column as usize - 1).collect();
+        // The content of a list is not repeated.
+        let begins = match &*problem.value {
+            list if list.starts_with('[') => "[",
+            value => value,
+        };
+        assert!(shown.starts_with(begins), "{problem}: {shown}");
+    }
+}
+
+/// Guards against a log that repeats a key which was pasted where its digest belongs.
+#[test]
+fn a_pasted_key_is_not_repeated() {
+    let cases = [
+        (r#""D1""#, r#""SECRET""#),
+        (r#""D1""#, "'SECRET'"),
+        (r#""D1""#, r#""SECRET"#),
+        (r#""D1""#, r#"["SECRET"]"#),
+        (r#", "digest": "D1""#, r#" "digest": "SECRET""#),
+        (
+            r#"[{"name": "k", "digest": "D1"}]"#,
+            r#"{"digest": "SECRET"}"#,
+        ),
+        (r#"[{"name": "k", "digest": "D1"}]"#, r#"["SECRET"]"#),
+        (r#"{"name": "k", "digest": "D1"}"#, r#""k" "SECRET""#),
+        (
+            r#""limit": 6"#,
+            r#""limit": 6, "keys": [{"name": "z", "digest": "SECRET"}]"#,
+        ),
+    ];
+    for (from, to) in cases {
+        let text = FLEET.replace(from, to).replace("D1", "SECRET");
+        for problem in fleet::parse("f.jsonc", &text).expect_err(to) {
+            assert!(!problem.to_string().contains("SECRET"), "{to}: {problem}");
+        }
+    }
+}
+
+/// Guards against a report that stops at the first problem.
+#[test]
+fn every_problem_is_reported_in_order() {
+    let text = small()
+        .replace(r#""share": 1"#, r#""share": 0"#)
+        .replace(r#""size": 3"#, r#""size": -3"#)
+        .replace(r#""slots": 4"#, r#""slots": 0"#)
+        .replace(r#""period-days": 21"#, r#""period": 21"#);
+    let problems = fleet::parse("f.jsonc", &text).unwrap_err();
+    let fields: Vec<&str> = problems.iter().map(|p| p.field.as_str()).collect();
+    let expected = [
+        "teams[0].share",
+        "pools[0].size",
+        "services[0].slots",
+        "plans[0].period-days",
+        "plans[0].period",
+    ];
+    assert_eq!(fields, expected);
+    let line = problems[0].to_string();
+    let expected = "f.jsonc:5:30: teams[0].share: value 0: accepted an integer from 1 to 1000000";
+    assert_eq!(line, expected);
+}
+
+/// Guards against a file of faults that floods the reader, and against a lost count.
+#[test]
+fn a_flood_of_problems_is_counted() {
+    let text = format!(r#"{{"teams": [{}]}}"#, "1,".repeat(5_000));
+    let problems = fleet::parse("f.jsonc", &text).unwrap_err();
+    assert_eq!(problems.len(), 1_001);
+    // 5,000 wrong teams, one list that is too long, three missing fields.
+    assert_eq!(problems.last().unwrap().value, "4004 more problems");
+}
+
+/// Guards against stack overflow and against reading a text beyond the bound.
+#[test]
+fn long_and_deep_texts_are_refused() {
+    for (open, close) in [("[", "]"), (r#"{"a":"#, "}")] {
+        for depth in [33, 500, 600, 100_000] {
+            let text = format!("{}1{}", open.repeat(depth), close.repeat(depth));
+            let problems = document::read("d.jsonc", &text).unwrap_err();
+            let [problem] = &problems[..] else {
+                panic!("{} problems", problems.len());
+            };
+            assert!(problem.accepted.contains("nesting"), "{problem}");
+            assert!(document::read("d.jsonc", &open.repeat(depth)).is_err());
+        }
+        let text = format!("{}1{}", open.repeat(32), close.repeat(32));
+        assert!(document::read("d.jsonc", &text).is_ok());
+    }
+    let padded = |bytes: usize| format!("{}{}", small(), " ".repeat(bytes - small().len()));
+    assert!(fleet::parse("f.jsonc", &padded(MAX_BYTES)).is_ok());
+    let problems = fleet::parse("f.jsonc", &padded(MAX_BYTES + 1)).unwrap_err();
+    assert_eq!(problems[0].accepted, "at most 4194304 bytes");
+}
+
+/// Guards against examples that the program itself refuses or that lose their shape.
+#[test]
+fn examples_are_valid() {
+    settings::parse("settings.jsonc", SETTINGS).unwrap();
+    for (name, text) in [("huallaga.jsonc", HUALLAGA), ("rennes.jsonc", RENNES)] {
+        let document = fleet::parse(name, text).unwrap_or_else(|p| panic!("{}", p[0]));
+        assert_eq!(
+            (document.data_centres.len(), document.services.len()),
+            (3, 5)
+        );
+        for service in &document.services {
+            let pool = document
+                .pools
+                .iter()
+                .find(|p| p.name == service.pool)
+                .unwrap();
+            assert!((8..=12).contains(&pool.instances.len()), "{}", pool.name);
+            assert_eq!((service.slots, service.connections), (8, 64));
+        }
+        assert!(document.services.iter().any(|s| s.teams.is_empty()));
+        assert_eq!(document.teams.len(), 6);
+        assert!(document.queues.len() > 1 && !document.plans.is_empty());
+    }
+}
+
+/// Guards against a stored document that cannot be read again.
+#[test]
+fn a_written_document_reads_back() {
+    for text in [HUALLAGA, RENNES, &small()] {
+        let document = fleet::parse("f.jsonc", text).unwrap();
+        let written = serde_json::to_string(&document).unwrap();
+        assert_eq!(fleet::parse("f.jsonc", &written).unwrap(), document);
+    }
+    let values = settings::parse("s.jsonc", SETTINGS).unwrap();
+    let written = serde_json::to_string(&values).unwrap();
+    assert_eq!(settings::parse("s.jsonc", &written).unwrap(), values);
+}
+
+/// Guards against a wrong guess of what a file holds.
+#[test]
+fn the_kind_of_a_file_is_told_by_its_fields() {
+    let kind = |text: &str| document::kind(&document::read("f", text).unwrap());
+    assert_eq!(kind(SETTINGS), Some(Kind::Settings));
+    assert_eq!(kind(HUALLAGA), Some(Kind::Fleet));
+    for text in ["{}", "[]", r#"{"name": "x"}"#, r#"{"log": 1, "teams": 1}"#] {
+        assert_eq!(kind(text), None, "{text}");
+    }
+}
+
+/// Guards against wrong exit codes of `check` and against problems that are not written.
+#[test]
+fn check_exits_as_documented() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let long = vec![b' '; MAX_BYTES + 1];
+    let cases: &[(&str, &[u8], u8, usize)] = &[
+        ("settings.jsonc", SETTINGS.as_bytes(), 0, 0),
+        ("fleet.jsonc", RENNES.as_bytes(), 0, 0),
+        (
+            "faults.jsonc",
+            br#"{"teams": [{}], "plans": 5, "plans": 6}"#,
+            2,
+            9,
+        ),
+        ("syntax.jsonc", b"{\"teams\": [", 2, 1),
+        ("empty.jsonc", b"", 2, 1),
+        ("other.jsonc", b"{}", 2, 1),
+        ("binary.jsonc", b"{\xff\xfe}", 2, 1),
+        ("long.jsonc", &long, 2, 1),
+    ];
+    for (name, content, code, lines) in cases {
+        let path = folder.join(name);
+        std::fs::write(&path, content).unwrap();
+        let mut out = Vec::new();
+        let exit = cli::check_to(&path, &mut out);
+        let out = String::from_utf8(out).unwrap();
+        assert_eq!(exit, ExitCode::from(*code), "{name}: {out}");
+        assert_eq!(out.lines().count(), *lines, "{name}: {out}");
+        assert!(out.lines().all(|l| l.starts_with(&*path.to_string_lossy())));
+    }
+    let mut out = Vec::new();
+    assert_eq!(cli::check_to(folder, &mut out), ExitCode::from(1));
+    assert_eq!(
+        cli::check_to(&folder.join("none"), &mut out),
+        ExitCode::from(1)
+    );
+    assert_eq!(String::from_utf8(out).unwrap().lines().count(), 2);
+}
+
+/// Guards against a difference that is missed, or named by an index that moves.
+#[test]
+fn differences_are_named() {
+    let before = fleet::parse("f.jsonc", &small()).unwrap();
+    let changed = small()
+        .replace(r#""limit": 6"#, r#""limit": 7"#)
+        .replace(r#"["red"]"#, r#"["blue"]"#)
+        .replace(r#""name": "mail""#, r#""name": "post""#)
+        .replace(r#""size": 3, "#, r#""size": 2, "#);
+    let after = fleet::parse("f.jsonc", &changed).unwrap();
+    let lines = |a, b| -> Vec<String> { fleet::diff(a, b).iter().map(|d| d.to_string()).collect() };
+    let queue = |name| format!(r#"{{"name":"{name}","pool":"web","teams":["blue"]}}"#);
+    let expected = [
+        "pools[web].size: 3 -> 2".to_owned(),
+        format!("queues[mail]: removed {}", queue("mail")),
+        format!("queues[post]: added {}", queue("post")),
+        r#"services[shop].teams[blue]: added "blue""#.to_owned(),
+        r#"services[shop].teams[red]: removed "red""#.to_owned(),
+        "teams[blue].limit: 6 -> 7".to_owned(),
+    ];
+    assert_eq!(lines(&before, &after), expected);
+    assert_eq!(lines(&after, &before).len(), expected.len());
+    assert_eq!(lines(&before, &before), [""; 0]);
+}
