Keep pasted keys out of syntax problems

Cause: a key pasted without quotes in place of its digest was repeated as the offending word; the accessors of the tree lacked examples. Change: words of more than 12 characters are counted instead of shown, anything in place of a digest is hidden, unprintable signs are escaped; only the accessors with examples stay public. Conclusion: problems can be logged.

--- a/src/document/conform.rs
+++ b/src/document/conform.rs
@@ -61,22 +61,22 @@
         }
     };
     if !accepted {
-        let value = || match tree.text(id) {
-            // It may be the key itself or a part of one.
-            Some(text) if hides(accepts) => {
-                format!("(text of {} characters)", text.chars().count())
-            }
-            _ => tree.shown(id),
+        let value = || match (hides(accepts), tree.text(id)) {
+            (false, _) => tree.shown(id),
+            (true, Some(text)) => format!("(text of {} characters)", text.chars().count()),
+            (true, None) => "(not text)".to_owned(),
         };
         faults.refuse_as(tree, id, value, || accepts.to_string());
     }
 }
 
-/// Tells whether text in the place of such a value may be a secret, which must not reach a log.
+/// Tells whether what stands in the place of a digest or of the list of keys may be a secret,
+/// which must not reach a log.
 fn hides(accepts: &Type) -> bool {
+    let is_digest = |field: &Field| matches!(field.accepts, Type::Digest);
     match accepts {
         Type::Digest => true,
-        Type::Object(shape) => shape.fields.iter().any(|field| hides(&field.accepts)),
+        Type::Object(shape) => shape.fields.iter().any(is_digest),
         Type::List(of, ..) => hides(of),
         _ => false,
     }
--- a/src/document/load.rs
+++ b/src/document/load.rs
@@ -70,8 +70,11 @@
     let word = text.find(|c| !is_word(c)).unwrap_or(text.len());
     match (word, text.chars().next()) {
         (_, None) => "end of text".to_owned(),
-        (0, Some(sign)) => shorten(&sign.to_string()),
-        (word, _) => shorten(&text[..word]),
+        (0, Some(sign)) if sign.is_ascii_graphic() => sign.to_string(),
+        (0, Some(sign)) => sign.escape_debug().to_string(),
+        // Longer words are seldom a slip of JSON and may be a key.
+        (word @ ..=12, _) => text[..word].to_owned(),
+        (word, _) => format!("(word of {word} characters)"),
     }
 }
 
--- a/src/document/tree.rs
+++ b/src/document/tree.rs
@@ -28,13 +28,19 @@
     }
 
     /// Returns the value of a field of an object, the first one if it is given twice.
+    ///
+    /// ```
+    /// let tree = coriandernotch::document::read("a.jsonc", r#"{"a": 1}"#).unwrap();
+    /// assert!(tree.field(tree.root(), "a").is_some());
+    /// assert!(tree.field(tree.root(), "b").is_none());
+    /// ```
     pub fn field(&self, id: NodeId, name: &str) -> Option<NodeId> {
         let found = self.members(id).iter().find(|m| *m.name == *name)?;
         Some(found.value)
     }
 
     /// Returns the values of a list, or nothing for another value.
-    pub fn items(&self, id: NodeId) -> &[NodeId] {
+    pub(crate) fn items(&self, id: NodeId) -> &[NodeId] {
         match &self.node(id).value {
             Value::List(items) => items,
             _ => &[],
@@ -42,12 +48,12 @@
     }
 
     /// Returns the items of the list in a field of an object, or nothing.
-    pub fn list(&self, id: NodeId, name: &str) -> &[NodeId] {
+    pub(crate) fn list(&self, id: NodeId, name: &str) -> &[NodeId] {
         self.field(id, name).map_or(&[], |list| self.items(list))
     }
 
     /// Returns a text.
-    pub fn text(&self, id: NodeId) -> Option<&str> {
+    pub(crate) fn text(&self, id: NodeId) -> Option<&str> {
         match &self.node(id).value {
             Value::Text(text) => Some(text),
             _ => None,
@@ -55,6 +61,11 @@
     }
 
     /// Returns a number that is an integer without sign, point or exponent.
+    ///
+    /// ```
+    /// let tree = coriandernotch::document::read("a.jsonc", "7").unwrap();
+    /// assert_eq!(tree.integer(tree.root()), Some(7));
+    /// ```
     pub fn integer(&self, id: NodeId) -> Option<u64> {
         match &self.node(id).value {
             Value::Number(digits) => digits.parse().ok(),
@@ -63,7 +74,7 @@
     }
 
     /// Returns a truth value.
-    pub fn boolean(&self, id: NodeId) -> Option<bool> {
+    pub(crate) fn boolean(&self, id: NodeId) -> Option<bool> {
         match self.node(id).value {
             Value::Boolean(value) => Some(value),
             _ => None,
@@ -78,6 +89,11 @@
     }
 
     /// Returns the path of a value from the outermost one, such as `teams[2].limit`.
+    ///
+    /// ```
+    /// let tree = coriandernotch::document::read("a.jsonc", "[]").unwrap();
+    /// assert_eq!(tree.path(tree.root()), "document");
+    /// ```
     pub fn path(&self, id: NodeId) -> String {
         let mut steps = Vec::new();
         let mut next = Some(id);
--- a/tests/document.rs
+++ b/tests/document.rs
@@ -150,6 +150,9 @@
         ("6:31 teams[1].share", "0|an integer from 1"),
         ("6:33 teams[1]", r#""limit"|a comma before it"#),
     ]),
+    (r#""share": 2"#, "\u{feff}", &[
+        ("6:22 document", r"\u{feff}|JSON with comments"),
+    ]),
     (r#""share": 2"#, r#"share: 2"#, &[("6:22 teams[1]", "share|text in double quotes")]),
     (r#""red", "share""#, r#"'red', "share""#, &[
         ("5:14 teams[0].name", "'...'|text in double quotes"),
@@ -235,6 +238,8 @@
         (r#""D1""#, "'SECRET'"),
         (r#""D1""#, r#""SECRET"#),
         (r#""D1""#, r#"["SECRET"]"#),
+        (r#""D1""#, "SECRET-of-a-team"),
+        (r#"[{"name": "k", "digest": "D1"}]"#, r#""SECRET""#),
         (r#", "digest": "D1""#, r#" "digest": "SECRET""#),
         (
             r#"[{"name": "k", "digest": "D1"}]"#,
@@ -249,6 +254,7 @@
     ];
     for (from, to) in cases {
         let text = FLEET.replace(from, to).replace("D1", "SECRET");
+        assert!(text.contains("SECRET"), "{to}");
         for problem in fleet::parse("f.jsonc", &text).expect_err(to) {
             assert!(!problem.to_string().contains("SECRET"), "{to}: {problem}");
         }
