--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -9,9 +9,13 @@
 //! | get object | `GET /objects/{name}` | 200 content, 404 |
 //! | list | `GET /instances` | 200 list of instances |
 //!
-//! Any 5xx answer to a read, and 503 to a write, means that there was no effect. Any other failure
-//! of a write after the connection was made leaves its result unknown.
+//! Keys, names and query values are percent-encoded; `/` stays as it is in a path.
+//!
+//! Any failure of a read, and 503 to a write, means that there was no effect. Any other failure of
+//! a write after its first byte was sent leaves its result unknown.
 
 mod client;
+mod escape;
+mod pool;
 
 pub use client::Client;
--- a/src/platform/http/client.rs
+++ b/src/platform/http/client.rs
@@ -1,16 +1,15 @@
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Method, Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
+use super::escape;
+use super::pool::{Pool, Sender};
 use crate::platform::{Answer, Error, Instance, Listing, Objects, Row, Table, Write};
 
 /// A store answer later than this is treated as lost, so callers can decide within a second.
@@ -19,16 +18,18 @@
 /// Largest answer that the client reads, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
 
-/// Idle connections kept for reuse.
-const MAX_IDLE: usize = 8;
-
-type Sender = SendRequest<Full<Bytes>>;
-
 /// Client of the platform services at one address.
 pub struct Client {
-    address: SocketAddr,
     peer: Arc<str>,
-    idle: Mutex<Vec<Sender>>,
+    pool: Pool,
+}
+
+/// Why an exchange on one connection failed.
+enum Broken {
+    /// No byte of the request was written.
+    Unsent(String),
+    /// The request was written at least in part.
+    Sent(String),
 }
 
 impl Client {
@@ -40,9 +41,8 @@
     /// ```
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            address,
             peer: address.to_string().into(),
-            idle: Mutex::new(Vec::new()),
+            pool: Pool::new(address),
         }
     }
 
@@ -53,70 +53,79 @@
         path: &str,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), Error> {
+        let deadline = Instant::now() + CALL_TIMEOUT;
         let write = !method.is_safe();
-        let unavailable = |reason: String| self.unavailable(step, reason);
-        let mut sender = timeout(CALL_TIMEOUT, self.connect())
-            .await
-            .map_err(|_| unavailable("connect timed out".into()))?
-            .map_err(|e| unavailable(e.to_string()))?;
         let request = Request::builder()
             .method(method)
             .uri(path)
             .header("host", &*self.peer)
             .header("content-type", "application/json")
             .body(Full::new(body))
-            .map_err(|e| unavailable(e.to_string()))?;
-        let lost = |reason: String| {
-            if write {
-                self.unknown(step, reason)
-            } else {
-                unavailable(reason)
+            .map_err(|e| self.unavailable(step, e.to_string()))?;
+        // An idle connection may have been closed meanwhile. What provably was not sent, and what
+        // has no effect, may be sent again on a fresh one.
+        if let Ok(Some(sender)) = timeout_at(deadline, self.pool.reuse()).await {
+            match self.exchange(sender, request.clone(), deadline).await {
+                Ok(answer) => return self.judge(step, write, answer),
+                Err(Broken::Sent(reason)) if write => return Err(self.unknown(step, reason)),
+                Err(Broken::Sent(_) | Broken::Unsent(_)) => {}
             }
-        };
+        }
+        let sender = timeout_at(deadline, self.pool.connect())
+            .await
+            .map_err(|_| self.unavailable(step, "connect timed out".into()))?
+            .map_err(|e| self.unavailable(step, e.to_string()))?;
+        match self.exchange(sender, request, deadline).await {
+            Ok(answer) => self.judge(step, write, answer),
+            Err(Broken::Sent(reason)) if write => Err(self.unknown(step, reason)),
+            Err(Broken::Sent(reason) | Broken::Unsent(reason)) => {
+                Err(self.unavailable(step, reason))
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        mut sender: Sender,
+        request: Request<Full<Bytes>>,
+        deadline: Instant,
+    ) -> Result<(StatusCode, Bytes), Broken> {
         let exchange = async {
-            let answer = sender
-                .send_request(request)
-                .await
-                .map_err(|e| lost(e.to_string()))?;
+            let answer = sender.try_send_request(request).await.map_err(|mut e| {
+                let reason = e.error().to_string();
+                match e.take_message() {
+                    Some(_) => Broken::Unsent(reason),
+                    None => Broken::Sent(reason),
+                }
+            })?;
             let status = answer.status();
             let body = Limited::new(answer.into_body(), MAX_ANSWER)
                 .collect()
                 .await
-                .map_err(|e| lost(e.to_string()))?;
+                .map_err(|e| Broken::Sent(e.to_string()))?;
             Ok((status, body.to_bytes()))
         };
-        let (status, body) = timeout(CALL_TIMEOUT, exchange)
+        let answer = timeout_at(deadline, exchange)
             .await
-            .map_err(|_| lost("answer timed out".into()))??;
-        self.keep(sender);
-        match status {
-            StatusCode::SERVICE_UNAVAILABLE => Err(unavailable("503".into())),
-            s if s.is_server_error() => Err(lost(s.to_string())),
-            s => Ok((s, body)),
-        }
-    }
-
-    async fn connect(&self) -> Result<Sender, Box<dyn std::error::Error + Send + Sync>> {
-        while let Some(mut sender) = self.take() {
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
-            }
-        }
-        let stream = TcpStream::connect(self.address).await?;
-        stream.set_nodelay(true)?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
-        tokio::spawn(connection);
-        Ok(sender)
-    }
-
-    fn take(&self) -> Option<Sender> {
-        self.idle.lock().expect("idle connections lock").pop()
+            .map_err(|_| Broken::Sent("answer timed out".into()))??;
+        self.pool.keep(sender);
+        Ok(answer)
     }
 
-    fn keep(&self, sender: Sender) {
-        let mut idle = self.idle.lock().expect("idle connections lock");
-        if idle.len() < MAX_IDLE {
-            idle.push(sender);
+    /// Turns answers without a result into errors; only 503 proves that a write had no effect.
+    fn judge(
+        &self,
+        step: &'static str,
+        write: bool,
+        (status, body): (StatusCode, Bytes),
+    ) -> Result<(StatusCode, Bytes), Error> {
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE => Err(self.unavailable(step, status.to_string())),
+            s if s.is_success() => Ok((s, body)),
+            StatusCode::NOT_FOUND if !write => Ok((status, body)),
+            StatusCode::CONFLICT if write => Ok((status, body)),
+            s if write => Err(self.unknown(step, s.to_string())),
+            s => Err(self.unavailable(step, s.to_string())),
         }
     }
 
@@ -136,12 +145,27 @@
         }
     }
 
+    /// Decodes the answer to a call without effect.
     fn decode<T: DeserializeOwned>(&self, step: &'static str, body: &[u8]) -> Result<T, Error> {
-        serde_json::from_slice(body).map_err(|e| self.unknown(step, e.to_string()))
+        serde_json::from_slice(body).map_err(|e| self.unavailable(step, e.to_string()))
     }
 
-    fn refuse<T>(&self, step: &'static str, status: StatusCode) -> Result<T, Error> {
-        Err(self.unavailable(step, status.to_string()))
+    /// Reads from `path`; `None` means that there is nothing.
+    async fn fetch(&self, step: &'static str, path: &str) -> Result<Option<Bytes>, Error> {
+        let (status, body) = self.call(step, Method::GET, path, Bytes::new()).await?;
+        Ok(status.is_success().then_some(body))
+    }
+
+    /// Reads from a path that always exists.
+    async fn fetch_list<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        path: &str,
+    ) -> Result<Vec<T>, Error> {
+        match self.fetch(step, path).await? {
+            Some(body) => self.decode(step, &body),
+            None => Err(self.unavailable(step, StatusCode::NOT_FOUND.to_string())),
+        }
     }
 }
 
@@ -151,37 +175,45 @@
             let step = "transact";
             let body =
                 serde_json::to_vec(&writes).map_err(|e| self.unavailable(step, e.to_string()))?;
-            match self
+            let (status, body) = self
                 .call(step, Method::POST, "/table/transact", body.into())
-                .await?
-            {
-                (StatusCode::OK, body) => self.decode(step, &body),
-                (StatusCode::CONFLICT, body) => Err(Error::Conflict {
-                    key: String::from_utf8_lossy(&body).as_ref().into(),
-                }),
-                (status, _) => self.refuse(step, status),
+                .await?;
+            if status == StatusCode::CONFLICT {
+                // Only a key of this transaction proves that the table service judged it.
+                let key = writes.iter().find(|write| write.key.as_bytes() == &*body);
+                return Err(match key {
+                    Some(write) => Error::Conflict {
+                        key: write.key.clone(),
+                    },
+                    None => self.unknown(step, "conflict on a key not written".into()),
+                });
+            }
+            match serde_json::from_slice::<Vec<u64>>(&body) {
+                Ok(versions) if versions.len() == writes.len() => Ok(versions),
+                Ok(versions) => {
+                    let reason = format!("{} versions for {} writes", versions.len(), writes.len());
+                    Err(self.unknown(step, reason))
+                }
+                Err(error) => Err(self.unknown(step, error.to_string())),
             }
         })
     }
 
     fn read(&self, key: Arc<str>) -> Answer<'_, Option<Row>> {
         Box::pin(async move {
-            let path = format!("/table/rows/{key}");
-            match self.call("read", Method::GET, &path, Bytes::new()).await? {
-                (StatusCode::OK, body) => self.decode("read", &body).map(Some),
-                (StatusCode::NOT_FOUND, _) => Ok(None),
-                (status, _) => self.refuse("read", status),
+            let path = format!("/table/rows/{}", escape::path(&key));
+            match self.fetch("read", &path).await? {
+                Some(body) => self.decode("read", &body).map(Some),
+                None => Ok(None),
             }
         })
     }
 
     fn scan(&self, prefix: Arc<str>, after: Arc<str>, limit: usize) -> Answer<'_, Vec<Row>> {
         Box::pin(async move {
+            let (prefix, after) = (escape::query(&prefix), escape::query(&after));
             let path = format!("/table/scan?prefix={prefix}&after={after}&limit={limit}");
-            match self.call("scan", Method::GET, &path, Bytes::new()).await? {
-                (StatusCode::OK, body) => self.decode("scan", &body),
-                (status, _) => self.refuse("scan", status),
-            }
+            self.fetch_list("scan", &path).await
         })
     }
 }
@@ -189,39 +221,25 @@
 impl Objects for Client {
     fn put(&self, name: Arc<str>, content: Bytes) -> Answer<'_, ()> {
         Box::pin(async move {
-            let path = format!("/objects/{name}");
-            match self.call("put-object", Method::PUT, &path, content).await? {
-                (status, _) if status.is_success() => Ok(()),
-                (status, _) => self.refuse("put-object", status),
+            let path = format!("/objects/{}", escape::path(&name));
+            let step = "put-object";
+            match self.call(step, Method::PUT, &path, content).await? {
+                (StatusCode::CONFLICT, _) => Err(self.unknown(step, "409".into())),
+                _ => Ok(()),
             }
         })
     }
 
     fn get(&self, name: Arc<str>) -> Answer<'_, Option<Bytes>> {
         Box::pin(async move {
-            let path = format!("/objects/{name}");
-            match self
-                .call("get-object", Method::GET, &path, Bytes::new())
-                .await?
-            {
-                (StatusCode::OK, body) => Ok(Some(body)),
-                (StatusCode::NOT_FOUND, _) => Ok(None),
-                (status, _) => self.refuse("get-object", status),
-            }
+            let path = format!("/objects/{}", escape::path(&name));
+            self.fetch("get-object", &path).await
         })
     }
 }
 
 impl Listing for Client {
     fn instances(&self) -> Answer<'_, Vec<Instance>> {
-        Box::pin(async move {
-            match self
-                .call("list", Method::GET, "/instances", Bytes::new())
-                .await?
-            {
-                (StatusCode::OK, body) => self.decode("list", &body),
-                (status, _) => self.refuse("list", status),
-            }
-        })
+        Box::pin(async move { self.fetch_list("list", "/instances").await })
     }
 }
