Add the entry instance, the operators' port, the command line and the demonstration

Cause: the parts must run as one. Change: Node with one task per duty, graceful shutdown, commit of documents and voters, loans between peers; serve, check, apply, status, demo.

--- a/src/call/dispatcher.rs
+++ b/src/call/dispatcher.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use super::lane::{Call, Wake};
 use super::{End, Grant, Lane, Load, Order};
@@ -13,7 +13,7 @@
 use crate::fleet::{DataCentreId, ServiceId, Snapshot, TeamId};
 use crate::limit::{Ledger, Permit};
 use crate::platform::Instance;
-use crate::route::{Targets, Verdict};
+use crate::route::{TargetId, Targets, Verdict};
 
 /// Longest run of a call before the first fleet document states it.
 const DEFAULT_LONGEST_RUN: Duration = Duration::from_secs(30);
@@ -34,6 +34,8 @@
     /// End of the time for which the configuration is known to be current, in nanoseconds.
     fresh_until: AtomicU64,
     draining: AtomicBool,
+    /// Woken when a call waits for a permit.
+    permit_wanted: Notify,
     near: RwLock<Option<DataCentreId>>,
 }
 
@@ -49,6 +51,7 @@
             enforced: RwLock::new(Arc::from([])),
             fresh_until: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            permit_wanted: Notify::new(),
             near: RwLock::new(None),
         })
     }
@@ -122,6 +125,18 @@
         act(&mut self.ledger.lock().expect("ledger lock"))
     }
 
+    /// Returns the sign that is woken when a call waits for a permit.
+    pub fn permit_wanted(&self) -> &Notify {
+        &self.permit_wanted
+    }
+
+    /// Returns whether any service still has the target.
+    pub fn has_target(&self, target: TargetId) -> bool {
+        self.lanes()
+            .iter()
+            .any(|(_, lane)| lock(lane).targets.get(target).is_some())
+    }
+
     /// Returns what runs through this entry instance.
     pub fn load(&self) -> Load {
         let mut load = Load::default();
@@ -181,24 +196,28 @@
             {
                 return Ok(grant);
             }
-            self.enqueue(&mut guard, order, &enforced, now)?
+            let place = self.enqueue(&mut guard, order, &enforced, now)?;
+            // Counted under the lock, so that whoever frees a slot next sees the call.
+            self.waiting.fetch_add(1, Ordering::AcqRel);
+            place
         };
-        self.waiting.fetch_add(1, Ordering::AcqRel);
+        if !self.with_ledger(|ledger| ledger.can_take(order.team, now)) {
+            self.permit_wanted.notify_one();
+        }
         let place = Place {
             dispatcher: self,
             lane: &lane,
             ticket,
         };
         let left = order.deadline.since(now);
-        match tokio::time::timeout(left, answer).await {
+        let answer = match tokio::time::timeout(left, answer).await {
             Ok(Ok(result)) => result,
             Ok(Err(_)) => Err(Refusal::ShuttingDown),
-            Err(_) => match place.cancel() {
-                true => Err(Refusal::DeadlinePassed),
-                // The grant was sent as the timer fired and its drop gave it back.
-                false => Err(Refusal::DeadlinePassed),
-            },
-        }
+            // A grant that was sent as the timer fired is given back by its drop.
+            Err(_) => Err(Refusal::DeadlinePassed),
+        };
+        drop(place);
+        answer
     }
 
     fn enqueue(
@@ -490,20 +509,11 @@
     ticket: Ticket,
 }
 
-impl Place<'_> {
-    /// Returns whether the call still waited.
-    fn cancel(&self) -> bool {
-        let cancelled = lock(self.lane).queues.cancel(self.ticket).is_some();
-        if cancelled {
-            self.dispatcher.waiting.fetch_sub(1, Ordering::AcqRel);
-        }
-        cancelled
-    }
-}
-
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        self.cancel();
+        if lock(self.lane).queues.cancel(self.ticket).is_some() {
+            self.dispatcher.waiting.fetch_sub(1, Ordering::AcqRel);
+        }
     }
 }
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,15 @@
 //! Commands of the program.
 
+mod apply;
 mod check;
+mod command;
+mod demo;
+mod log;
+mod operator;
+mod run;
+mod serve;
+mod status;
 
 pub use check::{check, check_to};
+pub use command::{Command, USAGE};
+pub use run::run;
--- /dev/null
+++ b/src/demo/audit.rs
@@ -0,0 +1,129 @@
+//! Checks of the rules on what callers saw and what the stand-in targets recorded.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::journal::Entry;
+use super::script::{BOUND, Events};
+use super::{Bed, Rule, Tally};
+use crate::clock::Instant;
+use crate::collections::Map;
+use crate::standin::target::Run;
+
+/// Runs of all targets, with the target's name.
+type Runs = Vec<(Arc<str>, Run)>;
+
+/// Checks all rules that can be checked after the run.
+pub(super) fn audit(bed: &Bed, tally: &Tally, events: &Events, entries: &[Entry]) {
+    let runs: Runs = bed
+        .targets
+        .iter()
+        .flat_map(|(name, target)| target.runs().into_iter().map(|run| (name.clone(), run)))
+        .collect();
+    let mut counts: Map<Arc<str>, u32> = Map::default();
+    runs.iter()
+        .for_each(|(_, run)| *counts.entry(run.id.clone()).or_insert(0) += 1);
+    for entry in entries {
+        check_entry(
+            tally,
+            events,
+            entry,
+            counts.get(&entry.id).copied().unwrap_or(0),
+        );
+    }
+    check_limits(bed, tally, &runs);
+    check_data_centre(bed, tally, events, &runs);
+    check_leaving(tally, events, &runs);
+}
+
+fn check_entry(tally: &Tally, events: &Events, entry: &Entry, runs: u32) {
+    if !entry.idempotent {
+        tally.check(Rule::AtMostOnce, runs <= 1, || {
+            format!("id={} runs={runs}", entry.id)
+        });
+    }
+    let Some((status, outcome)) = &entry.answer else {
+        // Callers connect only to instances that are ready, so a broken call was cut.
+        tally.check(Rule::Graceful, false, || {
+            format!("id={} took={:?}", entry.id, entry.took)
+        });
+        return;
+    };
+    tally.check(Rule::Graceful, true, String::new);
+    match &**outcome {
+        "answered" if status.is_success() => {
+            tally.check(Rule::Answer, entry.whole && runs >= 1, || {
+                format!("id={}", entry.id)
+            });
+        }
+        "not-run" => tally.check(Rule::NotRun, runs == 0, || {
+            format!("id={} runs={runs}", entry.id)
+        }),
+        _ => {}
+    }
+    if let Some((team, at)) = &events.withdrawn
+        && *team == entry.team
+        && entry.sent.since(*at) > BOUND
+    {
+        tally.check(Rule::Key, runs == 0, || {
+            format!("id={} key={}", entry.id, entry.key)
+        });
+    }
+}
+
+/// Checks the largest number of runs at once per team against its limit.
+fn check_limits(bed: &Bed, tally: &Tally, runs: &Runs) {
+    for team in &bed.document.teams {
+        let own = runs.iter().filter(|(_, run)| run.team == team.name);
+        let mut edges: Vec<(Instant, i64)> = own
+            .flat_map(|(_, run)| [Some((run.start, 1)), run.end.map(|end| (end, -1))])
+            .flatten()
+            .collect();
+        // At the same instant an end comes before a start.
+        edges.sort();
+        let mut running = 0;
+        for (_, step) in edges {
+            running += step;
+            if step > 0 {
+                tally.check(Rule::Limit, running <= i64::from(team.limit), || {
+                    format!("team={} running={running} limit={}", team.name, team.limit)
+                });
+            }
+        }
+    }
+}
+
+fn check_data_centre(bed: &Bed, tally: &Tally, events: &Events, runs: &Runs) {
+    let Some((name, out, back)) = &events.out else {
+        return;
+    };
+    let instances = bed.instances.lock().expect("instances lock");
+    let inside: Vec<&Arc<str>> = instances
+        .iter()
+        .filter(|i| i.data_centre == *name)
+        .map(|i| &i.name)
+        .collect();
+    let end = back.unwrap_or(*out + Duration::from_secs(86_400));
+    let during = runs
+        .iter()
+        .filter(|(_, run)| run.start > *out + BOUND && run.start < end);
+    for (target, run) in during {
+        tally.check(Rule::DataCentre, !inside.contains(&target), || {
+            format!(
+                "id={} target={target} after={:?}",
+                run.id,
+                run.start.since(*out)
+            )
+        });
+    }
+}
+
+fn check_leaving(tally: &Tally, events: &Events, runs: &Runs) {
+    for (name, at) in &events.leaving {
+        for (target, run) in runs.iter().filter(|(_, run)| run.start > *at + BOUND) {
+            tally.check(Rule::Leaving, target != name, || {
+                format!("id={} target={target} after={:?}", run.id, run.start.since(*at))
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/demo/mod.rs
@@ -0,0 +1,23 @@
+//! The demonstration: stand-ins and entry instances in one process, a load, faults, and a check of
+//! each rule on what the stand-ins recorded.
+
+mod audit;
+mod bed;
+mod caller;
+mod client;
+mod journal;
+mod plan;
+mod random;
+mod rule;
+mod run;
+mod script;
+mod summary;
+mod tally;
+
+pub use bed::Bed;
+pub use client::{Client, Reply};
+pub use plan::Plan;
+pub use rule::Rule;
+pub use run::run;
+pub use summary::Summary;
+pub use tally::Tally;
--- /dev/null
+++ b/src/demo/script.rs
@@ -0,0 +1,170 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use eyre::{Report, eyre};
+
+use super::{Bed, Rule, Tally};
+use crate::clock::{self, Instant};
+use crate::config::Outcome;
+use crate::fleet::{Direction, Document};
+use crate::node::Applied;
+use crate::platform::State;
+use crate::standin::target::Mode;
+
+/// Time within which a change must be in force everywhere.
+pub(super) const BOUND: Duration = Duration::from_secs(4);
+
+/// Time for all instances to read the list.
+const LIST_BOUND: Duration = Duration::from_secs(2);
+
+/// What happened in a run, and when.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Events {
+    /// Team whose key was withdrawn, and when.
+    pub(super) withdrawn: Option<(Arc<str>, Instant)>,
+    /// Data centre, when it was taken out and when it was brought back.
+    pub(super) out: Option<(Arc<str>, Instant, Option<Instant>)>,
+    /// Targets, and when each began to leave.
+    pub(super) leaving: Vec<(Arc<str>, Instant)>,
+    /// Longest time that a change took to be in force everywhere.
+    pub(super) slowest_change: Duration,
+    /// When the store went down and came back.
+    pub(super) outage: Option<(Instant, Instant)>,
+    /// Entry instance that was replaced.
+    pub(super) replaced: Option<Arc<str>>,
+}
+
+/// Makes the events of a run of `length`.
+pub(super) async fn play(
+    bed: &Arc<Bed>,
+    tally: &Arc<Tally>,
+    paces: &[Arc<AtomicU32>],
+    length: Duration,
+) -> Result<Events, Report> {
+    let mut events = Events::default();
+    let mut document = bed.document.clone();
+    tokio::time::sleep(length.mul_f64(0.10)).await;
+
+    let team = document
+        .teams
+        .last()
+        .ok_or_else(|| eyre!("step=script teams=0"))?
+        .name
+        .clone();
+    document
+        .teams
+        .iter_mut()
+        .filter(|t| t.name == team)
+        .flat_map(|t| &mut t.keys)
+        .for_each(|key| {
+            key.withdrawn = true;
+        });
+    let at = change(bed, tally, &document, &mut events).await?;
+    events.withdrawn = Some((team, at));
+
+    let name = document.data_centres[1].name.clone();
+    document.data_centres[1].state = Direction::Out;
+    let out = change(bed, tally, &document, &mut events).await?;
+    tokio::time::sleep(length.mul_f64(0.25)).await;
+    document.data_centres[1].state = Direction::In;
+    let back = clock::now();
+    change(bed, tally, &document, &mut events).await?;
+    events.out = Some((name, out, Some(back)));
+
+    spike(paces, length.mul_f64(0.10)).await;
+
+    leave(bed, &bed.document.pools[0].instances[0], &mut events);
+    tokio::time::sleep(length.mul_f64(0.05).max(LIST_BOUND)).await;
+
+    let down = clock::now();
+    bed.store.faults().set_outage(true);
+    // The list cannot be read now, so the target has to tell by its own answers.
+    let silent = &bed.document.pools[0].instances[1];
+    leave(bed, silent, &mut events);
+    if let Some(target) = bed.targets.get(silent) {
+        target.set_mode(Mode::Leaving);
+    }
+    tokio::time::sleep(length.mul_f64(0.25)).await;
+    bed.store.faults().set_outage(false);
+    events.outage = Some((down, clock::now()));
+    tokio::time::sleep(length.mul_f64(0.05)).await;
+
+    let first = bed.nodes()[0].clone();
+    events.replaced = Some(first.shared().member.name.clone());
+    bed.stop_node(&first).await;
+    bed.start_node().await?;
+    tokio::time::sleep(length.mul_f64(0.15)).await;
+    Ok(events)
+}
+
+/// Marks a target as leaving in the platform's list.
+fn leave(bed: &Bed, name: &Arc<str>, events: &mut Events) {
+    events.leaving.push((name.clone(), clock::now()));
+    let listed = bed
+        .instances
+        .lock()
+        .expect("instances lock")
+        .iter()
+        .find(|i| i.name == *name)
+        .cloned();
+    if let Some(mut instance) = listed {
+        instance.state = State::Leaving;
+        bed.set_instance(instance);
+    }
+}
+
+/// Raises each service in turn to five times its mean, then to a twentieth.
+async fn spike(paces: &[Arc<AtomicU32>], length: Duration) {
+    let part = length / u32::try_from(paces.len().max(1)).unwrap_or(1);
+    for pace in paces {
+        pace.store(500, Ordering::Release);
+        tokio::time::sleep(part).await;
+        pace.store(5, Ordering::Release);
+    }
+    for pace in paces {
+        pace.store(100, Ordering::Release);
+    }
+}
+
+/// Puts a document in force and checks that every instance has it within the bound.
+///
+/// Returns when the change was accepted.
+async fn change(
+    bed: &Arc<Bed>,
+    tally: &Arc<Tally>,
+    document: &Document,
+    events: &mut Events,
+) -> Result<Instant, Report> {
+    let content = serde_json::to_string(document)?;
+    let node = bed.nodes()[0].clone();
+    let mut outcome = node.shared().apply(&content, None, "demo").await;
+    // A change of the voters may come first; an operator would read the version again.
+    for _ in 0..5 {
+        if matches!(outcome, Applied::Committed(Outcome::Accepted(_))) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        outcome = node.shared().apply(&content, None, "demo").await;
+    }
+    let Applied::Committed(Outcome::Accepted(revision)) = outcome else {
+        return Err(eyre!("step=apply outcome={outcome:?}"));
+    };
+    let at = clock::now();
+    let version = revision.head.version;
+    let everywhere = bed.wait(BOUND * 2, |bed| {
+        bed.nodes().iter().all(|n| {
+            n.shared()
+                .control
+                .current()
+                .is_some_and(|s| s.version() >= version)
+        })
+    });
+    let reached = everywhere.await;
+    let took = clock::now().since(at);
+    events.slowest_change = events.slowest_change.max(took);
+    tally.check(Rule::Config, reached && took <= BOUND, || {
+        format!("version={version} took={took:?}")
+    });
+    Ok(at)
+}
--- a/src/front/callers/limits.rs
+++ b/src/front/callers/limits.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::settings::Bounds;
+
 /// Bounds of the callers' port.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -26,3 +28,14 @@
         }
     }
 }
+
+impl From<&Bounds> for Limits {
+    fn from(bounds: &Bounds) -> Self {
+        Self {
+            connections: bounds.connections as usize,
+            header_bytes: bounds.header_bytes as usize,
+            header_timeout: Duration::from_millis(bounds.header_read_ms.into()),
+            ..Self::default()
+        }
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,6 +1,8 @@
 //! HTTP front ends of an entry instance.
 //!
 //! [`callers`] serves the callers' port with hyper, one task per connection, and sends calls on to
-//! targets. Everything that it decides comes from [`crate::call`].
+//! targets. [`operators`] serves the operators' port with salvo. Everything that they decide comes
+//! from [`crate::call`] and [`crate::node`].
 
 pub mod callers;
+pub mod operators;
--- /dev/null
+++ b/src/front/operators/mod.rs
@@ -0,0 +1,11 @@
+//! The operators' port: fleet document, status, metrics and health, served with salvo.
+
+mod fleet;
+mod health;
+mod level;
+mod metrics;
+mod role;
+mod serve;
+mod status;
+
+pub use serve::serve;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The `coriandernotch` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    coriandernotch::cli::run(std::env::args_os())
+}
--- /dev/null
+++ b/src/node/apply.rs
@@ -0,0 +1,156 @@
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use super::Shared;
+use crate::clock;
+use crate::config::{Ack, Commit, HEAD_KEY, Origin, Outcome, Reason, Revision};
+use crate::document::Problem;
+use crate::fleet;
+use crate::wire::Body;
+
+/// Time for voters to acknowledge a proposal.
+const ACK_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What became of a document that an operator wanted in force.
+#[derive(Clone, Debug)]
+pub enum Applied {
+    /// The document is invalid.
+    Invalid(Vec<Problem>),
+    /// The commit ended in this way.
+    Committed(Outcome),
+}
+
+impl Shared {
+    /// Puts a document in force as the successor of version `base`, or of the newest when `None`.
+    pub async fn apply(&self, content: &str, base: Option<u64>, author: &str) -> Applied {
+        if let Err(problems) = fleet::parse("fleet", content) {
+            return Applied::Invalid(problems);
+        }
+        let origin = self.origin(author);
+        let Some(revision) = self.control.read(|state| state.revision()) else {
+            return Applied::Committed(self.commit_first(content, base, &origin).await);
+        };
+        if base.is_some_and(|base| base != revision.head.version) {
+            return Applied::Committed(Outcome::Conflict(revision));
+        }
+        Applied::Committed(
+            self.commit(Commit::document(revision, content, &origin))
+                .await,
+        )
+    }
+
+    pub(super) fn origin(&self, author: &str) -> Origin {
+        let time = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Origin::new(self.next_operation(), author, time.as_secs())
+    }
+
+    /// Writes the first head, unless the store has one that this instance has not read yet.
+    async fn commit_first(&self, content: &str, base: Option<u64>, origin: &Origin) -> Outcome {
+        let table = &*self.platform.table;
+        match table.read(HEAD_KEY.into()).await {
+            Ok(None) if base.is_none_or(|base| base == 0) => {}
+            Ok(Some(row)) => {
+                return match Revision::from_row(&row) {
+                    Ok(revision) => Outcome::Conflict(revision),
+                    Err(e) => Outcome::Refused(Reason::Malformed(e.to_string().into())),
+                };
+            }
+            Ok(None) => {
+                return Outcome::Refused(Reason::Unavailable("the store has no version".into()));
+            }
+            Err(error) => return Outcome::Refused(Reason::Unavailable(error.to_string().into())),
+        }
+        let digest = fleet::Digest::of(content.as_bytes()).to_string();
+        let stored = self
+            .platform
+            .objects
+            .put(digest.into(), content.to_owned().into())
+            .await;
+        if let Err(error) = stored {
+            return Outcome::Refused(Reason::Unavailable(error.to_string().into()));
+        }
+        let outcome = Commit::first(table, content, self.control.own().clone(), origin).await;
+        if let Outcome::Accepted(revision) = &outcome {
+            self.take_commit(revision, &content.into());
+        }
+        outcome
+    }
+
+    /// Runs one commit: store, prepare, acknowledgements of a majority, write, tell.
+    pub(super) async fn commit(&self, mut commit: Commit) -> Outcome {
+        if let Err(error) = commit.store(&*self.platform.objects).await {
+            return Outcome::Refused(Reason::Unavailable(error.to_string().into()));
+        }
+        let gone = |voter: &_| {
+            self.control.read(|state| state.is_retired(voter))
+                || self
+                    .control
+                    .with_presence(|presence| presence.has_ended(voter))
+        };
+        let own = self.control.prepare(commit.prepare(), clock::now());
+        commit.on_ack(&own);
+        self.gather(&mut commit).await;
+        if !commit.has_quorum(gone) {
+            let refusal = commit.refusal(gone);
+            self.abort(&commit);
+            return refusal;
+        }
+        let content = commit.prepare().version.content.clone();
+        let outcome = commit.settle(&*self.platform.table).await;
+        match &outcome {
+            Outcome::Accepted(revision) => self.take_commit(revision, &content),
+            Outcome::Conflict(revision) => {
+                let now = clock::now();
+                self.control
+                    .act(now, |state| state.on_commit(now, revision));
+                self.hub.wants().notify_one();
+            }
+            Outcome::Refused(_) => self.abort(&commit),
+            Outcome::Unknown(_) => {}
+        }
+        log::info!(event = "commit", version = commit.prepare().version.head.version,
+            outcome:? = outcome; "");
+        outcome
+    }
+
+    /// Sends the proposal to all peers and counts their answers, until all voters have answered.
+    async fn gather(&self, commit: &mut Commit) {
+        let body = Body::Prepare(commit.prepare().into());
+        let (sender, mut acks) = tokio::sync::mpsc::channel(64);
+        for link in self.hub.links() {
+            let (body, sender) = (body.clone(), sender.clone());
+            tokio::spawn(async move {
+                let reply = link.ask(body, ACK_TIMEOUT).await;
+                if let Some(Body::Ack(ack)) = reply {
+                    drop(sender.send(ack).await);
+                }
+            });
+        }
+        drop(sender);
+        while let Some(ack) = acks.recv().await {
+            if let Ok(ack) = Ack::try_from(ack) {
+                commit.on_ack(&ack);
+            }
+        }
+    }
+
+    fn take_commit(&self, revision: &Revision, content: &Arc<str>) {
+        let now = clock::now();
+        self.control.act(now, |state| {
+            state.on_commit(now, revision);
+            state.on_content(now, content);
+        });
+        self.hub.tell_all(&Body::Commit(revision.into()));
+    }
+
+    fn abort(&self, commit: &Commit) {
+        if let Some(operation) = commit.abort() {
+            let now = clock::now();
+            self.control
+                .act(now, |state| state.on_abort(now, operation));
+            self.hub.tell_all(&Body::Abort(operation.to_string()));
+        }
+    }
+}
--- /dev/null
+++ b/src/node/follow.rs
@@ -0,0 +1,53 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Shared;
+use crate::clock;
+use crate::config::{HEAD_KEY, Revision};
+
+/// Time between two head reads; evidence is worth 3 s, so two reads may fail.
+const READ_EVERY: Duration = Duration::from_millis(900);
+
+/// Reads the head row again and again, and settles proposals whose committer is gone.
+pub(super) async fn follow(shared: Arc<Shared>) {
+    loop {
+        read_head(&shared).await;
+        settle_overdue(&shared).await;
+        if shared.pause(READ_EVERY).await {
+            return;
+        }
+    }
+}
+
+async fn read_head(shared: &Shared) {
+    let started = clock::now();
+    match shared.platform.table.read(HEAD_KEY.into()).await {
+        Ok(Some(row)) => match Revision::from_row(&row) {
+            Ok(revision) => {
+                let now = clock::now();
+                let wants = shared.control.act(now, |state| {
+                    state.on_head_read(now, started, &revision);
+                    !state.wants().is_empty()
+                });
+                if wants {
+                    shared.hub.wants().notify_one();
+                }
+            }
+            Err(error) => log::error!(event = "head-unreadable", error:% = error; ""),
+        },
+        Ok(None) => {}
+        Err(error) => log::warn!(event = "head-read-failed", error:% = error; ""),
+    }
+}
+
+async fn settle_overdue(shared: &Shared) {
+    let now = clock::now();
+    let Some(write) = shared.control.read(|state| state.fence(now)) else {
+        return;
+    };
+    match shared.platform.table.transact(vec![write]).await {
+        Ok(_) => log::warn!(event = "proposal-fenced"; ""),
+        Err(error) => log::info!(event = "fence-failed", error:% = error; ""),
+    }
+    read_head(shared).await;
+}
--- /dev/null
+++ b/src/node/node.rs
@@ -0,0 +1,107 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use eyre::{Report, WrapErr};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use super::{Shared, borrow, fetch, follow, join, list, members, shutdown, tick, vote};
+use crate::clock;
+use crate::config::Voter;
+use crate::control::Control;
+use crate::front::{callers, operators};
+use crate::peer::{Member, listen};
+use crate::platform::Platform;
+use crate::settings::Settings;
+
+/// Time for callers to take the end of their answers.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A running entry instance.
+pub struct Node {
+    shared: Arc<Shared>,
+    callers: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Node {
+    /// Binds the ports, joins the members and starts all tasks.
+    ///
+    /// # Errors
+    ///
+    /// A port cannot be bound. While the store is down this waits.
+    pub async fn start(settings: Settings, platform: Platform) -> Result<Self, Report> {
+        let callers = bind("callers", settings.listen.callers).await?;
+        let peers = bind("peers", settings.listen.peers).await?;
+        let operators = bind("operators", settings.listen.operators).await?;
+        let member = make_member(&settings, &callers, &peers, &operators)?;
+        let member = join::join(&platform, member).await?;
+        let own = Voter::new(&member.name, member.incarnation);
+        let control = Arc::new(Control::new(own, &settings.data_centre, clock::now()));
+        let shared = Shared::new(settings, member, control, platform);
+        log::info!(event = "started", name = shared.member.name, callers:% = shared.member.callers,
+            incarnation = shared.member.incarnation; "");
+        tokio::spawn(listen(shared.hub.clone(), peers));
+        tokio::spawn(follow::follow(shared.clone()));
+        tokio::spawn(fetch::fetch(shared.clone()));
+        tokio::spawn(list::list(shared.clone()));
+        tokio::spawn(members::members(shared.clone()));
+        tokio::spawn(borrow::borrow(shared.clone()));
+        tokio::spawn(tick::tick(shared.clone()));
+        tokio::spawn(vote::vote(shared.clone()));
+        tokio::spawn(operators::serve(shared.clone(), operators));
+        let stop = shared.stop.subscribe();
+        let callers = tokio::spawn(callers::serve(shared.port.clone(), callers, stop));
+        Ok(Self {
+            shared,
+            callers: Mutex::new(Some(callers)),
+        })
+    }
+
+    /// Returns what the tasks share.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Waits until the instance gives up by itself, because it was paused for too long.
+    pub async fn lost(&self) {
+        let mut stop = self.shared.stop.subscribe();
+        drop(stop.wait_for(|stop| *stop).await);
+    }
+
+    /// Shuts the instance down without cutting a call.
+    pub async fn stop(&self) {
+        shutdown::shut_down(&self.shared).await;
+        let callers = self.callers.lock().expect("callers lock").take();
+        let Some(callers) = callers else { return };
+        if tokio::time::timeout(CLOSE_TIMEOUT, callers).await.is_err() {
+            log::warn!(event = "callers-left-open"; "");
+        }
+    }
+}
+
+async fn bind(port: &'static str, address: SocketAddr) -> Result<TcpListener, Report> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("step=bind port={port} peer={address}"))
+}
+
+fn make_member(
+    settings: &Settings,
+    callers: &TcpListener,
+    peers: &TcpListener,
+    operators: &TcpListener,
+) -> Result<Member, Report> {
+    let mut advertised = settings.listen.advertised();
+    if advertised.port() == 0 {
+        advertised.set_port(peers.local_addr().wrap_err("step=local-address")?.port());
+    }
+    Ok(Member {
+        name: settings.name.clone(),
+        incarnation: 0,
+        peers: advertised,
+        callers: callers.local_addr().wrap_err("step=local-address")?,
+        operators: operators.local_addr().wrap_err("step=local-address")?,
+        data_centre: settings.data_centre.clone(),
+    })
+}
--- /dev/null
+++ b/src/node/shared.rs
@@ -0,0 +1,90 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use crate::clock::Instant;
+use crate::collections::Map;
+use crate::config::Operation;
+use crate::control::Control;
+use crate::front::callers::Port;
+use crate::peer::{Hub, Member};
+use crate::platform::Platform;
+use crate::settings::Settings;
+
+/// What the tasks of one entry instance share.
+pub struct Shared {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// This instance as peers see it.
+    pub member: Member,
+    /// Configuration and dispatcher.
+    pub control: Arc<Control>,
+    /// Connected peers.
+    pub hub: Arc<Hub>,
+    /// Callers' port.
+    pub port: Arc<Port>,
+    /// Platform services.
+    pub platform: Platform,
+    /// Peers that are dialled, by name.
+    pub(super) dialled: std::sync::Mutex<Map<Arc<str>, watch::Sender<Option<Member>>>>,
+    /// Members of the last scan.
+    pub(super) members: std::sync::Mutex<Vec<Member>>,
+    pub(super) stop: watch::Sender<bool>,
+    pub(super) leaving: AtomicBool,
+    sequence: AtomicU64,
+}
+
+impl Shared {
+    pub(super) fn new(
+        settings: Settings,
+        member: Member,
+        control: Arc<Control>,
+        platform: Platform,
+    ) -> Arc<Self> {
+        let hub = Hub::new(control.clone(), &settings.data_centre);
+        let port = Port::new(control.dispatcher().clone(), (&settings.bounds).into());
+        Arc::new(Self {
+            settings,
+            member,
+            control,
+            hub,
+            port,
+            platform,
+            dialled: Default::default(),
+            members: Default::default(),
+            stop: watch::Sender::new(false),
+            leaving: AtomicBool::new(false),
+            sequence: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns whether the balancer should send callers here.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        !self.leaving.load(Ordering::Acquire) && self.control.dispatcher().is_fresh(now)
+    }
+
+    /// Lists the members of the last scan.
+    pub fn members(&self) -> Vec<Member> {
+        self.members.lock().expect("members lock").clone()
+    }
+
+    pub(super) fn next_operation(&self) -> Operation {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        Operation::of(self.control.own(), sequence)
+    }
+
+    /// Waits `period`, give or take a tenth, or returns true when the instance stops.
+    ///
+    /// The spread keeps instances that started together from reading the store together.
+    pub(super) async fn pause(&self, period: Duration) -> bool {
+        let mut stop = self.stop.subscribe();
+        let spread = f64::from(crate::clock::now().as_nanos() as u32 % 1000) / 5000.0;
+        let period = period.mul_f64(0.9 + spread);
+        tokio::select! {
+            () = tokio::time::sleep(period) => false,
+            _ = stop.wait_for(|stop| *stop) => true,
+        }
+    }
+}
--- /dev/null
+++ b/src/node/vote.rs
@@ -0,0 +1,119 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Shared;
+use crate::config::{Commit, Vote, Voter};
+
+/// Time between two looks at the voters.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// Wait per place in the order of voters, so that one of them acts and the others see its commit.
+const STEP: Duration = Duration::from_millis(400);
+
+/// Places that wait; beyond them all wait the same.
+const MAX_PLACE: usize = 8;
+
+/// Keeps the voters of the head in step with the instances that run.
+pub(super) async fn vote(shared: Arc<Shared>) {
+    loop {
+        if shared.pause(LOOK_EVERY).await {
+            return;
+        }
+        let Some(change) = find_change(&shared) else {
+            continue;
+        };
+        if shared
+            .pause(STEP * u32::try_from(change.place).unwrap_or(0))
+            .await
+        {
+            return;
+        }
+        // Another instance may have made the change while this one waited.
+        let Some(change) = find_change(&shared) else {
+            continue;
+        };
+        let state = shared
+            .control
+            .read(|state| Some((state.revision()?, state.in_force()?.content.clone())));
+        let Some((revision, content)) = state else {
+            continue;
+        };
+        let origin = shared.origin("voters");
+        let commit = Commit::voters(revision, content, &change.add, &change.remove, &origin);
+        let outcome = shared.commit(commit).await;
+        log::info!(event = "voters-changed", added = change.add.len(),
+            removed = change.remove.len(), outcome:? = outcome; "");
+    }
+}
+
+/// Difference between the voters of the head and the instances that run.
+struct Change {
+    add: Vec<Voter>,
+    remove: Vec<Voter>,
+    /// Place of this instance in the order of those who may make the change.
+    place: usize,
+}
+
+fn find_change(shared: &Shared) -> Option<Change> {
+    let own = shared.control.own();
+    let (voters, retired, may_vote) = shared.control.read(|state| {
+        let voters = state.revision()?.head.voters.clone();
+        let retired: Vec<Voter> = voters
+            .iter()
+            .filter(|v| state.is_retired(v))
+            .cloned()
+            .collect();
+        Some((
+            voters,
+            retired,
+            state.vote() == Vote::Held && state.pending().is_empty(),
+        ))
+    })?;
+    if !may_vote {
+        return None;
+    }
+    let mut running: Vec<Voter> = shared
+        .hub
+        .links()
+        .iter()
+        .map(|l| l.voter().clone())
+        .collect();
+    running.push(own.clone());
+    for voter in &voters {
+        // A name that runs a newer life has ended the older one.
+        if running
+            .iter()
+            .any(|r| r.name == voter.name && r.incarnation > voter.incarnation)
+        {
+            shared
+                .control
+                .with_presence(|presence| presence.on_restart(voter));
+        }
+    }
+    let ended = |v: &Voter| {
+        shared
+            .control
+            .with_presence(|presence| presence.has_ended(v))
+    };
+    let remove: Vec<Voter> = voters
+        .iter()
+        .filter(|v| retired.contains(v) || ended(v))
+        .cloned()
+        .collect();
+    let add: Vec<Voter> = running
+        .into_iter()
+        .filter(|r| !voters.contains(r) && !retired.contains(r) && !ended(r))
+        .collect();
+    if add.is_empty() && remove.is_empty() {
+        return None;
+    }
+    let place = voters
+        .iter()
+        .filter(|v| !remove.contains(v))
+        .position(|v| v == own);
+    Some(Change {
+        add,
+        remove,
+        place: place.unwrap_or(MAX_PLACE).min(MAX_PLACE),
+    })
+}
