Key idle connections by address

Cause: idle connections to targets were kept by TargetId, which is unique only within one service, so a call could go out on a connection to another service's target. The demonstration showed it as work on a leaving target (6 to 55 violations in about 14,000 checks); ruled out: the lagging list (all instances had the target as leaving) and the stand-in's own queue. Change: the address is the key; the demonstration now checks for each run that its target belongs to the called service.

--- a/src/call/dispatcher.rs
+++ b/src/call/dispatcher.rs
@@ -1,4 +1,5 @@
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
@@ -13,7 +14,7 @@
 use crate::fleet::{DataCentreId, ServiceId, Snapshot, TeamId};
 use crate::limit::{Ledger, Permit};
 use crate::platform::Instance;
-use crate::route::{TargetId, Targets, Verdict};
+use crate::route::{Targets, Verdict};
 
 /// Longest run of a call before the first fleet document states it.
 const DEFAULT_LONGEST_RUN: Duration = Duration::from_secs(30);
@@ -130,11 +131,12 @@
         &self.permit_wanted
     }
 
-    /// Returns whether any service still has the target.
-    pub fn has_target(&self, target: TargetId) -> bool {
+    /// Returns whether any service has a target at the address.
+    pub fn has_target(&self, address: SocketAddr) -> bool {
+        let known = |targets: &Targets| targets.iter().any(|(_, t)| t.address == address);
         self.lanes()
             .iter()
-            .any(|(_, lane)| lock(lane).targets.get(target).is_some())
+            .any(|(_, lane)| known(&lock(lane).targets))
     }
 
     /// Returns what runs through this entry instance.
--- a/src/call/grant.rs
+++ b/src/call/grant.rs
@@ -31,11 +31,6 @@
         self.address
     }
 
-    /// Returns the target.
-    pub fn target(&self) -> TargetId {
-        self.target
-    }
-
     /// Returns when the slot was granted.
     pub fn granted(&self) -> Instant {
         self.granted
--- a/src/demo/audit.rs
+++ b/src/demo/audit.rs
@@ -31,6 +31,7 @@
             counts.get(&entry.id).copied().unwrap_or(0),
         );
     }
+    check_services(bed, tally, entries, &runs);
     check_limits(bed, tally, &runs);
     check_data_centre(bed, tally, events, &runs);
     check_leaving(tally, events, &runs);
@@ -71,6 +72,20 @@
     }
 }
 
+/// Checks that each call ran on a target of the service that was called.
+fn check_services(bed: &Bed, tally: &Tally, entries: &[Entry], runs: &Runs) {
+    let called: Map<&str, &str> = entries.iter().map(|e| (&*e.id, &*e.service)).collect();
+    for (target, run) in runs {
+        let service = called.get(&*run.id).copied().unwrap_or("");
+        let settings = bed.document.services.iter().find(|s| *s.name == *service);
+        let pool = settings.and_then(|s| bed.document.pools.iter().find(|p| p.name == s.pool));
+        let inside = pool.is_some_and(|p| p.instances.contains(target));
+        tally.check(Rule::Answer, inside, || {
+            format!("id={} service={service} target={target}", run.id)
+        });
+    }
+}
+
 /// Checks the largest number of runs at once per team against its limit.
 fn check_limits(bed: &Bed, tally: &Tally, runs: &Runs) {
     for team in &bed.document.teams {
@@ -122,7 +137,11 @@
     for (name, at) in &events.leaving {
         for (target, run) in runs.iter().filter(|(_, run)| run.start > *at + BOUND) {
             tally.check(Rule::Leaving, target != name, || {
-                format!("id={} target={target} after={:?}", run.id, run.start.since(*at))
+                format!(
+                    "id={} target={target} after={:?}",
+                    run.id,
+                    run.start.since(*at)
+                )
             });
         }
     }
--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -53,6 +53,7 @@
             let entry = Entry {
                 id,
                 team: self.team.clone(),
+                service: self.service.clone(),
                 key: self.key.clone(),
                 idempotent: !post,
                 sent,
--- a/src/demo/journal.rs
+++ b/src/demo/journal.rs
@@ -10,6 +10,7 @@
 pub(super) struct Entry {
     pub(super) id: Arc<str>,
     pub(super) team: Arc<str>,
+    pub(super) service: Arc<str>,
     pub(super) key: Arc<str>,
     pub(super) idempotent: bool,
     pub(super) sent: Instant,
--- a/src/front/callers/answer.rs
+++ b/src/front/callers/answer.rs
@@ -34,7 +34,7 @@
 
 impl Rest {
     fn end_whole(self) {
-        self.connections.keep(self.grant.target(), self.sender);
+        self.connections.keep(self.grant.address(), self.sender);
         self.grant.finish(self.verdict, End::Proved, clock::now());
     }
 
--- a/src/front/callers/connections.rs
+++ b/src/front/callers/connections.rs
@@ -10,7 +10,6 @@
 
 use super::guard::Guard;
 use crate::collections::Map;
-use crate::route::TargetId;
 
 /// Sends requests on one connection to a target.
 pub(super) type Sender = SendRequest<Guard>;
@@ -22,18 +21,14 @@
 /// Idle connections to targets.
 #[derive(Debug, Default)]
 pub struct Connections {
-    idle: Mutex<Map<TargetId, Vec<Sender>>>,
+    /// By address: ids of targets are unique only within one service.
+    idle: Mutex<Map<SocketAddr, Vec<Sender>>>,
 }
 
 impl Connections {
     /// Takes an idle connection or makes a new one.
-    pub(super) async fn take(
-        &self,
-        target: TargetId,
-        address: SocketAddr,
-        limit: Duration,
-    ) -> io::Result<Sender> {
-        while let Some(mut sender) = self.take_idle(target) {
+    pub(super) async fn take(&self, address: SocketAddr, limit: Duration) -> io::Result<Sender> {
+        while let Some(mut sender) = self.take_idle(address) {
             if sender.is_ready() || sender.ready().await.is_ok() {
                 return Ok(sender);
             }
@@ -43,31 +38,31 @@
     }
 
     /// Keeps a connection whose last answer arrived whole.
-    pub(super) fn keep(&self, target: TargetId, sender: Sender) {
+    pub(super) fn keep(&self, address: SocketAddr, sender: Sender) {
         if sender.is_closed() {
             return;
         }
         let mut idle = self.idle.lock().expect("idle connections lock");
-        let idle = idle.entry(target).or_default();
+        let idle = idle.entry(address).or_default();
         if idle.len() < MAX_IDLE {
             idle.push(sender);
         }
     }
 
     /// Closes the idle connections of targets that are gone, and closed ones.
-    pub fn sweep(&self, exists: impl Fn(TargetId) -> bool) {
+    pub fn sweep(&self, exists: impl Fn(SocketAddr) -> bool) {
         let mut idle = self.idle.lock().expect("idle connections lock");
-        idle.retain(|target, senders| {
+        idle.retain(|address, senders| {
             senders.retain(|s| !s.is_closed());
-            exists(*target) && !senders.is_empty()
+            exists(*address) && !senders.is_empty()
         });
     }
 
-    fn take_idle(&self, target: TargetId) -> Option<Sender> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         self.idle
             .lock()
             .expect("idle connections lock")
-            .get_mut(&target)?
+            .get_mut(&address)?
             .pop()
     }
 }
--- a/src/front/callers/exchange.rs
+++ b/src/front/callers/exchange.rs
@@ -120,11 +120,7 @@
 async fn connect(port: &Port, mut grant: Grant) -> Result<(Grant, Sender), Reply> {
     loop {
         let limit = port.limits.connect_timeout;
-        match port
-            .connections
-            .take(grant.target(), grant.address(), limit)
-            .await
-        {
+        match port.connections.take(grant.address(), limit).await {
             Ok(sender) => return Ok((grant, sender)),
             Err(error) => {
                 log::warn!(event = "target-unreachable", step = "connect",
--- a/src/front/callers/flight.rs
+++ b/src/front/callers/flight.rs
@@ -88,7 +88,7 @@
             });
             match ended.await {
                 Ok(true) => {
-                    connections.keep(grant.target(), sender);
+                    connections.keep(grant.address(), sender);
                     grant.finish(Verdict::Neutral, End::Proved, clock::now());
                 }
                 _ => grant.finish(Verdict::Neutral, End::Unproved, clock::now()),
--- a/src/node/list.rs
+++ b/src/node/list.rs
@@ -25,7 +25,7 @@
                 shared
                     .port
                     .connections()
-                    .sweep(|target| dispatcher.has_target(target));
+                    .sweep(|address| dispatcher.has_target(address));
                 let voters = shared.control.read(|state| {
                     state
                         .revision()
