--- a/src/call/dispatcher.rs
+++ b/src/call/dispatcher.rs
@@ -34,6 +34,8 @@
     enforced: RwLock<Arc<[Arc<Snapshot>]>>,
     /// End of the time for which the configuration is known to be current, in nanoseconds.
     fresh_until: AtomicU64,
+    /// The platform's list as last read.
+    listed: RwLock<Option<Arc<[Instance]>>>,
     draining: AtomicBool,
     /// Woken when a call waits for a permit.
     permit_wanted: Notify,
@@ -51,6 +53,7 @@
             lingering: Mutex::default(),
             enforced: RwLock::new(Arc::from([])),
             fresh_until: AtomicU64::new(0),
+            listed: RwLock::new(None),
             draining: AtomicBool::new(false),
             permit_wanted: Notify::new(),
             near: RwLock::new(None),
@@ -67,6 +70,7 @@
                 lane.targets.set_slots(service.slots);
                 lane.targets.apply(current, now);
             }
+            self.sync_targets(current, now);
         }
         *self.enforced.write().expect("enforced lock") = versions;
     }
@@ -86,19 +90,34 @@
         now.as_nanos() <= self.fresh_until.load(Ordering::Acquire)
     }
 
-    /// Takes over the platform's list of targets, given per pool of `current`.
-    pub fn sync_targets(self: &Arc<Self>, current: &Snapshot, list: &[Instance], now: Instant) {
-        for (id, _) in current.services() {
+    /// Takes over the platform's list of instances.
+    pub fn list(self: &Arc<Self>, list: Arc<[Instance]>, now: Instant) {
+        *self.listed.write().expect("listed lock") = Some(list);
+        if let Some(current) = self.enforced().first() {
+            self.sync_targets(current, now);
+        }
+        self.pump(now);
+    }
+
+    /// Returns whether the platform's list was read at least once.
+    pub fn has_list(&self) -> bool {
+        self.listed.read().expect("listed lock").is_some()
+    }
+
+    /// Brings the targets of each service in step with the list and the pools of `current`.
+    fn sync_targets(&self, current: &Snapshot, now: Instant) {
+        let Some(list) = self.listed.read().expect("listed lock").clone() else {
+            return;
+        };
+        for (id, service) in current.services() {
             let pool = current.service_pool(id);
             let listed: Vec<&Instance> = list
                 .iter()
                 .filter(|i| pool.is_some() && current.pool_of(&i.name) == pool)
                 .collect();
-            if let Some(lane) = self.lane(id) {
-                lock(&lane).targets.sync(&listed, current, now);
-            }
+            let lane = self.lane_or_new(id, service.slots);
+            lock(&lane).targets.sync(&listed, current, now);
         }
-        self.pump(now);
     }
 
     /// Takes over what peers report to run.
--- a/src/node/list.rs
+++ b/src/node/list.rs
@@ -2,8 +2,9 @@
 use std::time::Duration;
 
 use super::Shared;
-use crate::clock;
+use crate::clock::{self, Instant};
 use crate::collections::Set;
+use crate::platform::Instance;
 
 /// Time between two readings of the platform's list.
 const READ_EVERY: Duration = Duration::from_secs(1);
@@ -13,30 +14,7 @@
     loop {
         let started = clock::now();
         match shared.platform.listing.instances().await {
-            Ok(instances) => {
-                let now = clock::now();
-                if let Some(current) = shared.control.current() {
-                    shared
-                        .control
-                        .dispatcher()
-                        .sync_targets(&current, &instances, now);
-                }
-                let dispatcher = shared.control.dispatcher();
-                shared
-                    .port
-                    .connections()
-                    .sweep(|address| dispatcher.has_target(address));
-                let voters = shared.control.read(|state| {
-                    state
-                        .revision()
-                        .map(|r| r.head.voters.clone())
-                        .unwrap_or_default()
-                });
-                let shown: Set<Arc<str>> = instances.into_iter().map(|i| i.name).collect();
-                shared
-                    .control
-                    .with_presence(|p| p.on_list(now, started, &voters, &shown));
-            }
+            Ok(instances) => take(&shared, instances, started),
             Err(error) => log::warn!(event = "list-read-failed", error:% = error; ""),
         }
         if shared.pause(READ_EVERY).await {
@@ -44,3 +22,22 @@
         }
     }
 }
+
+fn take(shared: &Shared, instances: Vec<Instance>, started: Instant) {
+    let now = clock::now();
+    let dispatcher = shared.control.dispatcher();
+    let shown: Set<Arc<str>> = instances.iter().map(|i| i.name.clone()).collect();
+    dispatcher.list(instances.into(), now);
+    shared
+        .port
+        .connections()
+        .sweep(|address| dispatcher.has_target(address));
+    let head = shared
+        .control
+        .read(|state| state.revision())
+        .map(|r| r.head);
+    let voters = head.as_ref().map_or(&[][..], |head| &head.voters);
+    shared
+        .control
+        .with_presence(|p| p.on_list(now, started, voters, &shown));
+}
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -62,7 +62,8 @@
 
     /// Returns whether the balancer should send callers here.
     pub fn is_ready(&self, now: Instant) -> bool {
-        !self.leaving.load(Ordering::Acquire) && self.control.dispatcher().is_fresh(now)
+        let dispatcher = self.control.dispatcher();
+        !self.leaving.load(Ordering::Acquire) && dispatcher.is_fresh(now) && dispatcher.has_list()
     }
 
     /// Lists the members of the last scan.
