Add idempotency claims

Cause: a request with an idempotency key must run at most once although store answers are lost, instances restart and callers repeat at any instance.

--- /dev/null
+++ b/src/claim/stamp.rs
@@ -0,0 +1,36 @@
+use std::time::{Duration, SystemTime};
+
+use serde::{Deserialize, Serialize};
+
+/// A time of day in milliseconds since 1970, comparable between instances.
+///
+/// It decides only about a window of a day, so a skew of seconds between instances does no harm.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Stamp(pub u64);
+
+impl Stamp {
+    /// Returns the present time.
+    ///
+    /// ```
+    /// assert!(coriandernotch::claim::Stamp::now().0 > 0);
+    /// ```
+    pub fn now() -> Self {
+        let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        Self(elapsed.map_or(0, |e| u64::try_from(e.as_millis()).unwrap_or(u64::MAX)))
+    }
+
+    /// Returns the time since `earlier`, or zero when `earlier` is later.
+    ///
+    /// ```
+    /// use coriandernotch::claim::Stamp;
+    ///
+    /// assert_eq!(Stamp(1500).since(Stamp(500)).as_secs(), 1);
+    /// assert!(Stamp(500).since(Stamp(1500)).is_zero());
+    /// ```
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(Snapshot::build(1, document.into(), &mut Registry::default()).version(), 1);
 //! ```
 
+pub mod claim;
 pub mod clock;
 pub mod collections;
 pub mod fleet;
