--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod admit;
 pub mod call;
+pub mod claim;
 pub mod cli;
 pub mod clock;
 pub mod collections;
