Claim calls with an idempotency key before dispatch

Cause: a repeat with the same Idempotency-Key ran again. Change: the callers' port claims such a call through claim::Desk, keeps the answer while it streams to the caller, and releases the claim of a call that was not sent. The digest covers method, path and length, because the body streams through. Conclusion: wired.

--- a/src/front/callers/body.rs
+++ b/src/front/callers/body.rs
@@ -6,6 +6,7 @@
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
 use super::answer::Answer;
+use super::kept::Kept;
 
 /// Body of an answer to a caller.
 #[derive(Debug)]
@@ -14,6 +15,8 @@
     Own(Full<Bytes>),
     /// Answer of a target, streamed.
     Target(Box<Answer>),
+    /// Answer of a target, streamed and kept for repeats.
+    Kept(Box<Kept>),
 }
 
 impl Body {
@@ -25,8 +28,8 @@
     ///
     /// assert_eq!(Body::text("gone").size_hint().exact(), Some(4));
     /// ```
-    pub fn text(text: impl Into<String>) -> Self {
-        Self::Own(Full::new(Bytes::from(text.into())))
+    pub fn text(text: impl Into<Bytes>) -> Self {
+        Self::Own(Full::new(text.into()))
     }
 }
 
@@ -43,6 +46,7 @@
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
             Self::Target(answer) => Pin::new(&mut **answer).poll_frame(cx),
+            Self::Kept(answer) => Pin::new(&mut **answer).poll_frame(cx),
         }
     }
 
@@ -50,6 +54,7 @@
         match self {
             Self::Own(full) => full.is_end_stream(),
             Self::Target(answer) => answer.is_end_stream(),
+            Self::Kept(answer) => answer.is_end_stream(),
         }
     }
 
@@ -57,6 +62,7 @@
         match self {
             Self::Own(full) => full.size_hint(),
             Self::Target(answer) => answer.size_hint(),
+            Self::Kept(answer) => answer.size_hint(),
         }
     }
 }
--- a/src/front/callers/exchange.rs
+++ b/src/front/callers/exchange.rs
@@ -9,9 +9,11 @@
 
 use super::answer::Answer;
 use super::body::Body;
+use super::claimed::{claim, read_ask};
 use super::connections::Sender;
 use super::flight::Flight;
 use super::guard::Guard;
+use super::hold::Hold;
 use super::reply::Reply;
 use super::request::{
     OUTCOME, check_framing, is_idempotent, read_deadline, read_key, rewrite_headers, split_path,
@@ -20,6 +22,7 @@
 use super::serve::Port;
 use crate::admit::Refusal;
 use crate::call::{Grant, Order};
+use crate::claim::Ask;
 use crate::clock::{self, Instant};
 use crate::fleet::Snapshot;
 use crate::route::Verdict;
@@ -44,6 +47,10 @@
     current: Arc<Snapshot>,
     too_large: Arc<AtomicBool>,
     start: Instant,
+    /// Claim to be made before the call runs.
+    ask: Option<Ask>,
+    /// True once the target may have got a byte.
+    sent: Arc<AtomicBool>,
 }
 
 async fn run(
@@ -51,7 +58,22 @@
     request: Request<Incoming>,
     start: Instant,
 ) -> Result<Response<Body>, Reply> {
-    let mut call = accept(port, request, start)?;
+    let call = accept(port, request, start)?;
+    let Some(ask) = call.ask.clone() else {
+        return dispatch(port, call).await;
+    };
+    let ticket = match claim(&port.claims, &ask).await {
+        Ok(ticket) => ticket,
+        Err(response) => return Ok(*response),
+    };
+    let hold = Hold::new(&port.claims, ticket, call.sent.clone());
+    dispatch(port, call)
+        .await
+        .map(|response| hold.keep(response))
+}
+
+/// Runs a call, again where that is safe.
+async fn dispatch(port: &Arc<Port>, mut call: Call) -> Result<Response<Body>, Reply> {
     loop {
         let grant = port.dispatcher.admit(call.order, clock::now()).await?;
         let (grant, sender) = connect(port, grant).await?;
@@ -96,6 +118,8 @@
     }
     let wanted = read_deadline(&parts.headers)?;
     let left = wanted.unwrap_or(Duration::from_millis(settings.timeout_ms.into()));
+    let team_name = current.team(team).map_or("", |t| &*t.name);
+    let ask = read_ask(&parts, team_name, body.size_hint().exact())?;
     parts.uri = uri;
     parts.version = Version::HTTP_11;
     let body = Guard::new(body, settings.body_limit, port.limits.body_timeout);
@@ -113,6 +137,8 @@
         current,
         too_large,
         start,
+        ask,
+        sent: Arc::default(),
     })
 }
 
@@ -153,6 +179,7 @@
     // Only a request without a body can be sent a second time.
     let again = is_idempotent(&call.parts.method) && body.is_end_stream();
     let request = make_request(call, body, left);
+    call.sent.store(true, Ordering::Release);
     let mut flight = Flight::start(
         request,
         grant,
@@ -203,6 +230,7 @@
             // The connection closed before a byte went out.
             Some(request) => {
                 call.body = request.into_body();
+                call.sent.store(false, Ordering::Release);
                 grant.unsend();
                 drop(grant);
                 match port.dispatcher.spend_retry(call.order.service) {
--- /dev/null
+++ b/src/front/callers/kept.rs
@@ -0,0 +1,132 @@
+use std::fmt;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::{Bytes, BytesMut};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Response, StatusCode};
+
+use super::answer::Answer;
+use super::body::Body;
+use super::request::OUTCOME;
+use crate::claim::{Desk, MAX_BODY, Stamp, Ticket};
+
+/// Answer of a target that is copied while it streams to the caller.
+pub struct Kept {
+    answer: Answer,
+    copy: BytesMut,
+    /// Taken when the answer has ended.
+    rest: Option<Rest>,
+}
+
+/// What is needed to store the answer.
+struct Rest {
+    desk: Arc<Desk>,
+    ticket: Ticket,
+    status: StatusCode,
+    headers: Vec<(String, String)>,
+}
+
+impl fmt::Debug for Kept {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Kept")
+            .field("copied", &self.copy.len())
+            .finish_non_exhaustive()
+    }
+}
+
+/// Wraps the body of an answer so that it is stored when it has ended whole.
+pub(super) fn keep(desk: &Arc<Desk>, ticket: Ticket, response: Response<Body>) -> Response<Body> {
+    let (parts, body) = response.into_parts();
+    let Body::Target(answer) = body else {
+        return Response::from_parts(parts, body);
+    };
+    let headers = read_headers(&parts.headers);
+    let rest = Some(Rest {
+        desk: desk.clone(),
+        ticket,
+        status: parts.status,
+        headers,
+    });
+    let mut kept = Kept {
+        answer: *answer,
+        copy: BytesMut::new(),
+        rest,
+    };
+    if kept.is_end_stream() {
+        kept.end();
+    }
+    Response::from_parts(parts, Body::Kept(Box::new(kept)))
+}
+
+/// Copies headers, with bytes beyond ASCII as Latin-1.
+fn read_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    let text = |value: &HeaderValue| value.as_bytes().iter().map(|b| char::from(*b)).collect();
+    headers
+        .iter()
+        .filter(|(name, _)| **name != OUTCOME)
+        .map(|(name, value)| (name.to_string(), text(value)))
+        .collect()
+}
+
+impl Kept {
+    fn end(&mut self) {
+        let Some(Rest {
+            desk,
+            ticket,
+            status,
+            headers,
+        }) = self.rest.take()
+        else {
+            return;
+        };
+        let body = std::mem::take(&mut self.copy).freeze();
+        let reply = crate::claim::Reply {
+            status: status.as_u16(),
+            headers,
+            body,
+        };
+        tokio::spawn(async move {
+            if !desk.finish(ticket, reply, Stamp::now()).await {
+                log::warn!(event = "answer-not-kept"; "");
+            }
+        });
+    }
+}
+
+impl HttpBody for Kept {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.answer).poll_frame(cx));
+        match &frame {
+            Some(Ok(frame)) => {
+                // One byte over the limit is enough to tell that the answer is too large.
+                let room = (MAX_BODY + 1).saturating_sub(self.copy.len());
+                if let Some(data) = frame.data_ref() {
+                    self.copy.extend_from_slice(&data[..data.len().min(room)]);
+                }
+                if self.answer.is_end_stream() {
+                    self.end();
+                }
+            }
+            Some(Err(_)) => self.rest = None,
+            None => self.end(),
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.answer.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.answer.size_hint()
+    }
+}
--- a/src/front/callers/mod.rs
+++ b/src/front/callers/mod.rs
@@ -2,10 +2,13 @@
 
 mod answer;
 mod body;
+mod claimed;
 mod connections;
 mod exchange;
 mod flight;
 mod guard;
+mod hold;
+mod kept;
 mod limits;
 mod meter;
 mod reply;
--- a/src/front/callers/serve.rs
+++ b/src/front/callers/serve.rs
@@ -14,6 +14,7 @@
 use super::meter::Meters;
 use super::{Connections, Limits};
 use crate::call::Dispatcher;
+use crate::claim::Desk;
 
 /// Streams of one HTTP/2 connection.
 const MAX_STREAMS: u32 = 256;
@@ -21,6 +22,7 @@
 /// What the connections of the callers' port share.
 pub struct Port {
     pub(super) dispatcher: Arc<Dispatcher>,
+    pub(super) claims: Arc<Desk>,
     pub(super) connections: Arc<Connections>,
     pub(super) meters: Meters,
     pub(super) limits: Limits,
@@ -28,15 +30,21 @@
 
 impl Port {
     /// Makes a port that dispatches through `dispatcher`.
-    pub fn new(dispatcher: Arc<Dispatcher>, limits: Limits) -> Arc<Self> {
+    pub fn new(dispatcher: Arc<Dispatcher>, claims: Arc<Desk>, limits: Limits) -> Arc<Self> {
         Arc::new(Self {
             dispatcher,
+            claims,
             connections: Arc::default(),
             meters: Meters::default(),
             limits,
         })
     }
 
+    /// Returns the claims of calls with an idempotency key.
+    pub fn claims(&self) -> &Arc<Desk> {
+        &self.claims
+    }
+
     /// Returns the idle connections to targets.
     pub fn connections(&self) -> &Connections {
         &self.connections
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -49,6 +49,8 @@
         tokio::spawn(borrow::borrow(shared.clone()));
         tokio::spawn(tick::tick(shared.clone()));
         tokio::spawn(vote::vote(shared.clone()));
+        let claims = shared.port.claims().clone();
+        tokio::spawn(async move { claims.upkeep().await });
         tokio::spawn(operators::serve(shared.clone(), operators));
         let stop = shared.stop.subscribe();
         let callers = tokio::spawn(callers::serve(shared.port.clone(), callers, stop));
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -4,6 +4,7 @@
 
 use tokio::sync::watch;
 
+use crate::claim::{self, Desk, Owner};
 use crate::clock::Instant;
 use crate::collections::Map;
 use crate::config::Operation;
@@ -13,6 +14,13 @@
 use crate::platform::Platform;
 use crate::settings::Settings;
 
+/// Transactions a second that claims of the whole fleet may take of the several hundred that the
+/// table service does.
+const CLAIM_BUDGET: f64 = 150.0;
+
+/// Entry instances among which the budget is split.
+const ENTRY_INSTANCES: usize = 8;
+
 /// What the tasks of one entry instance share.
 pub struct Shared {
     /// Settings of the process.
@@ -44,7 +52,17 @@
         platform: Platform,
     ) -> Arc<Self> {
         let hub = Hub::new(control.clone(), &settings.data_centre);
-        let port = Port::new(control.dispatcher().clone(), (&settings.bounds).into());
+        let owner = Owner {
+            instance: member.name.clone(),
+            incarnation: member.incarnation,
+        };
+        let share = claim::Settings::share(CLAIM_BUDGET, ENTRY_INSTANCES);
+        let claims = Arc::new(Desk::start(platform.table.clone(), owner, share));
+        let port = Port::new(
+            control.dispatcher().clone(),
+            claims,
+            (&settings.bounds).into(),
+        );
         Arc::new(Self {
             settings,
             member,
