--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -15,6 +15,7 @@
 //! a write after its first byte was sent leaves its result unknown.
 
 mod client;
+mod connection;
 mod escape;
 mod pool;
 
--- a/src/platform/http/client.rs
+++ b/src/platform/http/client.rs
@@ -8,8 +8,9 @@
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, timeout_at};
 
+use super::connection::Connection;
 use super::escape;
-use super::pool::{Pool, Sender};
+use super::pool::Pool;
 use crate::platform::{Answer, Error, Instance, Listing, Objects, Row, Table, Write};
 
 /// A store answer later than this is treated as lost, so callers can decide within a second.
@@ -20,6 +21,7 @@
 
 /// Client of the platform services at one address.
 pub struct Client {
+    address: SocketAddr,
     peer: Arc<str>,
     pool: Pool,
 }
@@ -41,8 +43,9 @@
     /// ```
     pub fn new(address: SocketAddr) -> Self {
         Self {
+            address,
             peer: address.to_string().into(),
-            pool: Pool::new(address),
+            pool: Pool::default(),
         }
     }
 
@@ -64,18 +67,18 @@
             .map_err(|e| self.unavailable(step, e.to_string()))?;
         // An idle connection may have been closed meanwhile. What provably was not sent, and what
         // has no effect, may be sent again on a fresh one.
-        if let Ok(Some(sender)) = timeout_at(deadline, self.pool.reuse()).await {
-            match self.exchange(sender, request.clone(), deadline).await {
+        if let Ok(Some(connection)) = timeout_at(deadline, self.pool.take()).await {
+            match self.exchange(connection, request.clone(), deadline).await {
                 Ok(answer) => return self.judge(step, write, answer),
                 Err(Broken::Sent(reason)) if write => return Err(self.unknown(step, reason)),
                 Err(Broken::Sent(_) | Broken::Unsent(_)) => {}
             }
         }
-        let sender = timeout_at(deadline, self.pool.connect())
+        let connection = timeout_at(deadline, Connection::open(self.address))
             .await
             .map_err(|_| self.unavailable(step, "connect timed out".into()))?
             .map_err(|e| self.unavailable(step, e.to_string()))?;
-        match self.exchange(sender, request, deadline).await {
+        match self.exchange(connection, request, deadline).await {
             Ok(answer) => self.judge(step, write, answer),
             Err(Broken::Sent(reason)) if write => Err(self.unknown(step, reason)),
             Err(Broken::Sent(reason) | Broken::Unsent(reason)) => {
@@ -86,18 +89,22 @@
 
     async fn exchange(
         &self,
-        mut sender: Sender,
+        mut connection: Connection,
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<(StatusCode, Bytes), Broken> {
         let exchange = async {
-            let answer = sender.try_send_request(request).await.map_err(|mut e| {
-                let reason = e.error().to_string();
-                match e.take_message() {
-                    Some(_) => Broken::Unsent(reason),
-                    None => Broken::Sent(reason),
-                }
-            })?;
+            let answer = connection
+                .sender
+                .try_send_request(request)
+                .await
+                .map_err(|mut e| {
+                    let reason = e.error().to_string();
+                    match e.take_message() {
+                        Some(_) => Broken::Unsent(reason),
+                        None => Broken::Sent(reason),
+                    }
+                })?;
             let status = answer.status();
             let body = Limited::new(answer.into_body(), MAX_ANSWER)
                 .collect()
@@ -108,7 +115,7 @@
         let answer = timeout_at(deadline, exchange)
             .await
             .map_err(|_| Broken::Sent("answer timed out".into()))??;
-        self.pool.keep(sender);
+        self.pool.keep(connection);
         Ok(answer)
     }
 
--- a/src/platform/http/pool.rs
+++ b/src/platform/http/pool.rs
@@ -1,58 +1,36 @@
-use std::net::SocketAddr;
 use std::sync::Mutex;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use super::connection::Connection;
 
 /// Idle connections kept for reuse.
 const MAX_IDLE: usize = 8;
 
-pub(super) type Sender = SendRequest<Full<Bytes>>;
-
-/// Connections to one address.
+/// Idle connections to one address.
+#[derive(Default)]
 pub(super) struct Pool {
-    address: SocketAddr,
-    idle: Mutex<Vec<Sender>>,
+    idle: Mutex<Vec<Connection>>,
 }
 
 impl Pool {
-    pub(super) fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            idle: Mutex::default(),
-        }
-    }
-
-    /// Takes an idle connection that is not known to be closed.
-    pub(super) async fn reuse(&self) -> Option<Sender> {
-        while let Some(mut sender) = self.take() {
-            if sender.ready().await.is_ok() {
-                return Some(sender);
+    /// Takes the connection that was used last and drops those that were closed meanwhile.
+    pub(super) async fn take(&self) -> Option<Connection> {
+        while let Some(mut connection) = self.pop() {
+            if connection.is_usable().await {
+                return Some(connection);
             }
         }
         None
     }
 
-    pub(super) async fn connect(&self) -> Result<Sender, Box<dyn std::error::Error + Send + Sync>> {
-        let stream = TcpStream::connect(self.address).await?;
-        stream.set_nodelay(true)?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
-        tokio::spawn(connection);
-        Ok(sender)
+    fn pop(&self) -> Option<Connection> {
+        self.idle.lock().expect("idle connections lock").pop()
     }
 
     /// Keeps a connection whose last answer was read to its end.
-    pub(super) fn keep(&self, sender: Sender) {
+    pub(super) fn keep(&self, connection: Connection) {
         let mut idle = self.idle.lock().expect("idle connections lock");
         if idle.len() < MAX_IDLE {
-            idle.push(sender);
+            idle.push(connection);
         }
     }
-
-    fn take(&self) -> Option<Sender> {
-        self.idle.lock().expect("idle connections lock").pop()
-    }
 }
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -124,6 +124,22 @@
     }
 }
 
+/// Guards against an orphan that is forgotten before its write takes effect late.
+#[tokio::test(start_paused = true)]
+async fn late_orphan_is_released() {
+    let store = Store::new();
+    let (a, b) = (desk(&store, "a", 1), desk(&store, "b", 1));
+    store.faults().set_delay(Duration::from_secs(5));
+    let slow = a.claim(&ask("k"), Stamp(0)).await;
+    assert_eq!(name(&slow), "unavailable");
+    store.faults().clear();
+    assert_eq!(a.release_orphans(Stamp(2000)).await, 1);
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(name(&b.claim(&ask("k"), Stamp(7000)).await), "running");
+    assert_eq!(a.release_orphans(Stamp(7000)).await, 0);
+    assert_eq!(name(&b.claim(&ask("k"), Stamp(7000)).await), "first");
+}
+
 /// Guards against a wrong answer for any state of the row.
 #[test]
 fn decisions() {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,7 +1,6 @@
 //! One contract for the in-process client and the HTTP client of the platform services.
 
 use std::io::{Read, Write as _};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -275,16 +274,16 @@
 }
 
 /// Serves each connection of a raw server with `talk` in threads of its own.
-fn raw_server(talk: fn(std::net::TcpStream, usize)) -> (Client, SocketAddr) {
+fn raw_server(talk: fn(std::net::TcpStream)) -> Client {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
-        for (n, stream) in listener.incoming().enumerate() {
+        for stream in listener.incoming() {
             let stream = stream.unwrap();
-            std::thread::spawn(move || talk(stream, n));
+            std::thread::spawn(move || talk(stream));
         }
     });
-    (Client::new(address), address)
+    Client::new(address)
 }
 
 /// Reads one request; the bodies used here fit into one piece.
@@ -293,12 +292,11 @@
     matches!(stream.read(&mut buffer), Ok(n) if n > 0)
 }
 
+/// Sends an answer in one piece; several would each wait for an acknowledgement.
 fn send(stream: &mut std::net::TcpStream, head: &str, body: &str) {
     let length = body.len();
-    let _ = write!(
-        stream,
-        "HTTP/1.1 {head}\r\ncontent-length: {length}\r\n\r\n{body}"
-    );
+    let text = format!("HTTP/1.1 {head}\r\ncontent-length: {length}\r\n\r\n{body}");
+    let _ = stream.write_all(text.as_bytes());
 }
 
 /// Guards against a write that fails because the server had closed an idle connection, although
@@ -306,75 +304,83 @@
 #[tokio::test]
 async fn write_on_a_stale_idle_connection() {
     static RUNS: AtomicUsize = AtomicUsize::new(0);
-    let (client, _) = raw_server(|mut stream, _| {
+    static CLOSED: AtomicUsize = AtomicUsize::new(0);
+    let client = raw_server(|mut stream| {
         if receive(&mut stream) {
             RUNS.fetch_add(1, Ordering::SeqCst);
             send(&mut stream, "200 OK", "[1]");
+            drop(stream);
+            CLOSED.fetch_add(1, Ordering::SeqCst);
         }
     });
-    for n in 1..=20 {
+    for n in 1..=50 {
         let result = client.transact(vec![put("a", Condition::Any)]).await;
-        assert_eq!(result, Ok(vec![1]));
+        assert_eq!(result, Ok(vec![1]), "write {n}");
         assert_eq!(RUNS.load(Ordering::SeqCst), n);
-        // Blocks the only thread on purpose, so that the client cannot notice the close before
-        // it sends the next write.
-        std::thread::sleep(Duration::from_millis(5));
+        // Blocks the only thread on purpose, so that the task of the connection cannot notice
+        // the close before the next write.
+        while CLOSED.load(Ordering::SeqCst) < n {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Guards against a new connection for each call.
+#[tokio::test]
+async fn connections_are_reused() {
+    static CONNECTIONS: AtomicUsize = AtomicUsize::new(0);
+    let client = raw_server(|mut stream| {
+        CONNECTIONS.fetch_add(1, Ordering::SeqCst);
+        while receive(&mut stream) {
+            send(&mut stream, "200 OK", "[1]");
+        }
+    });
+    for _ in 0..200 {
+        let result = client.transact(vec![put("a", Condition::Any)]).await;
+        assert_eq!(result, Ok(vec![1]));
     }
+    assert_eq!(CONNECTIONS.load(Ordering::SeqCst), 1);
 }
 
 /// Guards against answers of the wrong form that pass for a proof of no effect.
 #[tokio::test]
 async fn odd_answers() {
-    type Talk = fn(std::net::TcpStream, usize);
+    type Talk = fn(std::net::TcpStream);
     // Behaviour of the server, error of a write, error of a read.
     let cases: [(&str, Talk, &str, &str); 8] = [
         (
             "close after the request",
-            |mut s, _| {
+            |mut s| {
                 receive(&mut s);
             },
             "unknown",
             "unavailable",
         ),
-        (
-            "500",
-            |s, _| answer(s, "500 E", ""),
-            "unknown",
-            "unavailable",
-        ),
-        (
-            "400",
-            |s, _| answer(s, "400 E", ""),
-            "unknown",
-            "unavailable",
-        ),
-        (
-            "302",
-            |s, _| answer(s, "302 E", ""),
-            "unknown",
-            "unavailable",
-        ),
+        ("500", |s| answer(s, "500 E", ""), "unknown", "unavailable"),
+        ("400", |s| answer(s, "400 E", ""), "unknown", "unavailable"),
+        ("302", |s| answer(s, "302 E", ""), "unknown", "unavailable"),
         (
             "not JSON",
-            |s, _| answer(s, "200 OK", "[1"),
+            |s| answer(s, "200 OK", "[1"),
             "unknown",
             "unavailable",
         ),
         (
             "too few versions",
-            |s, _| answer(s, "200 OK", "[]"),
+            |s| answer(s, "200 OK", "[]"),
             "unknown",
             "unavailable",
         ),
         (
             "conflict on another key",
-            |s, _| answer(s, "409 Conflict", "proxy"),
+            |s| answer(s, "409 Conflict", "proxy"),
             "unknown",
             "unavailable",
         ),
         (
             "oversize",
-            |mut s, _| {
+            |mut s| {
                 receive(&mut s);
                 let length = 17 << 20;
                 let _ = write!(s, "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
@@ -385,7 +391,7 @@
         ),
     ];
     for (name, talk, write, read) in cases {
-        let (client, _) = raw_server(talk);
+        let client = raw_server(talk);
         let error = client.transact(vec![put("a", Condition::Any)]).await;
         assert_eq!(kind(&error.unwrap_err()), write, "{name}");
         let error = client.read("a".into()).await.unwrap_err();
