--- a/src/claim.rs
+++ b/src/claim.rs
@@ -23,6 +23,7 @@
 mod state;
 mod sweep;
 mod ticket;
+mod upkeep;
 mod verdict;
 
 pub use ask::Ask;
--- a/src/claim/desk.rs
+++ b/src/claim/desk.rs
@@ -9,7 +9,7 @@
 use super::failure::Failure;
 use super::orphans::Orphans;
 use super::queue::Queue;
-use super::{Ask, Claim, Decision, Owner, Reply, Settings, Stamp, State, Sweep, Ticket, Verdict};
+use super::{Ask, Claim, Decision, Owner, Reply, Settings, Stamp, State, Ticket, Verdict};
 use crate::fleet::Digest;
 use crate::platform::{Condition, Error, Row, Table, Write};
 
@@ -28,26 +28,14 @@
 /// Read-backs at once, so that the answer lost for a large batch causes no burst of reads.
 const MAX_READS: usize = 16;
 
-/// Claims that [`Desk::release_orphans`] handles in one step.
-const ORPHANS_PER_STEP: usize = 16;
-
 /// Largest text of a row that stores an answer; a text with many escapes exceeds its body.
 const MAX_TEXT: usize = 160 << 10;
 
-/// Pause between two looks at the orphans.
-const TICK: Duration = Duration::from_secs(1);
-
-/// Ticks between two steps of the sweep.
-const SWEEP_TICKS: u64 = 10;
-
-/// Time after which a write that was not seen to take effect is taken to be gone.
-const LATE_EFFECT: Duration = Duration::from_secs(60);
-
 /// Decides for one entry instance which requests with an idempotency key may run.
 pub struct Desk {
-    table: Arc<dyn Table>,
-    owner: Owner,
-    queue: Queue,
+    pub(super) table: Arc<dyn Table>,
+    pub(super) owner: Owner,
+    pub(super) queue: Queue,
     operations: AtomicU64,
     orphans: Mutex<Orphans>,
     waiting: Semaphore,
@@ -211,93 +199,17 @@
         gone
     }
 
-    /// Releases some claims that took effect after their request had been refused.
-    ///
-    /// One step costs at most 16 reads and 16 rows in shared transactions. Returns how many remain.
-    ///
-    /// ```
-    /// use coriandernotch::claim::{Desk, Owner, Settings, Stamp};
-    /// use coriandernotch::standin::Store;
-    ///
-    /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
-    /// let owner = Owner { instance: "e1".into(), incarnation: 1 };
-    /// let desk = Desk::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
-    /// assert_eq!(desk.release_orphans(Stamp(0)).await, 0);
-    /// # });
-    /// ```
-    pub async fn release_orphans(&self, now: Stamp) -> usize {
-        let some = self.orphans().oldest(ORPHANS_PER_STEP);
-        let steps = some.into_iter().map(|(operation, row, added)| async move {
-            if self.release_orphan(operation, &row, added, now).await {
-                self.orphans().remove(operation);
-            }
-        });
-        futures_util::future::join_all(steps).await;
-        self.orphans().len()
-    }
-
-    /// Returns whether nothing remains to do for the claim.
-    async fn release_orphan(&self, operation: u64, row: &str, added: Stamp, now: Stamp) -> bool {
-        let Ok(row) = self.read(row).await else {
-            return false;
-        };
-        let Some(row) = row else {
-            return now.since(added) >= LATE_EFFECT;
-        };
-        let Ok(claim) = serde_json::from_str::<Claim>(&row.value) else {
-            return true;
-        };
-        let ours = claim.owner == self.owner && claim.operation == operation;
-        if !ours {
-            // A write on the present version of the row may still be under way.
-            return now.since(added) >= LATE_EFFECT;
-        }
-        if claim.state != State::Started {
-            return true;
-        }
-        let text = self.text(operation, claim.digest, State::Released, now);
-        let write = Write::put(&row.key, Condition::Version(row.version), &text);
-        self.queue.submit(write).await.is_ok()
-    }
-
     /// Remembers a claim whose request is never sent but whose row may yet appear.
     pub(super) fn abandon(&self, operation: u64, row: Arc<str>, now: Stamp) {
         self.orphans().add(operation, row, now);
     }
 
-    /// Releases orphans and sweeps with the time of day until dropped.
-    ///
-    /// ```
-    /// use coriandernotch::claim::{Desk, Owner, Settings};
-    /// use coriandernotch::standin::Store;
-    ///
-    /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
-    /// let owner = Owner { instance: "e1".into(), incarnation: 1 };
-    /// let desk = Desk::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
-    /// drop(desk.upkeep());
-    /// # });
-    /// ```
-    pub async fn upkeep(&self) {
-        let sweep = Sweep::new(self.table.clone());
-        // Spreads the instances, which may have started together.
-        sleep(Duration::from_millis(self.owner.incarnation % 10_000)).await;
-        for tick in 0u64.. {
-            self.release_orphans(Stamp::now()).await;
-            if tick % SWEEP_TICKS == 0
-                && let Err(error) = sweep.step(Stamp::now()).await
-            {
-                log::warn!("claim=sweep {error}");
-            }
-            sleep(TICK).await;
-        }
-    }
-
-    async fn read(&self, row: &str) -> Result<Option<Row>, Error> {
+    pub(super) async fn read(&self, row: &str) -> Result<Option<Row>, Error> {
         let _turn = self.reads.acquire().await;
         self.table.read(row.into()).await
     }
 
-    fn text(&self, operation: u64, digest: Digest, state: State, at: Stamp) -> String {
+    pub(super) fn text(&self, operation: u64, digest: Digest, state: State, at: Stamp) -> String {
         let owner = self.owner.clone();
         Claim {
             owner,
@@ -309,7 +221,7 @@
         .text()
     }
 
-    fn orphans(&self) -> MutexGuard<'_, Orphans> {
+    pub(super) fn orphans(&self) -> MutexGuard<'_, Orphans> {
         self.orphans.lock().expect("orphans lock")
     }
 }
