--- a/src/config/commit.rs
+++ b/src/config/commit.rs
@@ -11,7 +11,7 @@
 ///
 /// Store the document, send [`Commit::prepare`], feed the answers to [`Commit::on_ack`]; with
 /// [`Commit::has_quorum`] call [`Commit::settle`], without it send [`Commit::abort`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Commit {
     prepare: Prepare,
     acknowledged: Vec<Voter>,
