Test upper limits under faults and complete the ledger

Cause: the ledger had documentation examples only, and demand that had just ended at peers kept permits from a busy instance for more than 2 s (40 of 100 after 2.04 s). Change: tests with real ledgers over a network that loses, repeats and delays: 34 fault rows, random interleavings on 2 to 4 nodes, exhaustive search, recovery, usability, split and cost. Recent demand now counts for 0.5 to 1 s instead of 1 to 2 s; at most four loans per team and peer; permits, checks and queries are in files of their own. Guards: with the guard removed on a scratch edit, the interleaving test fails when the lender forgets the longest run (also on renewal), when homes grow at once, when lent permits are not reported, when a pending change is not obeyed, and when a loan is not checked before dispatch. Tests are more than a third of the new code (the world and the tables); renewals are one message per loan, not batched.

--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -3,8 +3,12 @@
 use super::{LoanId, Mark};
 use crate::clock::Instant;
 
-/// Time over which demand counts as recent; the burst of a queue lasts seconds.
-const WINDOW: Duration = Duration::from_secs(1);
+/// Demand counts as recent for one to two windows. With 1 s, permits of peers whose demand had
+/// just ended reached a busy instance only after 2 s.
+const WINDOW: Duration = Duration::from_millis(500);
+
+/// Time for which a count of waiting units holds.
+const WAIT: Duration = Duration::from_secs(1);
 
 /// Permits of one team at one instance.
 #[derive(Clone, Debug, Default)]
@@ -53,7 +57,7 @@
 
     /// Returns how many units wait for a permit, as far as was recently said.
     pub(super) fn waiting(&self, now: Instant) -> u32 {
-        if now.since(self.waiting_at) < WINDOW {
+        if now.since(self.waiting_at) < WAIT {
             self.waiting
         } else {
             0
--- a/src/limit/ledger/borrow.rs
+++ b/src/limit/ledger/borrow.rs
@@ -12,6 +12,9 @@
 /// Time between rounds of asking for one team; 17 rounds reach 136 instances in 0.85 s.
 const ROUND: Duration = Duration::from_millis(50);
 
+/// Loans of one team from one peer; more would make renewals cost more than permits are worth.
+const LOANS_PER_PEER: u32 = 4;
+
 /// Time for which a peer that refused is not asked again for the same team.
 const REFUSAL: Duration = Duration::from_millis(300);
 
@@ -152,11 +155,16 @@
             return Vec::new();
         };
         let account = &self.accounts[team.index()];
-        let mut mine: Map<PeerId, (u32, bool)> = Map::default();
+        let mut mine: Map<PeerId, (u32, u32)> = Map::default();
         for loan in account.loans.iter().filter_map(|id| self.loans.get(id)) {
-            let (keep, busy) = mine.entry(loan.lender).or_default();
+            let (keep, count) = mine.entry(loan.lender).or_default();
             *keep += loan.keep();
-            *busy |= loan.phase != Phase::Held;
+            // One request at a time, too.
+            *count += if loan.phase == Phase::Held {
+                1
+            } else {
+                LOANS_PER_PEER
+            };
         }
         let mine = |peer| mine.get(&peer).copied().unwrap_or_default();
         let seed = mix(self.round ^ self.peers[self.own].voter.hash());
@@ -164,7 +172,7 @@
         newest
             .shares(team)
             .filter(|(peer, _)| *peer != self.own && !refused(*peer))
-            .filter(|(peer, _)| !mine(*peer).1)
+            .filter(|(peer, _)| mine(*peer).1 < LOANS_PER_PEER)
             .filter_map(|(peer, share)| {
                 let known = self.peers.get(peer)?;
                 let running = known.running.get(team.index()).copied().unwrap_or(0);
--- /dev/null
+++ b/src/limit/ledger/permits.rs
@@ -0,0 +1,147 @@
+use super::Ledger;
+use crate::clock::Instant;
+use crate::collections::Map;
+use crate::fleet::TeamId;
+use crate::limit::account::Account;
+use crate::limit::{Denial, Loan, LoanId, Permit, Source};
+
+impl Ledger {
+    /// Takes a permit: first from the home, then from a loan.
+    ///
+    /// A failed take counts as one waiting unit; see [`Ledger::wait`].
+    ///
+    /// # Errors
+    ///
+    /// States why there is none; after [`Denial::Exhausted`] ask [`Ledger::tick`] for requests.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::{Denial, Ledger};
+    ///
+    /// let (team, now) = (TeamId(0), Instant::default());
+    /// let mut ledger = Ledger::example(2, 2);
+    /// let permit = ledger.take(team, now).unwrap();
+    /// assert_eq!(ledger.take(team, now), Err(Denial::Exhausted));
+    /// ledger.give(permit);
+    /// assert!(ledger.take(team, now).is_ok());
+    /// ```
+    pub fn take(&mut self, team: TeamId, now: Instant) -> Result<Permit, Denial> {
+        if self.retired {
+            return Err(Denial::Retired);
+        }
+        let account = self.accounts.get_mut(team.index());
+        let account = account.ok_or(Denial::UnknownTeam)?;
+        account.limit.ok_or(Denial::UnknownTeam)?;
+        let source = if account.idle() > 0 {
+            account.own += 1;
+            Source::Home
+        } else if let Some((place, id)) = idle_loan(&self.loans, account, now) {
+            account.cursor = place;
+            account.borrowed += 1;
+            self.loans.entry(id).and_modify(|l| l.used += 1);
+            Source::Loan(id)
+        } else {
+            let waiting = account.waiting(now).max(1);
+            account.wait(waiting, now);
+            return Err(Denial::Exhausted);
+        };
+        account.served(now);
+        Ok(Permit { team, source })
+    }
+
+    /// Returns by when a unit that is started now must have ended.
+    ///
+    /// Call it immediately before the start: a home may have shrunk and a loan may have lapsed
+    /// since the permit was taken, also because this process was paused.
+    ///
+    /// # Errors
+    ///
+    /// States why the unit must not start; give the permit back then.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::Ledger;
+    ///
+    /// let now = Instant::default();
+    /// let mut ledger = Ledger::example(2, 10);
+    /// let permit = ledger.take(TeamId(0), now).unwrap();
+    /// assert_eq!(ledger.check(permit, now), Ok(now + Duration::from_secs(30)));
+    /// ```
+    pub fn check(&self, permit: Permit, now: Instant) -> Result<Instant, Denial> {
+        let account = self.accounts.get(permit.team.index());
+        let account = account.ok_or(Denial::UnknownTeam)?;
+        match permit.source {
+            Source::Home if account.own + account.lent <= account.home => {
+                Ok(now + self.longest_run())
+            }
+            Source::Home => Err(Denial::Shrunk),
+            Source::Loan(id) => match self.loans.get(&id) {
+                Some(loan) if loan.used <= loan.usable(now) => Ok(now + loan.run),
+                _ => Err(Denial::Lapsed),
+            },
+        }
+    }
+
+    /// Gives a permit back, when its unit has ended or was not started.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::Ledger;
+    ///
+    /// let mut ledger = Ledger::example(2, 10);
+    /// let permit = ledger.take(TeamId(0), Instant::default()).unwrap();
+    /// ledger.give(permit);
+    /// assert_eq!(ledger.running(TeamId(0)), 0);
+    /// ```
+    pub fn give(&mut self, permit: Permit) {
+        let Some(account) = self.accounts.get_mut(permit.team.index()) else {
+            return;
+        };
+        match permit.source {
+            Source::Home => account.own = account.own.saturating_sub(1),
+            Source::Loan(id) => {
+                if let Some(loan) = self.loans.get_mut(&id).filter(|l| l.used > 0) {
+                    loan.used -= 1;
+                    account.borrowed -= 1;
+                }
+            }
+        }
+    }
+
+    /// Records how many units of a team wait for a permit, which decides how many to borrow.
+    ///
+    /// The count is forgotten after a second, so a queue with waiting units repeats it.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::limit::Ledger;
+    ///
+    /// let (team, now) = (TeamId(0), Instant::default());
+    /// let mut ledger = Ledger::example(2, 10);
+    /// while ledger.take(team, now).is_ok() {}
+    /// ledger.wait(team, 5, now);
+    /// assert_eq!(ledger.tick(now).len(), 1);
+    /// ```
+    pub fn wait(&mut self, team: TeamId, count: u32, now: Instant) {
+        if let Some(account) = self.accounts.get_mut(team.index()) {
+            account.wait(count, now);
+        }
+    }
+}
+
+/// Finds a loan with an idle permit, beginning with the one that had the last.
+fn idle_loan(
+    loans: &Map<LoanId, Loan>,
+    account: &Account,
+    now: Instant,
+) -> Option<(usize, LoanId)> {
+    let count = account.loans.len();
+    (account.cursor..account.cursor + count)
+        .map(|i| (i % count, account.loans[i % count]))
+        .find(|(_, id)| loans.get(id).is_some_and(|l| l.used < l.usable(now)))
+}
--- a/src/limit/ledger/report.rs
+++ b/src/limit/ledger/report.rs
@@ -89,7 +89,7 @@
     /// Returns what this instance obeys, to be stated with each loan.
     pub(super) fn basis(&self) -> Basis {
         Basis {
-            version: self.editions.last().map_or(0, |e| e.mark.version),
+            version: self.version(),
             pending: self.pending.last().map(|p| p.mark),
         }
     }
--- a/src/limit/ledger/versions.rs
+++ b/src/limit/ledger/versions.rs
@@ -27,7 +27,7 @@
     /// assert_eq!(ledger.home(team), 2);
     /// ```
     pub fn install(&mut self, terms: &Terms, now: Instant) {
-        let last = self.editions.last().map_or(0, |e| e.mark.version);
+        let last = self.version();
         if terms.version <= last {
             return;
         }
@@ -67,7 +67,7 @@
     /// assert!(!ledger.prepare(&Terms::example(3, 2, 4), now));
     /// ```
     pub fn prepare(&mut self, terms: &Terms, now: Instant) -> bool {
-        let last = self.editions.last().map_or(0, |e| e.mark.version);
+        let last = self.version();
         if terms.version != last + 1 {
             return false;
         }
@@ -103,7 +103,7 @@
             self.closed = self.closed.max(self.editions[0].mark.version);
             return;
         }
-        let newest = self.editions.last().map_or(0, |e| e.mark.version);
+        let newest = self.version();
         let over = (0..self.editions.len()).rev().find(|&i| {
             let version = self.editions[i].mark.version;
             // A closure beyond the newest known version cannot be matched with its homes.
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -25,11 +25,13 @@
 mod mark;
 mod order;
 mod peer;
+mod peer_id;
 mod permit;
 mod phase;
 mod reply;
 mod report;
 mod request;
+mod source;
 mod terms;
 mod voter;
 
@@ -42,11 +44,12 @@
 pub use loan_id::LoanId;
 pub use mark::Mark;
 pub use order::Order;
-pub use peer::PeerId;
-pub use permit::{Permit, Source};
+pub use peer_id::PeerId;
+pub use permit::Permit;
 pub use reply::Reply;
 pub use report::Report;
 pub use request::Request;
+pub use source::Source;
 pub use terms::Terms;
 pub use voter::Voter;
 
--- a/src/limit/peer.rs
+++ b/src/limit/peer.rs
@@ -1,10 +1,5 @@
 use super::{LoanId, Voter};
 
-slotmap::new_key_type! {
-    /// One life of an entry instance, as known to one ledger.
-    pub struct PeerId;
-}
-
 /// What a ledger remembers of another instance.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
--- a/src/limit/permit.rs
+++ b/src/limit/permit.rs
@@ -1,4 +1,4 @@
-use super::LoanId;
+use super::Source;
 use crate::fleet::TeamId;
 
 /// Right of a team to one running unit, valid in the ledger that issued it.
@@ -11,12 +11,3 @@
     /// Where the permit came from.
     pub source: Source,
 }
-
-/// Where a permit came from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Source {
-    /// The home of the instance itself.
-    Home,
-    /// A loan from a peer.
-    Loan(LoanId),
-}
--- /dev/null
+++ b/tests/limit/cost.rs
@@ -0,0 +1,105 @@
+use std::fs::read_to_string;
+use std::time::{Duration, Instant as Clock};
+
+use coriandernotch::clock::Instant;
+use coriandernotch::fleet::TeamId;
+use coriandernotch::limit::{Basis, Cap, Ledger, Reply, Report, Request, Terms, Voter};
+
+const VOTERS: u32 = 136;
+const TEAMS: u32 = 150;
+
+/// Guards against work per operation or memory that grows with the fleet. The bounds are some
+/// 50 times what a release build took, so that a busy machine does not fail them; run with
+/// `--release -- --nocapture cost` for the figures.
+#[test]
+fn cost_at_the_target_size() {
+    let (voters, terms) = (voters(), |version| terms(version, 1_000));
+    let now = Instant::from_start(Duration::from_secs(100));
+    let mut ledger = Ledger::new(voters[0].clone());
+    let install = time(1, |_| ledger.install(&terms(1), now));
+    let take = time(150_000, |i| {
+        let permit = ledger.take(TeamId(i % TEAMS), now).unwrap();
+        ledger.check(permit, now).unwrap();
+        ledger.give(permit);
+    });
+    let tick = time(100, |_| assert!(ledger.tick(now).is_empty()));
+    let memory = resident();
+    let ledgers: Vec<Ledger> = voters[..20]
+        .iter()
+        .map(|v| loaded(v, &voters, now))
+        .collect();
+    let bytes = (resident() - memory) / ledgers.len();
+    let mut busy = ledgers[0].clone();
+    let loans = busy.loans().count();
+    let busy_tick = time(20, |_| drop(busy.tick(now)));
+    println!("install {install:?}, take+check+give {take:?}, idle tick {tick:?}");
+    println!(
+        "tick with {loans} loans {busy_tick:?}; {} bytes per team",
+        bytes / TEAMS as usize
+    );
+    assert!(take < Duration::from_micros(20), "{take:?}");
+    assert!(tick < Duration::from_millis(5), "{tick:?}");
+    assert!(bytes < 16 << 20, "{bytes}");
+}
+
+/// Makes a ledger with two versions, the reports of all peers, and a loan from each for each team.
+fn loaded(own: &Voter, voters: &[Voter], now: Instant) -> Ledger {
+    let mut ledger = Ledger::new(own.clone());
+    ledger.install(&terms(1, 1_000), now);
+    ledger.install(&terms(2, 900), now);
+    let running: Vec<_> = (0..TEAMS).map(|t| (TeamId(t), 1)).collect();
+    for voter in voters {
+        let report = Report {
+            running: running.clone(),
+            ..Report::default()
+        };
+        let peer = ledger.peer(voter);
+        ledger.learn(peer, report, now);
+    }
+    let basis = Basis {
+        version: 2,
+        pending: None,
+    };
+    for round in 0..20 {
+        let later = now + Duration::from_millis(60 * round);
+        (0..TEAMS).for_each(|t| ledger.wait(TeamId(t), 1_000, later));
+        for order in ledger.wants(later) {
+            if let Request::Borrow { id, amount, .. } = order.request {
+                ledger.accept(order.to, Reply::Loan { id, amount, basis }, later);
+            }
+        }
+    }
+    ledger
+}
+
+fn terms(version: u64, limit: u32) -> Terms {
+    let cap = |i| Cap {
+        team: TeamId(i),
+        name: format!("team-{i}").into(),
+        limit,
+    };
+    Terms::new(
+        version,
+        voters(),
+        (0..TEAMS).map(cap).collect(),
+        Duration::from_secs(30),
+    )
+}
+
+fn voters() -> Vec<Voter> {
+    (0..VOTERS)
+        .map(|i| Voter::new(format!("entry-{i:03}"), 1))
+        .collect()
+}
+
+fn time(count: u32, mut run: impl FnMut(u32)) -> Duration {
+    let start = Clock::now();
+    (0..count).for_each(&mut run);
+    start.elapsed() / count
+}
+
+/// Returns the resident memory of this process in bytes.
+fn resident() -> usize {
+    let statm = read_to_string("/proc/self/statm").unwrap();
+    statm.split(' ').nth(1).unwrap().parse::<usize>().unwrap() * 4_096
+}
--- /dev/null
+++ b/tests/limit/step.rs
@@ -0,0 +1,93 @@
+use quickcheck::{Arbitrary, Gen};
+
+/// One event of a simulated fleet; nodes and messages are given by their place.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Step {
+    Take(usize),
+    /// Starts all units taken before, or gives their permits back.
+    Start(usize),
+    /// Takes and starts up to so many units.
+    Run(usize, u32),
+    /// Asks for so many units and requires that so many start.
+    Gets(usize, u32, u32),
+    /// Reports so many waiting units.
+    Wait(usize, u32),
+    /// Ends the oldest unit of the node.
+    End(usize),
+    Tick(usize),
+    Report(usize),
+    Deliver(usize),
+    Repeat(usize),
+    Lose(usize),
+    DeliverAll,
+    /// Lets every node install its next version, tick and report, and delivers everything.
+    Sync,
+    /// Milliseconds.
+    Pass(u64),
+    /// Restarts the node with the next incarnation.
+    Crash(usize),
+    Pause(usize),
+    Resume(usize),
+    /// Limit, voters as a bit mask over nodes, longest run in seconds.
+    Propose(u32, u64, u64),
+    Prepare(usize),
+    Abandon(usize),
+    Commit,
+    /// Installs the successor of the version known to the node.
+    Install(usize),
+    /// Installs the newest version, maybe with a gap.
+    Jump(usize),
+    Retire(usize),
+}
+
+impl Step {
+    /// Returns the node that acts, unless the step is one of the network or the operators.
+    pub(crate) fn node(&mut self) -> Option<&mut usize> {
+        match self {
+            Self::Take(n) | Self::Start(n) | Self::Run(n, _) | Self::Gets(n, ..) => Some(n),
+            Self::Wait(n, _) | Self::End(n) | Self::Tick(n) | Self::Report(n) => Some(n),
+            Self::Crash(n) | Self::Pause(n) | Self::Resume(n) | Self::Prepare(n) => Some(n),
+            Self::Abandon(n) | Self::Install(n) | Self::Jump(n) | Self::Retire(n) => Some(n),
+            _ => None,
+        }
+    }
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let node = usize::arbitrary(g) % 4;
+        let place = usize::arbitrary(g) % 4;
+        let pause = *g
+            .choose(&[1, 60, 300, 1_000, 2_600, 5_100, 14_000])
+            .unwrap();
+        let run = *g.choose(&[5, 10, 20]).unwrap();
+        let limit = u32::arbitrary(g) % 7;
+        let mask = *g.choose(&[15, 15, 15, 15, 14, 13, 11, 7, 3, 5, 0]).unwrap();
+        match u8::arbitrary(g) % 128 {
+            0..5 => Self::Take(node),
+            5..10 => Self::Start(node),
+            10..36 => Self::Run(node, limit),
+            36..39 => Self::End(node),
+            39 => Self::Wait(node, limit),
+            40..56 => Self::Tick(node),
+            56..60 => Self::Report(node),
+            60..68 => Self::Deliver(place),
+            68..72 => Self::Repeat(place),
+            72..76 => Self::Lose(place),
+            76..84 => Self::DeliverAll,
+            84..92 => Self::Sync,
+            92..103 => Self::Pass(pause),
+            103 => Self::Crash(node),
+            104 => Self::Pause(node),
+            105..110 => Self::Resume(node),
+            110..113 => Self::Propose(limit, mask, run),
+            113..116 => Self::Prepare(node),
+            116 => Self::Abandon(node),
+            117..120 => Self::Commit,
+            120..125 => Self::Install(node),
+            125 | 126 => Self::Jump(node),
+            _ if place + node == 0 => Self::Retire(node),
+            _ => Self::Sync,
+        }
+    }
+}
--- /dev/null
+++ b/tests/limit/world.rs
@@ -0,0 +1,301 @@
+use std::time::Duration;
+
+use coriandernotch::clock::Instant;
+use coriandernotch::fleet::TeamId;
+use coriandernotch::limit::{Cap, FRESHNESS, Order, Terms};
+
+use super::message::{Body, Message};
+use super::node::Node;
+use super::step::Step;
+use super::unit::Unit;
+
+pub(crate) const TEAM: TeamId = TeamId(0);
+
+/// A few real ledgers, a network without guarantees, and the units that really run.
+#[derive(Clone, Debug)]
+pub(crate) struct World {
+    pub(crate) now: Instant,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) net: Vec<Message>,
+    pub(crate) units: Vec<Unit>,
+    /// Committed versions and when they took effect.
+    pub(crate) versions: Vec<(Terms, Instant)>,
+    pub(crate) proposal: Option<Terms>,
+    /// Units started by the last step.
+    pub(crate) started: u32,
+    /// Units started in all.
+    pub(crate) total: u32,
+}
+
+impl World {
+    pub(crate) fn new(nodes: usize, limit: u32) -> Self {
+        let mut out = Self {
+            now: Instant::from_start(Duration::from_secs(100)),
+            nodes: (0..nodes).map(|i| Node::new(i, 1)).collect(),
+            net: Vec::new(),
+            units: Vec::new(),
+            versions: Vec::new(),
+            proposal: None,
+            started: 0,
+            total: 0,
+        };
+        let all = (1_u64 << nodes) - 1;
+        for step in [Step::Propose(limit, all, 10), Step::Commit] {
+            out.apply(step);
+        }
+        (0..nodes).for_each(|n| out.apply(Step::Install(n)));
+        out
+    }
+
+    pub(crate) fn apply(&mut self, step: Step) {
+        let node = { step }.node().map(|n| &self.nodes[*n]);
+        if node.is_some_and(|n| n.paused) && !matches!(step, Step::Crash(_) | Step::Resume(_)) {
+            return;
+        }
+        match step {
+            Step::Take(n) => {
+                self.take(n);
+            }
+            Step::Start(n) => {
+                let unstarted = self.units.iter().filter(|u| u.end.is_none()).count();
+                for _ in 0..unstarted {
+                    self.start(n);
+                }
+            }
+            Step::Run(n, count) => {
+                self.started = 0;
+                for _ in 0..count {
+                    self.started += u32::from(self.take(n) && self.start(n));
+                }
+            }
+            Step::Gets(n, count, expected) => {
+                self.apply(Step::Run(n, count));
+                assert_eq!(self.started, expected, "{step:?}");
+            }
+            Step::Wait(n, count) => self.nodes[n].ledger.wait(TEAM, count, self.now),
+            Step::End(n) => {
+                let voter = self.nodes[n].voter.clone();
+                let runs = |u: &Unit| u.holder == voter && u.end.is_some();
+                if let Some(i) = self.units.iter().position(runs) {
+                    let unit = self.units.remove(i);
+                    self.nodes[n].ledger.give(unit.permit);
+                }
+            }
+            Step::Tick(n) => {
+                let orders = self.nodes[n].ledger.tick(self.now);
+                self.send(n, orders);
+            }
+            Step::Report(n) => {
+                let report = self.nodes[n].ledger.report();
+                for to in self.nodes.iter().map(|n| n.voter.clone()) {
+                    let (from, body) = (self.nodes[n].voter.clone(), Body::Report(report.clone()));
+                    self.net.push(Message { from, to, body });
+                }
+            }
+            Step::Deliver(i) if i < self.net.len() => {
+                let message = self.net.remove(i);
+                self.deliver(message);
+            }
+            Step::Repeat(i) if i < self.net.len() => self.net.push(self.net[i].clone()),
+            Step::Lose(i) if i < self.net.len() => {
+                self.net.remove(i);
+            }
+            Step::Deliver(_) | Step::Repeat(_) | Step::Lose(_) => {}
+            Step::DeliverAll => {
+                let mut messages = std::mem::take(&mut self.net);
+                while !messages.is_empty() {
+                    messages.into_iter().for_each(|m| self.deliver(m));
+                    let held = |m: &Message| self.nodes.iter().any(|n| n.voter == m.to && n.paused);
+                    (self.net, messages) =
+                        std::mem::take(&mut self.net).into_iter().partition(held);
+                }
+            }
+            Step::Sync => {
+                for n in 0..self.nodes.len() {
+                    for step in [Step::Install(n), Step::Tick(n), Step::Report(n)] {
+                        self.apply(step);
+                    }
+                }
+                self.apply(Step::DeliverAll);
+            }
+            Step::Pass(millis) => {
+                self.now = self.now + Duration::from_millis(millis);
+                self.finish();
+            }
+            Step::Crash(n) => self.nodes[n] = Node::new(n, self.nodes[n].voter.incarnation + 1),
+            Step::Pause(n) => self.nodes[n].paused = true,
+            Step::Resume(n) => {
+                self.nodes[n].paused = false;
+                self.finish();
+            }
+            Step::Propose(limit, mask, run) => {
+                let bits = self.nodes.iter().enumerate();
+                let voters = bits.filter(|(i, _)| mask & (1 << i) != 0);
+                let cap = |i: u32, name: &str| Cap {
+                    team: TeamId(i),
+                    name: name.into(),
+                    limit,
+                };
+                self.proposal = Some(Terms::new(
+                    self.versions.len() as u64 + 1,
+                    voters.map(|(_, n)| n.voter.clone()).collect(),
+                    vec![cap(0, "quotes"), cap(1, "pickups")],
+                    Duration::from_secs(run),
+                ));
+            }
+            Step::Prepare(n) => {
+                if let Some(terms) = &self.proposal {
+                    self.nodes[n].ledger.prepare(terms, self.now);
+                }
+            }
+            Step::Abandon(n) => {
+                if let Some(terms) = &self.proposal {
+                    self.nodes[n].ledger.abandon(terms.mark());
+                }
+            }
+            Step::Commit => {
+                let next = self.versions.len() as u64 + 1;
+                if let Some(terms) = self.proposal.take_if(|t| t.version == next) {
+                    self.versions.push((terms, self.now));
+                }
+            }
+            Step::Install(n) => {
+                let known = self.nodes[n].ledger.version() as usize;
+                if let Some((terms, _)) = self.versions.get(known) {
+                    self.nodes[n].ledger.install(terms, self.now);
+                }
+            }
+            Step::Jump(n) => {
+                if let Some((terms, _)) = self.versions.last() {
+                    self.nodes[n].ledger.install(terms, self.now);
+                }
+            }
+            Step::Retire(n) => {
+                let orders = self.nodes[n].ledger.retire(self.now);
+                self.send(n, orders);
+            }
+        }
+    }
+
+    /// Returns a text that is equal for equal states.
+    pub(crate) fn key(&self) -> String {
+        let Self {
+            now,
+            nodes,
+            net,
+            units,
+            versions,
+            ..
+        } = self;
+        format!("{now:?} {nodes:?} {net:?} {units:?} {}", versions.len())
+    }
+
+    /// Returns the units that run in the whole fleet.
+    pub(crate) fn running(&self) -> u32 {
+        self.units.iter().filter(|u| u.end.is_some()).count() as u32
+    }
+
+    /// Returns whether no more units run than the limits allow that may be in force somewhere.
+    pub(crate) fn holds(&self) -> bool {
+        let ends = self.versions.iter().skip(1).map(|(_, since)| Some(*since));
+        let possible = self.versions.iter().zip(ends.chain([None]));
+        let longest = self.versions.iter().map(|(t, _)| t.longest_run).max();
+        let reach = FRESHNESS + longest.unwrap_or_default();
+        let current = possible.filter(|(_, end)| end.is_none_or(|end| self.now <= end + reach));
+        let limit = current.map(|((terms, _), _)| terms.caps[0].limit).max();
+        self.running() <= limit.unwrap_or(0)
+    }
+
+    fn take(&mut self, n: usize) -> bool {
+        let node = &mut self.nodes[n];
+        let Ok(permit) = node.ledger.take(TEAM, self.now) else {
+            return false;
+        };
+        self.units.push(Unit {
+            holder: node.voter.clone(),
+            permit,
+            end: None,
+        });
+        true
+    }
+
+    /// Starts the newest unstarted unit of a node, or gives its permit back.
+    fn start(&mut self, n: usize) -> bool {
+        let fresh = self.is_fresh(n);
+        let node = &mut self.nodes[n];
+        let mine = |u: &Unit| u.holder == node.voter && u.end.is_none();
+        let Some(i) = self.units.iter().rposition(mine) else {
+            return false;
+        };
+        match node.ledger.check(self.units[i].permit, self.now) {
+            Ok(end) if fresh => {
+                self.units[i].end = Some(end);
+                self.total += 1;
+                true
+            }
+            _ => {
+                let unit = self.units.remove(i);
+                node.ledger.give(unit.permit);
+                false
+            }
+        }
+    }
+
+    /// Returns whether a node may have evidence that what it obeys is in force: the most
+    /// permissive reading of the configuration protocol.
+    fn is_fresh(&self, n: usize) -> bool {
+        let ledger = &self.nodes[n].ledger;
+        let mut known = ledger.version() as usize;
+        let next = self.versions.get(known).map(|(t, _)| t.mark());
+        known += usize::from(next.is_some_and(|mark| ledger.is_pending(mark)));
+        let superseded = self.versions.get(known);
+        superseded.is_none_or(|(_, since)| self.now <= *since + FRESHNESS)
+    }
+
+    /// Ends the units whose time is over; a paused instance learns of it when it resumes.
+    fn finish(&mut self) {
+        let (now, nodes) = (self.now, &mut self.nodes);
+        self.units.retain_mut(|unit| {
+            if unit.end.is_none_or(|end| now < end) {
+                return true;
+            }
+            if let Some(node) = nodes.iter_mut().find(|n| n.voter == unit.holder) {
+                node.ledger.give(unit.permit);
+            }
+            false
+        });
+    }
+
+    fn send(&mut self, n: usize, orders: Vec<Order>) {
+        let node = &self.nodes[n];
+        self.net.extend(orders.into_iter().filter_map(|order| {
+            let (from, to) = (node.voter.clone(), node.ledger.voter(order.to)?.clone());
+            let body = Body::Request(order.request);
+            Some(Message { from, to, body })
+        }));
+    }
+
+    /// Hands a message to its receiver; a crashed one never gets it, a paused one later.
+    fn deliver(&mut self, message: Message) {
+        let Some(node) = self.nodes.iter_mut().find(|n| n.voter == message.to) else {
+            return;
+        };
+        if node.paused {
+            self.net.push(message);
+            return;
+        }
+        let from = node.ledger.peer(&message.from);
+        match message.body {
+            Body::Request(request) => {
+                let reply = node.ledger.lend(from, request, self.now);
+                self.net.extend(reply.map(|reply| Message {
+                    from: message.to,
+                    to: message.from,
+                    body: Body::Reply(reply),
+                }));
+            }
+            Body::Reply(reply) => node.ledger.accept(from, reply, self.now),
+            Body::Report(report) => node.ledger.learn(from, report, self.now),
+        }
+    }
+}
