Add pools: assignments, budgets, moves and their planner

Cause: an instance must belong to one pool and every availability budget must hold while several managers act at once and answers of the table get lost.

Change: a manager drafts steps into one transaction that writes the rows of the instances and of their pools, each conditional on the version the decision was based on.

Conclusion: only the documentation examples cover it so far; tests follow.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod limit;
 pub mod peer;
 pub mod platform;
+pub mod pools;
 pub mod route;
 pub mod settings;
 pub mod standin;
--- /dev/null
+++ b/src/pools/assignment.rs
@@ -0,0 +1,46 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Errand, Operation, Phase};
+
+/// Row `instances/{id}`: the one pool to which an instance belongs.
+///
+/// Rows are never deleted, because versions restart after a deletion and a delayed conditional
+/// write could then take effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Assignment {
+    /// Name of the pool.
+    pub pool: Arc<str>,
+    /// Fencing token of the manager that wrote the row.
+    pub token: u64,
+    /// Write that produced this state.
+    pub operation: Operation,
+    /// What the instance does.
+    pub phase: Phase,
+    /// Why it was drained.
+    pub errand: Option<Errand>,
+    /// Data centre, kept because a failed instance is missing from the platform's list.
+    pub data_centre: Arc<str>,
+    /// Rack, kept for the same reason.
+    pub rack: Arc<str>,
+    /// Incarnation that a reboot ends; another incarnation shows that the reboot took place.
+    pub incarnation: u64,
+    /// Time of the last planned reboot in seconds since 1970, 0 when there was none.
+    pub maintained: u64,
+}
+
+impl Assignment {
+    /// Returns the key of the row of an instance.
+    ///
+    /// ```
+    /// assert_eq!(coriandernotch::pools::Assignment::key("w-1"), "instances/w-1");
+    /// ```
+    pub fn key(instance: &str) -> String {
+        format!("{}{instance}", Self::PREFIX)
+    }
+
+    /// Start of the keys of all these rows.
+    pub const PREFIX: &str = "instances/";
+}
--- /dev/null
+++ b/src/pools/draft.rs
@@ -0,0 +1,181 @@
+//! Changes: how they are written and how they alter the state.
+
+use std::sync::Arc;
+
+use super::{Assignment, Change, InstanceId, Ledger, Pool, Refusal, State, Step, Tally};
+use crate::clock::Instant;
+use crate::fleet::PoolId;
+use crate::platform::{Condition, Write};
+
+impl State {
+    /// Turns steps into one transaction, if the budgets allow them together.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first reason against it.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::pools::{Action, InstanceId, Phase, Purpose, State, Step};
+    ///
+    /// let mut state = State::example(1, 2);
+    /// let step = Step::new(InstanceId(0), Action::Drain(Purpose::Reboot));
+    /// let change = state.draft(&[step]).unwrap();
+    /// assert_eq!(change.writes.len(), 2);
+    /// state.apply(Instant::default(), &change);
+    /// assert_eq!(state.instance(InstanceId(0)).phase, Phase::Draining);
+    /// ```
+    pub fn draft(&mut self, steps: &[Step]) -> Result<Change, Refusal> {
+        let draft = self.try_steps(steps)?;
+        let operation = self.next_operation();
+        let mut writes = Vec::with_capacity(draft.instances.len() + draft.pools.len());
+        for (_, after) in &draft.instances {
+            let row = self.assignment(after, operation);
+            writes.push(put(&Assignment::key(&after.name), after.version, &row));
+        }
+        for id in &draft.pools {
+            let mut pool = self.pool(*id).ok_or(Refusal::Pool)?.clone();
+            if let (true, Some(cover)) = (pool.spare, &draft.cover) {
+                pool.cover.clone_from(cover);
+            }
+            for (instance, after) in &draft.instances {
+                pool.members.retain(|m| m != instance);
+                if after.pool == *id {
+                    pool.members.push(*instance);
+                }
+            }
+            let changed = |m: &InstanceId| {
+                let found = draft.instances.iter().find(|(i, _)| i == m);
+                found.map_or(self.instance(*m), |(_, after)| after)
+            };
+            // Instances without a row are not part of what the rows say.
+            let written = |m: &&InstanceId| {
+                self.instance(**m).version > 0 || draft.instances.iter().any(|(i, _)| i == *m)
+            };
+            let tally = Tally::of(pool.members.iter().filter(written).map(changed));
+            let row = self.ledger(&pool, &tally, operation);
+            writes.push(put(&Ledger::key(&pool.name), pool.version, &row));
+        }
+        Ok(Change {
+            operation,
+            probe: writes
+                .first()
+                .map_or_else(|| "".into(), |w: &Write| w.key.clone()),
+            writes,
+            instances: draft.instances,
+            pools: draft.pools,
+            cover: draft.cover,
+        })
+    }
+
+    /// Lists the transactions that write the rows of pools and instances that have none.
+    ///
+    /// ```
+    /// let mut state = coriandernotch::pools::State::example(2, 4);
+    /// assert_eq!(state.found().len(), 3);
+    /// ```
+    pub fn found(&mut self) -> Vec<Change> {
+        let ids: Vec<PoolId> = self.pools().map(|(id, _)| id).collect();
+        ids.into_iter()
+            .filter_map(|id| self.found_pool(id))
+            .collect()
+    }
+
+    fn found_pool(&mut self, id: PoolId) -> Option<Change> {
+        let operation = self.next_operation();
+        let pool = self.pool(id)?;
+        let new = pool.members.iter().map(|m| (*m, self.instance(*m)));
+        let new: Vec<_> = new.filter(|(_, instance)| instance.version == 0).collect();
+        if pool.version > 0 && new.is_empty() {
+            return None;
+        }
+        let row = self.ledger(pool, &self.tally(pool), operation);
+        let mut writes = vec![put(&Ledger::key(&pool.name), pool.version, &row)];
+        writes.extend(new.iter().map(|(_, instance)| {
+            let row = self.assignment(instance, operation);
+            put(&Assignment::key(&instance.name), 0, &row)
+        }));
+        Some(Change {
+            operation,
+            probe: writes[0].key.clone(),
+            instances: new.into_iter().map(|(m, i)| (m, i.clone())).collect(),
+            writes,
+            pools: vec![id],
+            cover: None,
+        })
+    }
+
+    /// Writes the token of this manager into every pool row, at the start of its tenure.
+    ///
+    /// From then on each transaction of an earlier manager conflicts, however long it was
+    /// paused, without a row that all transactions would have to share.
+    ///
+    /// ```
+    /// let mut state = coriandernotch::pools::State::example(2, 4);
+    /// assert_eq!(state.fence().writes.len(), 3);
+    /// ```
+    pub fn fence(&mut self) -> Change {
+        let operation = self.next_operation();
+        let written = |pool: &Pool| {
+            let members = pool.members.iter().map(|m| self.instance(*m));
+            Tally::of(members.filter(|instance| instance.version > 0))
+        };
+        let write = |pool: &Pool| {
+            let row = self.ledger(pool, &written(pool), operation);
+            put(&Ledger::key(&pool.name), pool.version, &row)
+        };
+        let writes: Vec<Write> = self.pools().map(|(_, pool)| write(pool)).collect();
+        Change {
+            operation,
+            probe: writes
+                .first()
+                .map_or_else(|| "".into(), |w: &Write| w.key.clone()),
+            writes,
+            instances: Vec::new(),
+            pools: self.pools().map(|(id, _)| id).collect(),
+            cover: None,
+        }
+    }
+
+    /// Takes a change into account that took effect.
+    ///
+    /// See [`State::draft`] for an example.
+    pub fn apply(&mut self, now: Instant, change: &Change) {
+        for (id, after) in &change.instances {
+            let before = self.instance(*id).pool;
+            if before != after.pool {
+                self.pool_mut(before).members.retain(|m| m != id);
+                self.pool_mut(after.pool).members.push(*id);
+            }
+            let mut after = after.clone();
+            after.version += 1;
+            if after.phase != self.instance(*id).phase {
+                after.since = now;
+            }
+            self.instances[id.index()] = after;
+        }
+        let token = self.token;
+        for id in &change.pools {
+            let pool = self.pool_mut(*id);
+            pool.version += 1;
+            pool.token = token;
+            if let (true, Some(cover)) = (pool.spare, &change.cover) {
+                pool.cover.clone_from(cover);
+            }
+        }
+    }
+}
+
+/// Makes a write that is conditional on the version that was read.
+fn put(key: &str, version: u64, row: &impl serde::Serialize) -> Write {
+    let condition = match version {
+        0 => Condition::Absent,
+        version => Condition::Version(version),
+    };
+    let value: Arc<str> = serde_json::to_string(row).expect("text keys only").into();
+    Write {
+        key: key.into(),
+        condition,
+        value: Some(value),
+    }
+}
--- /dev/null
+++ b/src/pools/lease.rs
@@ -0,0 +1,113 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Instant;
+use crate::platform::{Condition, Error, Row, Table, Write};
+
+/// Time without renewal after which another instance may manage.
+pub const LEASE_TERM: Duration = Duration::from_secs(10);
+
+const KEY: &str = "managers/pools";
+
+/// Row of the lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Holder {
+    holder: Arc<str>,
+    token: u64,
+}
+
+/// Lease of the pool manager; each new holder gets a greater fencing token.
+///
+/// The lease only saves work: two holders at once are kept from harm by the conditions of the
+/// transactions, since clocks of different machines cannot be compared.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    name: Arc<str>,
+    seen: Option<(Row, Instant)>,
+    renewed: Option<(u64, Instant)>,
+}
+
+impl Lease {
+    /// Makes the lease of one process; `name` must differ between incarnations.
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.into(),
+            seen: None,
+            renewed: None,
+        }
+    }
+
+    /// Returns the token while the lease holds.
+    pub fn token(&self, now: Instant) -> Option<u64> {
+        let (token, at) = self.renewed?;
+        (now.since(at) < LEASE_TERM).then_some(token)
+    }
+
+    /// Takes or renews the lease if it may, and returns the token when it holds.
+    ///
+    /// Call it every third of [`LEASE_TERM`]; `now` is the time before the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the table; the lease then holds until its term ends.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::pools::Lease;
+    /// use coriandernotch::standin::Store;
+    ///
+    /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
+    /// let table = Store::new().client("a");
+    /// let now = Instant::default();
+    /// assert_eq!(Lease::new("a").turn(now, &table).await.unwrap(), Some(1));
+    /// assert_eq!(Lease::new("b").turn(now, &table).await.unwrap(), None);
+    /// # });
+    /// ```
+    pub async fn turn(&mut self, now: Instant, table: &dyn Table) -> Result<Option<u64>, Error> {
+        let row = table.read(KEY.into()).await?;
+        let Some((token, condition)) = self.judge(now, row) else {
+            return Ok(self.token(now));
+        };
+        let holder = Holder {
+            holder: self.name.clone(),
+            token,
+        };
+        let value = serde_json::to_string(&holder).expect("text keys only");
+        match table
+            .transact(vec![Write::put(KEY, condition, &value)])
+            .await
+        {
+            Ok(_) => self.renewed = Some((token, now)),
+            Err(Error::Conflict { .. }) => self.renewed = None,
+            // The next turn reads whether the write took effect.
+            Err(error) => return Err(error),
+        }
+        Ok(self.token(now))
+    }
+
+    /// Returns the token to write and the condition, when this process may write.
+    fn judge(&mut self, now: Instant, row: Option<Row>) -> Option<(u64, Condition)> {
+        let Some(row) = row else {
+            return Some((1, Condition::Absent));
+        };
+        let held: Option<Holder> = serde_json::from_str(&row.value).ok();
+        let (mine, token) = held.map_or((false, 0), |h| (h.holder == self.name, h.token));
+        let condition = Condition::Version(row.version);
+        if mine {
+            return Some((token, condition));
+        }
+        self.renewed = None;
+        match &self.seen {
+            Some((seen, since)) if *seen == row => {
+                (now.since(*since) >= LEASE_TERM).then_some((token + 1, condition))
+            }
+            _ => {
+                self.seen = Some((row, now));
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/pools/ledger.rs
@@ -0,0 +1,40 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Cover, Operation};
+
+/// Row `pools/{name}`: written in every transaction that changes an instance of the pool.
+///
+/// A transaction that is conditional on the version of this row therefore takes effect only if
+/// nothing in the pool changed since the row was read, whoever else believes to lead.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Ledger {
+    /// Newest fencing token that wrote the row.
+    pub token: u64,
+    /// Write that produced this state.
+    pub operation: Operation,
+    /// Instances in the pool.
+    pub members: u32,
+    /// Instances of the pool that do not serve.
+    pub out: u32,
+    /// In the spare pool: what the other pools would need after the next failure.
+    #[serde(default)]
+    pub cover: BTreeMap<Arc<str>, Cover>,
+}
+
+impl Ledger {
+    /// Start of the keys of all these rows.
+    pub const PREFIX: &str = "pools/";
+
+    /// Returns the key of the row of a pool.
+    ///
+    /// ```
+    /// assert_eq!(coriandernotch::pools::Ledger::key("workers"), "pools/workers");
+    /// ```
+    pub fn key(pool: &str) -> String {
+        format!("{}{pool}", Self::PREFIX)
+    }
+}
--- /dev/null
+++ b/src/pools/mod.rs
@@ -0,0 +1,67 @@
+//! Which instance belongs to which pool, availability budgets, and moves between pools.
+//!
+//! A manager loads a [`State`], turns what it sees into [`Step`]s, drafts a [`Change`] and
+//! settles it in the table. Every change writes the rows of the instances and the rows of their
+//! pools in one transaction, each conditional on the version that the decision was based on. So
+//! an instance belongs to one pool and every budget holds even when several managers act at
+//! once; the lease of the manager only saves conflicts.
+
+mod action;
+mod assignment;
+mod budget;
+mod change;
+mod check;
+mod cover;
+mod draft;
+mod errand;
+mod id;
+mod instance;
+mod lease;
+mod ledger;
+mod load;
+mod r#move;
+mod operation;
+mod order;
+mod outcome;
+mod phase;
+mod planner;
+mod pool;
+mod purpose;
+mod rack;
+mod refusal;
+mod reserve;
+mod review;
+mod settle;
+mod sight;
+mod state;
+mod step;
+mod tally;
+
+pub use action::Action;
+pub use assignment::Assignment;
+pub use budget::Budget;
+pub use change::Change;
+pub use cover::Cover;
+pub use errand::Errand;
+pub use id::InstanceId;
+pub use instance::Instance;
+pub use lease::{LEASE_TERM, Lease};
+pub use ledger::Ledger;
+pub use load::load;
+pub use r#move::Move;
+pub use operation::Operation;
+pub use order::Order;
+pub use outcome::Outcome;
+pub use phase::Phase;
+pub use planner::{Planner, REPLACE_AFTER};
+pub use pool::Pool;
+pub use purpose::Purpose;
+pub use rack::RackId;
+pub use refusal::Refusal;
+pub use reserve::Reserve;
+pub use review::{DRAIN_LIMIT, RETURN_LIMIT};
+pub use settle::settle;
+pub use sight::Sight;
+pub use state::State;
+pub use step::Step;
+pub use tally::Tally;
--- /dev/null
+++ b/src/pools/state.rs
@@ -0,0 +1,326 @@
+use std::sync::Arc;
+
+use super::{
+    Assignment, Budget, Errand, Instance, InstanceId, Ledger, Operation, Order, Phase, Pool,
+    Purpose, RackId, Tally,
+};
+use crate::clock::Instant;
+use crate::collections::Map;
+use crate::fleet::{self, DataCentreId, PoolId, Registry, Snapshot};
+use crate::platform;
+
+/// Instances and pools as one manager knows them, with the versions of their rows.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    pub(super) token: u64,
+    pub(super) count: u32,
+    pub(super) instances: Vec<Instance>,
+    pub(super) pools: Vec<Option<Pool>>,
+    pub(super) spare: Option<PoolId>,
+    names: Map<Arc<str>, InstanceId>,
+    racks: Vec<Arc<str>>,
+    rack_ids: Map<Arc<str>, RackId>,
+    data_centres: Map<DataCentreId, Arc<str>>,
+}
+
+impl State {
+    /// Makes the state that the document and the platform's list describe, before any row.
+    ///
+    /// Instances that the list does not show are left out, since their place is unknown.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::{Registry, Snapshot};
+    /// use coriandernotch::pools::State;
+    ///
+    /// let now = Instant::default();
+    /// let state = State::build(now, 1, &Snapshot::default(), &mut Registry::default(), &[]);
+    /// assert_eq!(state.instances().count(), 0);
+    /// ```
+    pub fn build(
+        now: Instant,
+        token: u64,
+        snapshot: &Snapshot,
+        registry: &mut Registry,
+        listing: &[platform::Instance],
+    ) -> Self {
+        let mut out = Self {
+            token,
+            ..Self::default()
+        };
+        let Some(document) = snapshot.document() else {
+            return out;
+        };
+        for pool in &document.pools {
+            let id = registry.pool(&pool.name);
+            out.spare = if pool.spare { Some(id) } else { out.spare };
+            out.put_pool(id, pool);
+        }
+        for listed in listing {
+            let Some(pool) = snapshot.pool_of(&listed.name) else {
+                continue;
+            };
+            let assignment = Assignment {
+                pool: out.pool_name(pool),
+                token,
+                operation: Operation::default(),
+                phase: Phase::Serving,
+                errand: None,
+                data_centre: listed.data_centre.clone(),
+                rack: listed.rack.clone(),
+                incarnation: 0,
+                maintained: 0,
+            };
+            out.put(now, &listed.name, &assignment, 0, registry);
+        }
+        out
+    }
+
+    /// Makes pools of four instances in racks of two and a spare pool of `spares`, for examples.
+    ///
+    /// ```
+    /// assert_eq!(coriandernotch::pools::State::example(2, 4).instances().count(), 12);
+    /// ```
+    pub fn example(pools: usize, spares: usize) -> Self {
+        let names = |pool: &str, n| (0..n).map(|i| format!("{pool}-{i}")).collect::<Vec<_>>();
+        let pool = |name: &str, n: usize, spare: bool| {
+            serde_json::json!({"name": name, "size": n, "spare": spare,
+                "budget": {"unavailable": 1}, "instances": names(name, n)})
+        };
+        let mut list: Vec<_> = (0..pools)
+            .map(|p| pool(&format!("p{p}"), 4, false))
+            .collect();
+        list.push(pool("spare", spares, true));
+        let document = serde_json::json!({"name": "f", "teams": [], "pools": list,
+            "data-centres": [{"name": "a", "region": "r"}, {"name": "b", "region": "r"}]});
+        let document: fleet::Document = serde_json::from_value(document).expect("valid example");
+        let listed = |name: &Arc<str>, i: usize| platform::Instance {
+            name: name.clone(),
+            address: ([127, 0, 0, 1], 1).into(),
+            data_centre: if i.is_multiple_of(2) { "a" } else { "b" }.into(),
+            rack: format!("{}-{}", &name[..2], i % 2).into(),
+            state: platform::State::Live,
+        };
+        let listing: Vec<_> = document
+            .pools
+            .iter()
+            .flat_map(|p| p.instances.iter().enumerate().map(|(i, n)| listed(n, i)))
+            .collect();
+        let mut registry = Registry::default();
+        let snapshot = Snapshot::build(1, document.into(), &mut registry);
+        Self::build(Instant::default(), 1, &snapshot, &mut registry, &listing)
+    }
+
+    fn put_pool(&mut self, id: PoolId, pool: &fleet::Pool) {
+        if self.pools.len() <= id.index() {
+            self.pools.resize_with(id.index() + 1, || None);
+        }
+        self.pools[id.index()] = Some(Pool {
+            name: pool.name.clone(),
+            size: pool.size,
+            spare: pool.spare,
+            budget: pool.budget,
+            members: Vec::new(),
+            cover: Vec::new(),
+            token: 0,
+            version: 0,
+        });
+    }
+
+    /// Returns the id of a pool, adding one that the document no longer has.
+    ///
+    /// Such a pool has no intended size and no budget, so that it can be emptied.
+    pub(super) fn intern_pool(&mut self, name: &Arc<str>, registry: &mut Registry) -> PoolId {
+        let id = registry.pool(name);
+        if self.pool(id).is_none() {
+            let budget = fleet::Budget {
+                unavailable: u32::MAX,
+                rack: 0,
+            };
+            self.put_pool(
+                id,
+                &fleet::Pool {
+                    name: name.clone(),
+                    size: 0,
+                    spare: false,
+                    budget,
+                    instances: Vec::new(),
+                },
+            );
+        }
+        id
+    }
+
+    /// Adds or replaces an instance.
+    pub(super) fn put(
+        &mut self,
+        now: Instant,
+        name: &Arc<str>,
+        row: &Assignment,
+        version: u64,
+        registry: &mut Registry,
+    ) {
+        let pool = self.intern_pool(&row.pool, registry);
+        let purpose = row.errand.as_ref().map(|errand| match errand {
+            Errand::Move(to) => Purpose::Move(self.intern_pool(to, registry)),
+            Errand::Reboot => Purpose::Reboot,
+        });
+        let next = RackId(u32::try_from(self.racks.len()).expect("fewer than 2^32 racks"));
+        let rack = *self.rack_ids.entry(row.rack.clone()).or_insert(next);
+        if rack == next {
+            self.racks.push(row.rack.clone());
+        }
+        let data_centre = registry.data_centre(&row.data_centre);
+        self.data_centres
+            .insert(data_centre, row.data_centre.clone());
+        let instance = Instance {
+            name: name.clone(),
+            data_centre,
+            rack,
+            pool,
+            phase: row.phase,
+            purpose,
+            incarnation: row.incarnation,
+            maintained: row.maintained,
+            since: now,
+            version,
+        };
+        let next = InstanceId(u32::try_from(self.instances.len()).expect("fewer than 2^32"));
+        let id = *self.names.entry(name.clone()).or_insert(next);
+        if id == next {
+            self.instances.push(instance);
+        } else {
+            let old = std::mem::replace(&mut self.instances[id.index()], instance);
+            self.pool_mut(old.pool).members.retain(|m| *m != id);
+        }
+        self.pool_mut(pool).members.push(id);
+    }
+
+    /// Returns the fencing token under which changes are written.
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Lists the instances.
+    pub fn instances(&self) -> impl Iterator<Item = (InstanceId, &Instance)> {
+        (0..).map(InstanceId).zip(&self.instances)
+    }
+
+    /// Returns an instance of this state.
+    pub fn instance(&self, id: InstanceId) -> &Instance {
+        &self.instances[id.index()]
+    }
+
+    /// Returns the id of an instance by name.
+    pub fn instance_id(&self, name: &str) -> Option<InstanceId> {
+        self.names.get(name).copied()
+    }
+
+    /// Lists the pools.
+    pub fn pools(&self) -> impl Iterator<Item = (PoolId, &Pool)> {
+        (0..)
+            .map(PoolId)
+            .zip(&self.pools)
+            .filter_map(|(id, pool)| Some((id, pool.as_ref()?)))
+    }
+
+    /// Returns a pool.
+    pub fn pool(&self, id: PoolId) -> Option<&Pool> {
+        self.pools.get(id.index())?.as_ref()
+    }
+
+    /// Returns the pool that lends instances to the others.
+    pub fn spare(&self) -> Option<PoolId> {
+        self.spare
+    }
+
+    /// Returns the number of racks.
+    pub fn racks(&self) -> usize {
+        self.racks.len()
+    }
+
+    pub(super) fn pool_mut(&mut self, id: PoolId) -> &mut Pool {
+        self.pools[id.index()].as_mut().expect("known pool")
+    }
+
+    pub(super) fn pool_name(&self, id: PoolId) -> Arc<str> {
+        self.pool(id).expect("known pool").name.clone()
+    }
+
+    /// Counts the instances of a pool.
+    pub fn tally(&self, pool: &Pool) -> Tally {
+        Tally::of(pool.members.iter().map(|id| self.instance(*id)))
+    }
+
+    /// Returns how many instances of a pool are unavailable, and how many may be.
+    ///
+    /// ```
+    /// let state = coriandernotch::pools::State::example(1, 2);
+    /// let (pool, _) = state.pools().next().unwrap();
+    /// assert_eq!(state.unavailable(pool), (0, 1));
+    /// ```
+    pub fn unavailable(&self, pool: PoolId) -> (u32, u32) {
+        self.pool(pool).map_or((0, 0), |pool| {
+            let budget = Budget::of(pool);
+            (budget.count(&self.tally(pool)), budget.limit())
+        })
+    }
+
+    /// Lists what the platform must be asked for, as the phases say.
+    ///
+    /// ```
+    /// let state = coriandernotch::pools::State::example(1, 2);
+    /// assert_eq!(state.orders().count(), 0);
+    /// ```
+    pub fn orders(&self) -> impl Iterator<Item = Order> {
+        let token = self.token;
+        self.instances().filter_map(move |(id, instance)| {
+            let (instance, incarnation) = (id, instance.incarnation);
+            match self.instance(id).phase {
+                Phase::Draining => Some(Order::Drain { instance, token }),
+                Phase::Moving => Some(Order::Admit { instance, token }),
+                Phase::Rebooting => Some(Order::Reboot {
+                    instance,
+                    incarnation,
+                    token,
+                }),
+                Phase::Serving | Phase::Down => None,
+            }
+        })
+    }
+
+    /// Returns the row of an instance.
+    pub(super) fn assignment(&self, instance: &Instance, operation: Operation) -> Assignment {
+        Assignment {
+            pool: self.pool_name(instance.pool),
+            token: self.token,
+            operation,
+            phase: instance.phase,
+            errand: instance.purpose.map(|purpose| match purpose {
+                Purpose::Move(to) => Errand::Move(self.pool_name(to)),
+                Purpose::Reboot => Errand::Reboot,
+            }),
+            data_centre: self.data_centres[&instance.data_centre].clone(),
+            rack: self.racks[instance.rack.index()].clone(),
+            incarnation: instance.incarnation,
+            maintained: instance.maintained,
+        }
+    }
+
+    /// Returns the row of a pool with these counts.
+    pub(super) fn ledger(&self, pool: &Pool, tally: &Tally, operation: Operation) -> Ledger {
+        let cover = pool.cover.iter();
+        Ledger {
+            token: self.token,
+            operation,
+            members: tally.members,
+            out: tally.out,
+            cover: cover.map(|(id, c)| (self.pool_name(*id), *c)).collect(),
+        }
+    }
+
+    pub(super) fn next_operation(&mut self) -> Operation {
+        self.count += 1;
+        Operation::new(self.token, self.count)
+    }
+}
--- /dev/null
+++ b/src/pools/tally.rs
@@ -0,0 +1,50 @@
+use super::Instance;
+use crate::collections::Map;
+
+/// Counts of the instances of a pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Instances in the pool.
+    pub members: u32,
+    /// Instances that do not serve.
+    pub out: u32,
+    /// Instances that serve.
+    pub serving: u32,
+    /// Most serving instances in one rack.
+    pub worst_rack: u32,
+    /// Most serving instances in one data centre.
+    pub worst_data_centre: u32,
+    /// Most instances in one data centre, serving or not.
+    pub largest_data_centre: u32,
+}
+
+impl Tally {
+    /// Counts the instances of one pool.
+    ///
+    /// ```
+    /// assert_eq!(coriandernotch::pools::Tally::of([].into_iter()).members, 0);
+    /// ```
+    pub fn of<'a>(instances: impl Iterator<Item = &'a Instance>) -> Self {
+        let mut out = Self::default();
+        let mut racks: Map<_, u32> = Map::default();
+        let mut data_centres: Map<_, [u32; 2]> = Map::default();
+        for instance in instances {
+            out.members += 1;
+            let [all, serving] = data_centres.entry(instance.data_centre).or_default();
+            *all += 1;
+            if instance.phase.is_out() {
+                out.out += 1;
+                continue;
+            }
+            out.serving += 1;
+            *serving += 1;
+            *racks.entry(instance.rack).or_default() += 1;
+        }
+        out.worst_rack = racks.into_values().max().unwrap_or(0);
+        for [all, serving] in data_centres.into_values() {
+            out.largest_data_centre = out.largest_data_centre.max(all);
+            out.worst_data_centre = out.worst_data_centre.max(serving);
+        }
+        out
+    }
+}
