--- a/src/pools/check.rs
+++ b/src/pools/check.rs
@@ -52,7 +52,7 @@
             draft.instances.push((step.instance, after));
         }
         let newest = draft.pools.iter().filter_map(|id| self.pool(*id));
-        if let Some(token) = newest.map(|p| p.token).max().filter(|t| *t > self.token) {
+        if let Some(token) = newest.map(|p| p.token).max().filter(|t| *t > self.token()) {
             return Err(Refusal::Superseded { token });
         }
         self.check_counts(steps, &draft)?;
--- a/src/pools/draft.rs
+++ b/src/pools/draft.rs
@@ -25,9 +25,9 @@
     /// state.apply(Instant::default(), &change);
     /// assert_eq!(state.instance(InstanceId(0)).phase, Phase::Draining);
     /// ```
-    pub fn draft(&mut self, steps: &[Step]) -> Result<Change, Refusal> {
+    pub fn draft(&self, steps: &[Step]) -> Result<Change, Refusal> {
         let draft = self.try_steps(steps)?;
-        let operation = self.next_operation();
+        let operation = self.tenure.next();
         let mut writes = Vec::with_capacity(draft.instances.len() + draft.pools.len());
         for (_, after) in &draft.instances {
             let row = self.assignment(after, operation);
@@ -71,18 +71,18 @@
     /// Lists the transactions that write the rows of pools and instances that have none.
     ///
     /// ```
-    /// let mut state = coriandernotch::pools::State::example(2, 4);
+    /// let state = coriandernotch::pools::State::example(2, 4);
     /// assert_eq!(state.found().len(), 3);
     /// ```
-    pub fn found(&mut self) -> Vec<Change> {
+    pub fn found(&self) -> Vec<Change> {
         let ids: Vec<PoolId> = self.pools().map(|(id, _)| id).collect();
         ids.into_iter()
             .filter_map(|id| self.found_pool(id))
             .collect()
     }
 
-    fn found_pool(&mut self, id: PoolId) -> Option<Change> {
-        let operation = self.next_operation();
+    fn found_pool(&self, id: PoolId) -> Option<Change> {
+        let operation = self.tenure.next();
         let pool = self.pool(id)?;
         let new = pool.members.iter().map(|m| (*m, self.instance(*m)));
         let new: Vec<_> = new.filter(|(_, instance)| instance.version == 0).collect();
@@ -111,11 +111,11 @@
     /// paused, without a row that all transactions would have to share.
     ///
     /// ```
-    /// let mut state = coriandernotch::pools::State::example(2, 4);
+    /// let state = coriandernotch::pools::State::example(2, 4);
     /// assert_eq!(state.fence().writes.len(), 3);
     /// ```
-    pub fn fence(&mut self) -> Change {
-        let operation = self.next_operation();
+    pub fn fence(&self) -> Change {
+        let operation = self.tenure.next();
         let written = |pool: &Pool| {
             let members = pool.members.iter().map(|m| self.instance(*m));
             Tally::of(members.filter(|instance| instance.version > 0))
@@ -154,7 +154,7 @@
             }
             self.instances[id.index()] = after;
         }
-        let token = self.token;
+        let token = self.token();
         for id in &change.pools {
             let pool = self.pool_mut(*id);
             pool.version += 1;
--- a/src/pools/lease.rs
+++ b/src/pools/lease.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Tenure;
 use crate::clock::Instant;
 use crate::platform::{Condition, Error, Row, Table, Write};
 
@@ -27,7 +28,7 @@
 pub struct Lease {
     name: Arc<str>,
     seen: Option<(Row, Instant)>,
-    renewed: Option<(u64, Instant)>,
+    renewed: Option<(Tenure, Instant)>,
 }
 
 impl Lease {
@@ -40,13 +41,13 @@
         }
     }
 
-    /// Returns the token while the lease holds.
-    pub fn token(&self, now: Instant) -> Option<u64> {
-        let (token, at) = self.renewed?;
-        (now.since(at) < LEASE_TERM).then_some(token)
+    /// Returns the tenure while the lease holds.
+    pub fn tenure(&self, now: Instant) -> Option<Tenure> {
+        let (tenure, at) = self.renewed.as_ref()?;
+        (now.since(*at) < LEASE_TERM).then(|| tenure.clone())
     }
 
-    /// Takes or renews the lease if it may, and returns the token when it holds.
+    /// Takes or renews the lease if it may, and returns the tenure when it holds.
     ///
     /// Call it every third of [`LEASE_TERM`]; `now` is the time before the call.
     ///
@@ -62,14 +63,15 @@
     /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
     /// let table = Store::new().client("a");
     /// let now = Instant::default();
-    /// assert_eq!(Lease::new("a").turn(now, &table).await.unwrap(), Some(1));
-    /// assert_eq!(Lease::new("b").turn(now, &table).await.unwrap(), None);
+    /// let tenure = Lease::new("a").turn(now, &table).await.unwrap();
+    /// assert_eq!(tenure.unwrap().token(), 1);
+    /// assert!(Lease::new("b").turn(now, &table).await.unwrap().is_none());
     /// # });
     /// ```
-    pub async fn turn(&mut self, now: Instant, table: &dyn Table) -> Result<Option<u64>, Error> {
+    pub async fn turn(&mut self, now: Instant, table: &dyn Table) -> Result<Option<Tenure>, Error> {
         let row = table.read(KEY.into()).await?;
         let Some((token, condition)) = self.judge(now, row) else {
-            return Ok(self.token(now));
+            return Ok(self.tenure(now));
         };
         let holder = Holder {
             holder: self.name.clone(),
@@ -80,12 +82,16 @@
             .transact(vec![Write::put(KEY, condition, &value)])
             .await
         {
-            Ok(_) => self.renewed = Some((token, now)),
+            Ok(_) => {
+                let kept = self.renewed.take().map(|(tenure, _)| tenure);
+                let kept = kept.filter(|tenure| tenure.token() == token);
+                self.renewed = Some((kept.unwrap_or_else(|| Tenure::new(token)), now));
+            }
             Err(Error::Conflict { .. }) => self.renewed = None,
             // The next turn reads whether the write took effect.
             Err(error) => return Err(error),
         }
-        Ok(self.token(now))
+        Ok(self.tenure(now))
     }
 
     /// Returns the token to write and the condition, when this process may write.
--- a/src/pools/load.rs
+++ b/src/pools/load.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use super::{Assignment, Cover, Ledger, State};
+use super::{Assignment, Cover, Ledger, State, Tenure};
 use crate::clock::Instant;
 use crate::collections::Map;
 use crate::fleet::{PoolId, Registry, Snapshot};
@@ -22,32 +22,34 @@
 /// ```
 /// use coriandernotch::clock::Instant;
 /// use coriandernotch::fleet::{Registry, Snapshot};
-/// use coriandernotch::pools::load;
+/// use coriandernotch::pools::{Tenure, load};
 /// use coriandernotch::standin::Store;
 ///
 /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
 /// let table = Store::new().client("a");
 /// let (now, snapshot) = (Instant::default(), Snapshot::default());
-/// let state = load(&table, now, 1, &snapshot, &mut Registry::default(), &[]).await;
+/// let state = load(&table, now, &Tenure::new(1), &snapshot, &mut Registry::default(), &[]).await;
 /// assert!(state.unwrap().is_some());
 /// # });
 /// ```
 pub async fn load(
     table: &dyn Table,
     now: Instant,
-    token: u64,
+    tenure: &Tenure,
     snapshot: &Snapshot,
     registry: &mut Registry,
     listing: &[platform::Instance],
 ) -> Result<Option<State>, Error> {
     let ledgers = scan(table, Ledger::PREFIX).await?;
     let assignments = scan(table, Assignment::PREFIX).await?;
-    Ok(State::build(now, token, snapshot, registry, listing).merge(
-        now,
-        registry,
-        &ledgers,
-        &assignments,
-    ))
+    Ok(
+        State::build(now, tenure, snapshot, registry, listing).merge(
+            now,
+            registry,
+            &ledgers,
+            &assignments,
+        ),
+    )
 }
 
 async fn scan(table: &dyn Table, prefix: &str) -> Result<Vec<Row>, Error> {
--- a/src/pools/mod.rs
+++ b/src/pools/mod.rs
@@ -36,6 +36,7 @@
 mod state;
 mod step;
 mod tally;
+mod tenure;
 
 pub use action::Action;
 pub use assignment::Assignment;
@@ -65,3 +66,4 @@
 pub use state::State;
 pub use step::Step;
 pub use tally::Tally;
+pub use tenure::Tenure;
--- a/src/pools/settle.rs
+++ b/src/pools/settle.rs
@@ -14,7 +14,7 @@
 /// use coriandernotch::standin::Store;
 ///
 /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
-/// let mut state = State::example(2, 4);
+/// let state = State::example(2, 4);
 /// let change = state.found().pop().unwrap();
 /// let table = Store::new().client("a");
 /// assert_eq!(settle(&table, &change).await, Outcome::Applied);
--- a/src/pools/state.rs
+++ b/src/pools/state.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Assignment, Budget, Errand, Instance, InstanceId, Ledger, Operation, Order, Phase, Pool,
-    Purpose, RackId, Tally,
+    Purpose, RackId, Tally, Tenure,
 };
 use crate::clock::Instant;
 use crate::collections::Map;
@@ -12,8 +12,7 @@
 /// Instances and pools as one manager knows them, with the versions of their rows.
 #[derive(Clone, Debug, Default)]
 pub struct State {
-    pub(super) token: u64,
-    pub(super) count: u32,
+    pub(super) tenure: Tenure,
     pub(super) instances: Vec<Instance>,
     pub(super) pools: Vec<Option<Pool>>,
     pub(super) spare: Option<PoolId>,
@@ -31,21 +30,22 @@
     /// ```
     /// use coriandernotch::clock::Instant;
     /// use coriandernotch::fleet::{Registry, Snapshot};
-    /// use coriandernotch::pools::State;
+    /// use coriandernotch::pools::{State, Tenure};
     ///
     /// let now = Instant::default();
-    /// let state = State::build(now, 1, &Snapshot::default(), &mut Registry::default(), &[]);
+    /// let state = State::build(
+    ///     now, &Tenure::new(1), &Snapshot::default(), &mut Registry::default(), &[]);
     /// assert_eq!(state.instances().count(), 0);
     /// ```
     pub fn build(
         now: Instant,
-        token: u64,
+        tenure: &Tenure,
         snapshot: &Snapshot,
         registry: &mut Registry,
         listing: &[platform::Instance],
     ) -> Self {
         let mut out = Self {
-            token,
+            tenure: tenure.clone(),
             ..Self::default()
         };
         let Some(document) = snapshot.document() else {
@@ -62,7 +62,7 @@
             };
             let assignment = Assignment {
                 pool: out.pool_name(pool),
-                token,
+                token: tenure.token(),
                 operation: Operation::default(),
                 phase: Phase::Serving,
                 errand: None,
@@ -108,7 +108,13 @@
             .collect();
         let mut registry = Registry::default();
         let snapshot = Snapshot::build(1, document.into(), &mut registry);
-        Self::build(Instant::default(), 1, &snapshot, &mut registry, &listing)
+        Self::build(
+            Instant::default(),
+            &Tenure::new(1),
+            &snapshot,
+            &mut registry,
+            &listing,
+        )
     }
 
     fn put_pool(&mut self, id: PoolId, pool: &fleet::Pool) {
@@ -198,7 +204,7 @@
 
     /// Returns the fencing token under which changes are written.
     pub fn token(&self) -> u64 {
-        self.token
+        self.tenure.token()
     }
 
     /// Lists the instances.
@@ -273,7 +279,7 @@
     /// assert_eq!(state.orders().count(), 0);
     /// ```
     pub fn orders(&self) -> impl Iterator<Item = Order> {
-        let token = self.token;
+        let token = self.token();
         self.instances().filter_map(move |(id, instance)| {
             let (instance, incarnation) = (id, instance.incarnation);
             match self.instance(id).phase {
@@ -293,7 +299,7 @@
     pub(super) fn assignment(&self, instance: &Instance, operation: Operation) -> Assignment {
         Assignment {
             pool: self.pool_name(instance.pool),
-            token: self.token,
+            token: self.token(),
             operation,
             phase: instance.phase,
             errand: instance.purpose.map(|purpose| match purpose {
@@ -311,16 +317,11 @@
     pub(super) fn ledger(&self, pool: &Pool, tally: &Tally, operation: Operation) -> Ledger {
         let cover = pool.cover.iter();
         Ledger {
-            token: self.token,
+            token: self.token(),
             operation,
             members: tally.members,
             out: tally.out,
             cover: cover.map(|(id, c)| (self.pool_name(*id), *c)).collect(),
         }
     }
-
-    pub(super) fn next_operation(&mut self) -> Operation {
-        self.count += 1;
-        Operation::new(self.token, self.count)
-    }
 }
--- /dev/null
+++ b/tests/bed/mod.rs
@@ -0,0 +1,207 @@
+//! Fleet, store and manager for tests of pools and plans.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use coriandernotch::clock::Instant;
+use coriandernotch::fleet::{Document, PoolId, Registry, Snapshot};
+use coriandernotch::platform;
+use coriandernotch::pools::{
+    Assignment, Ledger, Outcome, Phase, Sight, State, Step, Tenure, load, settle,
+};
+use coriandernotch::standin::Store;
+
+/// Time that every review states, in seconds since 1970.
+pub(crate) const UNIX: u64 = 1_000_000_000;
+
+/// Describes a pool; the one named `spare` is the spare pool.
+pub(crate) fn pool(name: &str, size: u32, unavailable: u32, rack: u32) -> serde_json::Value {
+    let instances: Vec<_> = (0..size).map(|i| format!("{name}-{i}")).collect();
+    serde_json::json!({"name": name, "size": size, "spare": name == "spare",
+        "budget": {"unavailable": unavailable, "rack": rack}, "instances": instances})
+}
+
+pub(crate) struct Bed {
+    pub(crate) store: Arc<Store>,
+    pub(crate) state: State,
+    pub(crate) tenure: Tenure,
+    pub(crate) now: Instant,
+    pub(crate) sights: BTreeMap<String, Sight>,
+    pub(crate) snapshot: Snapshot,
+    document: Document,
+    registry: Registry,
+    listing: Vec<platform::Instance>,
+}
+
+impl Bed {
+    /// Racks of four instances of one pool, in two data centres by turns.
+    pub(crate) fn new(pools: &[serde_json::Value]) -> Self {
+        let document: Document = serde_json::from_value(serde_json::json!({
+            "name": "f", "teams": [], "pools": pools, "data-centres": [
+                {"name": "x", "region": "r"}, {"name": "y", "region": "r"}]
+        }))
+        .unwrap();
+        let listed = |name: &Arc<str>| {
+            let (pool, number) = name.rsplit_once('-').unwrap();
+            let number: usize = number.parse().unwrap();
+            platform::Instance {
+                name: name.clone(),
+                address: ([127, 0, 0, 1], 1).into(),
+                data_centre: ["x", "y"][number % 2].into(),
+                rack: format!("{pool}-{}-{}", number % 2, number / 8).into(),
+                state: platform::State::Live,
+            }
+        };
+        let listing: Vec<_> = document
+            .pools
+            .iter()
+            .flat_map(|p| p.instances.iter().map(listed))
+            .collect();
+        let sight = Sight {
+            live: true,
+            running: 0,
+            incarnation: 1,
+        };
+        let sights = listing.iter().map(|i| (i.name.to_string(), sight));
+        let mut registry = Registry::default();
+        let snapshot = Snapshot::build(1, document.clone().into(), &mut registry);
+        let now = Instant::default();
+        let tenure = Tenure::new(1);
+        Self {
+            store: Store::new(),
+            state: State::build(now, &tenure, &snapshot, &mut registry, &listing),
+            tenure,
+            now,
+            sights: sights.collect(),
+            snapshot,
+            document,
+            registry,
+            listing,
+        }
+    }
+
+    pub(crate) fn pool(&self, name: &str) -> PoolId {
+        self.snapshot.pool_id(name).unwrap()
+    }
+
+    /// Writes the rows of all pools and instances.
+    pub(crate) async fn found(&mut self) {
+        for change in self.state.found() {
+            let outcome = settle(&self.store.client("a"), &change).await;
+            assert_eq!(outcome, Outcome::Applied);
+            self.state.apply(self.now, &change);
+        }
+    }
+
+    pub(crate) fn resize(&mut self, sizes: &[(&str, u32)]) {
+        for (name, size) in sizes {
+            let mut pools = self.document.pools.iter_mut();
+            pools.find(|p| *p.name == **name).unwrap().size = *size;
+        }
+        self.snapshot = Snapshot::build(2, self.document.clone().into(), &mut self.registry);
+    }
+
+    pub(crate) async fn try_load(&mut self, tenure: &Tenure) -> Option<State> {
+        let (table, snapshot) = (self.store.client("a"), &self.snapshot);
+        load(
+            &table,
+            self.now,
+            tenure,
+            snapshot,
+            &mut self.registry,
+            &self.listing,
+        )
+        .await
+        .unwrap()
+    }
+
+    pub(crate) async fn load(&mut self) {
+        let tenure = self.tenure.clone();
+        self.state = self.try_load(&tenure).await.expect("rows of one moment");
+    }
+
+    /// A manager with the next token takes over.
+    pub(crate) async fn replace_manager(&mut self) {
+        self.tenure = Tenure::new(self.state.token() + 1);
+        self.load().await;
+        let fence = self.state.fence();
+        let outcome = settle(&self.store.client("a"), &fence).await;
+        assert_eq!(outcome, Outcome::Applied);
+        self.state.apply(self.now, &fence);
+    }
+
+    /// Takes steps in one transaction.
+    pub(crate) async fn take(&mut self, steps: &[Step]) -> Outcome {
+        let change = self.state.draft(steps).unwrap();
+        let outcome = settle(&self.store.client("a"), &change).await;
+        if outcome == Outcome::Applied {
+            self.state.apply(self.now, &change);
+        }
+        outcome
+    }
+
+    pub(crate) fn review(&self) -> Vec<Step> {
+        let sight = |id| {
+            let name = &self.state.instance(id).name;
+            self.sights.get(&**name).copied()
+        };
+        self.state.review(self.now, UNIX, sight)
+    }
+
+    /// Takes each step that follows from what is seen, on its own.
+    pub(crate) async fn run(&mut self) {
+        for step in self.review() {
+            if self.state.check(&[step]).is_ok() {
+                self.take(&[step]).await;
+            }
+        }
+    }
+
+    pub(crate) fn truth(&mut self, name: &str) -> &mut Sight {
+        self.sights.get_mut(name).unwrap()
+    }
+
+    /// Fails all instances in the rack of one.
+    pub(crate) fn fail_rack(&mut self, name: &str) {
+        let rack = |name: &str| {
+            self.listing
+                .iter()
+                .find(|i| *i.name == *name)
+                .unwrap()
+                .rack
+                .clone()
+        };
+        let lost = rack(name);
+        for listed in self.listing.iter().filter(|i| i.rack == lost) {
+            self.sights.get_mut(&*listed.name).unwrap().live = false;
+        }
+    }
+
+    pub(crate) fn row(&self, name: &str) -> Assignment {
+        let row = self.store.row(&Assignment::key(name)).unwrap();
+        serde_json::from_str(&row.value).unwrap()
+    }
+
+    /// Instances as their rows say.
+    pub(crate) fn rows(&self) -> Vec<Assignment> {
+        let rows = self.store.rows(Assignment::PREFIX);
+        let read = |row: &platform::Row| serde_json::from_str(&row.value).unwrap();
+        rows.iter().map(read).collect()
+    }
+
+    /// Every instance is in the count of exactly the pool that its row names.
+    pub(crate) fn check_rows(&self, label: &str) {
+        let rows = self.rows();
+        assert_eq!(rows.len(), self.listing.len(), "{label}");
+        for row in self.store.rows(Ledger::PREFIX) {
+            let name = row.key.strip_prefix(Ledger::PREFIX).unwrap();
+            let ledger: Ledger = serde_json::from_str(&row.value).unwrap();
+            let members = rows.iter().filter(|r| &*r.pool == name);
+            let out = members.clone().filter(|r| r.phase != Phase::Serving);
+            let counts = (members.count() as u32, out.count() as u32);
+            assert_eq!((ledger.members, ledger.out), counts, "{label} pool {name}");
+        }
+    }
+}
