--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod front;
 pub mod limit;
 pub mod peer;
+pub mod plans;
 pub mod platform;
 pub mod pools;
 pub mod route;
