--- a/src/plans/mod.rs
+++ b/src/plans/mod.rs
@@ -9,6 +9,7 @@
 mod calendar;
 mod command;
 mod health;
+pub mod measure;
 mod pace;
 mod plan;
 mod progress;
--- a/src/pools/budget.rs
+++ b/src/pools/budget.rs
@@ -29,12 +29,15 @@
     }
 
     /// Counts what is unavailable now, planned or not, whoever caused it.
+    ///
+    /// An instance that arrives is missing until it serves, but takes nothing from the pool. If it
+    /// counted as out, no replacement could reach a pool whose failures exceed its budget.
     pub fn count(&self, tally: &Tally) -> u32 {
         let missing = match self.spare {
             true => 0,
-            false => self.size.saturating_sub(tally.members),
+            false => self.size.saturating_sub(tally.members - tally.arriving),
         };
-        tally.out + missing
+        tally.out - tally.arriving + missing
     }
 
     /// Counts what would be missing beyond the budget after the next failure.
--- a/src/pools/check.rs
+++ b/src/pools/check.rs
@@ -119,23 +119,16 @@
             };
             let leaves =
                 |step: &Step| step.action.needs_room() && self.instance(step.instance).pool == *id;
-            let arrives = || {
-                let mut new = draft.instances.iter();
-                new.any(|(i, after)| after.pool == *id && self.instance(*i).pool != *id)
-            };
-            let budget = Budget::of(pool);
-            let limit = if steps.iter().any(leaves) {
-                // A drain that is under way when failures use up the budget may not go on.
-                budget.limit()
-            } else if arrives() {
-                budget.limit().max(budget.count(&self.tally(pool)))
-            } else {
+            if !steps.iter().any(leaves) {
                 continue;
-            };
+            }
+            let budget = Budget::of(pool);
+            let limit = budget.limit();
             let count = budget.count(&self.tally_after(*id, pool, draft));
-            let before = budget.count(&self.tally(pool));
-            if count > limit || (before > limit && steps.iter().any(leaves)) {
-                let (pool, count) = (*id, count.max(before));
+            // A drain that is under way when failures use up the budget may not go on either.
+            let count = count.max(budget.count(&self.tally(pool)));
+            if count > limit {
+                let pool = *id;
                 return Err(Refusal::Budget { pool, count, limit });
             }
         }
--- a/src/pools/mod.rs
+++ b/src/pools/mod.rs
@@ -14,6 +14,7 @@
 mod cover;
 mod draft;
 mod errand;
+mod example;
 mod id;
 mod instance;
 mod lease;
--- a/src/pools/planner.rs
+++ b/src/pools/planner.rs
@@ -8,8 +8,9 @@
 
 /// Time for which the budget bears a failed instance before a spare one replaces it.
 ///
-/// Most failures end sooner by a restart, and replacing costs two moves.
-pub const REPLACE_AFTER: Duration = Duration::from_secs(3600);
+/// Replacing costs two moves, there and back, and most failures end within a working day. A
+/// failure that the budget does not bear is replaced at once.
+pub const REPLACE_AFTER: Duration = Duration::from_secs(12 * 3600);
 
 /// Chooses the moves that bring the pools to their intended sizes.
 ///
--- a/src/pools/tally.rs
+++ b/src/pools/tally.rs
@@ -1,4 +1,4 @@
-use super::Instance;
+use super::{Instance, Phase};
 use crate::collections::Map;
 
 /// Counts of the instances of a pool.
@@ -8,6 +8,8 @@
     pub members: u32,
     /// Instances that do not serve.
     pub out: u32,
+    /// Instances of these that have moved here and were not admitted yet.
+    pub arriving: u32,
     /// Instances that serve.
     pub serving: u32,
     /// Most serving instances in one rack.
@@ -34,6 +36,7 @@
             *all += 1;
             if instance.phase.is_out() {
                 out.out += 1;
+                out.arriving += u32::from(instance.phase == Phase::Moving);
                 continue;
             }
             out.serving += 1;
--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -180,6 +180,17 @@
     assert_eq!(bed.row("a-0").phase, Phase::Serving, "drain was taken back");
     let spares = Planner::plan(bed.now, &bed.state);
     assert_eq!(spares.len(), 2, "all spare instances replace lost ones");
+    for planned in spares {
+        bed.take(&[planned.start()]).await;
+        bed.run().await;
+        bed.run().await;
+        let instance = bed.state.instance(planned.instance);
+        assert_eq!(
+            (instance.pool, instance.phase),
+            (planned.to, Phase::Serving)
+        );
+    }
+    assert_eq!(bed.state.unavailable(bed.pool("a")), (4, 2));
 }
 
 /// Guards against maintenance that leaves no room for the loss of a rack, and against buffers
