Read rows apart from building the state, with ids of the manager's own

Cause: a registry shared with other tasks cannot be borrowed over an await.

Change: Rows::fetch is the only async part of loading; State::build takes the document and a registry that the manager keeps for itself.

--- a/src/plans/measure.rs
+++ b/src/plans/measure.rs
@@ -17,7 +17,7 @@
 pub use shape::Shape;
 
 use crate::clock::Instant;
-use crate::fleet::{Document, Registry, Snapshot};
+use crate::fleet::{Document, Registry};
 use crate::platform;
 use crate::pools::{Reserve, State, Tenure};
 
@@ -37,12 +37,11 @@
 /// ```
 pub fn run(name: &str, document: &Document, listing: &[platform::Instance], seed: u64) -> Report {
     let mut registry = Registry::default();
-    let snapshot = Snapshot::build(1, document.clone().into(), &mut registry);
     let start = Instant::default();
     let tenure = Tenure::new(1);
-    let state = State::build(start, &tenure, &snapshot, &mut registry, listing);
+    let state = State::build(start, &tenure, document, &mut registry, listing);
     let reserve = Reserve::of(&state);
-    let rollout = rollout::run(&state, document, &snapshot, seed);
+    let rollout = rollout::run(&state, document, &mut registry, seed);
     let moves = resizing::run(&state, document, registry, seed);
     Report {
         shape: name.into(),
--- a/src/plans/measure/memory.rs
+++ b/src/plans/measure/memory.rs
@@ -1,15 +1,18 @@
 use crate::pools::State;
 
-/// Copies over which the size is averaged, so that pages of other allocations weigh little.
-const COPIES: usize = 64;
+/// Instances in all copies over which the size is averaged.
+///
+/// Fewer fit into memory that was freed before and then show as too little.
+const INSTANCES: usize = 400_000;
 
 /// Returns the resident memory that one copy of the state takes, 0 where it cannot be read.
 pub(super) fn state_bytes(state: &State) -> usize {
+    let count = INSTANCES.div_ceil(state.instances().count().max(1));
     let before = resident();
-    let copies: Vec<State> = (0..COPIES).map(|_| state.clone()).collect();
+    let copies: Vec<State> = (0..count).map(|_| state.clone()).collect();
     let after = resident();
     drop(copies);
-    after.saturating_sub(before) / COPIES
+    after.saturating_sub(before) / count
 }
 
 fn resident() -> usize {
--- a/src/plans/measure/resizing.rs
+++ b/src/plans/measure/resizing.rs
@@ -4,7 +4,7 @@
 
 use super::Random;
 use crate::clock::{self, Instant};
-use crate::fleet::{Document, PoolId, Registry, Snapshot};
+use crate::fleet::{Document, PoolId, Registry};
 use crate::pools::{Action, InstanceId, Move, Phase, Planner, State, Step};
 
 const DAYS: u32 = 60;
@@ -52,9 +52,8 @@
     let mut sizes = document.clone();
     for number in 1..=DAYS {
         let day = draw(&mut random, &mut sizes, state);
-        let snapshot = Snapshot::build(2, day.sizes.clone().into(), &mut registry);
         for state in [&mut ours, &mut naive, &mut ideal] {
-            state.adopt(&snapshot, &mut registry);
+            state.adopt(&day.sizes, &mut registry);
         }
         let morning = Instant::default() + Duration::from_secs(u64::from(number) * 86_400);
         out.minimum += Planner::minimum(morning, &ideal);
--- a/src/plans/measure/rollout.rs
+++ b/src/plans/measure/rollout.rs
@@ -6,7 +6,7 @@
 
 use super::{Random, START, mean};
 use crate::clock::{self, Instant};
-use crate::fleet::{self, Document, PoolId, Snapshot};
+use crate::fleet::{self, Document, PoolId, Registry};
 use crate::plans::{Calendar, Plan, Wait, Window};
 use crate::pools::{Action, InstanceId, Phase, State, Step};
 
@@ -45,7 +45,12 @@
     violations: u32,
 }
 
-pub(super) fn run(state: &State, document: &Document, snapshot: &Snapshot, seed: u64) -> Rollout {
+pub(super) fn run(
+    state: &State,
+    document: &Document,
+    registry: &mut Registry,
+    seed: u64,
+) -> Rollout {
     let mut random = Random::new(seed);
     let mut one = |(least, most)| random.between(least, most);
     let seconds: Vec<_> = state
@@ -53,8 +58,8 @@
         .map(|_| (one(DRAIN), one(REBOOT)))
         .collect();
     let entries = entries(document);
-    let plan = |entry: &fleet::Plan| Some(Plan::new(entry, snapshot.pool_id(&entry.pool)?));
-    let plans: Vec<Plan> = entries.iter().filter_map(plan).collect();
+    let plan = |entry: &fleet::Plan| Plan::new(entry, registry.pool(&entry.pool));
+    let plans: Vec<Plan> = entries.iter().map(plan).collect();
     let start = Instant::default();
     let mut run = Run {
         state: state.clone(),
--- a/src/pools/example.rs
+++ b/src/pools/example.rs
@@ -4,7 +4,7 @@
 
 use super::{State, Tenure};
 use crate::clock::Instant;
-use crate::fleet::{self, Registry, Snapshot};
+use crate::fleet::{self, Registry};
 use crate::platform;
 
 impl State {
@@ -39,11 +39,10 @@
             .flat_map(|p| p.instances.iter().enumerate().map(|(i, n)| listed(n, i)))
             .collect();
         let mut registry = Registry::default();
-        let snapshot = Snapshot::build(1, document.into(), &mut registry);
         Self::build(
             Instant::default(),
             &Tenure::new(1),
-            &snapshot,
+            &document,
             &mut registry,
             &listing,
         )
--- a/src/pools/state.rs
+++ b/src/pools/state.rs
@@ -6,7 +6,7 @@
 };
 use crate::clock::Instant;
 use crate::collections::Map;
-use crate::fleet::{self, DataCentreId, PoolId, Registry, Snapshot};
+use crate::fleet::{self, DataCentreId, Document, PoolId, Registry};
 use crate::platform;
 
 /// Instances and pools as one manager knows them, with the versions of their rows.
@@ -25,22 +25,23 @@
 impl State {
     /// Makes the state that the document and the platform's list describe, before any row.
     ///
-    /// Instances that the list does not show are left out, since their place is unknown.
+    /// Instances that the list does not show are left out, since their place is unknown. Ids of
+    /// pools are those of `registry`, which a manager keeps for itself.
     ///
     /// ```
     /// use coriandernotch::clock::Instant;
-    /// use coriandernotch::fleet::{Registry, Snapshot};
+    /// use coriandernotch::fleet::{self, Registry};
     /// use coriandernotch::pools::{State, Tenure};
     ///
-    /// let now = Instant::default();
-    /// let state = State::build(
-    ///     now, &Tenure::new(1), &Snapshot::default(), &mut Registry::default(), &[]);
-    /// assert_eq!(state.instances().count(), 0);
+    /// let document = fleet::parse("f", include_str!("../../examples/rennes.jsonc")).unwrap();
+    /// let (now, tenure) = (Instant::default(), Tenure::new(1));
+    /// let state = State::build(now, &tenure, &document, &mut Registry::default(), &[]);
+    /// assert_eq!((state.pools().count(), state.instances().count()), (7, 0));
     /// ```
     pub fn build(
         now: Instant,
         tenure: &Tenure,
-        snapshot: &Snapshot,
+        document: &Document,
         registry: &mut Registry,
         listing: &[platform::Instance],
     ) -> Self {
@@ -48,20 +49,19 @@
             tenure: tenure.clone(),
             ..Self::default()
         };
-        let Some(document) = snapshot.document() else {
-            return out;
+        out.adopt(document, registry);
+        let first = |pool: &fleet::Pool| {
+            let name = pool.name.clone();
+            let instances = pool.instances.clone();
+            instances.into_iter().map(move |i| (i, name.clone()))
         };
-        for pool in &document.pools {
-            let id = registry.pool(&pool.name);
-            out.spare = if pool.spare { Some(id) } else { out.spare };
-            out.put_pool(id, pool);
-        }
+        let pools: Map<Arc<str>, Arc<str>> = document.pools.iter().flat_map(first).collect();
         for listed in listing {
-            let Some(pool) = snapshot.pool_of(&listed.name) else {
+            let Some(pool) = pools.get(&listed.name) else {
                 continue;
             };
             let assignment = Assignment {
-                pool: out.pool_name(pool),
+                pool: pool.clone(),
                 token: tenure.token(),
                 operation: Operation::default(),
                 phase: Phase::Serving,
@@ -79,18 +79,16 @@
     /// Takes sizes and budgets from another version of the document.
     ///
     /// Instances stay where they are. See [`State::build`] for an example of the arguments.
-    pub fn adopt(&mut self, snapshot: &Snapshot, registry: &mut Registry) {
-        let Some(document) = snapshot.document() else {
-            return;
-        };
+    pub fn adopt(&mut self, document: &Document, registry: &mut Registry) {
         for pool in &document.pools {
             let id = registry.pool(&pool.name);
             self.spare = if pool.spare { Some(id) } else { self.spare };
-            let Some(Some(known)) = self.pools.get_mut(id.index()) else {
-                self.put_pool(id, pool);
-                continue;
-            };
-            (known.size, known.spare, known.budget) = (pool.size, pool.spare, pool.budget);
+            match self.pools.get_mut(id.index()) {
+                Some(Some(known)) => {
+                    (known.size, known.spare, known.budget) = (pool.size, pool.spare, pool.budget);
+                }
+                _ => self.put_pool(id, pool),
+            }
         }
     }
 
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 
 use coriandernotch::clock::Instant;
-use coriandernotch::fleet::{Document, PoolId, Registry, Snapshot};
+use coriandernotch::fleet::{Document, PoolId, Registry};
 use coriandernotch::plans::{Calendar, Plan, Wave};
 use coriandernotch::platform;
 use coriandernotch::pools::{
-    Assignment, Ledger, Order, Outcome, Phase, Sight, State, Step, Tenure, load, settle,
+    Assignment, Ledger, Order, Outcome, Phase, Rows, Sight, State, Step, Tenure, settle,
 };
 use coriandernotch::standin::Store;
 
@@ -31,7 +31,6 @@
     pub(crate) now: Instant,
     pub(crate) calendar: Calendar,
     pub(crate) sights: BTreeMap<String, Sight>,
-    pub(crate) snapshot: Snapshot,
     document: Document,
     registry: Registry,
     listing: Vec<platform::Instance>,
@@ -68,17 +67,15 @@
         };
         let sights = listing.iter().map(|i| (i.name.to_string(), sight));
         let mut registry = Registry::default();
-        let snapshot = Snapshot::build(1, document.clone().into(), &mut registry);
         let now = Instant::default();
         let tenure = Tenure::new(1);
         Self {
             store: Store::new(),
-            state: State::build(now, &tenure, &snapshot, &mut registry, &listing),
+            state: State::build(now, &tenure, &document, &mut registry, &listing),
             tenure,
             now,
             calendar: Calendar::new(now, UNIX),
             sights: sights.collect(),
-            snapshot,
             document,
             registry,
             listing,
@@ -86,7 +83,11 @@
     }
 
     pub(crate) fn pool(&self, name: &str) -> PoolId {
-        self.snapshot.pool_id(name).unwrap()
+        self.state
+            .pools()
+            .find(|(_, p)| *p.name == *name)
+            .unwrap()
+            .0
     }
 
     /// Writes the rows of all pools and instances.
@@ -103,21 +104,13 @@
             let mut pools = self.document.pools.iter_mut();
             pools.find(|p| *p.name == **name).unwrap().size = *size;
         }
-        self.snapshot = Snapshot::build(2, self.document.clone().into(), &mut self.registry);
     }
 
     pub(crate) async fn try_load(&mut self, tenure: &Tenure) -> Option<State> {
-        let (table, snapshot) = (self.store.client("a"), &self.snapshot);
-        load(
-            &table,
-            self.now,
-            tenure,
-            snapshot,
-            &mut self.registry,
-            &self.listing,
-        )
-        .await
-        .unwrap()
+        let rows = Rows::fetch(&self.store.client("a")).await.unwrap();
+        let (document, registry) = (&self.document, &mut self.registry);
+        let state = State::build(self.now, tenure, document, registry, &self.listing);
+        state.read(self.now, registry, &rows)
     }
 
     pub(crate) async fn load(&mut self) {
