--- a/src/plans/measure.rs
+++ b/src/plans/measure.rs
@@ -3,7 +3,6 @@
 //! The baseline maintains one instance of a pool at a time, keeps a buffer for each pool, and
 //! moves instances by way of the spare pool in the order of the lists.
 
-mod memory;
 mod random;
 mod report;
 mod resizing;
@@ -26,7 +25,7 @@
 
 /// Measures moves, roll-out, buffer, decision time and memory over one fleet.
 ///
-/// Decision times and memory depend on the machine; everything else on the arguments only.
+/// Decision times depend on the machine; everything else on the arguments only.
 ///
 /// ```
 /// use coriandernotch::plans::measure::{Shape, run};
@@ -61,7 +60,7 @@
         wave_decision: rollout.decision,
         wave_decision_longest: rollout.longest,
         move_decision: mean(moves.deciding, moves.decisions),
-        state_bytes: memory::state_bytes(&state),
+        state_bytes: state.bytes(),
     }
 }
 
--- a/src/plans/measure/report.rs
+++ b/src/plans/measure/report.rs
@@ -13,7 +13,7 @@
     pub instances: usize,
     /// Pools of the fleet.
     pub pools: usize,
-    /// Moves over 60 days of changed sizes and failures.
+    /// Moves over 180 days of changed sizes and failures.
     pub moves: u32,
     /// Least number of moves that reaches the same sizes when nothing fails.
     pub moves_minimum: u32,
@@ -41,7 +41,7 @@
     pub wave_decision_longest: Duration,
     /// Mean time of planning all moves of the fleet.
     pub move_decision: Duration,
-    /// Resident memory of the state of one manager.
+    /// Memory that the state of one manager has allocated.
     pub state_bytes: usize,
 }
 
--- a/src/plans/measure/resizing.rs
+++ b/src/plans/measure/resizing.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{Document, PoolId, Registry};
 use crate::pools::{Action, InstanceId, Move, Phase, Planner, State, Step};
 
-const DAYS: u32 = 60;
+const DAYS: u32 = 180;
 
 /// Instances that fail on one day, per 1,000: 12 of 2,300.
 const FAILURES: u64 = 5;
--- a/src/plans/measure/rollout.rs
+++ b/src/plans/measure/rollout.rs
@@ -166,7 +166,7 @@
             Err(_) => {}
             Ok(wave) => {
                 self.take(now, &wave.steps);
-                self.plans[plan].started(now, &wave);
+                self.plans[plan].started(now, &wave, &self.state);
                 for step in &wave.steps {
                     let at = now + Duration::from_secs(self.seconds[step.instance.index()].0);
                     self.events.push(Reverse((at, step.instance)));
--- a/src/plans/mod.rs
+++ b/src/plans/mod.rs
@@ -1,20 +1,21 @@
 //! Maintenance plans: every instance is drained and rebooted once in a period.
 //!
 //! Plans take their steps through [`crate::pools::State`], so they share the availability budgets
-//! with moves and with failures. A manager calls, each turn and in this order:
-//! [`crate::pools::State::review`], [`Plan::retreat`], the moves of
-//! [`crate::pools::Planner::plan`], [`Plan::choose`]. Failures are recorded first, so that nothing
-//! is started on a budget that they have used up.
+//! with moves and with failures. The [`Manager`] takes them in an order in which failures are
+//! recorded first, so that nothing is started on a budget that they have used up.
 
 mod calendar;
 mod command;
 mod health;
+mod manager;
 pub mod measure;
 mod pace;
 mod plan;
 mod progress;
 mod record;
 mod status;
+mod turn;
+mod view;
 mod wait;
 mod wave;
 mod window;
@@ -22,11 +23,14 @@
 pub use calendar::Calendar;
 pub use command::command;
 pub use health::{Health, RECOVERY};
+pub use manager::Manager;
 pub use pace::Pace;
 pub use plan::Plan;
 pub use progress::Progress;
 pub use record::Record;
 pub use status::Status;
+pub use turn::Turn;
+pub use view::View;
 pub use wait::Wait;
 pub use wave::Wave;
 pub use window::Window;
--- a/src/plans/plan.rs
+++ b/src/plans/plan.rs
@@ -28,8 +28,9 @@
     window: Window,
     held: bool,
     pace: Pace,
-    started: Map<InstanceId, Instant>,
-    deferred: Map<InstanceId, Instant>,
+    // By name, since ids change when the state is read again.
+    started: Map<Arc<str>, Instant>,
+    deferred: Map<Arc<str>, Instant>,
     wait: Option<Wait>,
 }
 
@@ -110,8 +111,9 @@
         }
         self.may_start(unix)?;
         let ready = |id: &InstanceId| {
-            let deferred = self.deferred.get(id).is_some_and(|until| now < *until);
-            state.instance(*id).phase == Phase::Serving && !deferred
+            let instance = state.instance(*id);
+            let deferred = self.deferred.get(&instance.name);
+            instance.phase == Phase::Serving && deferred.is_none_or(|until| now >= *until)
         };
         let ready: Vec<InstanceId> = due.into_iter().filter(ready).collect();
         if ready.is_empty() {
@@ -194,28 +196,36 @@
     }
 
     /// Takes into account that the guarded change of a wave was applied.
-    pub fn started(&mut self, now: Instant, wave: &Wave) {
+    pub fn started(&mut self, now: Instant, wave: &Wave, state: &State) {
         self.record.version += 1;
-        let ids = wave.steps.iter().map(|step| (step.instance, now));
-        self.started.extend(ids);
+        let names = wave
+            .steps
+            .iter()
+            .map(|step| &state.instance(step.instance).name);
+        self.started.extend(names.map(|name| (name.clone(), now)));
     }
 
     /// Takes into account how the instances that were started ended.
     fn learn(&mut self, now: Instant, calendar: &Calendar, state: &State) {
         let unix = calendar.unix(now);
-        let ended: Vec<(InstanceId, Instant)> = self
-            .started
-            .iter()
-            .filter(|(id, _)| matches!(state.instance(**id).phase, Phase::Serving | Phase::Down))
-            .map(|(id, at)| (*id, *at))
-            .collect();
+        let mut ended = Vec::new();
+        self.started.retain(|name, at| {
+            let Some(id) = state.instance_id(name) else {
+                return false;
+            };
+            let over = matches!(state.instance(id).phase, Phase::Serving | Phase::Down);
+            if over {
+                ended.push((id, *at));
+            }
+            !over
+        });
         for (id, at) in ended {
-            self.started.remove(&id);
+            let name = &state.instance(id).name;
             if self.is_due(unix, state, id) {
-                self.deferred.insert(id, now + RETRY);
+                self.deferred.insert(name.clone(), now + RETRY);
             } else {
                 self.pace.observe(now.since(at));
-                self.deferred.remove(&id);
+                self.deferred.remove(name);
             }
         }
     }
--- a/src/pools/check.rs
+++ b/src/pools/check.rs
@@ -51,10 +51,7 @@
             }
             draft.instances.push((step.instance, after));
         }
-        let newest = draft.pools.iter().filter_map(|id| self.pool(*id));
-        if let Some(token) = newest.map(|p| p.token).max().filter(|t| *t > self.token()) {
-            return Err(Refusal::Superseded { token });
-        }
+        self.check_token(draft.pools.iter().filter_map(|id| self.pool(*id)))?;
         self.check_counts(steps, &draft)?;
         draft.cover = self.new_cover(&draft);
         self.check_cover(steps, &draft)?;
@@ -67,6 +64,17 @@
         Ok(draft)
     }
 
+    /// Refuses when one of the pools was written by a newer manager.
+    pub(super) fn check_token<'a>(
+        &self,
+        pools: impl Iterator<Item = &'a Pool>,
+    ) -> Result<(), Refusal> {
+        match pools.map(|pool| pool.token).max() {
+            Some(token) if token > self.token() => Err(Refusal::Superseded { token }),
+            _ => Ok(()),
+        }
+    }
+
     fn step(&self, before: &Instance, action: Action) -> Result<Instance, Refusal> {
         let mut after = before.clone();
         match (before.phase, action) {
--- a/src/pools/draft.rs
+++ b/src/pools/draft.rs
@@ -70,15 +70,19 @@
 
     /// Lists the transactions that write the rows of pools and instances that have none.
     ///
+    /// # Errors
+    ///
+    /// Returns the token of a newer manager.
+    ///
     /// ```
     /// let state = coriandernotch::pools::State::example(2, 4);
-    /// assert_eq!(state.found().len(), 3);
+    /// assert_eq!(state.found().unwrap().len(), 3);
     /// ```
-    pub fn found(&self) -> Vec<Change> {
+    pub fn found(&self) -> Result<Vec<Change>, Refusal> {
+        self.check_token(self.pools().map(|(_, pool)| pool))?;
         let ids: Vec<PoolId> = self.pools().map(|(id, _)| id).collect();
-        ids.into_iter()
-            .filter_map(|id| self.found_pool(id))
-            .collect()
+        let changes = ids.into_iter().filter_map(|id| self.found_pool(id));
+        Ok(changes.collect())
     }
 
     fn found_pool(&self, id: PoolId) -> Option<Change> {
@@ -110,11 +114,16 @@
     /// From then on each transaction of an earlier manager conflicts, however long it was
     /// paused, without a row that all transactions would have to share.
     ///
+    /// # Errors
+    ///
+    /// Returns the token of a newer manager; an older token must never replace it.
+    ///
     /// ```
     /// let state = coriandernotch::pools::State::example(2, 4);
-    /// assert_eq!(state.fence().writes.len(), 3);
+    /// assert_eq!(state.fence().unwrap().writes.len(), 3);
     /// ```
-    pub fn fence(&self) -> Change {
+    pub fn fence(&self) -> Result<Change, Refusal> {
+        self.check_token(self.pools().map(|(_, pool)| pool))?;
         let operation = self.tenure.next();
         let written = |pool: &Pool| {
             let members = pool.members.iter().map(|m| self.instance(*m));
@@ -125,7 +134,7 @@
             put(&Ledger::key(&pool.name), pool.version, &row)
         };
         let writes: Vec<Write> = self.pools().map(|(_, pool)| write(pool)).collect();
-        Change {
+        Ok(Change {
             operation,
             probe: writes
                 .first()
@@ -134,7 +143,7 @@
             instances: Vec::new(),
             pools: self.pools().map(|(id, _)| id).collect(),
             cover: None,
-        }
+        })
     }
 
     /// Takes a change into account that took effect.
--- a/src/pools/mod.rs
+++ b/src/pools/mod.rs
@@ -15,6 +15,7 @@
 mod draft;
 mod errand;
 mod example;
+mod footprint;
 mod id;
 mod instance;
 mod lease;
--- a/src/pools/read.rs
+++ b/src/pools/read.rs
@@ -8,6 +8,25 @@
 use crate::fleet::{PoolId, Registry};
 
 impl State {
+    /// Takes over since when instances are in their phases, so that time limits go on counting.
+    ///
+    /// ```
+    /// use coriandernotch::pools::State;
+    ///
+    /// let mut state = State::example(1, 2);
+    /// state.keep_times(&State::example(1, 2));
+    /// ```
+    pub fn keep_times(&mut self, older: &Self) {
+        for instance in &mut self.instances {
+            let known = older.instance_id(&instance.name);
+            if let Some(known) = known.map(|id| older.instance(id))
+                && known.phase == instance.phase
+            {
+                instance.since = known.since;
+            }
+        }
+    }
+
     /// Puts rows over what the document and the list say.
     ///
     /// Returns `None` when the rows are of different moments; fetch them again then.
--- a/src/pools/settle.rs
+++ b/src/pools/settle.rs
@@ -15,7 +15,7 @@
 ///
 /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
 /// let state = State::example(2, 4);
-/// let change = state.found().pop().unwrap();
+/// let change = state.found().unwrap().pop().unwrap();
 /// let table = Store::new().client("a");
 /// assert_eq!(settle(&table, &change).await, Outcome::Applied);
 /// # });
--- a/src/pools/state.rs
+++ b/src/pools/state.rs
@@ -16,9 +16,9 @@
     pub(super) instances: Vec<Instance>,
     pub(super) pools: Vec<Option<Pool>>,
     pub(super) spare: Option<PoolId>,
-    names: Map<Arc<str>, InstanceId>,
-    racks: Vec<Arc<str>>,
-    rack_ids: Map<Arc<str>, RackId>,
+    pub(super) names: Map<Arc<str>, InstanceId>,
+    pub(super) racks: Vec<Arc<str>>,
+    pub(super) rack_ids: Map<Arc<str>, RackId>,
     data_centres: Map<DataCentreId, Arc<str>>,
 }
 
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -31,9 +31,9 @@
     pub(crate) now: Instant,
     pub(crate) calendar: Calendar,
     pub(crate) sights: BTreeMap<String, Sight>,
-    document: Document,
+    pub(crate) document: Arc<Document>,
     registry: Registry,
-    listing: Vec<platform::Instance>,
+    pub(crate) listing: Vec<platform::Instance>,
 }
 
 impl Bed {
@@ -76,7 +76,7 @@
             now,
             calendar: Calendar::new(now, UNIX),
             sights: sights.collect(),
-            document,
+            document: document.into(),
             registry,
             listing,
         }
@@ -92,18 +92,26 @@
 
     /// Writes the rows of all pools and instances.
     pub(crate) async fn found(&mut self) {
-        for change in self.state.found() {
+        for change in self.state.found().unwrap() {
             let outcome = settle(&self.store.client("a"), &change).await;
             assert_eq!(outcome, Outcome::Applied);
             self.state.apply(self.now, &change);
         }
     }
 
+    pub(crate) fn edit(&mut self, change: impl FnOnce(&mut Document)) {
+        let mut document = (*self.document).clone();
+        change(&mut document);
+        self.document = document.into();
+    }
+
     pub(crate) fn resize(&mut self, sizes: &[(&str, u32)]) {
-        for (name, size) in sizes {
-            let mut pools = self.document.pools.iter_mut();
-            pools.find(|p| *p.name == **name).unwrap().size = *size;
-        }
+        self.edit(|document| {
+            for (name, size) in sizes {
+                let mut pools = document.pools.iter_mut();
+                pools.find(|p| *p.name == **name).unwrap().size = *size;
+            }
+        });
     }
 
     pub(crate) async fn try_load(&mut self, tenure: &Tenure) -> Option<State> {
@@ -122,7 +130,7 @@
     pub(crate) async fn replace_manager(&mut self) {
         self.tenure = Tenure::new(self.state.token() + 1);
         self.load().await;
-        let fence = self.state.fence();
+        let fence = self.state.fence().unwrap();
         let outcome = settle(&self.store.client("a"), &fence).await;
         assert_eq!(outcome, Outcome::Applied);
         self.state.apply(self.now, &fence);
@@ -162,7 +170,7 @@
         let outcome = settle(&self.store.client("a"), &change).await;
         if outcome == Outcome::Applied {
             self.state.apply(self.now, &change);
-            plan.started(self.now, wave);
+            plan.started(self.now, wave, &self.state);
         }
         outcome
     }
--- a/tests/plans_measure.rs
+++ b/tests/plans_measure.rs
@@ -19,6 +19,7 @@
         assert!(report.rollout_worst_ratio <= 1.2, "{shape}");
         assert!(report.rollout < report.rollout_naive, "{shape}");
         assert!(report.reserve.shared < report.reserve.own, "{shape}");
+        assert!(report.state_bytes < 1 << 20, "{shape}");
         assert_eq!(report.budget_violations, 0, "{shape}");
     }
 }
--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -118,8 +118,11 @@
     assert_eq!(settle(&table, &change).await, Outcome::Conflict);
     let newest = bed.state.token();
     let old = bed.try_load(&Tenure::new(1)).await.unwrap();
-    let refusal = old.draft(&[step]).unwrap_err();
-    assert_eq!(refusal, Refusal::Superseded { token: newest });
+    let superseded = Refusal::Superseded { token: newest };
+    assert_eq!(old.draft(&[step]).unwrap_err(), superseded);
+    // Nor may it put its old token over the newer one.
+    assert_eq!(old.fence().unwrap_err(), superseded);
+    assert_eq!(old.found().unwrap_err(), superseded);
 }
 
 /// Guards against instances that block a budget for ever.
--- a/tests/pools_interleavings.rs
+++ b/tests/pools_interleavings.rs
@@ -70,7 +70,7 @@
                     .try_load(&tenure)
                     .await
                     .expect("no torn read alone");
-                let fence = state.fence();
+                let fence = state.fence().unwrap();
                 if settle(&self.bed.store.client("m"), &fence).await == Outcome::Applied {
                     state.apply(self.bed.now, &fence);
                     self.managers[m] = state;
