Read the rows of all plans, however many were withdrawn before

Cause: rows of plans that the document no longer has stay in the table; beyond 1,000 of them the one scan of the manager would miss a plan, which could then not start.

Change: the scan goes on page by page.

--- a/src/plans/manager.rs
+++ b/src/plans/manager.rs
@@ -4,10 +4,7 @@
 use crate::clock::Instant;
 use crate::fleet::{Document, Registry};
 use crate::platform::{Error, Table};
-use crate::pools::{Change, Outcome, Planner, Refusal, Rows, State, Step, settle};
-
-/// Most plans of a document, so that one scan reads all their rows.
-const PLANS: usize = 1000;
+use crate::pools::{Change, Outcome, Planner, Refusal, Rows, State, Step, scan, settle};
 
 /// Brings the pools to what the document says, one turn after another.
 ///
@@ -90,7 +87,7 @@
                 return Ok(turn);
             }
         }
-        for row in table.scan(Record::PREFIX.into(), "".into(), PLANS).await? {
+        for row in scan(table, Record::PREFIX).await? {
             let name = row.key.strip_prefix(Record::PREFIX);
             let plan = self.plans.iter_mut().find(|p| Some(&*p.name) == name);
             if let (Some(plan), Some(record)) = (plan, Record::read(Some(&row))) {
--- a/src/pools/mod.rs
+++ b/src/pools/mod.rs
@@ -64,6 +64,7 @@
 pub use reserve::Reserve;
 pub use review::{DRAIN_LIMIT, RETURN_LIMIT};
 pub use rows::Rows;
+pub(crate) use rows::scan;
 pub use settle::settle;
 pub use sight::Sight;
 pub use state::State;
--- a/src/pools/rows.rs
+++ b/src/pools/rows.rs
@@ -38,7 +38,8 @@
     }
 }
 
-async fn scan(table: &dyn Table, prefix: &str) -> Result<Vec<Row>, Error> {
+/// Reads all rows under a prefix.
+pub(crate) async fn scan(table: &dyn Table, prefix: &str) -> Result<Vec<Row>, Error> {
     let mut rows: Vec<Row> = Vec::new();
     loop {
         let after = rows.last().map_or_else(|| "".into(), |row| row.key.clone());
