--- /dev/null
+++ b/src/pools/state.rs
@@ -0,0 +1,302 @@
+use std::sync::Arc;
+
+use super::{
+    Assignment, Budget, Errand, Instance, InstanceId, Ledger, Operation, Order, Phase, Pool,
+    Purpose, RackId, Tally, Tenure,
+};
+use crate::clock::Instant;
+use crate::collections::Map;
+use crate::fleet::{self, DataCentreId, Document, PoolId, Registry};
+use crate::platform;
+
+/// Instances and pools as one manager knows them, with the versions of their rows.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    pub(super) tenure: Tenure,
+    pub(super) instances: Vec<Instance>,
+    pub(super) pools: Vec<Option<Pool>>,
+    pub(super) spare: Option<PoolId>,
+    pub(super) names: Map<Arc<str>, InstanceId>,
+    pub(super) racks: Vec<Arc<str>>,
+    pub(super) rack_ids: Map<Arc<str>, RackId>,
+    data_centres: Map<DataCentreId, Arc<str>>,
+}
+
+impl State {
+    /// Makes the state that the document and the platform's list describe, before any row.
+    ///
+    /// Instances that the list does not show are left out, since their place is unknown. Ids of
+    /// pools are those of `registry`, which a manager keeps for itself.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::{self, Registry};
+    /// use coriandernotch::pools::{State, Tenure};
+    ///
+    /// let document = fleet::parse("f", include_str!("../../examples/rennes.jsonc")).unwrap();
+    /// let (now, tenure) = (Instant::default(), Tenure::new(1));
+    /// let state = State::build(now, &tenure, &document, &mut Registry::default(), &[]);
+    /// assert_eq!((state.pools().count(), state.instances().count()), (7, 0));
+    /// ```
+    pub fn build(
+        now: Instant,
+        tenure: &Tenure,
+        document: &Document,
+        registry: &mut Registry,
+        listing: &[platform::Instance],
+    ) -> Self {
+        let mut out = Self {
+            tenure: tenure.clone(),
+            ..Self::default()
+        };
+        out.adopt(document, registry);
+        let first = |pool: &fleet::Pool| {
+            let name = pool.name.clone();
+            let instances = pool.instances.clone();
+            instances.into_iter().map(move |i| (i, name.clone()))
+        };
+        let pools: Map<Arc<str>, Arc<str>> = document.pools.iter().flat_map(first).collect();
+        for listed in listing {
+            let Some(pool) = pools.get(&listed.name) else {
+                continue;
+            };
+            let assignment = Assignment {
+                pool: pool.clone(),
+                token: tenure.token(),
+                operation: Operation::default(),
+                phase: Phase::Serving,
+                errand: None,
+                data_centre: listed.data_centre.clone(),
+                rack: listed.rack.clone(),
+                incarnation: 0,
+                maintained: 0,
+            };
+            out.put(now, &listed.name, &assignment, 0, registry);
+        }
+        out
+    }
+
+    /// Takes sizes and budgets from another version of the document.
+    ///
+    /// Instances stay where they are. See [`State::build`] for an example of the arguments.
+    pub fn adopt(&mut self, document: &Document, registry: &mut Registry) {
+        for pool in &document.pools {
+            let id = registry.pool(&pool.name);
+            self.spare = if pool.spare { Some(id) } else { self.spare };
+            match self.pools.get_mut(id.index()) {
+                Some(Some(known)) => {
+                    (known.size, known.spare, known.budget) = (pool.size, pool.spare, pool.budget);
+                }
+                _ => self.put_pool(id, pool),
+            }
+        }
+    }
+
+    fn put_pool(&mut self, id: PoolId, pool: &fleet::Pool) {
+        if self.pools.len() <= id.index() {
+            self.pools.resize_with(id.index() + 1, || None);
+        }
+        self.pools[id.index()] = Some(Pool {
+            name: pool.name.clone(),
+            size: pool.size,
+            spare: pool.spare,
+            budget: pool.budget,
+            members: Vec::new(),
+            cover: Vec::new(),
+            token: 0,
+            version: 0,
+        });
+    }
+
+    /// Returns the id of a pool, adding one that the document no longer has.
+    ///
+    /// Such a pool has no intended size and no budget, so that it can be emptied.
+    pub(super) fn intern_pool(&mut self, name: &Arc<str>, registry: &mut Registry) -> PoolId {
+        let id = registry.pool(name);
+        if self.pool(id).is_none() {
+            let budget = fleet::Budget {
+                unavailable: u32::MAX,
+                rack: 0,
+            };
+            self.put_pool(
+                id,
+                &fleet::Pool {
+                    name: name.clone(),
+                    size: 0,
+                    spare: false,
+                    budget,
+                    instances: Vec::new(),
+                },
+            );
+        }
+        id
+    }
+
+    /// Adds or replaces an instance.
+    pub(super) fn put(
+        &mut self,
+        now: Instant,
+        name: &Arc<str>,
+        row: &Assignment,
+        version: u64,
+        registry: &mut Registry,
+    ) {
+        let pool = self.intern_pool(&row.pool, registry);
+        let purpose = row.errand.as_ref().map(|errand| match errand {
+            Errand::Move(to) => Purpose::Move(self.intern_pool(to, registry)),
+            Errand::Reboot => Purpose::Reboot,
+        });
+        let next = RackId(u32::try_from(self.racks.len()).expect("fewer than 2^32 racks"));
+        let rack = *self.rack_ids.entry(row.rack.clone()).or_insert(next);
+        if rack == next {
+            self.racks.push(row.rack.clone());
+        }
+        let data_centre = registry.data_centre(&row.data_centre);
+        self.data_centres
+            .insert(data_centre, row.data_centre.clone());
+        let instance = Instance {
+            name: name.clone(),
+            data_centre,
+            rack,
+            pool,
+            phase: row.phase,
+            purpose,
+            incarnation: row.incarnation,
+            maintained: row.maintained,
+            since: now,
+            version,
+        };
+        let next = InstanceId(u32::try_from(self.instances.len()).expect("fewer than 2^32"));
+        let id = *self.names.entry(name.clone()).or_insert(next);
+        if id == next {
+            self.instances.push(instance);
+        } else {
+            let old = std::mem::replace(&mut self.instances[id.index()], instance);
+            self.pool_mut(old.pool).members.retain(|m| *m != id);
+        }
+        self.pool_mut(pool).members.push(id);
+    }
+
+    /// Returns the fencing token under which changes are written.
+    pub fn token(&self) -> u64 {
+        self.tenure.token()
+    }
+
+    /// Lists the instances.
+    pub fn instances(&self) -> impl Iterator<Item = (InstanceId, &Instance)> {
+        (0..).map(InstanceId).zip(&self.instances)
+    }
+
+    /// Returns an instance of this state.
+    pub fn instance(&self, id: InstanceId) -> &Instance {
+        &self.instances[id.index()]
+    }
+
+    /// Returns the id of an instance by name.
+    pub fn instance_id(&self, name: &str) -> Option<InstanceId> {
+        self.names.get(name).copied()
+    }
+
+    /// Lists the pools.
+    pub fn pools(&self) -> impl Iterator<Item = (PoolId, &Pool)> {
+        (0..)
+            .map(PoolId)
+            .zip(&self.pools)
+            .filter_map(|(id, pool)| Some((id, pool.as_ref()?)))
+    }
+
+    /// Returns a pool.
+    pub fn pool(&self, id: PoolId) -> Option<&Pool> {
+        self.pools.get(id.index())?.as_ref()
+    }
+
+    /// Returns the pool that lends instances to the others.
+    pub fn spare(&self) -> Option<PoolId> {
+        self.spare
+    }
+
+    /// Returns the number of racks.
+    pub fn racks(&self) -> usize {
+        self.racks.len()
+    }
+
+    pub(super) fn pool_mut(&mut self, id: PoolId) -> &mut Pool {
+        self.pools[id.index()].as_mut().expect("known pool")
+    }
+
+    pub(super) fn pool_name(&self, id: PoolId) -> Arc<str> {
+        self.pool(id).expect("known pool").name.clone()
+    }
+
+    /// Counts the instances of a pool.
+    pub fn tally(&self, pool: &Pool) -> Tally {
+        Tally::of(pool.members.iter().map(|id| self.instance(*id)))
+    }
+
+    /// Returns how many instances of a pool are unavailable, and how many may be.
+    ///
+    /// ```
+    /// let state = coriandernotch::pools::State::example(1, 2);
+    /// let (pool, _) = state.pools().next().unwrap();
+    /// assert_eq!(state.unavailable(pool), (0, 1));
+    /// ```
+    pub fn unavailable(&self, pool: PoolId) -> (u32, u32) {
+        self.pool(pool).map_or((0, 0), |pool| {
+            let budget = Budget::of(pool);
+            (budget.count(&self.tally(pool)), budget.limit())
+        })
+    }
+
+    /// Lists what the platform must be asked for, as the phases say.
+    ///
+    /// ```
+    /// let state = coriandernotch::pools::State::example(1, 2);
+    /// assert_eq!(state.orders().count(), 0);
+    /// ```
+    pub fn orders(&self) -> impl Iterator<Item = Order> {
+        let token = self.token();
+        self.instances().filter_map(move |(id, instance)| {
+            let (instance, incarnation) = (id, instance.incarnation);
+            match self.instance(id).phase {
+                Phase::Draining => Some(Order::Drain { instance, token }),
+                Phase::Moving => Some(Order::Admit { instance, token }),
+                Phase::Rebooting => Some(Order::Reboot {
+                    instance,
+                    incarnation,
+                    token,
+                }),
+                Phase::Serving | Phase::Down => None,
+            }
+        })
+    }
+
+    /// Returns the row of an instance.
+    pub(super) fn assignment(&self, instance: &Instance, operation: Operation) -> Assignment {
+        Assignment {
+            pool: self.pool_name(instance.pool),
+            token: self.token(),
+            operation,
+            phase: instance.phase,
+            errand: instance.purpose.map(|purpose| match purpose {
+                Purpose::Move(to) => Errand::Move(self.pool_name(to)),
+                Purpose::Reboot => Errand::Reboot,
+            }),
+            data_centre: self.data_centres[&instance.data_centre].clone(),
+            rack: self.racks[instance.rack.index()].clone(),
+            incarnation: instance.incarnation,
+            maintained: instance.maintained,
+        }
+    }
+
+    /// Returns the row of a pool with these counts.
+    pub(super) fn ledger(&self, pool: &Pool, tally: &Tally, operation: Operation) -> Ledger {
+        let cover = pool.cover.iter();
+        Ledger {
+            token: self.token(),
+            operation,
+            members: tally.members,
+            out: tally.out,
+            cover: cover.map(|(id, c)| (self.pool_name(*id), *c)).collect(),
+        }
+    }
+}
