--- a/src/limit/ledger.rs
+++ b/src/limit/ledger.rs
@@ -1,7 +1,6 @@
 mod borrow;
 mod lend;
 mod permits;
-mod probe;
 mod report;
 mod upkeep;
 mod versions;
