Decide placement, fairness and faults of jobs

Cause: the design names the decisions about jobs, nothing made them. Change: src/jobs with states, placement, fair shares with give-back, learned sizes, quarantine, retries, urgent work, queue leases and fencing; fault tables and invariants in tests/jobs.rs. The invariant test found a lookup of a forgotten urgent job, fixed here.

--- /dev/null
+++ b/src/jobs/fairness.rs
@@ -0,0 +1,223 @@
+use super::Size;
+use crate::fleet::TeamId;
+
+/// Weighted dominant-resource fairness over the teams.
+///
+/// A team may hold more than its share while others are idle; [`Fairness::entitlements`] says how
+/// much each may keep once they are not.
+#[derive(Clone, Debug, Default)]
+pub struct Fairness {
+    teams: Vec<Account>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Account {
+    weight: u32,
+    limit: u32,
+    used: Size,
+    running: u32,
+    wanted: Size,
+    waiting: u32,
+}
+
+impl Fairness {
+    /// Sets the weight and the upper limit of a team, in running jobs.
+    ///
+    /// ```
+    /// use coriandernotch::fleet::TeamId;
+    /// use coriandernotch::jobs::{Fairness, Size};
+    ///
+    /// let mut fairness = Fairness::default();
+    /// for team in [TeamId(0), TeamId(1)] {
+    ///     fairness.set(team, 1, 10);
+    ///     fairness.wait(team, Size::new(50, 1, 0));
+    ///     fairness.wait(team, Size::new(50, 1, 0));
+    /// }
+    /// fairness.start(TeamId(0), Size::new(50, 1, 0));
+    /// let capacity = Size::new(100, 100, 0);
+    /// assert_eq!(fairness.next(capacity, |_| true), Some(TeamId(1)));
+    /// assert!((fairness.entitlements(capacity)[0] - 0.5).abs() < 0.001);
+    /// ```
+    pub fn set(&mut self, team: TeamId, weight: u32, limit: u32) {
+        if self.teams.len() <= team.index() {
+            self.teams.resize(team.index() + 1, Account::default());
+        }
+        let account = &mut self.teams[team.index()];
+        (account.weight, account.limit) = (weight, limit);
+    }
+
+    /// Returns the upper limit of a known team.
+    pub fn limit(&self, team: TeamId) -> Option<u32> {
+        self.teams.get(team.index()).map(|a| a.limit)
+    }
+
+    /// Returns the number of known teams.
+    pub fn len(&self) -> usize {
+        self.teams.len()
+    }
+
+    /// Returns whether no team is known.
+    pub fn is_empty(&self) -> bool {
+        self.teams.is_empty()
+    }
+
+    /// Returns how many jobs of a team hold resources.
+    pub fn running(&self, team: TeamId) -> u32 {
+        self.teams[team.index()].running
+    }
+
+    /// Returns what a team holds.
+    pub fn used(&self, team: TeamId) -> Size {
+        self.teams[team.index()].used
+    }
+
+    /// Returns whether a team may have one more job running.
+    pub fn below_limit(&self, team: TeamId) -> bool {
+        let account = &self.teams[team.index()];
+        account.running < account.limit
+    }
+
+    /// Counts a job that waits.
+    pub fn wait(&mut self, team: TeamId, size: Size) {
+        let account = &mut self.teams[team.index()];
+        account.wanted = account.wanted + size;
+        account.waiting += 1;
+    }
+
+    /// Removes a job that waits.
+    pub fn leave(&mut self, team: TeamId, size: Size) {
+        let account = &mut self.teams[team.index()];
+        account.wanted = account.wanted - size;
+        account.waiting = account.waiting.saturating_sub(1);
+    }
+
+    /// Counts a job that holds resources.
+    pub fn start(&mut self, team: TeamId, size: Size) {
+        let account = &mut self.teams[team.index()];
+        account.used = account.used + size;
+        account.running += 1;
+    }
+
+    /// Removes a job that held resources.
+    pub fn stop(&mut self, team: TeamId, size: Size) {
+        let account = &mut self.teams[team.index()];
+        account.used = account.used - size;
+        account.running = account.running.saturating_sub(1);
+    }
+
+    /// Replaces what one running job holds.
+    pub fn resize(&mut self, team: TeamId, old: Size, new: Size) {
+        let account = &mut self.teams[team.index()];
+        account.used = account.used - old + new;
+    }
+
+    /// Returns the dominant share of a team divided by its weight.
+    pub fn level(&self, team: TeamId, capacity: Size) -> f64 {
+        let account = &self.teams[team.index()];
+        account.used.dominant(capacity) / f64::from(account.weight.max(1))
+    }
+
+    /// Chooses the waiting team with the lowest level, below its limit and accepted by `may`.
+    pub fn next(&self, capacity: Size, may: impl Fn(TeamId) -> bool) -> Option<TeamId> {
+        (0..)
+            .map(TeamId)
+            .zip(&self.teams)
+            .filter(|(id, a)| a.waiting > 0 && a.running < a.limit && may(*id))
+            .map(|(id, _)| (self.level(id, capacity), id))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, id)| id)
+    }
+
+    /// Returns the dominant share that each team may hold given what all hold and want.
+    pub fn entitlements(&self, capacity: Size) -> Vec<f64> {
+        let demands: Vec<_> = self.teams.iter().map(|a| a.demand(capacity)).collect();
+        fill(&demands)
+    }
+
+    /// Returns the bytes held.
+    pub fn footprint(&self) -> usize {
+        self.teams.capacity() * size_of::<Account>()
+    }
+}
+
+impl Account {
+    /// Weight and wished fraction of each resource, as far as the limit lets it run.
+    fn demand(&self, capacity: Size) -> (f64, [f64; 3]) {
+        let wish = (self.used + self.wanted).fractions(capacity);
+        let jobs = f64::from((self.running + self.waiting).max(1));
+        let part = (f64::from(self.limit) / jobs).min(1.0);
+        (f64::from(self.weight), wish.map(|x| x * part))
+    }
+}
+
+/// Raises the level of all teams together until their demand is met or a resource they use is full
+/// (progressive filling). Returns the dominant share of each.
+///
+/// `demands` has the weight and the wished fraction of each resource per team.
+///
+/// ```
+/// use coriandernotch::jobs::fill;
+///
+/// let shares = fill(&[(1.0, [0.1, 0.0, 0.0]), (1.0, [2.0, 0.0, 0.0]), (2.0, [2.0, 0.0, 0.0])]);
+/// for (share, expected) in shares.iter().zip([0.1, 0.3, 0.6]) {
+///     assert!((share - expected).abs() < 1e-6);
+/// }
+/// ```
+pub fn fill(demands: &[(f64, [f64; 3])]) -> Vec<f64> {
+    let dominant: Vec<f64> = demands
+        .iter()
+        .map(|(_, d)| d.iter().copied().fold(0.0, f64::max))
+        .collect();
+    let mut fixed: Vec<Option<f64>> = dominant
+        .iter()
+        .map(|d| (*d == 0.0).then_some(0.0))
+        .collect();
+    let at = |fixed: &[Option<f64>], level: f64, i: usize| {
+        fixed[i].unwrap_or_else(|| (level * demands[i].0).min(dominant[i]))
+    };
+    let load = |fixed: &[Option<f64>], level: f64| {
+        let mut sum = [0.0; 3];
+        for (i, (_, demand)) in demands
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| dominant[*i] > 0.0)
+        {
+            let part = at(fixed, level, i) / dominant[i];
+            for (total, d) in sum.iter_mut().zip(demand) {
+                *total += part * d;
+            }
+        }
+        sum
+    };
+    // Each round fills up at least one resource, so three rounds settle every team.
+    for _ in 0..3 {
+        let (mut low, mut high) = (0.0, 1.0);
+        let reaches = |level: f64| {
+            (0..demands.len()).all(|i| fixed[i].is_some() || level * demands[i].0 >= dominant[i])
+        };
+        while !reaches(high) && high < 1e9 {
+            high *= 2.0;
+        }
+        for _ in 0..48 {
+            let middle = (low + high) / 2.0;
+            if load(&fixed, middle).iter().all(|x| *x <= 1.0 + 1e-9) {
+                low = middle;
+            } else {
+                high = middle;
+            }
+        }
+        let full = load(&fixed, low).map(|x| x > 1.0 - 1e-6);
+        let settled: Vec<_> = (0..demands.len())
+            .map(|i| {
+                let uses_full = demands[i].1.iter().zip(full).any(|(d, f)| f && *d > 0.0);
+                let met = low * demands[i].0 >= dominant[i];
+                fixed[i].or_else(|| (uses_full || met).then(|| at(&fixed, low, i)))
+            })
+            .collect();
+        fixed = settled;
+        if fixed.iter().all(Option::is_some) {
+            break;
+        }
+    }
+    fixed.into_iter().map(|f| f.unwrap_or(0.0)).collect()
+}
--- /dev/null
+++ b/src/jobs/mod.rs
@@ -0,0 +1,50 @@
+//! Decisions about jobs: which runs where and when, and what happens when one fails.
+//!
+//! A [`Scheduler`] holds one queue and is the only place that changes the state of its jobs. It
+//! sends nothing: its caller carries out each [`Start`] and [`Action`] and reports the result.
+
+mod action;
+mod fairness;
+mod fence;
+mod id;
+mod job;
+mod lease;
+mod outcome;
+mod placement;
+mod policy;
+mod quarantine;
+mod reason;
+mod retry;
+mod scheduler;
+mod shard;
+mod size;
+mod sizing;
+mod spec;
+mod standing;
+mod start;
+mod state;
+mod tuning;
+mod worker;
+
+pub use action::Action;
+pub use fairness::{Fairness, fill};
+pub use fence::Fence;
+pub use id::{JobId, KindId, RackId, WorkerId};
+pub use job::Job;
+pub use lease::Lease;
+pub use outcome::Outcome;
+pub use placement::Placement;
+pub use policy::Policy;
+pub use quarantine::Quarantine;
+pub use reason::Reason;
+pub use retry::Retry;
+pub use scheduler::Scheduler;
+pub use shard::{Shard, Tenure};
+pub use size::Size;
+pub use sizing::Sizing;
+pub use spec::Spec;
+pub use standing::Standing;
+pub use start::Start;
+pub use state::State;
+pub use tuning::Tuning;
+pub use worker::Worker;
--- /dev/null
+++ b/src/jobs/state.rs
@@ -0,0 +1,85 @@
+use serde::{Deserialize, Serialize};
+
+/// State of a job.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+    strum::EnumIter,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum State {
+    /// Waits for a worker.
+    Queued,
+    /// A start request was decided for a worker.
+    Starting,
+    /// The worker confirmed the start.
+    Running,
+    /// Stopped with its progress saved; waits for a worker.
+    Checkpointed,
+    /// Ended well.
+    Succeeded,
+    /// Ended for good after failures.
+    Failed,
+    /// Ended by its caller.
+    Cancelled,
+    /// Never accepted, since it cannot run.
+    Refused,
+}
+
+impl State {
+    /// Returns whether the job will not change any more.
+    ///
+    /// ```
+    /// use coriandernotch::jobs::State;
+    ///
+    /// assert!(State::Cancelled.is_final() && !State::Checkpointed.is_final());
+    /// ```
+    pub fn is_final(self) -> bool {
+        use State::{Cancelled, Failed, Refused, Succeeded};
+        matches!(self, Succeeded | Failed | Cancelled | Refused)
+    }
+
+    /// Returns whether the job waits for a worker.
+    pub fn is_waiting(self) -> bool {
+        matches!(self, Self::Queued | Self::Checkpointed)
+    }
+
+    /// Returns whether the job may be on a worker.
+    pub fn is_placed(self) -> bool {
+        matches!(self, Self::Starting | Self::Running)
+    }
+
+    /// Returns whether a job may go from this state to `next`.
+    ///
+    /// ```
+    /// use coriandernotch::jobs::State;
+    ///
+    /// assert!(State::Queued.may_become(State::Starting));
+    /// assert!(!State::Cancelled.may_become(State::Starting));
+    /// ```
+    pub fn may_become(self, next: Self) -> bool {
+        use State::{
+            Cancelled, Checkpointed, Failed, Queued, Refused, Running, Starting, Succeeded,
+        };
+        match self {
+            Queued => matches!(next, Starting | Cancelled | Failed | Refused),
+            Checkpointed => matches!(next, Starting | Cancelled | Failed),
+            // A fast job can end before the confirmation of its start arrives.
+            Starting => matches!(
+                next,
+                Running | Queued | Checkpointed | Succeeded | Failed | Cancelled
+            ),
+            Running => matches!(next, Queued | Checkpointed | Succeeded | Failed | Cancelled),
+            Succeeded | Failed | Cancelled | Refused => false,
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/worker.rs
@@ -0,0 +1,56 @@
+use super::{RackId, Size, Standing};
+use crate::fleet::DataCentreId;
+
+/// A worker and what is reserved on it.
+///
+/// ```
+/// use coriandernotch::fleet::DataCentreId;
+/// use coriandernotch::jobs::{RackId, Size, Worker};
+///
+/// let mut worker = Worker::new(RackId(0), DataCentreId(0), Size::new(32_000, 131_072, 0));
+/// worker.used = Size::new(30_000, 1_024, 0);
+/// assert_eq!(worker.free().processors, 2_000);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Worker {
+    /// Rack.
+    pub rack: RackId,
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// All it has.
+    pub capacity: Size,
+    /// Reserved for jobs.
+    pub used: Size,
+    /// Jobs that hold resources.
+    pub jobs: u32,
+    /// How far it is trusted.
+    pub standing: Standing,
+}
+
+impl Worker {
+    /// Makes an empty worker in good standing.
+    pub fn new(rack: RackId, data_centre: DataCentreId, capacity: Size) -> Self {
+        Self {
+            rack,
+            data_centre,
+            capacity,
+            used: Size::ZERO,
+            jobs: 0,
+            standing: Standing::Good,
+        }
+    }
+
+    /// Returns what is not reserved.
+    pub fn free(&self) -> Size {
+        self.capacity - self.used
+    }
+
+    /// Returns what a new job may get, given its standing.
+    pub fn offer(&self) -> Size {
+        match self.standing {
+            Standing::Good => self.free(),
+            Standing::Probation if self.jobs == 0 => self.free(),
+            _ => Size::ZERO,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod clock;
 pub mod collections;
 pub mod fleet;
+pub mod jobs;
 pub mod platform;
--- /dev/null
+++ b/tests/jobs.rs
@@ -0,0 +1,674 @@
+//! Faults and invariants of the decisions about jobs.
+
+use std::time::Duration;
+
+use coriandernotch::clock::Instant;
+use coriandernotch::fleet::{DataCentreId, TeamId};
+use coriandernotch::jobs::{
+    Action, Fence, JobId, KindId, Lease, Outcome, Policy, RackId, Reason, Scheduler, Shard, Size,
+    Spec, Standing, Start, State, Tenure, Tuning, Worker, WorkerId,
+};
+use quickcheck::{Gen, QuickCheck};
+
+const SEED: u64 = 20_260_101;
+const WORKER: Size = Size::new(32_000, 131_072, 0);
+
+fn at(ms: u64) -> Instant {
+    Instant::from_start(Duration::from_millis(ms))
+}
+
+/// Three data centres with `racks` racks of four workers each, and `teams` teams of equal weight.
+fn fleet(racks: u32, teams: u32, limit: u32, tuning: Tuning) -> Scheduler {
+    let mut scheduler = Scheduler::new(tuning);
+    for rack in 0..3 * racks {
+        for _ in 0..4 {
+            scheduler.add_worker(Worker::new(RackId(rack), DataCentreId(rack % 3), WORKER));
+        }
+    }
+    (0..teams).for_each(|t| scheduler.set_team(TeamId(t), 1, limit));
+    scheduler
+}
+
+fn spec(team: u32, processors: u64) -> Spec {
+    Spec {
+        team: TeamId(team),
+        kind: KindId(team),
+        declared: Size::new(processors, processors, 0),
+        urgent: false,
+        checkpoints: true,
+    }
+}
+
+fn submit_all(scheduler: &mut Scheduler, count: usize, spec: Spec, now: Instant) -> Vec<JobId> {
+    let submit = |_| scheduler.submit(spec, now).unwrap();
+    (0..count).map(submit).collect()
+}
+
+fn start_all(scheduler: &mut Scheduler, now: Instant) -> Vec<Start> {
+    let starts: Vec<_> = std::iter::from_fn(|| scheduler.next(now)).collect();
+    for start in &starts {
+        scheduler.confirm(start.job, start.run);
+    }
+    starts
+}
+
+/// Ends every checkpoint in `actions` and applies every throttle.
+fn carry_out(scheduler: &mut Scheduler, actions: &[Action], now: Instant) {
+    for action in actions {
+        match *action {
+            Action::Checkpoint { job, run, .. } => {
+                scheduler.ended(job, run, Outcome::Checkpointed, now);
+            }
+            Action::Throttle {
+                job,
+                run,
+                processors,
+                ..
+            } => scheduler.throttled(job, run, processors),
+            Action::Stop { job, run, .. } => {
+                scheduler.ended(job, run, Outcome::Stopped, now);
+            }
+        }
+    }
+}
+
+/// Guards against jobs that wait for ever although no worker can take them.
+#[test]
+fn jobs_that_can_never_run_are_refused_with_the_reason() {
+    let mut scheduler = fleet(1, 1, 10, Tuning::default());
+    scheduler.set_team(TeamId(1), 1, 0);
+    let mut accelerated = spec(0, 1_000);
+    accelerated.declared.accelerators = 1;
+    let cases = [
+        (spec(0, 32_001), Reason::TooLarge),
+        (accelerated, Reason::TooLarge),
+        (spec(0, 0), Reason::Empty),
+        (spec(1, 1_000), Reason::LimitZero),
+        (spec(9, 1_000), Reason::UnknownTeam),
+    ];
+    for (spec, reason) in cases {
+        assert_eq!(scheduler.submit(spec, at(0)), Err(reason));
+    }
+    assert!(scheduler.submit(spec(0, 32_000), at(0)).is_ok());
+}
+
+/// Guards against a size that only fits while its data centre is out being called impossible.
+#[test]
+fn a_job_waits_for_a_data_centre_that_returns() {
+    let mut scheduler = fleet(1, 1, 10, Tuning::default());
+    (0..3).for_each(|dc| drop(scheduler.set_out(DataCentreId(dc), true, at(0))));
+    scheduler.submit(spec(0, 20_000), at(0)).unwrap();
+    assert_eq!(scheduler.next(at(0)), None);
+    scheduler.set_out(DataCentreId(2), false, at(1));
+    let start = scheduler.next(at(1)).unwrap();
+    let worker = scheduler.placement().worker(start.worker);
+    assert_eq!(worker.data_centre, DataCentreId(2));
+}
+
+/// Guards against a cancellation that loses or starts a job at any point of its life.
+#[test]
+fn cancellation_wins_or_loses_at_one_place() {
+    // (state when the cancellation comes, answer, resources held until the worker reports)
+    let cases = [
+        (State::Queued, Ok(false)),
+        (State::Starting, Ok(true)),
+        (State::Running, Ok(true)),
+        (State::Succeeded, Err(State::Succeeded)),
+    ];
+    for (state, expected) in cases {
+        let mut scheduler = fleet(1, 1, 10, Tuning::default());
+        let job = scheduler.submit(spec(0, 1_000), at(0)).unwrap();
+        if state != State::Queued {
+            scheduler.next(at(0)).unwrap();
+        }
+        if state == State::Running || state == State::Succeeded {
+            assert!(scheduler.confirm(job, 1));
+        }
+        if state == State::Succeeded {
+            scheduler.ended(job, 1, Outcome::Succeeded, at(1));
+        }
+        let answer = scheduler.cancel(job);
+        assert_eq!(answer.map(|stop| stop.is_some()), expected, "{state}");
+        let held = scheduler.placement().used() != Size::ZERO;
+        assert_eq!(held, expected == Ok(true), "{state}");
+        assert_eq!(scheduler.next(at(1)), None, "{state}");
+        // A success that was on its way does not undo the cancellation.
+        scheduler.ended(job, 1, Outcome::Succeeded, at(2));
+        let end = if expected.is_ok() {
+            State::Cancelled
+        } else {
+            State::Succeeded
+        };
+        assert_eq!(scheduler.job(job).unwrap().state, end);
+        assert_eq!(scheduler.placement().used(), Size::ZERO, "{state}");
+    }
+}
+
+/// Guards against a wave of cancellations that blocks the queue or leaves counts behind.
+#[test]
+fn a_wave_of_cancellations_leaves_no_trace() {
+    let mut scheduler = fleet(1, 2, 1_000, Tuning::default());
+    let jobs = submit_all(&mut scheduler, 5_000, spec(0, 8_000), at(0));
+    start_all(&mut scheduler, at(0));
+    let stops: Vec<_> = jobs
+        .iter()
+        .filter_map(|j| scheduler.cancel(*j).unwrap())
+        .collect();
+    let last = scheduler.submit(spec(0, 32_000), at(1)).unwrap();
+    carry_out(&mut scheduler, &stops, at(1));
+    assert_eq!(scheduler.placement().used(), Size::ZERO);
+    assert_eq!(scheduler.next(at(1)).map(|s| s.job), Some(last));
+    assert_eq!(scheduler.fairness().running(TeamId(0)), 1);
+    jobs.iter().for_each(|j| scheduler.forget(*j));
+    assert!(jobs.iter().all(|j| scheduler.job(*j).is_none()));
+}
+
+/// Guards against reports of a run that was given up with its worker.
+#[test]
+fn reports_of_a_worker_that_was_paused_beyond_its_lease_change_nothing() {
+    for late in [
+        Outcome::Succeeded,
+        Outcome::Failed,
+        Outcome::Checkpointed,
+        Outcome::Stopped,
+    ] {
+        let mut scheduler = fleet(1, 1, 10, Tuning::default());
+        let job = scheduler.submit(spec(0, 1_000), at(0)).unwrap();
+        let first = start_all(&mut scheduler, at(0))[0];
+        assert_eq!(scheduler.lose(first.worker, at(10)), [job]);
+        let second = start_all(&mut scheduler, at(20))[0];
+        assert_ne!(second.worker, first.worker);
+        assert!(!scheduler.ended(job, first.run, late, at(30)), "{late:?}");
+        assert_eq!(scheduler.job(job).unwrap().state, State::Running);
+        assert!(scheduler.ended(job, second.run, Outcome::Succeeded, at(40)));
+    }
+}
+
+/// Guards against a holder and a grantor that both act on one lease.
+#[test]
+fn a_lease_ends_at_its_holder_first() {
+    // (renewal sent, renewal granted, time, holder acts, grantor takes back)
+    let cases = [
+        (0, 900, 9_999, true, false),
+        (0, 900, 10_000, false, false),
+        (0, 900, 10_899, false, false),
+        (0, 900, 10_900, false, true),
+        (0, 0, 3_600_000, false, true),
+    ];
+    let term = Duration::from_secs(10);
+    for (sent, granted, now, holds, lapsed) in cases {
+        assert_eq!(Lease::new(at(sent), term).is_valid(at(now)), holds);
+        let grantor = Lease::new(at(granted), term);
+        assert_eq!(grantor.has_lapsed(at(now), Duration::ZERO), lapsed);
+    }
+}
+
+/// Guards against two instances that both start jobs of one queue.
+#[test]
+fn a_paused_holder_of_a_queue_starts_nothing_after_the_next_one_may() {
+    let term = Duration::from_secs(4);
+    for grace in [0, 30_000] {
+        let mut first = Shard::new(1, term, Duration::from_millis(grace));
+        let mut second = Shard::new(2, term, Duration::from_millis(grace));
+        first.observe(Tenure::default(), at(0));
+        let row = first.acquire(at(0)).unwrap();
+        first.written(row, at(0));
+        second.observe(row, at(100));
+        assert_eq!(second.acquire(at(4_099 + grace)), None);
+        // The first is paused here. Its lease ends before the second may write.
+        assert_eq!(first.token(at(3_999)), Some(1));
+        assert_eq!(first.token(at(4_000)), None);
+        assert_eq!(first.renew(at(4_000)), None);
+        let next = second.acquire(at(4_100 + grace)).unwrap();
+        assert!(next.token > row.token);
+        second.written(next, at(4_100 + grace));
+        first.observe(next, at(4_200 + grace));
+        assert_eq!(first.acquire(at(4_200 + grace)), None);
+    }
+}
+
+/// Guards against a renewal that is missed by the candidate, and against an unsafe handover.
+#[test]
+fn a_queue_changes_hands_by_renewals_and_resignation() {
+    let mut first = Shard::new(1, Duration::from_secs(4), Duration::ZERO);
+    let mut second = Shard::new(2, Duration::from_secs(4), Duration::ZERO);
+    first.observe(Tenure::default(), at(0));
+    first.written(first.acquire(at(0)).unwrap(), at(0));
+    let renewed = first.renew(at(3_000)).unwrap();
+    first.written(renewed, at(3_000));
+    second.observe(renewed, at(3_100));
+    assert_eq!(second.acquire(at(5_000)), None);
+    assert_eq!(first.token(at(6_999)), Some(1));
+    let resigned = first.resign(at(5_000)).unwrap();
+    assert_eq!(first.token(at(5_000)), None);
+    second.observe(resigned, at(5_100));
+    assert_eq!(second.acquire(at(5_100)).unwrap().token, 2);
+}
+
+/// Guards against a worker that fails at once, looks idle and draws the whole queue.
+#[test]
+fn a_worker_that_fails_everything_is_no_sink() {
+    let mut scheduler = fleet(2, 1, 10_000, Tuning::default());
+    let bad = WorkerId(5);
+    let jobs = submit_all(&mut scheduler, 400, spec(0, 8_000), at(0));
+    let mut wasted = 0;
+    let mut quarantined = false;
+    for step in 0..600 {
+        let now = at(step * 500);
+        for start in start_all(&mut scheduler, now) {
+            let fails = start.worker == bad;
+            wasted += u32::from(fails);
+            let outcome = if fails {
+                Outcome::Failed
+            } else {
+                Outcome::Succeeded
+            };
+            scheduler.ended(start.job, start.run, outcome, now);
+        }
+        quarantined |= scheduler.placement().worker(bad).standing == Standing::Quarantined;
+    }
+    let done = |j: &&JobId| scheduler.job(**j).unwrap().state == State::Succeeded;
+    assert_eq!(jobs.iter().filter(done).count(), 400);
+    assert!(quarantined);
+    assert!(wasted <= 12, "{wasted} starts on the failing worker");
+}
+
+/// Guards against a bad job that is repeated for ever or gets good workers quarantined.
+#[test]
+fn a_bad_job_is_told_from_bad_workers() {
+    let mut scheduler = fleet(2, 2, 10_000, Tuning::default());
+    let bad = scheduler.submit(spec(0, 1_000), at(0)).unwrap();
+    for step in 0..200 {
+        let now = at(step * 500);
+        scheduler.submit(spec(1, 4_000), now).unwrap();
+        for start in start_all(&mut scheduler, now) {
+            let outcome = if start.job == bad {
+                Outcome::Failed
+            } else {
+                Outcome::Succeeded
+            };
+            scheduler.ended(start.job, start.run, outcome, now);
+        }
+    }
+    let job = scheduler.job(bad).unwrap();
+    assert_eq!(
+        (job.state, job.reason),
+        (State::Failed, Reason::FailsEverywhere)
+    );
+    assert_eq!(job.run, 3);
+    let mut workers = scheduler.placement().workers();
+    assert!(workers.all(|(_, w)| w.standing == Standing::Good));
+}
+
+/// Guards against a broken release, all of whose jobs fail, that takes the workers out of use.
+#[test]
+fn jobs_that_all_fail_take_at_most_a_tenth_of_the_workers() {
+    let mut scheduler = fleet(10, 1, 10_000, Tuning::default());
+    let jobs = submit_all(&mut scheduler, 300, spec(0, 2_000), at(0));
+    let mut held_back = 0;
+    for step in 0..400 {
+        let now = at(step * 500);
+        for start in start_all(&mut scheduler, now) {
+            scheduler.ended(start.job, start.run, Outcome::Failed, now);
+        }
+        let workers = scheduler.placement().workers();
+        let now_held = workers
+            .filter(|(_, w)| w.standing != Standing::Good)
+            .count();
+        held_back = held_back.max(now_held);
+    }
+    assert!(held_back <= 12, "{held_back} of 120 workers");
+    let failed = |j: &&JobId| scheduler.job(**j).unwrap().state == State::Failed;
+    assert_eq!(jobs.iter().filter(failed).count(), 300);
+}
+
+/// Guards against jobs that are lost or counted as failures when a rack goes at once.
+#[test]
+fn a_lost_rack_returns_its_jobs_without_blame() {
+    let mut scheduler = fleet(2, 1, 10_000, Tuning::default());
+    submit_all(&mut scheduler, 48, spec(0, 8_000), at(0));
+    let starts = start_all(&mut scheduler, at(0));
+    let rack: Vec<_> = (0..4).map(WorkerId).collect();
+    let lost: Vec<_> = rack
+        .iter()
+        .flat_map(|w| scheduler.lose(*w, at(1)))
+        .collect();
+    let expected = starts.iter().filter(|s| rack.contains(&s.worker)).count();
+    assert!(expected > 0);
+    assert_eq!(lost.len(), expected);
+    let again = start_all(&mut scheduler, at(2));
+    assert!(again.iter().all(|s| !rack.contains(&s.worker)));
+    assert_eq!(again.len(), expected);
+    for id in lost {
+        let job = scheduler.job(id).unwrap();
+        assert_eq!(
+            (job.failures, job.losses, job.state),
+            (0, 1, State::Running)
+        );
+    }
+    rack.iter().for_each(|w| scheduler.rejoin(*w));
+    let ready = |w: &WorkerId| scheduler.placement().worker(*w).offer() == WORKER;
+    assert!(rack.iter().all(ready));
+}
+
+/// Guards against work that stays on one rack or in one data centre and falls with it.
+#[test]
+fn jobs_of_a_team_spread_over_data_centres() {
+    let mut scheduler = fleet(2, 1, 10_000, Tuning::default());
+    submit_all(&mut scheduler, 30, spec(0, 2_000), at(0));
+    let mut count = [0; 3];
+    for start in start_all(&mut scheduler, at(0)) {
+        count[scheduler
+            .placement()
+            .worker(start.worker)
+            .data_centre
+            .index()] += 1;
+    }
+    assert_eq!(count, [10; 3]);
+}
+
+/// Guards against accelerators that no large job can use since small jobs took some of each worker.
+#[test]
+fn small_jobs_leave_whole_workers_of_accelerators() {
+    let mut scheduler = Scheduler::new(Tuning {
+        headroom_percent: 0,
+        ..Tuning::default()
+    });
+    for rack in 0..2 {
+        for _ in 0..4 {
+            let size = Size::new(64_000, 131_072, 8);
+            scheduler.add_worker(Worker::new(RackId(rack), DataCentreId(0), size));
+        }
+    }
+    scheduler.set_team(TeamId(0), 1, 1_000);
+    let accelerated = |n| {
+        let mut spec = spec(0, 4_000);
+        spec.declared.accelerators = n;
+        spec
+    };
+    submit_all(&mut scheduler, 24, accelerated(1), at(0));
+    start_all(&mut scheduler, at(0));
+    submit_all(&mut scheduler, 5, accelerated(8), at(1));
+    assert_eq!(start_all(&mut scheduler, at(1)).len(), 5);
+}
+
+/// Guards against declared sizes that waste or overload workers for ever.
+#[test]
+fn sizes_that_are_ten_times_off_are_learned() {
+    for (declared, used) in [(10_000, 1_000), (1_000, 10_000)] {
+        let mut scheduler = fleet(1, 1, 10_000, Tuning::default());
+        submit_all(&mut scheduler, 500, spec(0, declared), at(0));
+        let used = Size::new(used, used, 0);
+        for step in 0..40 {
+            let now = at(step * 5_000);
+            start_all(&mut scheduler, now);
+            let running: Vec<_> = running(&scheduler);
+            let mut actions = Vec::new();
+            for (job, run) in running {
+                actions.extend(scheduler.report(job, run, used, Duration::from_secs(5), now));
+            }
+            carry_out(&mut scheduler, &actions, now);
+        }
+        // 12 workers of 32 processors and a reservation of 1.05 times the use.
+        let count = running(&scheduler).len() as u64 * used.processors;
+        assert!((310_000..=366_000).contains(&count), "{count} in use");
+    }
+}
+
+fn running(scheduler: &Scheduler) -> Vec<(JobId, u32)> {
+    // Ids of a fresh arena are consecutive.
+    (1..=500)
+        .filter_map(|n| {
+            let id = JobId::from_number(0x1_0000_0000 + n);
+            let job = scheduler.job(id)?;
+            (job.state == State::Running).then_some((id, job.run))
+        })
+        .collect()
+}
+
+/// Guards against a team that keeps what it borrowed when the owner of the share returns.
+#[test]
+fn borrowed_capacity_is_given_back() {
+    let mut scheduler = fleet(2, 2, 10_000, Tuning::default());
+    submit_all(&mut scheduler, 400, spec(0, 4_000), at(0));
+    let borrowed = start_all(&mut scheduler, at(0)).len();
+    submit_all(&mut scheduler, 400, spec(1, 4_000), at(1));
+    assert_eq!(start_all(&mut scheduler, at(1)), []);
+    let actions = scheduler.balance(at(2));
+    carry_out(&mut scheduler, &actions, at(3));
+    let given = start_all(&mut scheduler, at(3)).len();
+    assert!(given.abs_diff(borrowed / 2) <= 1, "{given} of {borrowed}");
+    assert_eq!(
+        scheduler.balance(at(4)),
+        [],
+        "gives back no more than the share"
+    );
+}
+
+/// Guards against urgent work that waits for ordinary work to end, and against a checkpoint where
+/// throttling would do.
+#[test]
+fn urgent_work_gets_room() {
+    // (headroom, memory of an ordinary job, checkpoints, what makes the room)
+    let cases = [
+        (15, 4_000, true, ""),
+        (0, 4_000, true, "throttle"),
+        (0, 4_000, false, "throttle"),
+        // Throttling frees no memory.
+        (0, 32_768, true, "checkpoint"),
+        (0, 32_768, false, "nothing helps"),
+    ];
+    for (headroom_percent, memory, checkpoints, by) in cases {
+        let tuning = Tuning {
+            headroom_percent,
+            ..Tuning::default()
+        };
+        let mut scheduler = fleet(1, 2, 10_000, tuning);
+        let ordinary = Spec {
+            checkpoints,
+            declared: Size::new(4_000, memory, 0),
+            ..spec(0, 1)
+        };
+        submit_all(&mut scheduler, 200, ordinary, at(0));
+        start_all(&mut scheduler, at(0));
+        let urgent = Spec {
+            urgent: true,
+            ..spec(1, 4_000)
+        };
+        let job = scheduler.submit(urgent, at(1)).unwrap();
+        if !by.is_empty() {
+            assert_eq!(scheduler.next(at(1)), None);
+            let actions = scheduler.balance(at(1));
+            let kinds = actions.iter().map(|a| match a {
+                Action::Throttle { .. } => "throttle",
+                Action::Checkpoint { .. } => "checkpoint",
+                Action::Stop { .. } => "stop",
+            });
+            let kinds: Vec<_> = kinds.collect();
+            assert_eq!(kinds.is_empty(), by == "nothing helps");
+            assert!(kinds.iter().all(|k| *k == by), "{kinds:?} for {by}");
+            assert_eq!(scheduler.balance(at(2)), [], "asks once");
+            carry_out(&mut scheduler, &actions, at(500));
+        }
+        let started = scheduler.next(at(500)).map(|s| s.job);
+        assert_eq!(started, (by != "nothing helps").then_some(job), "{by}");
+    }
+}
+
+/// Guards against resources that a resumed urgent job counts as about to be freed.
+#[test]
+fn a_relieved_urgent_job_is_not_taken_for_one_that_stops() {
+    let mut scheduler = fleet(
+        1,
+        2,
+        10_000,
+        Tuning {
+            headroom_percent: 0,
+            ..Tuning::default()
+        },
+    );
+    submit_all(&mut scheduler, 200, spec(0, 4_000), at(0));
+    start_all(&mut scheduler, at(0));
+    let urgent = Spec {
+        urgent: true,
+        ..spec(1, 4_000)
+    };
+    let job = scheduler.submit(urgent, at(1)).unwrap();
+    let actions = scheduler.balance(at(1));
+    carry_out(&mut scheduler, &actions, at(2));
+    scheduler.next(at(2)).unwrap();
+    assert_eq!(scheduler.job(job).unwrap().stopping, None);
+}
+
+/// Guards against starts in a data centre that operators took out while jobs move.
+#[test]
+fn a_data_centre_taken_out_midway_is_emptied_and_stays_empty() {
+    let mut scheduler = fleet(2, 1, 10_000, Tuning::default());
+    submit_all(&mut scheduler, 300, spec(0, 4_000), at(0));
+    let running = start_all(&mut scheduler, at(0));
+    let out = DataCentreId(1);
+    let moves = scheduler.set_out(out, true, at(1));
+    assert!(!moves.is_empty() && moves.len() < running.len());
+    carry_out(&mut scheduler, &moves, at(2));
+    for start in start_all(&mut scheduler, at(3)) {
+        assert_ne!(scheduler.placement().worker(start.worker).data_centre, out);
+    }
+    scheduler.set_out(out, false, at(4));
+    assert!(!start_all(&mut scheduler, at(5)).is_empty());
+}
+
+/// Guards against reservations above capacity, teams above their limit, starts where none may be,
+/// and runs that start twice, in any order of events.
+#[test]
+fn invariants_hold_over_random_events() {
+    fn holds(events: Vec<(u8, u16)>) -> bool {
+        let policy = [Policy::FirstFit, Policy::Fair, Policy::Learned];
+        let chosen = policy[events.len() % 3];
+        let mut scheduler = fleet(
+            1,
+            3,
+            9,
+            Tuning {
+                policy: chosen,
+                ..Tuning::default()
+            },
+        );
+        let mut live: Vec<(JobId, u32)> = Vec::new();
+        let mut actions: Vec<Action> = Vec::new();
+        let mut fences: Vec<Fence> = (0..12).map(|_| Fence::default()).collect();
+        let mut out = [false; 3];
+        for (step, (event, n)) in events.into_iter().enumerate() {
+            let now = at(step as u64 * 300);
+            let pick = |len: usize| usize::from(n) % len.max(1);
+            let worker = WorkerId(u32::from(n) % 12);
+            match event % 12 {
+                0..=2 => {
+                    let mut wish = spec(u32::from(n) % 3, 1 + u64::from(n) % 16_000);
+                    wish.urgent = n % 7 == 0;
+                    wish.checkpoints = n % 5 != 0;
+                    live.extend(scheduler.submit(wish, now).map(|id| (id, 0)));
+                }
+                3 | 4 => {
+                    while let Some(start) = scheduler.next(now) {
+                        let place = scheduler.placement().worker(start.worker);
+                        let may = matches!(place.standing, Standing::Good | Standing::Probation);
+                        let fence = &mut fences[start.worker.index()];
+                        if out[place.data_centre.index()]
+                            || !may
+                            || !fence.admit(1, start.job, start.run)
+                            || fence.admit(1, start.job, start.run)
+                        {
+                            return false;
+                        }
+                        live.iter_mut()
+                            .filter(|(id, _)| *id == start.job)
+                            .for_each(|(_, run)| *run = start.run);
+                        if n % 3 != 0 {
+                            scheduler.confirm(start.job, start.run);
+                        }
+                    }
+                }
+                5 if !live.is_empty() => {
+                    let (id, run) = live[pick(live.len())];
+                    let outcome = [Outcome::Succeeded, Outcome::Failed, Outcome::Stopped];
+                    scheduler.ended(id, run, outcome[usize::from(n) % 3], now);
+                    scheduler.forget(id);
+                }
+                6 if !live.is_empty() => {
+                    let (id, _) = live[pick(live.len())];
+                    actions.extend(scheduler.cancel(id).ok().flatten());
+                }
+                7 => {
+                    out[pick(3)] ^= true;
+                    let id = DataCentreId(u32::from(n) % 3);
+                    actions.extend(scheduler.set_out(id, out[pick(3)], now));
+                }
+                8 => drop(scheduler.lose(worker, now)),
+                9 => scheduler.rejoin(worker),
+                10 if !live.is_empty() => {
+                    let (id, run) = live[pick(live.len())];
+                    let used = Size::new(u64::from(n), u64::from(n) * 2, 0);
+                    actions.extend(scheduler.report(id, run, used, Duration::from_secs(3), now));
+                }
+                _ => {
+                    actions.extend(scheduler.balance(now));
+                    let half = actions.split_off(actions.len() / 2);
+                    carry_out(&mut scheduler, &half, now);
+                }
+            }
+            let over = |(_, w): (WorkerId, &Worker)| !w.capacity.fits(w.used);
+            let limited = (0..3).all(|t| scheduler.fairness().running(TeamId(t)) <= 9);
+            let mut workers = scheduler.placement().workers();
+            if workers.any(over) || !limited || !counts_agree(&scheduler, &live) {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(300, SEED))
+        .tests(300)
+        .quickcheck(holds as fn(Vec<(u8, u16)>) -> bool);
+}
+
+/// Returns whether the reservations of workers and teams equal the charges of the jobs.
+fn counts_agree(scheduler: &Scheduler, live: &[(JobId, u32)]) -> bool {
+    let held = live
+        .iter()
+        .filter_map(|(id, _)| scheduler.job(*id))
+        .filter(|j| j.worker.is_some())
+        .fold(Size::ZERO, |a, j| a + j.charge);
+    let mut workers = Size::ZERO;
+    scheduler
+        .placement()
+        .workers()
+        .for_each(|(_, w)| workers = workers + w.used);
+    let teams = (0..3).fold(Size::ZERO, |a, t| a + scheduler.fairness().used(TeamId(t)));
+    workers == held && teams == held
+}
+
+/// Guards against a start that takes effect twice or comes from a holder that was replaced.
+#[test]
+fn a_fenced_start_takes_effect_once() {
+    fn holds(requests: Vec<(u8, u8, u8)>) -> bool {
+        let mut fence = Fence::default();
+        let mut admitted: Vec<(u64, u32)> = Vec::new();
+        let mut newest = 0;
+        requests.into_iter().all(|(token, job, run)| {
+            let (token, run) = (u64::from(token % 4), u32::from(run % 4) + 1);
+            let job = 0x1_0000_0001 + u64::from(job % 4);
+            let admits = fence.admit(token, JobId::from_number(job), run);
+            let fresh = !admitted.iter().any(|(j, r)| *j == job && *r >= run);
+            let expected = token >= newest && fresh;
+            if admits {
+                newest = token;
+                admitted.push((job, run));
+            }
+            admits == expected
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, SEED))
+        .tests(500)
+        .quickcheck(holds as fn(Vec<(u8, u8, u8)>) -> bool);
+}
