--- a/src/jobs/placement.rs
+++ b/src/jobs/placement.rs
@@ -134,6 +134,18 @@
         self.refresh(id);
     }
 
+    /// Keeps the room of a worker from all that do not ask for it by its id, or ends that.
+    pub fn set_kept(&mut self, id: WorkerId, kept: bool) {
+        self.workers[id.index()].kept = kept;
+        self.refresh(id);
+    }
+
+    /// Returns whether a worker is in good standing in a data centre that is in use.
+    pub fn is_open(&self, id: WorkerId) -> bool {
+        let worker = self.worker(id);
+        worker.standing == Standing::Good && !self.is_out(worker.data_centre)
+    }
+
     /// Reserves resources for a job of `team`.
     pub fn reserve(&mut self, id: WorkerId, team: TeamId, size: Size) {
         let worker = &mut self.workers[id.index()];
@@ -269,11 +281,6 @@
             .collect()
     }
 
-    fn is_open(&self, id: WorkerId) -> bool {
-        let worker = self.worker(id);
-        worker.standing == Standing::Good && !self.is_out(worker.data_centre)
-    }
-
     fn count(&mut self, id: WorkerId, add: bool) {
         if !self.is_open(id) {
             return;
--- a/src/jobs/quarantine.rs
+++ b/src/jobs/quarantine.rs
@@ -17,7 +17,7 @@
 const FIRST: Duration = Duration::from_secs(60);
 const LONGEST: Duration = Duration::from_secs(3_600);
 
-/// Pause between jobs on a worker in probation. A worker that fails in milliseconds would otherwise
+/// First pause between jobs on a worker in probation; doubles with each failure in a row. A worker that fails in milliseconds would otherwise
 /// take a job per decision.
 const PAUSE: Duration = Duration::from_secs(2);
 
@@ -118,8 +118,11 @@
                 record.until = now + PAUSE;
                 Some(Standing::Quarantined)
             }
+            // A worker that was quarantined before and fails on its return has not recovered.
+            Standing::Probation if record.repetitions > 0 => Some(record.quarantine(now)),
             Standing::Probation => {
-                record.until = now + PAUSE;
+                let doublings = record.streak.len().saturating_sub(SUSPICIOUS);
+                record.until = now + PAUSE * 2_u32.pow(u32::try_from(doublings).unwrap_or(0));
                 Some(Standing::Quarantined)
             }
             _ => None,
--- a/src/jobs/scheduler/end.rs
+++ b/src/jobs/scheduler/end.rs
@@ -47,6 +47,7 @@
         }
         if before.is_waiting() {
             self.dequeue(id);
+            self.unkeep(id);
             self.quarantine.forget(id);
         }
         self.jobs[id.0].go(State::Cancelled, Reason::ByCaller);
--- a/src/jobs/scheduler/mod.rs
+++ b/src/jobs/scheduler/mod.rs
@@ -60,8 +60,8 @@
     throttled: Vec<JobId>,
     /// Teams whose next jobs did not fit since capacity was last freed.
     stalled: Vec<bool>,
-    /// Workers on which room was asked for an urgent job, and when.
-    relieving: Map<WorkerId, Instant>,
+    /// Workers kept for an urgent job for which room was asked there, and since when.
+    kept: Map<JobId, (WorkerId, Instant)>,
 }
 
 impl Scheduler {
@@ -73,7 +73,7 @@
             jobs: SlotMap::new(),
             placement: Placement::default(),
             fairness: Fairness::default(),
-            sizing: Sizing::new(tuning.margin_percent),
+            sizing: Sizing::new(tuning.margin_percent, tuning.memory_margin_percent),
             quarantine: Quarantine::default(),
             lanes: Vec::new(),
             urgent: VecDeque::new(),
@@ -83,7 +83,7 @@
             stopping: Vec::new(),
             throttled: Vec::new(),
             stalled: Vec::new(),
-            relieving: Map::default(),
+            kept: Map::default(),
         }
     }
 
--- a/src/jobs/scheduler/relief.rs
+++ b/src/jobs/scheduler/relief.rs
@@ -3,7 +3,7 @@
 use super::Scheduler;
 use crate::clock::Instant;
 use crate::fleet::TeamId;
-use crate::jobs::{Action, JobId, Reason, Size, Standing, State, WorkerId};
+use crate::jobs::{Action, JobId, Reason, Size, State, WorkerId};
 
 /// Workers compared to make room for one job; bounds the time of one decision.
 const CANDIDATES: usize = 32;
@@ -53,29 +53,28 @@
     }
 
     fn relieve_urgent(&mut self, now: Instant) -> Vec<Action> {
-        self.relieving.retain(|_, at| now.since(*at) < PATIENCE);
+        let expired = self.kept.iter();
+        let expired = expired.filter(|(_, (_, at))| now.since(*at) >= PATIENCE);
+        for id in expired.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.unkeep(id);
+        }
         let mut waiting: Vec<JobId> = self.urgent.iter().copied().collect();
         waiting.retain(|id| self.waits(*id));
         waiting.truncate(CANDIDATES);
         let mut actions = Vec::new();
         for id in waiting {
             let job = &self.jobs[id.0];
-            let asked = job.stopping.is_some_and(|(_, at)| now.since(at) < PATIENCE);
-            if asked || !self.fairness.below_limit(job.spec.team) {
+            if self.kept.contains_key(&id) || !self.fairness.below_limit(job.spec.team) {
                 continue;
             }
             let size = job.charge;
-            let found = self.make_room(size, now);
-            if !found.is_empty() {
-                self.jobs[id.0].stopping = Some((Reason::Preempted, now));
-                actions.extend(found);
-            }
+            actions.extend(self.make_room(id, size, now));
         }
         actions
     }
 
     /// Chooses the worker on which room for `size` wastes least, by throttling or checkpointing.
-    fn make_room(&mut self, size: Size, now: Instant) -> Vec<Action> {
+    fn make_room(&mut self, urgent: JobId, size: Size, now: Instant) -> Vec<Action> {
         let capacity = self.schedulable();
         let mut teams: Vec<TeamId> = (0..).map(TeamId).take(self.fairness.len()).collect();
         let level = |t: &TeamId| self.fairness.level(*t, capacity);
@@ -89,7 +88,7 @@
                 continue;
             };
             let large_enough = self.placement.worker(worker).capacity.fits(size);
-            let free_to_ask = self.may_start_on(worker) && !self.relieving.contains_key(&worker);
+            let free_to_ask = self.placement.is_open(worker) && !self.placement.worker(worker).kept;
             if large_enough && free_to_ask && !workers.contains(&worker) {
                 workers.push(worker);
             }
@@ -105,7 +104,8 @@
         let Some((cost, worker, throttle)) = options.min() else {
             return Vec::new();
         };
-        self.relieving.insert(worker, now);
+        self.placement.set_kept(worker, true);
+        self.kept.insert(urgent, (worker, now));
         if throttle {
             return self.throttle(worker, cost);
         }
@@ -114,9 +114,12 @@
         victims.into_iter().filter_map(checkpoint).collect()
     }
 
-    fn may_start_on(&self, worker: WorkerId) -> bool {
-        let worker = self.placement.worker(worker);
-        worker.standing == Standing::Good && !self.placement.is_out(worker.data_centre)
+    /// Ends the keeping of a worker for an urgent job.
+    pub(super) fn unkeep(&mut self, urgent: JobId) {
+        if let Some((worker, _)) = self.kept.remove(&urgent) {
+            self.placement.set_kept(worker, false);
+            self.freed();
+        }
     }
 
     /// Processors that throttling has to take for `size` on a worker, if half of what the jobs there
--- a/src/jobs/scheduler/start.rs
+++ b/src/jobs/scheduler/start.rs
@@ -122,13 +122,22 @@
         {
             return None;
         }
+        if let Some((kept, _)) = self.kept.get(&id).copied()
+            && self.placement.is_open(kept)
+            && self.placement.worker(kept).free().fits(size)
+        {
+            self.unkeep(id);
+            return Some(self.place(id, kept, now));
+        }
         let policy = self.tuning.policy;
         let avoid = &self.jobs[id.0].failed_on;
         let mut worker = self.placement.choose(team, size, avoid, policy);
         if worker.is_none() && !avoid.is_empty() {
             worker = self.placement.choose(team, size, &[], policy);
         }
-        Some(self.place(id, worker?, now))
+        let worker = worker?;
+        self.unkeep(id);
+        Some(self.place(id, worker, now))
     }
 
     fn place(&mut self, id: JobId, worker: WorkerId, now: Instant) -> Start {
@@ -139,7 +148,6 @@
         debug_assert!(moved, "only waiting jobs are placed");
         job.run += 1;
         job.placed = now;
-        job.stopping = None;
         job.worker = Some(worker);
         let run = job.run;
         let lane = self.lane(team);
--- a/src/jobs/sizing.rs
+++ b/src/jobs/sizing.rs
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 pub struct Sizing {
     margin_percent: u64,
+    memory_margin_percent: u64,
     kinds: Map<(TeamId, KindId), Usage>,
 }
 
@@ -34,7 +35,7 @@
 }
 
 impl Sizing {
-    /// Makes an empty record that adds `margin_percent` to learned sizes.
+    /// Makes an empty record that adds percentages to learned processors and memory.
     ///
     /// ```
     /// use std::time::Duration;
@@ -42,18 +43,19 @@
     /// use coriandernotch::fleet::TeamId;
     /// use coriandernotch::jobs::{KindId, Size, Sizing};
     ///
-    /// let mut sizing = Sizing::new(10);
+    /// let mut sizing = Sizing::new(1, 10);
     /// let (team, kind, declared) = (TeamId(0), KindId(0), Size::new(4_000, 4_000, 1));
     /// assert_eq!(sizing.estimate(team, kind, declared), declared);
     /// for _ in 0..3 {
     ///     let used = Size::new(1_000, 500, 1);
     ///     sizing.observe(team, kind, used, Duration::from_secs(5), Instant::default());
     /// }
-    /// assert_eq!(sizing.estimate(team, kind, declared), Size::new(1_100, 550, 1));
+    /// assert_eq!(sizing.estimate(team, kind, declared), Size::new(1_010, 550, 1));
     /// ```
-    pub fn new(margin_percent: u64) -> Self {
+    pub fn new(margin_percent: u64, memory_margin_percent: u64) -> Self {
         Self {
             margin_percent,
+            memory_margin_percent,
             kinds: Map::default(),
         }
     }
@@ -94,16 +96,16 @@
         let Some(usage) = self.kinds.get(&(team, kind)).filter(|u| u.weight >= ENOUGH) else {
             return declared;
         };
-        // Many jobs share a worker, so their deviations partly cancel: half of the mean deviation.
-        let padded = |i: usize| {
-            let typical = usage.mean[i] + 0.5 * usage.deviation[i];
-            (typical * (100 + self.margin_percent) as f64 / 100.0).round() as u64
-        };
+        let padded = |n: f64, percent: u64| (n * (100 + percent) as f64 / 100.0).round() as u64;
+        let memory = usage.mean[1] + 2.0 * usage.deviation[1];
         let within =
             |n: u64, declared: u64| n.clamp((declared / FACTOR).max(1), (declared * FACTOR).max(1));
         Size::new(
-            within(padded(0), declared.processors),
-            within(padded(1), declared.memory),
+            within(
+                padded(usage.mean[0], self.margin_percent),
+                declared.processors,
+            ),
+            within(padded(memory, self.memory_margin_percent), declared.memory),
             declared.accelerators,
         )
     }
--- a/src/jobs/tuning.rs
+++ b/src/jobs/tuning.rs
@@ -10,16 +10,21 @@
     pub policy: Policy,
     /// Percent of the capacity in service that only urgent work may use.
     pub headroom_percent: u64,
-    /// Percent added to learned sizes.
+    /// Percent added to learned processors. Small, since a worker short of processors only slows
+    /// its jobs down and their deviations cancel.
     pub margin_percent: u64,
+    /// Percent added to learned memory, on top of twice its deviation, since a worker short of
+    /// memory loses jobs.
+    pub memory_margin_percent: u64,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
         Self {
             policy: Policy::Learned,
-            headroom_percent: 2,
-            margin_percent: 5,
+            headroom_percent: 1,
+            margin_percent: 1,
+            memory_margin_percent: 5,
         }
     }
 }
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -23,6 +23,8 @@
     pub used: Size,
     /// Jobs that hold resources.
     pub jobs: u32,
+    /// Whether its room is kept for an urgent job.
+    pub kept: bool,
     /// How far it is trusted.
     pub standing: Standing,
 }
@@ -36,6 +38,7 @@
             capacity,
             used: Size::ZERO,
             jobs: 0,
+            kept: false,
             standing: Standing::Good,
         }
     }
@@ -45,9 +48,10 @@
         self.capacity - self.used
     }
 
-    /// Returns what a new job may get, given its standing.
+    /// Returns what a new job may get, given its standing; nothing while kept.
     pub fn offer(&self) -> Size {
         match self.standing {
+            _ if self.kept => Size::ZERO,
             Standing::Good => self.free(),
             Standing::Probation if self.jobs == 0 => self.free(),
             _ => Size::ZERO,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod collections;
 pub mod fleet;
 pub mod jobs;
+pub mod measure;
 pub mod platform;
