Make room for large jobs and accelerators on one worker; bound what waits

Change: an accelerator brings its part of its worker, which teams do not share; large jobs get room made and kept on one worker, first from teams above their share; at most 1,000 jobs of a team wait.

--- a/src/jobs/fairness.rs
+++ b/src/jobs/fairness.rs
@@ -8,6 +8,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fairness {
     teams: Vec<Account>,
+    /// Processors and memory that come with one accelerator.
+    part: Size,
+    /// Processors and memory held by way of accelerators.
+    companion: Size,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -46,6 +50,38 @@
         (account.weight, account.limit) = (weight, limit);
     }
 
+    /// Sets the processors and memory that come with one accelerator, once.
+    pub fn set_part(&mut self, part: Size) {
+        if self.part == Size::ZERO {
+            self.part = part;
+        }
+    }
+
+    /// Returns what a job counts for: an accelerator brings its part of its worker, or the teams
+    /// that use none would fill the processors next to accelerators that then stand idle.
+    ///
+    /// ```
+    /// use coriandernotch::jobs::{Fairness, Size};
+    ///
+    /// let mut fairness = Fairness::default();
+    /// fairness.set_part(Size::new(8_000, 32_768, 0));
+    /// assert_eq!(fairness.charged(Size::new(20_000, 9, 2)), Size::new(4_000, 0, 2));
+    /// ```
+    pub fn charged(&self, size: Size) -> Size {
+        let brought = |part: u64| part * size.accelerators;
+        size - Size::new(brought(self.part.processors), brought(self.part.memory), 0)
+    }
+
+    /// Returns the processors of a size, and those that come with its accelerators.
+    pub fn processors(&self, size: Size) -> u64 {
+        size.processors + self.part.processors * size.accelerators
+    }
+
+    /// Returns the processors and memory held by way of accelerators, which teams do not share.
+    pub fn companion(&self) -> Size {
+        self.companion
+    }
+
     /// Returns the upper limit of a known team.
     pub fn limit(&self, team: TeamId) -> Option<u32> {
         self.teams.get(team.index()).map(|a| a.limit)
@@ -66,6 +102,11 @@
         self.teams[team.index()].running
     }
 
+    /// Returns how many jobs of a team wait, without urgent ones.
+    pub fn waiting(&self, team: TeamId) -> u32 {
+        self.teams[team.index()].waiting
+    }
+
     /// Returns what a team holds.
     pub fn used(&self, team: TeamId) -> Size {
         self.teams[team.index()].used
@@ -79,6 +120,7 @@
 
     /// Counts a job that waits.
     pub fn wait(&mut self, team: TeamId, size: Size) {
+        let size = self.charged(size);
         let account = &mut self.teams[team.index()];
         account.wanted = account.wanted + size;
         account.waiting += 1;
@@ -86,6 +128,7 @@
 
     /// Removes a job that waits.
     pub fn leave(&mut self, team: TeamId, size: Size) {
+        let size = self.charged(size);
         let account = &mut self.teams[team.index()];
         account.wanted = account.wanted - size;
         account.waiting = account.waiting.saturating_sub(1);
@@ -93,22 +136,23 @@
 
     /// Counts a job that holds resources.
     pub fn start(&mut self, team: TeamId, size: Size) {
-        let account = &mut self.teams[team.index()];
-        account.used = account.used + size;
-        account.running += 1;
+        self.resize(team, Size::ZERO, size);
+        self.teams[team.index()].running += 1;
     }
 
     /// Removes a job that held resources.
     pub fn stop(&mut self, team: TeamId, size: Size) {
+        self.resize(team, size, Size::ZERO);
         let account = &mut self.teams[team.index()];
-        account.used = account.used - size;
         account.running = account.running.saturating_sub(1);
     }
 
     /// Replaces what one running job holds.
     pub fn resize(&mut self, team: TeamId, old: Size, new: Size) {
+        let (less, more) = (self.charged(old), self.charged(new));
         let account = &mut self.teams[team.index()];
-        account.used = account.used - old + new;
+        account.used = account.used - less + more;
+        self.companion = self.companion - (old - less) + (new - more);
     }
 
     /// Returns the dominant share of a team divided by its weight.
--- a/src/jobs/placement.rs
+++ b/src/jobs/placement.rs
@@ -2,7 +2,8 @@
 use crate::collections::Map;
 use crate::fleet::{DataCentreId, TeamId};
 
-/// Data centres with room that are compared for one job; more gave no better packing and cost time.
+/// Data centres with room that are compared for a job without accelerators. One with accelerators is
+/// compared in all: scattered accelerators cost checkpoints later.
 const COMPARED: usize = 3;
 
 /// Workers, what is free on them, and the choice of a worker for a job.
@@ -12,6 +13,7 @@
 #[derive(Debug, Default)]
 pub struct Placement {
     workers: Vec<Worker>,
+    accelerated: Vec<WorkerId>,
     racks: Vec<Rack>,
     data_centres: Vec<Site>,
     /// Capacity of the workers that may get work.
@@ -62,6 +64,9 @@
         rack.workers.push(id);
         site.capacity = site.capacity + worker.capacity;
         *self.capacities.entry(worker.capacity).or_default() += 1;
+        if worker.capacity.accelerators > 0 {
+            self.accelerated.push(id);
+        }
         self.workers.push(worker);
         if !self.data_centres[worker.data_centre.index()].out && worker.standing == Standing::Good {
             self.open = self.open + worker.capacity;
@@ -146,6 +151,22 @@
         worker.standing == Standing::Good && !self.is_out(worker.data_centre)
     }
 
+    /// Lists at most `count` workers on which room for a job with accelerators can be made, those
+    /// that lack fewest accelerators first.
+    pub fn with_accelerators(&self, size: Size, count: usize) -> Vec<WorkerId> {
+        let workers = self.accelerated.iter().map(|id| (*id, self.worker(*id)));
+        let usable =
+            workers.filter(|(id, w)| w.capacity.fits(size) && !w.kept && self.is_open(*id));
+        let mut found: Vec<_> = usable
+            .map(|(id, w)| (size.accelerators.saturating_sub(w.free().accelerators), id))
+            .collect();
+        if found.len() > count {
+            found.select_nth_unstable(count);
+            found.truncate(count);
+        }
+        found.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// Reserves resources for a job of `team`.
     pub fn reserve(&mut self, id: WorkerId, team: TeamId, size: Size) {
         let worker = &mut self.workers[id.index()];
@@ -239,7 +260,7 @@
                     best = Some((cost, id));
                 }
                 compared += 1;
-                if compared == COMPARED || size.accelerators == 0 && cost.0 == 0 {
+                if size.accelerators == 0 && (compared == COMPARED || cost.0 == 0) {
                     break;
                 }
             }
--- a/src/jobs/reason.rs
+++ b/src/jobs/reason.rs
@@ -46,6 +46,8 @@
     TooLarge,
     /// Asks for nothing.
     Empty,
+    /// Too many jobs of the team wait.
+    QueueFull,
     /// The team is unknown.
     UnknownTeam,
     /// The upper limit of the team is zero.
--- a/src/jobs/scheduler/end.rs
+++ b/src/jobs/scheduler/end.rs
@@ -51,6 +51,9 @@
             self.quarantine.forget(id);
         }
         self.jobs[id.0].go(State::Cancelled, Reason::ByCaller);
+        if before.is_waiting() {
+            self.sweep(id);
+        }
         Ok(worker.map(|worker| Action::Stop {
             job: id,
             run,
@@ -113,6 +116,23 @@
             .flatten()
     }
 
+    /// Drops cancelled jobs from a lane once they are the larger part, or a caller that submits and
+    /// cancels behind a job that does not fit would grow it without bound.
+    fn sweep(&mut self, id: JobId) {
+        if self.jobs[id.0].spec.urgent && self.tuning.policy.is_fair() {
+            self.urgent.retain(|other| *other != id);
+            return;
+        }
+        let lane = self.lane(self.jobs[id.0].spec.team);
+        self.stale[lane] += 1;
+        if self.stale[lane] * 2 > self.lanes[lane].len() + 64 {
+            let mut ids = std::mem::take(&mut self.lanes[lane]);
+            ids.retain(|id| self.waits(*id));
+            self.lanes[lane] = ids;
+            self.stale[lane] = 0;
+        }
+    }
+
     /// Takes back all that a job holds. Returns its worker.
     fn release(&mut self, id: JobId) -> Option<WorkerId> {
         let job = &mut self.jobs[id.0];
@@ -120,7 +140,7 @@
         let (team, size, placed) = (job.spec.team, job.charge, job.placed);
         if job.stopping.take().is_some() {
             let stopping = &mut self.stopping[team.index()];
-            *stopping = *stopping - size;
+            *stopping = *stopping - self.fairness.charged(size);
         }
         if job.throttled > 0 {
             job.throttled = 0;
--- a/src/jobs/scheduler/mod.rs
+++ b/src/jobs/scheduler/mod.rs
@@ -1,4 +1,5 @@
 mod end;
+mod reclaim;
 mod relief;
 mod start;
 
@@ -47,8 +48,10 @@
     fairness: Fairness,
     sizing: Sizing,
     quarantine: Quarantine,
-    /// Waiting jobs per team; jobs that were cancelled stay until they reach the front.
+    /// Waiting jobs per team; jobs that were cancelled stay for a while.
     lanes: Vec<VecDeque<JobId>>,
+    /// At most the number of cancelled jobs in each lane.
+    stale: Vec<usize>,
     urgent: VecDeque<JobId>,
     /// Jobs that return to their queue later.
     delayed: BTreeSet<(Instant, JobId)>,
@@ -57,10 +60,12 @@
     placed: Vec<BTreeSet<(Instant, JobId)>>,
     /// What is about to be freed, per team.
     stopping: Vec<Size>,
+    /// How far each team was above its share at the last balance, less what it gave since.
+    surplus: Vec<f64>,
     throttled: Vec<JobId>,
     /// Teams whose next jobs did not fit since capacity was last freed.
     stalled: Vec<bool>,
-    /// Workers kept for an urgent job for which room was asked there, and since when.
+    /// Workers kept for a job for which room was asked there, and since when.
     kept: Map<JobId, (WorkerId, Instant)>,
 }
 
@@ -76,11 +81,13 @@
             sizing: Sizing::new(tuning.margin_percent, tuning.memory_margin_percent),
             quarantine: Quarantine::default(),
             lanes: Vec::new(),
+            stale: Vec::new(),
             urgent: VecDeque::new(),
             delayed: BTreeSet::new(),
             on_worker: Vec::new(),
             placed: Vec::new(),
             stopping: Vec::new(),
+            surplus: Vec::new(),
             throttled: Vec::new(),
             stalled: Vec::new(),
             kept: Map::default(),
@@ -91,6 +98,9 @@
     pub fn add_worker(&mut self, worker: Worker) -> WorkerId {
         self.on_worker.push(Vec::new());
         self.freed();
+        if let Some(part) = worker.accelerator_part() {
+            self.fairness.set_part(part);
+        }
         self.placement.add(worker)
     }
 
@@ -100,6 +110,7 @@
         let teams = self.fairness.len();
         self.lanes.resize_with(teams, VecDeque::new);
         self.placed.resize_with(teams, BTreeSet::new);
+        self.stale.resize(teams, 0);
         self.stopping.resize(teams, Size::ZERO);
         self.stalled.resize(teams, false);
         self.freed();
@@ -140,6 +151,7 @@
             Some(0) => return Err(Reason::LimitZero),
             Some(_) if spec.declared.processors == 0 => return Err(Reason::Empty),
             Some(_) if !self.placement.can_ever_fit(size) => return Err(Reason::TooLarge),
+            Some(_) if self.is_full(&spec) => return Err(Reason::QueueFull),
             Some(_) => {}
         }
         let job = Job::new(spec, size, now);
@@ -181,6 +193,11 @@
         }
     }
 
+    /// Returns the capacity that teams share: without what accelerators bring to their jobs.
+    pub fn shared(&self) -> Size {
+        self.schedulable() - self.fairness.companion()
+    }
+
     /// Returns the bytes held, computed from the capacities of the collections.
     pub fn footprint(&self) -> usize {
         let id = size_of::<JobId>();
@@ -232,6 +249,15 @@
         }
     }
 
+    fn is_full(&self, spec: &Spec) -> bool {
+        let limit = self.tuning.waiting_limit;
+        if spec.urgent {
+            self.urgent.len() >= limit as usize
+        } else {
+            self.fairness.waiting(spec.team) >= limit
+        }
+    }
+
     fn enqueue(&mut self, id: JobId, front: bool) {
         let job = &self.jobs[id.0];
         let (team, size) = (job.spec.team, job.charge);
@@ -277,11 +303,16 @@
             return None;
         }
         job.stopping = Some((reason, now));
-        let stopping = &mut self.stopping[job.spec.team.index()];
-        *stopping = *stopping + job.charge;
+        let (team, run) = (job.spec.team, job.run);
+        let stopping = &mut self.stopping[team.index()];
+        *stopping = *stopping + self.fairness.charged(job.charge);
+        let part = self.part(self.jobs[id.0].charge);
+        if let Some(surplus) = self.surplus.get_mut(team.index()) {
+            *surplus -= part;
+        }
         Some(Action::Checkpoint {
             job: id,
-            run: job.run,
+            run,
             worker,
             reason,
         })
--- /dev/null
+++ b/src/jobs/scheduler/reclaim.rs
@@ -0,0 +1,123 @@
+use super::{Scheduler, start};
+use crate::clock::Instant;
+use crate::fleet::TeamId;
+use crate::jobs::{Action, JobId, Reason, Size};
+
+/// Part of a job by which a team must be off its share before it takes or gives that job. Above a
+/// half, or two teams would pass one job to and fro.
+const WORTHWHILE: f64 = 0.6;
+
+/// Jobs of one team looked at per call; a larger give-back takes several calls.
+const VICTIMS: usize = 512;
+
+/// A job above this part of the largest worker gets room made on one worker, since room freed here
+/// and there would not add up.
+const LARGE: u64 = 4;
+
+impl Scheduler {
+    /// Computes by how much each team is above its share.
+    pub(super) fn measure_surplus(&mut self) {
+        let capacity = self.shared();
+        self.surplus = (0..)
+            .map(TeamId)
+            .zip(self.fairness.entitlements(capacity))
+            .map(|(team, share)| {
+                let holds = self.fairness.used(team) - self.stopping[team.index()];
+                holds.dominant(capacity) - share
+            })
+            .collect();
+    }
+
+    /// Returns whether the team of a job is so far above its share that it has to give the job.
+    pub(super) fn gives(&self, id: JobId) -> bool {
+        let job = &self.jobs[id.0];
+        let surplus = self.surplus.get(job.spec.team.index()).copied();
+        surplus.unwrap_or(0.0) >= WORTHWHILE * self.part(job.charge)
+    }
+
+    /// Part of the shared capacity that a job counts for.
+    pub(super) fn part(&self, size: Size) -> f64 {
+        self.fairness.charged(size).dominant(self.shared())
+    }
+
+    /// Checkpoints jobs of teams above their share for teams below it that cannot start.
+    pub(super) fn reclaim(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let mut need = Size::ZERO;
+        for index in 0..self.surplus.len() {
+            let team = TeamId(u32::try_from(index).unwrap_or(u32::MAX));
+            if !self.stalled[index] || !self.fairness.below_limit(team) {
+                continue;
+            }
+            let next: Vec<(JobId, Size)> = self.lanes[index]
+                .iter()
+                .filter(|id| self.waits(**id))
+                .take(start::LOOK_AHEAD)
+                .map(|id| (*id, self.jobs[id.0].charge))
+                .collect();
+            let Some((_, head)) = next.first().copied() else {
+                continue;
+            };
+            let jobs = -self.surplus[index] / self.part(head) + 1.0 - WORTHWHILE;
+            let jobs = jobs.floor().max(0.0) as u64;
+            if jobs > 0 && self.is_large(head) {
+                for (id, size) in next.into_iter().take(usize::try_from(jobs).unwrap_or(1)) {
+                    if !self.kept.contains_key(&id) {
+                        actions.extend(self.make_room(id, size, false, now));
+                    }
+                }
+            } else {
+                let size = self.fairness.charged(head);
+                let times = |n: u64| n.saturating_mul(jobs);
+                need = need + Size::new(times(size.processors), times(size.memory), 0);
+            }
+        }
+        actions.extend(self.give_back(need, now));
+        actions
+    }
+
+    fn is_large(&self, size: Size) -> bool {
+        let largest = self.placement.ceiling(0);
+        size.accelerators > 0
+            || size.processors > largest.processors / LARGE
+            || size.memory > largest.memory / LARGE
+    }
+
+    /// Checkpoints jobs without accelerators, anywhere, until `need` is on its way.
+    fn give_back(&mut self, mut need: Size, now: Instant) -> Vec<Action> {
+        need = need - self.stopping.iter().fold(Size::ZERO, |a, s| a + *s);
+        // Free memory is rarely fragmented; processors that are free did not fit.
+        let free = self.schedulable() - self.placement.used();
+        need.memory = need.memory.saturating_sub(free.memory);
+        let mut actions = Vec::new();
+        if need == Size::ZERO {
+            return actions;
+        }
+        let mut above: Vec<TeamId> = (0..).map(TeamId).take(self.surplus.len()).collect();
+        above.retain(|t| self.surplus[t.index()] > 0.0);
+        above.sort_by(|a, b| self.surplus[b.index()].total_cmp(&self.surplus[a.index()]));
+        for team in above {
+            let newest: Vec<JobId> = self.placed[team.index()]
+                .iter()
+                .rev()
+                .take(VICTIMS)
+                .map(|(_, id)| *id)
+                .collect();
+            for id in newest {
+                let job = &self.jobs[id.0];
+                if need == Size::ZERO || !self.gives(id) {
+                    break;
+                }
+                if job.spec.urgent || job.charge.accelerators > 0 {
+                    continue;
+                }
+                let charge = job.charge;
+                if let Some(action) = self.checkpoint(id, Reason::Reclaimed, now) {
+                    actions.push(action);
+                    need = need - charge;
+                }
+            }
+        }
+        actions
+    }
+}
--- a/src/jobs/scheduler/relief.rs
+++ b/src/jobs/scheduler/relief.rs
@@ -8,9 +8,6 @@
 /// Workers compared to make room for one job; bounds the time of one decision.
 const CANDIDATES: usize = 32;
 
-/// Jobs of one team looked at per call; a larger give-back takes several calls.
-const VICTIMS: usize = 512;
-
 /// Time after which room asked for an urgent job is asked for again.
 const PATIENCE: Duration = Duration::from_millis(1_000);
 
@@ -25,6 +22,7 @@
         if !self.tuning.policy.is_fair() {
             return Vec::new();
         }
+        self.measure_surplus();
         let mut actions = self.relieve_urgent(now);
         if actions.is_empty() && self.urgent.is_empty() {
             actions = self.restore();
@@ -68,14 +66,30 @@
                 continue;
             }
             let size = job.charge;
-            actions.extend(self.make_room(id, size, now));
+            actions.extend(self.make_room(id, size, true, now));
         }
         actions
     }
 
-    /// Chooses the worker on which room for `size` wastes least, by throttling or checkpointing.
-    fn make_room(&mut self, urgent: JobId, size: Size, now: Instant) -> Vec<Action> {
-        let capacity = self.schedulable();
+    /// Makes room for `size` where it wastes least, by throttling or checkpointing.
+    pub(super) fn make_room(
+        &mut self,
+        id: JobId,
+        size: Size,
+        urgent: bool,
+        now: Instant,
+    ) -> Vec<Action> {
+        let workers = if size.accelerators > 0 {
+            self.placement.with_accelerators(size, CANDIDATES)
+        } else {
+            self.workers_of_newest(size)
+        };
+        self.clear(id, size, &workers, urgent, now)
+    }
+
+    /// Workers of the newest jobs of the teams furthest above their share.
+    fn workers_of_newest(&self, size: Size) -> Vec<WorkerId> {
+        let capacity = self.shared();
         let mut teams: Vec<TeamId> = (0..).map(TeamId).take(self.fairness.len()).collect();
         let level = |t: &TeamId| self.fairness.level(*t, capacity);
         teams.sort_by(|a, b| level(b).total_cmp(&level(a)));
@@ -96,27 +110,46 @@
                 break;
             }
         }
+        workers
+    }
+
+    /// Makes room for a job on one of `workers` and keeps it for the job.
+    fn clear(
+        &mut self,
+        job: JobId,
+        size: Size,
+        workers: &[WorkerId],
+        urgent: bool,
+        now: Instant,
+    ) -> Vec<Action> {
         let options = workers.iter().flat_map(|w| {
-            let throttle = self.throttle_cost(*w, size).map(|c| (c, *w, true));
-            let checkpoint = self.victims(*w, size).map(|(c, _)| (c, *w, false));
+            let throttle = urgent.then(|| self.throttle_cost(*w, size)).flatten();
+            let throttle = throttle.map(|c| (c, *w, true));
+            let checkpoint = self.victims(*w, size, urgent).map(|(c, _)| (c, *w, false));
             throttle.into_iter().chain(checkpoint)
         });
         let Some((cost, worker, throttle)) = options.min() else {
             return Vec::new();
         };
         self.placement.set_kept(worker, true);
-        self.kept.insert(urgent, (worker, now));
+        self.kept.insert(job, (worker, now));
         if throttle {
             return self.throttle(worker, cost);
         }
-        let victims = self.victims(worker, size).map_or(Vec::new(), |(_, v)| v);
-        let checkpoint = |id| self.checkpoint(id, Reason::Preempted, now);
+        let victims = self.victims(worker, size, urgent);
+        let victims = victims.map_or(Vec::new(), |(_, v)| v);
+        let reason = if urgent {
+            Reason::Preempted
+        } else {
+            Reason::Reclaimed
+        };
+        let checkpoint = |id| self.checkpoint(id, reason, now);
         victims.into_iter().filter_map(checkpoint).collect()
     }
 
-    /// Ends the keeping of a worker for an urgent job.
-    pub(super) fn unkeep(&mut self, urgent: JobId) {
-        if let Some((worker, _)) = self.kept.remove(&urgent) {
+    /// Ends the keeping of a worker for a job.
+    pub(super) fn unkeep(&mut self, job: JobId) {
+        if let Some((worker, _)) = self.kept.remove(&job) {
             self.placement.set_kept(worker, false);
             self.freed();
         }
@@ -156,18 +189,22 @@
             .collect()
     }
 
-    /// Smallest set found of jobs whose checkpoint makes room for `size`, with its cost.
-    fn victims(&self, worker: WorkerId, size: Size) -> Option<(u64, Vec<JobId>)> {
+    /// Smallest set found of jobs whose checkpoint makes room for `size`, with its cost. Jobs of
+    /// teams above their share come first.
+    fn victims(&self, worker: WorkerId, size: Size, urgent: bool) -> Option<(u64, Vec<JobId>)> {
         let mut room = self.placement.worker(worker).free();
-        let mut movable: Vec<(u64, JobId)> = Vec::new();
+        let free = self.schedulable() - self.placement.used();
+        // Where enough are free, a job that leaves an accelerator gets another one.
+        let scattered = size.accelerators > 0 && free.accelerators >= size.accelerators;
+        let mut movable: Vec<(bool, u64, JobId)> = Vec::new();
         for id in &self.on_worker[worker.index()] {
             let job = &self.jobs[id.0];
-            if job.stopping.is_some() {
-                // Room on its way is taken by the job that asked for it.
-                continue;
-            }
-            if job.state == State::Running && job.spec.checkpoints && !job.spec.urgent {
-                movable.push((job.charge.processors, *id));
+            // Room on its way is taken by the job that asked for it.
+            let may = job.state == State::Running && job.spec.checkpoints && !job.spec.urgent;
+            let beside = size.accelerators > 0 && job.charge.accelerators == 0;
+            let gives = self.gives(*id);
+            if may && job.stopping.is_none() && (urgent || gives || beside || scattered) {
+                movable.push((!gives, self.fairness.processors(job.charge), *id));
             }
         }
         movable.sort_unstable();
@@ -178,9 +215,9 @@
             // The smallest job that alone closes the gap, else the largest one.
             let alone = movable
                 .iter()
-                .position(|(_, id)| self.jobs[id.0].charge.fits(short));
+                .position(|(_, _, id)| self.jobs[id.0].charge.fits(short));
             let index = alone.or_else(|| movable.len().checked_sub(1))?;
-            let (processors, id) = movable.remove(index);
+            let (_, processors, id) = movable.remove(index);
             room = room + self.jobs[id.0].charge;
             cost += processors * CHECKPOINT_WASTE;
             victims.push(id);
@@ -214,86 +251,4 @@
         }
         actions
     }
-
-    /// Checkpoints jobs of teams above their share for teams below it that cannot start.
-    fn reclaim(&mut self, now: Instant) -> Vec<Action> {
-        let capacity = self.schedulable();
-        let entitled = self.fairness.entitlements(capacity);
-        let mut need = Size::ZERO;
-        for (index, share) in entitled.iter().enumerate() {
-            let team = TeamId(u32::try_from(index).unwrap_or(u32::MAX));
-            if !self.stalled[index] || !self.fairness.below_limit(team) {
-                continue;
-            }
-            let Some(head) = self.lanes[index]
-                .iter()
-                .find_map(|id| self.waiting_size(*id))
-            else {
-                continue;
-            };
-            let missing = share - self.fairness.used(team).dominant(capacity);
-            // Whole jobs only: a team less than one job below its share would take and give in turn.
-            let jobs = (missing / head.dominant(capacity)).floor().max(0.0) as u64;
-            let times = |n: u64| n.saturating_mul(jobs);
-            need = need
-                + Size::new(
-                    times(head.processors),
-                    times(head.memory),
-                    times(head.accelerators),
-                );
-        }
-        let on_way = self.stopping.iter().fold(Size::ZERO, |a, s| a + *s);
-        need = need - on_way;
-        // Free memory is rarely fragmented; processors that are free did not fit.
-        need.memory = need
-            .memory
-            .saturating_sub((capacity - self.placement.used()).memory);
-        if need == Size::ZERO {
-            return Vec::new();
-        }
-        let mut above: Vec<(f64, TeamId)> = (0..)
-            .map(TeamId)
-            .zip(&entitled)
-            .map(|(team, share)| {
-                let holds = self.fairness.used(team) - self.stopping[team.index()];
-                (holds.dominant(capacity) - share, team)
-            })
-            .filter(|(surplus, _)| *surplus > 0.0)
-            .collect();
-        above.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let mut actions = Vec::new();
-        for (mut surplus, team) in above {
-            let newest: Vec<JobId> = self.placed[team.index()]
-                .iter()
-                .rev()
-                .take(VICTIMS)
-                .map(|(_, id)| *id)
-                .collect();
-            for id in newest {
-                let job = &self.jobs[id.0];
-                let part = job.charge.dominant(capacity);
-                if need == Size::ZERO || surplus < part {
-                    break;
-                }
-                let plain = need.processors > 0 || need.memory > 0;
-                let helps = plain && job.charge.accelerators == 0
-                    || need.accelerators > 0 && job.charge.accelerators > 0;
-                if job.spec.urgent || !helps {
-                    continue;
-                }
-                let charge = job.charge;
-                if let Some(action) = self.checkpoint(id, Reason::Reclaimed, now) {
-                    actions.push(action);
-                    surplus -= part;
-                    need = need - charge;
-                }
-            }
-        }
-        actions
-    }
-
-    fn waiting_size(&self, id: JobId) -> Option<Size> {
-        let job = self.jobs.get(id.0)?;
-        (job.state.is_waiting() && job.due.is_none()).then_some(job.charge)
-    }
 }
--- a/src/jobs/scheduler/start.rs
+++ b/src/jobs/scheduler/start.rs
@@ -20,11 +20,11 @@
         if let Some(start) = self.next_urgent(now) {
             return Some(start);
         }
-        let capacity = self.schedulable();
+        let (capacity, shared) = (self.schedulable(), self.shared());
         loop {
             let team = self
                 .fairness
-                .next(capacity, |team| !self.stalled[team.index()])?;
+                .next(shared, |team| !self.stalled[team.index()])?;
             if let Some(start) = self.next_of(team, now, capacity) {
                 return Some(start);
             }
@@ -78,9 +78,9 @@
         let mut failed: Option<Size> = None;
         for index in 0..LOOK_AHEAD {
             let id = self.front(team.index(), index)?;
-            // A job at least as large as one that did not fit does not fit either.
+            // A job at least as large as one that did not fit does not fit, unless room was made for it.
             let size = self.jobs[id.0].charge;
-            if failed.is_some_and(|f| size.fits(f)) {
+            if failed.is_some_and(|f| size.fits(f)) && !self.kept.contains_key(&id) {
                 continue;
             }
             if let Some(start) = self.try_start(id, now, capacity) {
@@ -117,11 +117,10 @@
             self.fairness.wait(team, size);
         }
         job.charge = size;
-        if !self.fairness.below_limit(team)
-            || !leaves_headroom(self.placement.used(), size, capacity)
-        {
+        if !self.fairness.below_limit(team) {
             return None;
         }
+        // Room that was made for the job is its own, whatever the headroom elsewhere.
         if let Some((kept, _)) = self.kept.get(&id).copied()
             && self.placement.is_open(kept)
             && self.placement.worker(kept).free().fits(size)
@@ -129,6 +128,9 @@
             self.unkeep(id);
             return Some(self.place(id, kept, now));
         }
+        if !leaves_headroom(self.placement.used(), size, capacity) {
+            return None;
+        }
         let policy = self.tuning.policy;
         let avoid = &self.jobs[id.0].failed_on;
         let mut worker = self.placement.choose(team, size, avoid, policy);
--- a/src/jobs/tuning.rs
+++ b/src/jobs/tuning.rs
@@ -8,6 +8,8 @@
 pub struct Tuning {
     /// How starts are decided.
     pub policy: Policy,
+    /// Most jobs of one team that wait; bounds memory.
+    pub waiting_limit: u32,
     /// Percent of the capacity in service that only urgent work may use.
     pub headroom_percent: u64,
     /// Percent added to learned processors. Small, since a worker short of processors only slows
@@ -22,6 +24,7 @@
     fn default() -> Self {
         Self {
             policy: Policy::Learned,
+            waiting_limit: 1_000,
             headroom_percent: 1,
             margin_percent: 1,
             memory_margin_percent: 5,
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -43,6 +43,13 @@
         }
     }
 
+    /// Returns the processors and memory that come with each accelerator, if it has some.
+    pub fn accelerator_part(&self) -> Option<Size> {
+        let part = |n: u64| n.checked_div(self.capacity.accelerators);
+        let (processors, memory) = (self.capacity.processors, self.capacity.memory);
+        Some(Size::new(part(processors)?, part(memory)?, 0))
+    }
+
     /// Returns what is not reserved.
     pub fn free(&self) -> Size {
         self.capacity - self.used
--- a/src/measure/world.rs
+++ b/src/measure/world.rs
@@ -38,6 +38,8 @@
     /// What each team wants: its waiting and running jobs at their real size.
     wanted: Vec<Size>,
     held: Vec<Size>,
+    /// What accelerators bring to the jobs that hold them.
+    companion: Size,
     /// Usage on its way, in order of arrival.
     reports: VecDeque<(Instant, JobId, u32, Size, Duration)>,
     out: Option<DataCentreId>,
@@ -54,6 +56,7 @@
             jobs: Map::default(),
             wanted: vec![Size::ZERO; teams],
             held: vec![Size::ZERO; teams],
+            companion: Size::ZERO,
             reports: VecDeque::new(),
             out: None,
             tally: Tally::default(),
@@ -106,8 +109,9 @@
 
     fn submit(&mut self, arrival: Arrival, now: Instant) {
         if let Ok(id) = self.scheduler.submit(arrival.spec, now) {
+            let charged = self.scheduler.fairness().charged(arrival.used);
             let wanted = &mut self.wanted[arrival.spec.team.index()];
-            *wanted = *wanted + arrival.used;
+            *wanted = *wanted + charged;
             self.jobs.insert(id, (arrival, arrival.work));
         }
     }
@@ -124,6 +128,7 @@
     fn advance(&mut self, second: u64, now: Instant) {
         let mut ended: Vec<(Task, WorkerId, Outcome)> = Vec::new();
         self.held.fill(Size::ZERO);
+        self.companion = Size::ZERO;
         let (mut inside, mut total) = (0.0, 0.0);
         for (index, tasks) in (0..).zip(&mut self.tasks) {
             let id = WorkerId(index);
@@ -141,7 +146,7 @@
                     None if !task.confirmed => {
                         task.confirmed = true;
                         self.scheduler.confirm(task.job, task.run);
-                        if task.arrival.spec.urgent {
+                        if task.arrival.spec.urgent && task.run == 1 {
                             let submitted = self.scheduler.job(task.job).map(|j| j.submitted);
                             let waited = now.since(submitted.unwrap_or(now));
                             self.tally.urgent.push(waited);
@@ -157,7 +162,9 @@
                         let slow = |n: u64| (n as f64 * progress) as u64;
                         let real =
                             Size::new(slow(used.processors), slow(used.memory), used.accelerators);
-                        *held = *held + real;
+                        let charged = self.scheduler.fairness().charged(real);
+                        *held = *held + charged;
+                        self.companion = self.companion + (real - charged);
                         total += real.processors as f64;
                         if !is_out {
                             inside += real.processors as f64;
@@ -211,8 +218,9 @@
         self.tally.succeeded += u32::from(outcome == Outcome::Succeeded);
         let state = self.scheduler.job(task.job).map(|j| j.state);
         if state.is_some_and(State::is_final) {
+            let charged = self.scheduler.fairness().charged(task.arrival.used);
             let wanted = &mut self.wanted[task.arrival.spec.team.index()];
-            *wanted = *wanted - task.arrival.used;
+            *wanted = *wanted - charged;
             self.jobs.remove(&task.job);
             self.scheduler.forget(task.job);
         }
@@ -297,8 +305,8 @@
         self.tally.footprint = self.tally.footprint.max(self.scheduler.footprint());
     }
 
-    /// Capacity in service less the headroom and the margin of the default tuning; the same for all
-    /// policies, so that their figures compare.
+    /// Capacity in service less the headroom and the margin of the default tuning, the same for all
+    /// policies, and less what comes with accelerators.
     fn usable(&self) -> Size {
         let default = Tuning::default();
         let open = self.scheduler.placement().open();
@@ -308,7 +316,7 @@
             scale(open.processors, default.margin_percent),
             scale(open.memory, default.memory_margin_percent),
             open.accelerators,
-        )
+        ) - self.companion
     }
 
     fn wanted_processors(&self) -> f64 {
