--- a/src/jobs/fairness.rs
+++ b/src/jobs/fairness.rs
@@ -22,6 +22,8 @@
     running: u32,
     wanted: Size,
     waiting: u32,
+    /// Recent mean distance from the share, positive above it.
+    drift: f64,
 }
 
 impl Fairness {
@@ -155,10 +157,20 @@
         self.companion = self.companion - (old - less) + (new - more);
     }
 
-    /// Returns the dominant share of a team divided by its weight.
+    /// Moves the recent mean distance from the share by `part` towards the present `distance`. It
+    /// stays within one mean job, which is what whole jobs can be off for long.
+    pub fn drift(&mut self, team: TeamId, distance: f64, part: f64, capacity: Size) -> f64 {
+        let account = &mut self.teams[team.index()];
+        let job = account.used.dominant(capacity) / f64::from(account.running.max(1));
+        account.drift = (account.drift + part * (distance - account.drift)).clamp(-job, job);
+        account.drift
+    }
+
+    /// Returns the dominant share of a team, corrected for its recent distance from its share,
+    /// divided by its weight.
     pub fn level(&self, team: TeamId, capacity: Size) -> f64 {
         let account = &self.teams[team.index()];
-        account.used.dominant(capacity) / f64::from(account.weight.max(1))
+        (account.used.dominant(capacity) + account.drift) / f64::from(account.weight.max(1))
     }
 
     /// Chooses the waiting team with the lowest level, below its limit and accepted by `may`.
--- a/src/jobs/scheduler/mod.rs
+++ b/src/jobs/scheduler/mod.rs
@@ -62,6 +62,7 @@
     stopping: Vec<Size>,
     /// How far each team was above its share at the last balance, less what it gave since.
     surplus: Vec<f64>,
+    balanced: Instant,
     throttled: Vec<JobId>,
     /// Teams whose next jobs did not fit since capacity was last freed.
     stalled: Vec<bool>,
@@ -88,6 +89,7 @@
             placed: Vec::new(),
             stopping: Vec::new(),
             surplus: Vec::new(),
+            balanced: Instant::default(),
             throttled: Vec::new(),
             stalled: Vec::new(),
             kept: Map::default(),
--- a/src/jobs/scheduler/reclaim.rs
+++ b/src/jobs/scheduler/reclaim.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use super::{Scheduler, start};
 use crate::clock::Instant;
 use crate::fleet::TeamId;
@@ -7,6 +9,10 @@
 /// half, or two teams would pass one job to and fro.
 const WORTHWHILE: f64 = 0.6;
 
+/// Time over which distances from the share are evened out; well below the minute over which shares
+/// are measured.
+const MEMORY: Duration = Duration::from_secs(15);
+
 /// Jobs of one team looked at per call; a larger give-back takes several calls.
 const VICTIMS: usize = 512;
 
@@ -15,17 +21,22 @@
 const LARGE: u64 = 4;
 
 impl Scheduler {
-    /// Computes by how much each team is above its share.
-    pub(super) fn measure_surplus(&mut self) {
+    /// Computes by how much each team is above its share, now and recently. Without the past a team
+    /// with large jobs stays half a job off; with it the odd job goes from team to team.
+    pub(super) fn measure_surplus(&mut self, now: Instant) {
         let capacity = self.shared();
-        self.surplus = (0..)
-            .map(TeamId)
-            .zip(self.fairness.entitlements(capacity))
-            .map(|(team, share)| {
-                let holds = self.fairness.used(team) - self.stopping[team.index()];
-                holds.dominant(capacity) - share
-            })
-            .collect();
+        let passed = now.since(self.balanced).as_secs_f64() / MEMORY.as_secs_f64();
+        self.balanced = now;
+        let part = 1.0 - (-passed).exp();
+        let entitled = self.fairness.entitlements(capacity);
+        self.surplus.clear();
+        for (team, share) in (0..).map(TeamId).zip(entitled) {
+            let used = self.fairness.used(team);
+            let distance = used.dominant(capacity) - share;
+            let drift = self.fairness.drift(team, distance, part, capacity);
+            let holds = used - self.stopping[team.index()];
+            self.surplus.push(holds.dominant(capacity) - share + drift);
+        }
     }
 
     /// Returns whether the team of a job is so far above its share that it has to give the job.
--- a/src/jobs/scheduler/relief.rs
+++ b/src/jobs/scheduler/relief.rs
@@ -22,7 +22,7 @@
         if !self.tuning.policy.is_fair() {
             return Vec::new();
         }
-        self.measure_surplus();
+        self.measure_surplus(now);
         let mut actions = self.relieve_urgent(now);
         if actions.is_empty() && self.urgent.is_empty() {
             actions = self.restore();
@@ -217,9 +217,10 @@
                 .iter()
                 .position(|(_, _, id)| self.jobs[id.0].charge.fits(short));
             let index = alone.or_else(|| movable.len().checked_sub(1))?;
-            let (_, processors, id) = movable.remove(index);
+            let (keeps, processors, id) = movable.remove(index);
             room = room + self.jobs[id.0].charge;
-            cost += processors * CHECKPOINT_WASTE;
+            let waste = if keeps { 2 } else { 1 };
+            cost += processors * CHECKPOINT_WASTE * waste;
             victims.push(id);
         }
         Some((cost, victims))
