--- a/src/jobs/placement.rs
+++ b/src/jobs/placement.rs
@@ -1,3 +1,5 @@
+use super::rack::Rack;
+use super::site::Site;
 use super::{Policy, RackId, Size, Standing, Worker, WorkerId};
 use crate::collections::Map;
 use crate::fleet::{DataCentreId, TeamId};
@@ -24,20 +26,6 @@
     on_site: Map<(TeamId, DataCentreId), u32>,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Rack {
-    workers: Vec<WorkerId>,
-    largest: Size,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Site {
-    racks: Vec<RackId>,
-    largest: Size,
-    out: bool,
-    capacity: Size,
-}
-
 impl Placement {
     /// Adds a worker; its rack belongs to the data centre of its first worker.
     ///
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -2,6 +2,7 @@
 //! discrete time without a network, next to a naive baseline.
 
 mod demand;
+mod deviation;
 mod layout;
 mod random;
 mod report;
