Leave out former lives that a restart at the same address proves to have ended

Cause: after a crash of all instances the head lists lives that never acknowledge again, and the platform's list goes on to show their names, so no change could ever be accepted. Any newer incarnation of a name used to count as proof, which is unsafe when the former process may still run elsewhere.

--- a/src/node/join.rs
+++ b/src/node/join.rs
@@ -29,6 +29,7 @@
     let condition = row
         .as_ref()
         .map_or(Condition::Absent, |row| Condition::Version(row.version));
+    member.replaced = row.as_ref().and_then(|row| find_replaced(row, member));
     member.incarnation = row.map_or(0, |row| read_incarnation(&row)) + 1;
     let value = serde_json::to_string(member).expect("a member has only plain fields");
     platform
@@ -38,6 +39,16 @@
         .map(drop)
 }
 
+/// A process that has bound the peer address of a former life proves that this life has ended.
+fn find_replaced(row: &Row, member: &Member) -> Option<u64> {
+    let former: Member = serde_json::from_str(&row.value).ok()?;
+    if former.incarnation == member.incarnation && former.name == member.name {
+        // An earlier try of this life took effect although its answer was lost.
+        return member.replaced;
+    }
+    (former.peers == member.peers).then_some(former.incarnation)
+}
+
 /// A row that cannot be read still has a version, which never falls behind the incarnation.
 fn read_incarnation(row: &Row) -> u64 {
     serde_json::from_str::<Member>(&row.value)
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -105,5 +105,6 @@
         callers: callers.local_addr().wrap_err("step=local-address")?,
         operators: operators.local_addr().wrap_err("step=local-address")?,
         data_centre: settings.data_centre.clone(),
+        replaced: None,
     })
 }
--- a/src/node/vote.rs
+++ b/src/node/vote.rs
@@ -79,16 +79,14 @@
         .map(|l| l.voter().clone())
         .collect();
     running.push(own.clone());
-    for voter in &voters {
-        // A name that runs a newer life has ended the older one.
-        if running
-            .iter()
-            .any(|r| r.name == voter.name && r.incarnation > voter.incarnation)
-        {
-            shared
-                .control
-                .with_presence(|presence| presence.on_restart(voter));
-        }
+    let members = shared.members();
+    for voter in voters
+        .iter()
+        .filter(|v| members.iter().any(|m| m.has_replaced(v)))
+    {
+        shared
+            .control
+            .with_presence(|presence| presence.on_restart(voter));
     }
     let ended = |v: &Voter| {
         shared
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,28 +7,34 @@
 mod ack;
 mod affirmation;
 mod body;
+mod borrow;
 mod count;
 mod fetch;
 mod fetched;
 mod frame;
+mod give_back;
 mod hello;
-mod loan;
+mod lent;
 mod position;
 mod prepare;
+mod renew;
 mod report;
 mod revision;
 
 pub use ack::Ack;
 pub use affirmation::Affirmation;
 pub use body::Body;
+pub use borrow::Borrow;
 pub use count::Count;
 pub use fetch::Fetch;
 pub use fetched::Fetched;
 pub use frame::{Frame, Malformed};
+pub use give_back::Return;
 pub use hello::Hello;
-pub use loan::{Borrow, Lent, Renew, Return};
+pub use lent::Lent;
 pub use position::Position;
 pub use prepare::Prepare;
+pub use renew::Renew;
 pub use report::Report;
 pub use revision::Revision;
 
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -69,12 +69,14 @@
     }
 
     fn serve(&mut self, name: &str) {
+        self.serve_at(name, "127.0.0.1:0".parse().unwrap());
+    }
+
+    fn serve_at(&mut self, name: &str, peers: SocketAddr) {
         let settings = serde_json::json!({
             "name": name,
             "data-centre": "east",
-            "listen": {
-                "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"
-            },
+            "listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": peers},
             "platform": {
                 "table": [self.platform], "objects": [self.platform], "listing": [self.platform]
             },
@@ -211,6 +213,61 @@
     assert_eq!(bed.target.repeated(), Vec::<Arc<str>>::new());
 }
 
+/// Guards against changes that are blocked for good after all instances crashed at once: their
+/// former lives are voters that never answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_fleet_that_crashed_as_a_whole_accepts_changes_again() {
+    let mut bed = Bed::start("crash").await;
+    let names = ["entry-a", "entry-b", "entry-c"];
+    names.iter().for_each(|name| bed.serve(name));
+    let mut members = Vec::new();
+    for name in names {
+        members.push(bed.member(name).await);
+    }
+    let fleet = bed.document();
+    assert_eq!(
+        bed.run(&["apply", fleet.to_str().unwrap()], members[0].operators)
+            .0,
+        0
+    );
+    for member in &members {
+        call_until_answered(member.callers, &member.name).await;
+    }
+    let end = Instant::now() + WAIT;
+    while !bed
+        .store
+        .row("fleet/head")
+        .unwrap()
+        .value
+        .contains("entry-c")
+    {
+        assert!(Instant::now() < end, "entry-c is not a voter");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for name in names {
+        bed.signal(name, Signal::KILL).wait().unwrap();
+    }
+    for member in &members {
+        bed.serve_at(&member.name, member.peers);
+    }
+    let end = Instant::now() + WAIT;
+    let operators = loop {
+        let member = bed.member("entry-a").await;
+        if member.incarnation > members[0].incarnation {
+            break member.operators;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    loop {
+        let (code, text) = bed.run(&["apply", fleet.to_str().unwrap()], operators);
+        if code == 0 {
+            break;
+        }
+        assert!(Instant::now() < end, "{code} {text}");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
 /// Guards against exit codes and messages that scripts cannot rely on.
 #[test]
 fn wrong_usage_exits_with_2_and_the_usage() {
