Split the dispatcher by duty

Cause: src/call/dispatcher.rs had 561 lines and three duties. Change: admission (from an order to a grant), dispatch (from a grant to the end of its call) and the place of a waiting call are files of their own; no behaviour changes.

--- a/src/call/dispatcher.rs
+++ b/src/call/dispatcher.rs
@@ -1,20 +1,23 @@
+mod admit;
+mod dispatch;
+mod place;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 
-use super::lane::{Call, Wake};
-use super::{End, Grant, Lane, Load, Order};
-use crate::admit::{Refusal, Ticket, Waiting};
+use super::{Lane, Load, Order};
+use crate::admit::Refusal;
 use crate::clock::Instant;
 use crate::collections::Map;
 use crate::fleet::{DataCentreId, ServiceId, Snapshot, TeamId};
 use crate::limit::{Ledger, Permit};
 use crate::platform::Instance;
-use crate::route::{Targets, Verdict};
+use crate::route::Targets;
 
 /// Longest run of a call before the first fleet document states it.
 const DEFAULT_LONGEST_RUN: Duration = Duration::from_secs(30);
@@ -194,300 +197,6 @@
         self.waiting.load(Ordering::Acquire)
     }
 
-    /// Waits for a slot and a permit.
-    ///
-    /// # Errors
-    ///
-    /// The call was not run, for the given reason. Dropping the future also means not run.
-    pub async fn admit(self: &Arc<Self>, order: Order, now: Instant) -> Result<Grant, Refusal> {
-        if self.draining.load(Ordering::Acquire) {
-            return Err(Refusal::ShuttingDown);
-        }
-        if !self.is_fresh(now) {
-            return Err(Refusal::Stale);
-        }
-        let enforced = self.enforced();
-        allow(&order, &enforced)?;
-        let lane = self.lane(order.service).ok_or(Refusal::NoTarget)?;
-        let (ticket, answer) = {
-            let mut guard = lock(&lane);
-            guard.retries.earn();
-            if guard.queues.is_empty()
-                && let Some(grant) = self.grant(&mut guard, order, &enforced, now)
-            {
-                return Ok(grant);
-            }
-            let place = self.enqueue(&mut guard, order, &enforced, now)?;
-            // Counted under the lock, so that whoever frees a slot next sees the call.
-            self.waiting.fetch_add(1, Ordering::AcqRel);
-            place
-        };
-        if !self.with_ledger(|ledger| ledger.can_take(order.team, now)) {
-            self.permit_wanted.notify_one();
-        }
-        let place = Place {
-            dispatcher: self,
-            lane: &lane,
-            ticket,
-        };
-        let left = order.deadline.since(now);
-        let answer = match tokio::time::timeout(left, answer).await {
-            Ok(Ok(result)) => result,
-            Ok(Err(_)) => Err(Refusal::ShuttingDown),
-            // A grant that was sent as the timer fired is given back by its drop.
-            Err(_) => Err(Refusal::DeadlinePassed),
-        };
-        drop(place);
-        answer
-    }
-
-    fn enqueue(
-        &self,
-        lane: &mut Lane,
-        order: Order,
-        enforced: &[Arc<Snapshot>],
-        now: Instant,
-    ) -> Result<(Ticket, oneshot::Receiver<Result<Grant, Refusal>>), Refusal> {
-        let capacity = lane.targets.capacity(now, enforced);
-        if capacity == 0 {
-            return Err(Refusal::NoTarget);
-        }
-        let current = enforced.first().ok_or(Refusal::Stale)?;
-        if current.team(order.team).is_none_or(|t| t.limit == 0) {
-            return Err(Refusal::LimitReached);
-        }
-        let limit = current.service(order.service).map_or(0, |s| s.queue_limit);
-        let own: u32 = lane.running.iter().sum();
-        let slots = (own + lane.targets.free(now, enforced)).clamp(1, capacity);
-        let (wake, answer) = oneshot::channel();
-        lane.queues
-            .push(order.team, order.deadline, now, slots, limit, (order, wake))
-            .map(|ticket| (ticket, answer))
-            .map_err(|(refusal, _)| refusal)
-    }
-
-    /// Gives waiting calls of all services what is free.
-    pub fn pump(self: &Arc<Self>, now: Instant) {
-        if self.waiting() == 0 {
-            return;
-        }
-        let enforced = self.enforced();
-        let fresh = self.is_fresh(now);
-        for (_, lane) in self.lanes() {
-            let answers = self.pump_lane(&mut lock(&lane), &enforced, fresh, now);
-            // Answers go out without the lock, because a dropped grant takes it again.
-            for (wake, answer) in answers {
-                self.waiting.fetch_sub(1, Ordering::AcqRel);
-                drop(wake.send(answer));
-            }
-        }
-    }
-
-    fn pump_lane(
-        self: &Arc<Self>,
-        lane: &mut Lane,
-        enforced: &[Arc<Snapshot>],
-        fresh: bool,
-        now: Instant,
-    ) -> Vec<(Wake, Result<Grant, Refusal>)> {
-        let mut answers = Vec::new();
-        loop {
-            let (next, late) = self.next(lane, enforced, fresh, now);
-            answers.extend(
-                late.into_iter()
-                    .map(|w| (w.value.1, Err(Refusal::DeadlinePassed))),
-            );
-            let Some(waiting) = next else { break };
-            let (order, wake) = waiting.value;
-            let answer = match allow(&order, enforced) {
-                Err(refusal) => Err(refusal),
-                Ok(()) => match self.grant(lane, order, enforced, now) {
-                    Some(grant) => Ok(grant),
-                    None => Err(Refusal::LimitReached),
-                },
-            };
-            answers.push((wake, answer));
-        }
-        answers
-    }
-
-    /// Takes the next waiting call when a slot is free and the call's team has a permit.
-    fn next(
-        &self,
-        lane: &mut Lane,
-        enforced: &[Arc<Snapshot>],
-        fresh: bool,
-        now: Instant,
-    ) -> (Option<Waiting<Call>>, Vec<Waiting<Call>>) {
-        let open = fresh && lane.targets.free(now, enforced) > 0;
-        let ledger = self.ledger.lock().expect("ledger lock");
-        let current = enforced.first();
-        let Lane {
-            queues,
-            running,
-            reported,
-            ..
-        } = lane;
-        queues.next(now, |team| {
-            if !open || !ledger.can_take(team, now) {
-                return None;
-            }
-            let share = current?.team(team).map_or(1, |t| t.share.max(1));
-            let own = running.get(team.index()).copied().unwrap_or(0);
-            let all = own + reported.get(&team).copied().unwrap_or(0);
-            Some(f64::from(all) / f64::from(share))
-        })
-    }
-
-    fn grant(
-        self: &Arc<Self>,
-        lane: &mut Lane,
-        order: Order,
-        enforced: &[Arc<Snapshot>],
-        now: Instant,
-    ) -> Option<Grant> {
-        let near = *self.near.read().expect("near lock");
-        let permit = self
-            .with_ledger(|ledger| ledger.take(order.team, now))
-            .ok()?;
-        let Some(target) = lane.targets.choose(now, near, enforced, &[]) else {
-            self.with_ledger(|ledger| ledger.give(permit));
-            return None;
-        };
-        lane.count_start(order.team);
-        self.running.fetch_add(1, Ordering::AcqRel);
-        Some(Grant {
-            dispatcher: self.clone(),
-            order,
-            permit,
-            target,
-            address: lane.targets.get(target)?.address,
-            granted: now,
-            tried: Vec::new(),
-            ends: None,
-            finished: false,
-        })
-    }
-
-    /// Checks everything again that may have changed since the grant.
-    ///
-    /// Returns by when the work must have ended.
-    pub(super) fn check(&self, grant: &Grant, now: Instant) -> Result<Instant, Refusal> {
-        if !self.is_fresh(now) {
-            return Err(Refusal::Stale);
-        }
-        if now >= grant.order.deadline {
-            return Err(Refusal::DeadlinePassed);
-        }
-        let enforced = self.enforced();
-        allow(&grant.order, &enforced)?;
-        let startable = self
-            .with_targets(grant.order.service, |t| {
-                t.may_start(grant.target, &enforced)
-            })
-            .unwrap_or(false);
-        if !startable {
-            return Err(Refusal::NoTarget);
-        }
-        let ends = self.with_ledger(|ledger| ledger.check(grant.permit, now));
-        ends.map_err(|_| Refusal::LimitReached)
-    }
-
-    pub(super) fn retry(
-        &self,
-        grant: &mut Grant,
-        verdict: Verdict,
-        now: Instant,
-    ) -> Result<(), Refusal> {
-        let lane = self.lane(grant.order.service).ok_or(Refusal::NoTarget)?;
-        let enforced = self.enforced();
-        let near = *self.near.read().expect("near lock");
-        let mut lane = lock(&lane);
-        grant.tried.push(grant.target);
-        if !lane.retries.spend() {
-            return Err(Refusal::Unreachable);
-        }
-        let next = lane.targets.choose(now, near, &enforced, &grant.tried);
-        let next = next.ok_or(Refusal::Unreachable)?;
-        lane.targets.finish(grant.target, verdict, now);
-        grant.target = next;
-        grant.address = lane.targets.get(next).ok_or(Refusal::NoTarget)?.address;
-        Ok(())
-    }
-
-    pub(super) fn finish(
-        self: &Arc<Self>,
-        grant: &Grant,
-        verdict: Verdict,
-        end: End,
-        now: Instant,
-    ) {
-        if let Some(lane) = self.lane(grant.order.service) {
-            let mut lane = lock(&lane);
-            lane.count_end(grant.order.team);
-            if verdict == Verdict::Answered {
-                lane.queues.record(now.since(grant.granted));
-            }
-            if let Some(ejected) = lane.targets.finish(grant.target, verdict, now) {
-                log_ejection(grant, verdict, ejected);
-            }
-        }
-        match end {
-            End::Proved => self.with_ledger(|ledger| ledger.give(grant.permit)),
-            End::Unproved => {
-                let until = grant.ends.unwrap_or(now);
-                self.lingering
-                    .lock()
-                    .expect("lingering lock")
-                    .push_back((until, grant.permit));
-            }
-        }
-        self.running.fetch_sub(1, Ordering::AcqRel);
-        self.pump(now);
-    }
-
-    pub(super) fn judge(&self, grant: &Grant, verdict: Verdict, now: Instant) {
-        if let Some(lane) = self.lane(grant.order.service)
-            && let Some(ejected) = lock(&lane).targets.judge(grant.target, verdict, now)
-        {
-            log_ejection(grant, verdict, ejected);
-        }
-    }
-
-    /// Takes one retry from the budget of a service, or returns false when there is none.
-    pub fn spend_retry(&self, service: ServiceId) -> bool {
-        self.lane(service)
-            .is_some_and(|lane| lock(&lane).retries.spend())
-    }
-
-    /// Gives back permits whose work cannot be running any more, and refuses late calls.
-    pub fn tick(self: &Arc<Self>, now: Instant) {
-        let ended: Vec<Permit> = {
-            let mut lingering = self.lingering.lock().expect("lingering lock");
-            let ended = lingering
-                .iter()
-                .filter(|(until, _)| *until <= now)
-                .map(|(_, p)| *p)
-                .collect();
-            lingering.retain(|(until, _)| *until > now);
-            ended
-        };
-        self.with_ledger(|ledger| ended.into_iter().for_each(|permit| ledger.give(permit)));
-        self.pump(now);
-    }
-
-    /// Stops admission and refuses all waiting calls.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::Release);
-        for (_, lane) in self.lanes() {
-            let waiting = lock(&lane).queues.drain();
-            for call in waiting {
-                self.waiting.fetch_sub(1, Ordering::AcqRel);
-                drop(call.value.1.send(Err(Refusal::ShuttingDown)));
-            }
-        }
-    }
-
     /// Returns the longest run of a call over the enforced versions.
     pub fn longest_run(&self) -> Duration {
         self.enforced()
@@ -523,26 +232,6 @@
     }
 }
 
-/// Place of a waiting call; dropping it takes the call out of the queue.
-struct Place<'a> {
-    dispatcher: &'a Dispatcher,
-    lane: &'a Mutex<Lane>,
-    ticket: Ticket,
-}
-
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        if lock(self.lane).queues.cancel(self.ticket).is_some() {
-            self.dispatcher.waiting.fetch_sub(1, Ordering::AcqRel);
-        }
-    }
-}
-
-fn log_ejection(grant: &Grant, verdict: Verdict, length: Duration) {
-    log::warn!(event = "target-ejected", peer:% = grant.address, verdict:% = verdict,
-        seconds = length.as_secs(); "");
-}
-
 fn lock(lane: &Mutex<Lane>) -> MutexGuard<'_, Lane> {
     lane.lock().expect("lane lock")
 }
