Close races between admission, dispatch and drain

Cause: (1) a call that passed the drain check could join a queue that the drain had emptied; (2) Grant::send let a call start after a drain and Grant::retry after the deadline; (3) a new call waited although slots were free when the queue held only calls of a team without a permit; (4) the verdict 'unreachable' was lost when the retry budget was spent or no other target was left, so a dead pool was never ejected; (5) between the look at a permit and its taking another service could take it. Change: the drain is checked under the lock of the queue and in send, retry refuses after the deadline and always judges the target, a queue is pumped when a call joins it, and a permit is taken under one lock of the ledger.

--- a/src/call/dispatcher/admit.rs
+++ b/src/call/dispatcher/admit.rs
@@ -10,6 +10,13 @@
 use crate::call::{Grant, Lane, Order};
 use crate::clock::Instant;
 use crate::fleet::Snapshot;
+use crate::limit::{Denial, Permit};
+
+/// Answer for a waiting call.
+type Answer = (Wake, Result<Grant, Refusal>);
+
+/// A call whose turn it is, with the permit that was taken for it.
+type Ready = (Waiting<Call>, Result<Permit, Denial>);
 
 /// Admission: from an order to a grant.
 impl Dispatcher {
@@ -28,19 +35,27 @@
         let enforced = self.enforced();
         allow(&order, &enforced)?;
         let lane = self.lane(order.service).ok_or(Refusal::NoTarget)?;
-        let (ticket, answer) = {
+        let (ticket, answer, answers) = {
             let mut guard = lock(&lane);
+            // Checked again under the lock: a drain that emptied this queue must not be followed by
+            // a call that joins it.
+            if self.draining.load(Ordering::Acquire) {
+                return Err(Refusal::ShuttingDown);
+            }
             guard.retries.earn();
             if guard.queues.is_empty()
                 && let Some(grant) = self.grant(&mut guard, order, &enforced, now)
             {
                 return Ok(grant);
             }
-            let place = self.enqueue(&mut guard, order, &enforced, now)?;
+            let (ticket, answer) = self.enqueue(&mut guard, order, &enforced, now)?;
             // Counted under the lock, so that whoever frees a slot next sees the call.
             self.waiting.fetch_add(1, Ordering::AcqRel);
-            place
+            // A slot may be free while calls of other teams wait for a permit.
+            let answers = self.pump_lane(&mut guard, &enforced, true, now);
+            (ticket, answer, answers)
         };
+        self.wake(answers);
         if !self.with_ledger(|ledger| ledger.can_take(order.team, now)) {
             self.permit_wanted.notify_one();
         }
@@ -94,11 +109,15 @@
         let fresh = self.is_fresh(now);
         for (_, lane) in self.lanes() {
             let answers = self.pump_lane(&mut lock(&lane), &enforced, fresh, now);
-            // Answers go out without the lock, because a dropped grant takes it again.
-            for (wake, answer) in answers {
-                self.waiting.fetch_sub(1, Ordering::AcqRel);
-                drop(wake.send(answer));
-            }
+            self.wake(answers);
+        }
+    }
+
+    /// Answers waiting calls, without the lock of a lane because a dropped grant takes it again.
+    fn wake(&self, answers: Vec<Answer>) {
+        for (wake, answer) in answers {
+            self.waiting.fetch_sub(1, Ordering::AcqRel);
+            drop(wake.send(answer));
         }
     }
 
@@ -108,7 +127,7 @@
         enforced: &[Arc<Snapshot>],
         fresh: bool,
         now: Instant,
-    ) -> Vec<(Wake, Result<Grant, Refusal>)> {
+    ) -> Vec<Answer> {
         let mut answers = Vec::new();
         loop {
             let (next, late) = self.next(lane, enforced, fresh, now);
@@ -116,30 +135,35 @@
                 late.into_iter()
                     .map(|w| (w.value.1, Err(Refusal::DeadlinePassed))),
             );
-            let Some(waiting) = next else { break };
+            let Some((waiting, permit)) = next else {
+                break;
+            };
             let (order, wake) = waiting.value;
-            let answer = match allow(&order, enforced) {
-                Err(refusal) => Err(refusal),
-                Ok(()) => match self.grant(lane, order, enforced, now) {
-                    Some(grant) => Ok(grant),
-                    None => Err(Refusal::LimitReached),
-                },
+            let answer = match (permit, allow(&order, enforced)) {
+                (Ok(permit), Ok(())) => self.start(lane, order, permit, enforced, now),
+                (Ok(permit), Err(refusal)) => {
+                    self.with_ledger(|ledger| ledger.give(permit));
+                    Err(refusal)
+                }
+                (Err(_), _) => Err(Refusal::LimitReached),
             };
             answers.push((wake, answer));
         }
         answers
     }
 
-    /// Takes the next waiting call when a slot is free and the call's team has a permit.
+    /// Takes the next waiting call and its permit when a slot is free and the call's team has a
+    /// permit; both under one lock of the ledger, so that another service cannot take the permit
+    /// in between.
     fn next(
         &self,
         lane: &mut Lane,
         enforced: &[Arc<Snapshot>],
         fresh: bool,
         now: Instant,
-    ) -> (Option<Waiting<Call>>, Vec<Waiting<Call>>) {
+    ) -> (Option<Ready>, Vec<Waiting<Call>>) {
         let open = fresh && lane.targets.free(now, enforced) > 0;
-        let ledger = self.ledger.lock().expect("ledger lock");
+        let mut ledger = self.ledger.lock().expect("ledger lock");
         let current = enforced.first();
         let Lane {
             queues,
@@ -147,7 +171,7 @@
             reported,
             ..
         } = lane;
-        queues.next(now, |team| {
+        let (next, late) = queues.next(now, |team| {
             if !open || !ledger.can_take(team, now) {
                 return None;
             }
@@ -155,7 +179,12 @@
             let own = running.get(team.index()).copied().unwrap_or(0);
             let all = own + reported.get(&team).copied().unwrap_or(0);
             Some(f64::from(all) / f64::from(share))
-        })
+        });
+        let next = next.map(|call| {
+            let permit = ledger.take(call.team, now);
+            (call, permit)
+        });
+        (next, late)
     }
 
     fn grant(
@@ -165,22 +194,34 @@
         enforced: &[Arc<Snapshot>],
         now: Instant,
     ) -> Option<Grant> {
+        let permit = self.with_ledger(|ledger| ledger.take(order.team, now));
+        self.start(lane, order, permit.ok()?, enforced, now).ok()
+    }
+
+    /// Chooses a target for a call that has a permit, which goes back when there is none.
+    fn start(
+        self: &Arc<Self>,
+        lane: &mut Lane,
+        order: Order,
+        permit: Permit,
+        enforced: &[Arc<Snapshot>],
+        now: Instant,
+    ) -> Result<Grant, Refusal> {
         let near = *self.near.read().expect("near lock");
-        let permit = self
-            .with_ledger(|ledger| ledger.take(order.team, now))
-            .ok()?;
-        let Some(target) = lane.targets.choose(now, near, enforced, &[]) else {
+        let target = lane.targets.choose(now, near, enforced, &[]);
+        let found = target.and_then(|id| Some((id, lane.targets.get(id)?.address)));
+        let Some((target, address)) = found else {
             self.with_ledger(|ledger| ledger.give(permit));
-            return None;
+            return Err(Refusal::NoTarget);
         };
         lane.count_start(order.team);
         self.running.fetch_add(1, Ordering::AcqRel);
-        Some(Grant {
+        Ok(Grant {
             dispatcher: self.clone(),
             order,
             permit,
             target,
-            address: lane.targets.get(target)?.address,
+            address,
             granted: now,
             tried: Vec::new(),
             ends: None,
--- a/src/call/dispatcher/dispatch.rs
+++ b/src/call/dispatcher/dispatch.rs
@@ -16,6 +16,9 @@
     ///
     /// Returns by when the work must have ended.
     pub(in crate::call) fn check(&self, grant: &Grant, now: Instant) -> Result<Instant, Refusal> {
+        if self.draining.load(Ordering::Acquire) {
+            return Err(Refusal::ShuttingDown);
+        }
         if !self.is_fresh(now) {
             return Err(Refusal::Stale);
         }
@@ -47,12 +50,24 @@
         let near = *self.near.read().expect("near lock");
         let mut lane = lock(&lane);
         grant.tried.push(grant.target);
-        if !lane.retries.spend() {
-            return Err(Refusal::Unreachable);
+        let next = if now >= grant.order.deadline {
+            Err(Refusal::DeadlinePassed)
+        } else if lane.retries.spend() {
+            let next = lane.targets.choose(now, near, &enforced, &grant.tried);
+            next.ok_or(Refusal::Unreachable)
+        } else {
+            Err(Refusal::Unreachable)
+        };
+        // The verdict counts also when the call ends here: a pool that is out of reach as a whole
+        // must be ejected, or each call tries it again.
+        let ejected = match next {
+            Ok(_) => lane.targets.finish(grant.target, verdict, now),
+            Err(_) => lane.targets.judge(grant.target, verdict, now),
+        };
+        if let Some(length) = ejected {
+            log_ejection(grant, verdict, length);
         }
-        let next = lane.targets.choose(now, near, &enforced, &grant.tried);
-        let next = next.ok_or(Refusal::Unreachable)?;
-        lane.targets.finish(grant.target, verdict, now);
+        let next = next?;
         grant.target = next;
         grant.address = lane.targets.get(next).ok_or(Refusal::NoTarget)?.address;
         Ok(())
