--- a/src/call/dispatcher.rs
+++ b/src/call/dispatcher.rs
@@ -170,7 +170,7 @@
             load.teams
                 .extend(running.map(|(team, n)| ((id, TeamId(team)), *n)));
             for (_, target) in lane.targets.iter().filter(|(_, t)| t.running > 0) {
-                *load.targets.entry(target.name.clone()).or_insert(0) += target.running;
+                *load.targets.entry(target.tag).or_insert(0) += target.running;
             }
         }
         load
--- a/src/call/load.rs
+++ b/src/call/load.rs
@@ -1,25 +1,25 @@
-use std::sync::Arc;
-
 use crate::collections::Map;
 use crate::fleet::{ServiceId, TeamId};
+use crate::route::Tag;
 
 /// Calls that run through one or several entry instances.
 ///
 /// ```
 /// use coriandernotch::call::Load;
+/// use coriandernotch::route::Tag;
 ///
 /// let mut sum = Load::default();
-/// sum.targets.insert("t".into(), 1);
+/// sum.targets.insert(Tag::of("t"), 1);
 /// let one = sum.clone();
 /// sum.add(&one);
-/// assert_eq!(sum.targets["t"], 2);
+/// assert_eq!(sum.on_target("t"), 2);
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Running calls per service and team.
     pub teams: Map<(ServiceId, TeamId), u32>,
-    /// Running calls per target name.
-    pub targets: Map<Arc<str>, u32>,
+    /// Running calls per target.
+    pub targets: Map<Tag, u32>,
 }
 
 impl Load {
@@ -29,8 +29,13 @@
             .teams
             .iter()
             .for_each(|(key, n)| *self.teams.entry(*key).or_insert(0) += n);
-        for (name, n) in &other.targets {
-            *self.targets.entry(name.clone()).or_insert(0) += n;
+        for (tag, n) in &other.targets {
+            *self.targets.entry(*tag).or_insert(0) += n;
         }
     }
+
+    /// Returns the running calls of the target `name`, or more when another name shares its tag.
+    pub fn on_target(&self, name: &str) -> u32 {
+        self.targets.get(&Tag::of(name)).copied().unwrap_or(0)
+    }
 }
--- a/src/config/state/until.rs
+++ b/src/config/state/until.rs
@@ -20,4 +20,17 @@
             .map(|at| (at + FRESHNESS).min(self.touched + PAUSE_LIMIT));
         by_head.max(by_majority)
     }
+
+    /// Returns the start of the last head read that showed the head in force.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::config::State;
+    ///
+    /// let now = Instant::default();
+    /// assert_eq!(State::example("a", &["a"], now).head_read(), Some(now));
+    /// ```
+    pub fn head_read(&self) -> Option<Instant> {
+        self.freshness.head_read()
+    }
 }
--- a/src/fleet/snapshot.rs
+++ b/src/fleet/snapshot.rs
@@ -26,6 +26,9 @@
     queue_ids: Map<Arc<str>, QueueId>,
     instance_pools: Map<Arc<str>, PoolId>,
     keys: Map<Digest, TeamId>,
+    /// Teams and services in the order of their names, which all instances share.
+    ranked_teams: Vec<TeamId>,
+    ranked_services: Vec<ServiceId>,
 }
 
 impl Snapshot {
@@ -83,6 +86,8 @@
             out.queue_ids.insert(queue.name.clone(), id);
             put(&mut out.queues, id.index(), queue.clone());
         }
+        out.ranked_teams = rank(&out.team_ids);
+        out.ranked_services = rank(&out.service_ids);
         out.document = Some(document);
         out
     }
@@ -161,6 +166,16 @@
             .filter_map(|(i, s)| Some((ServiceId(i), s.as_ref()?)))
     }
 
+    /// Returns the teams in the order of their names, the same at all instances of a version.
+    pub fn ranked_teams(&self) -> &[TeamId] {
+        &self.ranked_teams
+    }
+
+    /// Returns the services in the order of their names, the same at all instances of a version.
+    pub fn ranked_services(&self) -> &[ServiceId] {
+        &self.ranked_services
+    }
+
     /// Returns the pool of an instance as the document states it.
     pub fn pool_of(&self, instance: &str) -> Option<PoolId> {
         self.instance_pools.get(instance).copied()
@@ -197,6 +212,12 @@
     }
 }
 
+fn rank<T: Copy>(ids: &Map<Arc<str>, T>) -> Vec<T> {
+    let mut named: Vec<_> = ids.iter().collect();
+    named.sort_by(|a, b| a.0.cmp(b.0));
+    named.into_iter().map(|(_, id)| *id).collect()
+}
+
 fn put<T>(arena: &mut Vec<Option<T>>, index: usize, value: T) {
     if arena.len() <= index {
         arena.resize_with(index + 1, || None);
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -1,13 +1,12 @@
 use std::sync::Arc;
 
+use super::report::take_report;
 use super::{Hub, Link};
-use crate::call::Load;
 use crate::clock::Instant;
 use crate::config::{State, Want};
 use crate::control::to_limit;
-use crate::fleet::Snapshot;
-use crate::limit::{self, Request};
-use crate::wire::{Body, Count, Fetched, Malformed, Report};
+use crate::limit::Request;
+use crate::wire::{Body, Fetched, Malformed};
 
 /// What goes back to the peer.
 pub(super) enum Answer {
@@ -113,75 +112,3 @@
     }
     out
 }
-
-fn take_report(hub: &Hub, link: &Link, report: &Report, now: Instant) {
-    let Some(current) = hub.control().current() else {
-        return;
-    };
-    let permits = report
-        .permits
-        .iter()
-        .filter_map(|c| Some((current.team_id(&c.name)?, c.count)));
-    let permits = limit::Report {
-        settled: report.settled,
-        closed: report.closed,
-        running: permits.collect(),
-    };
-    hub.control().dispatcher().with_ledger(|ledger| {
-        let peer = ledger.peer(&to_limit(link.voter()));
-        ledger.learn(peer, permits, now);
-    });
-    hub.learn_load(&link.voter().name, read_load(&current, report), now);
-}
-
-fn read_load(current: &Snapshot, report: &Report) -> Load {
-    let teams = report.calls.iter().filter_map(|c| {
-        Some((
-            (current.service_id(&c.service)?, current.team_id(&c.name)?),
-            c.count,
-        ))
-    });
-    let targets = report
-        .targets
-        .iter()
-        .map(|c| (c.name.as_str().into(), c.count));
-    Load {
-        teams: teams.collect(),
-        targets: targets.collect(),
-    }
-}
-
-/// Makes what this instance tells its peers.
-pub(super) fn make_report(hub: &Hub) -> Report {
-    let Some(current) = hub.control().current() else {
-        return Report::default();
-    };
-    let dispatcher = hub.control().dispatcher();
-    let permits = dispatcher.with_ledger(|ledger| ledger.report());
-    let load = dispatcher.load();
-    let count = |name: &str, service: &str, count| Count {
-        name: name.to_owned(),
-        service: service.to_owned(),
-        count,
-    };
-    let team = |id| current.team(id).map(|t| t.name.clone());
-    Report {
-        settled: permits.settled,
-        closed: permits.closed,
-        permits: permits
-            .running
-            .iter()
-            .filter_map(|(id, n)| Some(count(&team(*id)?, "", *n)))
-            .collect(),
-        calls: load
-            .teams
-            .iter()
-            .filter_map(|((s, t), n)| Some(count(&team(*t)?, &current.service(*s)?.name, *n)))
-            .collect(),
-        targets: load
-            .targets
-            .iter()
-            .map(|(name, n)| count(name, "", *n))
-            .collect(),
-    }
-}
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -1,3 +1,4 @@
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use tokio::sync::{Notify, watch};
@@ -19,6 +20,8 @@
     loads: Mutex<Map<Arc<str>, Load>>,
     /// Woken when something must be fetched.
     wants: Notify,
+    /// Bytes sent to peers, with headers.
+    sent: AtomicU64,
     stop: watch::Sender<bool>,
 }
 
@@ -31,6 +34,7 @@
             links: Mutex::default(),
             loads: Mutex::default(),
             wants: Notify::new(),
+            sent: AtomicU64::new(0),
             stop: watch::Sender::new(false),
         })
     }
@@ -76,6 +80,15 @@
         &self.wants
     }
 
+    /// Returns the bytes sent to peers since the start, with the headers of each frame.
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn count_sent(&self, bytes: usize) {
+        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     /// Ends all connections.
     pub fn stop(&self) {
         self.stop.send_replace(true);
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -12,6 +12,7 @@
 mod link;
 mod listen;
 mod member;
+mod report;
 mod session;
 
 pub use backoff::Backoff;
--- /dev/null
+++ b/src/peer/report.rs
@@ -0,0 +1,103 @@
+use super::{Hub, Link};
+use crate::call::Load;
+use crate::clock::Instant;
+use crate::collections::Map;
+use crate::control::to_limit;
+use crate::fleet::Snapshot;
+use crate::limit;
+use crate::route::Tag;
+use crate::wire::Report;
+
+/// Makes what this instance tells its peers.
+pub(super) fn make_report(hub: &Hub) -> Report {
+    let Some(current) = hub.control().current() else {
+        return Report::default();
+    };
+    let dispatcher = hub.control().dispatcher();
+    let permits = dispatcher.with_ledger(|ledger| ledger.report());
+    let load = dispatcher.load();
+    let teams = number(current.ranked_teams());
+    let services = number(current.ranked_services());
+    let calls = load.teams.iter().filter_map(|((service, team), count)| {
+        Some([*services.get(service)?, *teams.get(team)?, *count])
+    });
+    Report {
+        settled: permits.settled,
+        closed: permits.closed,
+        version: current.version(),
+        permits: permits
+            .running
+            .iter()
+            .filter_map(|(team, count)| Some([*teams.get(team)?, *count]))
+            .flatten()
+            .collect(),
+        calls: calls.flatten().collect(),
+        targets: load.targets.keys().map(|tag| tag.0).collect(),
+        target_counts: load.targets.values().copied().collect(),
+    }
+}
+
+/// Passes a report to the ledger and the dispatcher.
+///
+/// Counts of another version are left out: its order of names may differ.
+pub(super) fn take_report(hub: &Hub, link: &Link, report: &Report, now: Instant) {
+    let Some(current) = hub.control().current() else {
+        return;
+    };
+    let same = report.version == current.version();
+    let running = if same {
+        read_permits(&current, &report.permits)
+    } else {
+        Vec::new()
+    };
+    let permits = limit::Report {
+        settled: report.settled,
+        closed: report.closed,
+        running,
+    };
+    hub.control().dispatcher().with_ledger(|ledger| {
+        let peer = ledger.peer(&to_limit(link.voter()));
+        ledger.learn(peer, permits, now);
+    });
+    let targets = report.targets.iter().zip(&report.target_counts);
+    let load = Load {
+        teams: if same {
+            read_calls(&current, &report.calls)
+        } else {
+            Map::default()
+        },
+        targets: targets.map(|(tag, count)| (Tag(*tag), *count)).collect(),
+    };
+    hub.learn_load(&link.voter().name, load, now);
+}
+
+fn read_permits(current: &Snapshot, pairs: &[u32]) -> Vec<(crate::fleet::TeamId, u32)> {
+    let teams = current.ranked_teams();
+    let pairs = pairs.as_chunks::<2>().0.iter();
+    pairs
+        .filter_map(|[team, count]| Some((*teams.get(*team as usize)?, *count)))
+        .collect()
+}
+
+fn read_calls(
+    current: &Snapshot,
+    triples: &[u32],
+) -> Map<(crate::fleet::ServiceId, crate::fleet::TeamId), u32> {
+    let (services, teams) = (current.ranked_services(), current.ranked_teams());
+    let triples = triples.as_chunks::<3>().0.iter();
+    let read = |[service, team, count]: &[u32; 3]| {
+        Some((
+            (
+                *services.get(*service as usize)?,
+                *teams.get(*team as usize)?,
+            ),
+            *count,
+        ))
+    };
+    triples.filter_map(read).collect()
+}
+
+/// Numbers ids by their place.
+fn number<T: Copy + std::hash::Hash + Eq>(ranked: &[T]) -> Map<T, u32> {
+    ranked.iter().copied().zip(0..).collect()
+}
--- a/src/peer/session.rs
+++ b/src/peer/session.rs
@@ -3,13 +3,15 @@
 
 use eyre::{Report, WrapErr, bail, eyre};
 use futures_util::{SinkExt, StreamExt};
+use prost::Message;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use super::ask::Ask;
-use super::handle::{Answer, handle, make_report};
+use super::handle::{Answer, handle};
+use super::report::make_report;
 use super::{Hub, Link};
 use crate::clock::{self, Instant};
 use crate::collections::Map;
@@ -19,18 +21,32 @@
 /// Time for the first message to arrive, and for any message to be written.
 const IO_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Silence after which a peer is given up; it says something every 500 ms.
-const SILENCE: Duration = Duration::from_secs(3);
+/// Silence after which a peer is given up. Evidence and loans have shorter times of their own.
+const SILENCE: Duration = Duration::from_secs(10);
+
+/// Time after which an idle connection carries an empty frame; at 136 instances a shorter one
+/// would take much of the bytes for control.
+const HEARTBEAT: Duration = Duration::from_secs(4);
 
 /// Time between two pulls of one peer.
 const PULL_EVERY: Duration = Duration::from_millis(500);
 
+/// Rounds of which only one pulls while head reads are recent, since evidence from peers is
+/// needed only when the store does not answer.
+const IDLE_ROUNDS: u64 = 4;
+
+/// Age of the last head read up to which it counts as recent; two rounds of pulls fit between it
+/// and the end of the evidence.
+const RECENT_READ: Duration = Duration::from_millis(1_500);
+
 /// Peers pulled in each round, so that the load of a node does not grow with the fleet.
 const PULL_FAN_OUT: usize = 8;
 
-/// Time between two reports to one peer, for each connected peer: the reports that a node sends
-/// stay at 32 a second.
-const REPORT_STEP: Duration = Duration::from_millis(31);
+/// Bytes a second that the reports of a node to all its peers may take of the 6 KB/s for control.
+const REPORT_BUDGET: u32 = 3_000;
+
+/// Bytes that a frame costs beside its content: length, TCP and IP headers.
+const FRAME_OVERHEAD: u32 = 56;
 
 /// Shortest time between two reports to one peer.
 const MIN_REPORT: Duration = Duration::from_millis(100);
@@ -54,7 +70,7 @@
     let address = stream.peer_addr().wrap_err("step=peer-address")?;
     stream.set_nodelay(true).wrap_err("step=set-nodelay")?;
     let mut stream = Framed::new(stream, codec());
-    send(&mut stream, &Frame::tell(Body::Hello(hub.hello()))).await?;
+    send(hub, &mut stream, &Frame::tell(Body::Hello(hub.hello()))).await?;
     let hello = read_hello(&mut stream)
         .await
         .wrap_err_with(|| format!("peer={address}"))?;
@@ -102,6 +118,7 @@
     pulls.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut report_at = tokio::time::Instant::now();
     let mut heard = tokio::time::Instant::now();
+    let mut beat_at = heard + HEARTBEAT;
     let mut stop = hub.stopped();
     loop {
         tokio::select! {
@@ -110,7 +127,7 @@
                 heard = tokio::time::Instant::now();
                 let frame = Frame::read(&bytes)?;
                 if let Some(reply) = receive(hub, link, &mut open, frame)? {
-                    send(stream, &reply).await?;
+                    send(hub, stream, &reply).await?;
                 }
             }
             ask = asks.recv() => {
@@ -120,28 +137,34 @@
                 if let Some(reply) = ask.reply {
                     open.insert(id, Question::Ask(reply));
                 }
-                send(stream, &Frame { id, reply: false, body: Some(ask.body) }).await?;
+                send(hub, stream, &Frame { id, reply: false, body: Some(ask.body) }).await?;
             }
             _ = pulls.tick() => {
                 open.retain(|_, question| is_open(question, clock::now()));
                 round += 1;
-                if is_pulled(hub, link, round) {
+                if is_due(hub, round) && is_pulled(hub, link, round) {
                     next_id += 1;
                     open.insert(next_id, Question::Pull(clock::now()));
                     let body = Some(Body::Pull(true));
-                    send(stream, &Frame { id: next_id, reply: false, body }).await?;
+                    send(hub, stream, &Frame { id: next_id, reply: false, body }).await?;
                 }
             }
             () = tokio::time::sleep_until(report_at) => {
-                let peers = u32::try_from(hub.links().len()).unwrap_or(u32::MAX);
-                report_at = tokio::time::Instant::now() + (REPORT_STEP * peers).max(MIN_REPORT);
-                send(stream, &Frame::tell(Body::Report(make_report(hub)))).await?;
+                let frame = Frame::tell(Body::Report(make_report(hub)));
+                send(hub, stream, &frame).await?;
+                let now = tokio::time::Instant::now();
+                report_at = now + pace(hub.links().len(), &frame);
+                beat_at = now + HEARTBEAT;
+            }
+            () = tokio::time::sleep_until(beat_at) => {
+                beat_at += HEARTBEAT;
+                send(hub, stream, &Frame::default()).await?;
             }
             () = tokio::time::sleep_until(heard + SILENCE) => bail!("step=read reason=silent"),
             _ = stop.changed() => {
                 // What was queued before the stop still goes out.
                 while let Ok(ask) = asks.try_recv() {
-                    send(stream, &Frame::tell(ask.body)).await?;
+                    send(hub, stream, &Frame::tell(ask.body)).await?;
                 }
                 return Ok(());
             }
@@ -207,6 +230,13 @@
     }
 }
 
+/// Returns whether a round of pulls is needed.
+fn is_due(hub: &Hub, round: u64) -> bool {
+    let read = hub.control().read(|state| state.head_read());
+    let recent = read.is_some_and(|at| clock::now().since(at) <= RECENT_READ);
+    !recent || round.is_multiple_of(IDLE_ROUNDS)
+}
+
 /// Chooses the peers of a round: all of a few, a changing part of many.
 fn is_pulled(hub: &Hub, link: &Link, round: u64) -> bool {
     let count = hub.links().len();
@@ -219,8 +249,19 @@
     (seed >> 20) % (count as u64) < PULL_FAN_OUT as u64
 }
 
-async fn send(stream: &mut Stream, frame: &Frame) -> Result<(), Report> {
-    timeout(IO_TIMEOUT, stream.send(frame.write()))
+/// Returns the time until the next report to one of `peers`, so that all stay in the budget.
+fn pace(peers: usize, frame: &Frame) -> Duration {
+    let length = u32::try_from(frame.encoded_len()).unwrap_or(u32::MAX);
+    let cost = length
+        .saturating_add(FRAME_OVERHEAD)
+        .saturating_mul(u32::try_from(peers).unwrap_or(u32::MAX));
+    Duration::from_secs_f64(f64::from(cost) / f64::from(REPORT_BUDGET)).max(MIN_REPORT)
+}
+
+async fn send(hub: &Hub, stream: &mut Stream, frame: &Frame) -> Result<(), Report> {
+    let bytes = frame.write();
+    hub.count_sent(bytes.len() + FRAME_OVERHEAD as usize);
+    timeout(IO_TIMEOUT, stream.send(bytes))
         .await
         .wrap_err("step=write")?
         .wrap_err("step=write")
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -6,12 +6,14 @@
 
 mod health;
 mod ramp;
+mod tag;
 mod target;
 mod targets;
 mod verdict;
 
 pub use health::Health;
 pub use ramp::Ramp;
+pub use tag::Tag;
 pub use target::{Target, TargetId};
 pub use targets::Targets;
 pub use verdict::Verdict;
--- /dev/null
+++ b/src/route/tag.rs
@@ -0,0 +1,26 @@
+use serde::{Deserialize, Serialize};
+
+/// Short key of a target's name, the same at all entry instances.
+///
+/// Two names may share a tag. Their counts are then added, which makes both look busier than they
+/// are but never idle.
+///
+/// ```
+/// use coriandernotch::route::Tag;
+///
+/// assert_eq!(Tag::of("quote-1"), Tag::of("quote-1"));
+/// assert_ne!(Tag::of("quote-1"), Tag::of("quote-2"));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Tag(pub u32);
+
+impl Tag {
+    /// Computes the tag of a name by FNV-1a.
+    pub fn of(name: &str) -> Self {
+        let hash = name.bytes().fold(0x811c_9dc5u32, |hash, byte| {
+            (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+        });
+        Self(hash)
+    }
+}
--- a/src/route/target.rs
+++ b/src/route/target.rs
@@ -4,7 +4,7 @@
 
 use slotmap::new_key_type;
 
-use super::{Health, Ramp};
+use super::{Health, Ramp, Tag};
 use crate::clock::Instant;
 use crate::fleet::DataCentreId;
 use crate::platform::State;
@@ -22,6 +22,8 @@
 pub struct Target {
     /// Name in the platform's list.
     pub name: Arc<str>,
+    /// Key of the name in reports of peers.
+    pub tag: Tag,
     /// Address at which it serves.
     pub address: SocketAddr,
     /// Data centre in which it runs, unless the fleet document does not know it.
--- a/src/route/targets.rs
+++ b/src/route/targets.rs
@@ -3,7 +3,7 @@
 
 use slotmap::SlotMap;
 
-use super::{Ramp, Target, TargetId, Verdict};
+use super::{Ramp, Tag, Target, TargetId, Verdict};
 use crate::clock::Instant;
 use crate::collections::{Map, Set};
 use crate::fleet::{DataCentreId, Snapshot};
@@ -104,6 +104,7 @@
         }
         let id = self.arena.insert(Target {
             name: instance.name.clone(),
+            tag: Tag::of(&instance.name),
             address: instance.address,
             data_centre,
             state: instance.state,
@@ -194,10 +195,10 @@
         (eject && !target.health.is_ejected(now)).then(|| target.health.eject(now))
     }
 
-    /// Sets the calls that peers report per target name; unnamed targets have none.
-    pub fn report(&mut self, reported: &Map<Arc<str>, u32>) {
+    /// Sets the calls that peers report per target; others have none.
+    pub fn report(&mut self, reported: &Map<Tag, u32>) {
         for target in self.arena.values_mut() {
-            target.reported = reported.get(&target.name).copied().unwrap_or(0);
+            target.reported = reported.get(&target.tag).copied().unwrap_or(0);
         }
     }
 
--- a/src/wire/report.rs
+++ b/src/wire/report.rs
@@ -1,6 +1,7 @@
-use super::Count;
-
 /// What an instance tells its peers several times a second.
+///
+/// Teams and services go by their place in the order of names of one version, and targets by tag,
+/// so that a report of a busy instance stays at a few hundred bytes.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Report {
     /// Newest version within whose homes the instance is.
@@ -9,13 +10,19 @@
     /// Newest version below which nothing runs any more.
     #[prost(uint64, tag = "2")]
     pub closed: u64,
-    /// Permits in use per team.
-    #[prost(message, repeated, tag = "3")]
-    pub permits: Vec<Count>,
-    /// Running calls per service and team.
-    #[prost(message, repeated, tag = "4")]
-    pub calls: Vec<Count>,
-    /// Running calls per target.
-    #[prost(message, repeated, tag = "5")]
-    pub targets: Vec<Count>,
+    /// Version in whose order of names teams and services are numbered.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Permits in use: team, count, team, count, ...
+    #[prost(uint32, repeated, tag = "4")]
+    pub permits: Vec<u32>,
+    /// Running calls: service, team, count, service, team, count, ...
+    #[prost(uint32, repeated, tag = "5")]
+    pub calls: Vec<u32>,
+    /// Tags of targets with running calls.
+    #[prost(fixed32, repeated, tag = "6")]
+    pub targets: Vec<u32>,
+    /// Running calls per tag, in the same order.
+    #[prost(uint32, repeated, tag = "7")]
+    pub target_counts: Vec<u32>,
 }
