Harden the callers' port against broken, slow and hostile peers

Cause: tests of raw requests showed: a body that its caller broke off or left unfinished was answered 502 and blamed on the target; a caller that took no answer, or an answer that never ended, held its slot for ever; a connection without a request stayed open for ever and a full port never freed itself; idle-ms and body-bytes of the settings had no effect; an unasked 101 of a target was passed on; a call could wait for a connection whose earlier caller's body was still open; chunked bodies of GET were dropped; HTTP/2 and absolute-form requests reached the target with no or the wrong Host; Proxy-Authorization was passed on; requests without Host, with two keys, of HTTP/1.0 or with Upgrade were run. Change: Activity watches heads, idle time and untaken answers of each connection in place of hyper's timer, which also counts idle time; answers end at the longest run; failures of request bodies carry their cause (400, 408, 413); the request is framed anew for the target; exchange.rs is split into accept, exchange and send. Conclusion: hyper drops Content-Length beside Transfer-Encoding in either order and closes the connection; the target sees chunks only.

--- /dev/null
+++ b/src/front/callers/accept.rs
@@ -0,0 +1,97 @@
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use hyper::body::{Body as _, Incoming};
+use hyper::http::request::Parts;
+use hyper::{Request, StatusCode, Version};
+
+use super::claimed::read_ask;
+use super::guard::{Cause, Guard};
+use super::reply::Reply;
+use super::request::{check_head, read_deadline, read_key, set_host, split_path};
+use super::serve::Port;
+use crate::admit::Refusal;
+use crate::call::Order;
+use crate::claim::Ask;
+use crate::clock::Instant;
+use crate::fleet::Snapshot;
+
+/// A call that passed the checks of its request.
+pub(super) struct Call {
+    pub(super) order: Order,
+    pub(super) parts: Parts,
+    pub(super) body: Guard,
+    pub(super) current: Arc<Snapshot>,
+    /// Set when the body of the request failed.
+    pub(super) cause: Arc<OnceLock<Cause>>,
+    pub(super) start: Instant,
+    /// Claim to be made before the call runs.
+    pub(super) ask: Option<Ask>,
+    /// True once the target may have got a byte.
+    pub(super) sent: Arc<AtomicBool>,
+}
+
+/// Checks request, key, team and service.
+pub(super) fn accept(
+    port: &Port,
+    request: Request<Incoming>,
+    start: Instant,
+) -> Result<Call, Reply> {
+    let (mut parts, body) = request.into_parts();
+    check_head(&parts)?;
+    let missing = Reply::not_run(StatusCode::NOT_FOUND, "unknown path");
+    let enforced = port.dispatcher.enforced();
+    let current = enforced.first().ok_or(Reply::from(Refusal::Stale))?.clone();
+    let (name, uri) = split_path(&parts.uri).ok_or(missing)?;
+    let unknown = Reply::not_run(StatusCode::NOT_FOUND, "unknown service");
+    let service = current.service_id(name).ok_or(unknown)?;
+    let key =
+        read_key(&parts.headers).ok_or(Reply::not_run(StatusCode::UNAUTHORIZED, "missing key"))?;
+    let team = current
+        .authenticate(&key)
+        .filter(|team| enforced.iter().all(|s| s.authenticate(&key) == Some(*team)))
+        .ok_or(Reply::not_run(
+            StatusCode::UNAUTHORIZED,
+            "unknown or withdrawn key",
+        ))?;
+    if !enforced.iter().all(|s| s.may_call(team, service)) {
+        return Err(Reply::not_run(
+            StatusCode::FORBIDDEN,
+            "queue of other teams",
+        ));
+    }
+    let settings = current.service(service).ok_or(unknown)?;
+    let body_limit = settings.body_limit.min(port.limits.body_bytes);
+    if body.size_hint().lower() > body_limit {
+        return Err(Reply::not_run(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "request body too large",
+        ));
+    }
+    let wanted = read_deadline(&parts.headers)?;
+    let left = wanted.unwrap_or(Duration::from_millis(settings.timeout_ms.into()));
+    let team_name = current.team(team).map_or("", |t| &*t.name);
+    let ask = read_ask(&parts, team_name, body.size_hint().exact())?;
+    set_host(&mut parts);
+    parts.uri = uri;
+    parts.version = Version::HTTP_11;
+    let body = Guard::new(body, body_limit, port.limits.body_timeout);
+    let cause = body.cause();
+    let order = Order {
+        service,
+        team,
+        key,
+        deadline: start + left,
+    };
+    Ok(Call {
+        order,
+        parts,
+        body,
+        current,
+        cause,
+        start,
+        ask,
+        sent: Arc::default(),
+    })
+}
--- a/src/front/callers/answer.rs
+++ b/src/front/callers/answer.rs
@@ -1,15 +1,17 @@
+use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 
+use tokio::time::Sleep;
+
 use super::connections::{Connections, Sender};
 use crate::call::{End, Grant};
-use crate::clock;
+use crate::clock::{self, Instant};
 use crate::route::Verdict;
 
 /// Answer of a target on its way to the caller.
@@ -20,7 +22,20 @@
 pub struct Answer {
     incoming: Option<Incoming>,
     rest: Option<Rest>,
-    longest_run: Duration,
+    /// By when the target must have ended.
+    ends: Instant,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+/// Failure of an answer, which the caller gets as an aborted answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// The target broke off.
+    #[error("step=read-answer peer=target reason={0}")]
+    Broken(#[from] hyper::Error),
+    /// The answer took longer than the longest run of a call.
+    #[error("step=read-answer peer=target reason=too-long")]
+    TooLong,
 }
 
 /// What is to be given back when the answer has ended.
@@ -51,7 +66,7 @@
         sender: Sender,
         connections: Arc<Connections>,
         verdict: Verdict,
-        longest_run: Duration,
+        ends: Instant,
     ) -> Self {
         let mut answer = Self {
             rest: Some(Rest {
@@ -60,7 +75,8 @@
                 connections,
                 verdict,
             }),
-            longest_run,
+            ends,
+            timer: None,
             incoming: Some(incoming),
         };
         if answer.is_end_stream() {
@@ -69,6 +85,12 @@
         answer
     }
 
+    fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let ends = self.ends;
+        let sleep = || Box::pin(tokio::time::sleep(ends.since(clock::now())));
+        self.timer.get_or_insert_with(sleep).as_mut().poll(cx)
+    }
+
     fn end(&mut self) {
         if let Some(rest) = self.rest.take() {
             rest.end_whole();
@@ -78,16 +100,23 @@
 
 impl HttpBody for Answer {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = Fault;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
         let Some(incoming) = &mut self.incoming else {
             return Poll::Ready(None);
         };
-        let frame = ready!(Pin::new(incoming).poll_frame(cx));
+        let frame = match Pin::new(incoming).poll_frame(cx) {
+            Poll::Ready(frame) => frame.map(|result| result.map_err(Fault::from)),
+            Poll::Pending => {
+                ready!(self.poll_timer(cx));
+                self.incoming = None;
+                Some(Err(Fault::TooLong))
+            }
+        };
         match &frame {
             Some(Ok(_)) if !self.is_end_stream() => {}
             Some(Err(_)) => {
@@ -118,9 +147,9 @@
         let (Some(rest), Some(incoming)) = (self.rest.take(), self.incoming.take()) else {
             return;
         };
-        let longest_run = self.longest_run;
+        let left = self.ends.since(clock::now());
         tokio::spawn(async move {
-            match tokio::time::timeout(longest_run, read_to_end(incoming)).await {
+            match tokio::time::timeout(left, read_to_end(incoming)).await {
                 Ok(true) => rest.end_whole(),
                 _ => rest.end_broken(),
             }
--- a/src/front/callers/body.rs
+++ b/src/front/callers/body.rs
@@ -5,7 +5,7 @@
 use http_body_util::Full;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
-use super::answer::Answer;
+use super::answer::{Answer, Fault};
 use super::kept::Kept;
 
 /// Body of an answer to a caller.
@@ -35,12 +35,12 @@
 
 impl HttpBody for Body {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = Fault;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
         match self.get_mut() {
             Self::Own(full) => Pin::new(full)
                 .poll_frame(cx)
--- a/src/front/callers/connections.rs
+++ b/src/front/callers/connections.rs
@@ -18,6 +18,9 @@
 /// that a target accepts.
 const MAX_IDLE: usize = 8;
 
+/// Time for a connection to become ready after the last byte of an answer.
+const READY_WAIT: Duration = Duration::from_millis(10);
+
 /// Idle connections to targets.
 #[derive(Debug, Default)]
 pub struct Connections {
@@ -29,7 +32,10 @@
     /// Takes an idle connection or makes a new one.
     pub(super) async fn take(&self, address: SocketAddr, limit: Duration) -> io::Result<Sender> {
         while let Some(mut sender) = self.take_idle(address) {
-            if sender.is_ready() || sender.ready().await.is_ok() {
+            // An answer may end before the body of its request, whose caller then decides when the
+            // connection is free; nobody else waits for that.
+            let wait = READY_WAIT.min(limit);
+            if sender.is_ready() || matches!(timeout(wait, sender.ready()).await, Ok(Ok(()))) {
                 return Ok(sender);
             }
         }
--- a/src/front/callers/flight.rs
+++ b/src/front/callers/flight.rs
@@ -2,7 +2,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
@@ -12,7 +11,7 @@
 use super::connections::{Connections, Sender};
 use super::guard::Guard;
 use crate::call::{End, Grant};
-use crate::clock;
+use crate::clock::{self, Instant};
 use crate::route::Verdict;
 
 type Sent = Result<Response<Incoming>, TrySendError<Request<Guard>>>;
@@ -25,7 +24,7 @@
     future: Option<Pin<Box<dyn Future<Output = Sent> + Send>>>,
     rest: Option<(Grant, Sender)>,
     connections: Arc<Connections>,
-    longest_run: Duration,
+    ends: Instant,
 }
 
 impl Flight {
@@ -34,14 +33,14 @@
         grant: Grant,
         mut sender: Sender,
         connections: Arc<Connections>,
-        longest_run: Duration,
+        ends: Instant,
     ) -> Self {
         let future = sender.try_send_request(request);
         Self {
             future: Some(Box::pin(future)),
             rest: Some((grant, sender)),
             connections,
-            longest_run,
+            ends,
         }
     }
 
@@ -78,9 +77,9 @@
             return;
         };
         let connections = self.connections.clone();
-        let longest_run = self.longest_run;
+        let left = self.ends.since(clock::now());
         tokio::spawn(async move {
-            let ended = tokio::time::timeout(longest_run, async {
+            let ended = tokio::time::timeout(left, async {
                 match future.await {
                     Ok(response) => read_to_end(response.into_body()).await,
                     Err(_) => false,
--- a/src/front/callers/guard.rs
+++ b/src/front/callers/guard.rs
@@ -1,10 +1,10 @@
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::StatusCode;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, Sleep};
 
@@ -22,14 +22,42 @@
     Broken(#[from] hyper::Error),
 }
 
+/// Why a request body failed, for the answer to its caller.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Cause {
+    TooLarge,
+    Slow,
+    Broken,
+}
+
+impl Cause {
+    pub(super) fn status(self) -> StatusCode {
+        match self {
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Slow => StatusCode::REQUEST_TIMEOUT,
+            Self::Broken => StatusCode::BAD_REQUEST,
+        }
+    }
+
+    pub(super) fn reason(self) -> &'static str {
+        match self {
+            Self::TooLarge => "request body too large",
+            Self::Slow => "request body too slow",
+            Self::Broken => "request body broken off",
+        }
+    }
+}
+
 /// Request body bounded in length and in the time between two parts.
 #[derive(Debug)]
 pub(super) struct Guard {
     incoming: Option<Incoming>,
     left: u64,
     timeout: Duration,
+    /// Runs while the caller is waited for, not while the target takes what arrived.
     timer: Option<Pin<Box<Sleep>>>,
-    too_large: Arc<AtomicBool>,
+    waits: bool,
+    cause: Arc<OnceLock<Cause>>,
 }
 
 impl Guard {
@@ -41,7 +69,8 @@
             left: limit,
             timeout,
             timer: None,
-            too_large: Arc::default(),
+            waits: false,
+            cause: Arc::default(),
         }
     }
 
@@ -52,13 +81,19 @@
             left: 0,
             timeout: Duration::ZERO,
             timer: None,
-            too_large: Arc::default(),
+            waits: false,
+            cause: Arc::default(),
         }
     }
 
-    /// Returns a flag that becomes true when the body exceeds its limit.
-    pub(super) fn too_large(&self) -> Arc<AtomicBool> {
-        self.too_large.clone()
+    /// Returns the place where the cause of a failure is put.
+    pub(super) fn cause(&self) -> Arc<OnceLock<Cause>> {
+        self.cause.clone()
+    }
+
+    fn fail(&self, cause: Cause, fault: Fault) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        self.cause.get_or_init(|| cause);
+        Poll::Ready(Some(Err(fault)))
     }
 
     fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<()> {
@@ -66,6 +101,10 @@
         let timer = self
             .timer
             .get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
+        if !self.waits {
+            timer.as_mut().reset(Instant::now() + timeout);
+            self.waits = true;
+        }
         timer.as_mut().poll(cx)
     }
 }
@@ -83,22 +122,21 @@
         };
         let Poll::Ready(frame) = Pin::new(incoming).poll_frame(cx) else {
             ready!(self.poll_timer(cx));
-            return Poll::Ready(Some(Err(Fault::Slow)));
-        };
-        let next = Instant::now() + self.timeout;
-        if let Some(timer) = &mut self.timer {
-            timer.as_mut().reset(next);
-        }
-        let length = match &frame {
-            Some(Ok(frame)) => frame.data_ref().map_or(0, |data| data.len() as u64),
-            _ => 0,
+            return self.fail(Cause::Slow, Fault::Slow);
         };
-        if length > self.left {
-            self.too_large.store(true, Ordering::Release);
-            return Poll::Ready(Some(Err(Fault::TooLarge)));
+        self.waits = false;
+        match frame {
+            Some(Ok(frame)) => {
+                let length = frame.data_ref().map_or(0, |data| data.len() as u64);
+                if length > self.left {
+                    return self.fail(Cause::TooLarge, Fault::TooLarge);
+                }
+                self.left -= length;
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(error)) => self.fail(Cause::Broken, error.into()),
+            None => Poll::Ready(None),
         }
-        self.left -= length;
-        Poll::Ready(frame.map(|result| result.map_err(Fault::from)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/front/callers/kept.rs
+++ b/src/front/callers/kept.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
 
-use super::answer::Answer;
+use super::answer::{Answer, Fault};
 use super::body::Body;
 use super::request::OUTCOME;
 use crate::claim::{Desk, MAX_BODY, Stamp, Ticket};
@@ -98,12 +98,12 @@
 
 impl HttpBody for Kept {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = Fault;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
         let frame = ready!(Pin::new(&mut self.answer).poll_frame(cx));
         match &frame {
             Some(Ok(frame)) => {
--- a/src/front/callers/mod.rs
+++ b/src/front/callers/mod.rs
@@ -1,5 +1,7 @@
 //! The callers' port: `/v1/services/{service}/{path}`.
 
+mod accept;
+mod activity;
 mod answer;
 mod body;
 mod claimed;
@@ -13,8 +15,12 @@
 mod meter;
 mod reply;
 mod request;
+mod send;
 mod serve;
+mod stream;
+mod tracked;
 
+pub use answer::Fault;
 pub use body::Body;
 pub use connections::Connections;
 pub use limits::Limits;
--- a/src/front/callers/request.rs
+++ b/src/front/callers/request.rs
@@ -2,10 +2,11 @@
 use std::time::Duration;
 
 use hyper::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue,
-    TRANSFER_ENCODING, UPGRADE,
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
+    PROXY_AUTHORIZATION, TRANSFER_ENCODING, UPGRADE,
 };
-use hyper::{Method, StatusCode, Uri};
+use hyper::http::request::Parts;
+use hyper::{Method, StatusCode, Uri, Version};
 
 use crate::fleet::Digest;
 
@@ -51,24 +52,50 @@
     Some((service, target.ok()?))
 }
 
-/// Refuses requests whose framing can be read in two ways.
-pub(super) fn check_framing(headers: &HeaderMap) -> Result<(), Fault> {
+/// Refuses requests that can be read in two ways or ask for what is not offered.
+///
+/// hyper itself drops `Content-Length` beside `Transfer-Encoding`, in either order, and closes the
+/// connection after the answer; the target gets the request framed anew.
+pub(super) fn check_head(parts: &Parts) -> Result<(), Fault> {
+    let headers = &parts.headers;
     let twice = |name| headers.get_all(name).iter().nth(1).is_some();
+    let refuse = |reason| Err((StatusCode::BAD_REQUEST, reason));
+    // The end of an answer of unknown length cannot be told from its loss.
+    if parts.version < Version::HTTP_11 {
+        let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
+        return Err((status, "HTTP/1.1 or HTTP/2 is needed"));
+    }
+    if headers.contains_key(&UPGRADE) {
+        return Err((StatusCode::NOT_IMPLEMENTED, "upgrades are not supported"));
+    }
     if twice(&HOST) {
-        return Err((StatusCode::BAD_REQUEST, "more than one Host header"));
+        return refuse("more than one Host header");
+    }
+    if !headers.contains_key(&HOST) && parts.uri.authority().is_none() {
+        return refuse("no Host header");
     }
     if twice(&CONTENT_LENGTH) || twice(&TRANSFER_ENCODING) {
-        return Err((StatusCode::BAD_REQUEST, "more than one length header"));
+        return refuse("more than one length header");
     }
     if headers.contains_key(&CONTENT_LENGTH) && headers.contains_key(&TRANSFER_ENCODING) {
-        return Err((
-            StatusCode::BAD_REQUEST,
-            "both Content-Length and Transfer-Encoding",
-        ));
+        return refuse("both Content-Length and Transfer-Encoding");
+    }
+    if twice(&AUTHORIZATION) {
+        return refuse("more than one Authorization header");
     }
     Ok(())
 }
 
+/// Sets the `Host` header from the authority of the request, which goes before the header
+/// (RFC 9112, section 3.2.2); HTTP/2 requests have only the authority.
+pub(super) fn set_host(parts: &mut Parts) {
+    if let Some(authority) = parts.uri.authority()
+        && let Ok(host) = HeaderValue::from_str(authority.as_str())
+    {
+        parts.headers.insert(HOST, host);
+    }
+}
+
 /// Returns the digest of the bearer key.
 pub(super) fn read_key(headers: &HeaderMap) -> Option<Digest> {
     let value = headers.get(AUTHORIZATION)?.as_bytes();
@@ -109,8 +136,21 @@
 
 /// Makes the headers for the target: without the key and without connection headers.
 pub(super) fn rewrite_headers(headers: &mut HeaderMap, team: &Arc<str>, left: Duration) {
+    let host = headers.remove(HOST);
     strip_hop_by_hop(headers);
-    headers.remove(AUTHORIZATION);
+    if let Some(host) = host {
+        headers.insert(HOST, host);
+    }
+    // The body is framed anew, and `100 Continue` was sent by us.
+    for name in [
+        AUTHORIZATION,
+        PROXY_AUTHORIZATION,
+        CONTENT_LENGTH,
+        EXPECT,
+        TEAM,
+    ] {
+        headers.remove(name);
+    }
     headers.insert(
         DEADLINE,
         HeaderValue::from(u64::try_from(left.as_millis()).unwrap_or(u64::MAX)),
--- a/src/front/callers/serve.rs
+++ b/src/front/callers/serve.rs
@@ -1,4 +1,5 @@
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -8,10 +9,14 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::Instant;
 
+use super::activity::{Activity, Bound};
 use super::exchange::exchange;
 use super::meter::Meters;
+use super::stream::Stream;
+use super::tracked::Tracked;
 use super::{Connections, Limits};
 use crate::call::Dispatcher;
 use crate::claim::Desk;
@@ -55,16 +60,12 @@
 pub async fn serve(port: Arc<Port>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
     let slots = Arc::new(Semaphore::new(port.limits.connections));
     loop {
-        // Above the limit new connections wait in the listen backlog.
-        let Ok(slot) = slots.clone().acquire_owned().await else {
-            return;
-        };
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = accept(&listener, &slots) => accepted,
             () = stopped(&mut stop) => break,
         };
         match accepted {
-            Ok((stream, peer)) => {
+            Ok((slot, stream, peer)) => {
                 let (port, stop) = (port.clone(), stop.clone());
                 tokio::spawn(async move {
                     serve_connection(port, stream, peer, stop).await;
@@ -83,6 +84,21 @@
     drop(slots.acquire_many(all).await);
 }
 
+/// Accepts a connection once there is room for it; above the limit connections wait in the listen
+/// backlog.
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> io::Result<(OwnedSemaphorePermit, TcpStream, SocketAddr)> {
+    let slot = slots
+        .clone()
+        .acquire_owned()
+        .await
+        .map_err(io::Error::other)?;
+    let (stream, peer) = listener.accept().await?;
+    Ok((slot, stream, peer))
+}
+
 /// The task of one caller's connection.
 async fn serve_connection(
     port: Arc<Port>,
@@ -98,7 +114,8 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_timeout)
+        // Watched by `Activity`, because hyper counts idle time as well.
+        .header_read_timeout(None)
         .max_buf_size(limits.header_bytes.max(8 << 10))
         .max_headers(100);
     builder
@@ -108,16 +125,39 @@
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
         .keep_alive_interval(limits.header_timeout)
         .keep_alive_timeout(limits.header_timeout);
+    let activity = Activity::new();
     let service = service_fn(|request: Request<Incoming>| {
-        let port = port.clone();
-        async move { Ok::<_, Infallible>(exchange(port, request).await) }
+        let (port, open) = (port.clone(), activity.open());
+        async move {
+            let response = exchange(port, request).await;
+            Ok::<_, Infallible>(response.map(|body| Tracked::new(body, open)))
+        }
     });
-    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = stopped(&mut stop) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let stream = TokioIo::new(Stream::new(stream, activity.clone()));
+    let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
+    let mut looks = tokio::time::interval(limits.look_every());
+    let mut stopping = false;
+    // Set when the connection takes no new requests, with the time for open ones to end.
+    let mut closing: Option<Instant> = None;
+    let result = loop {
+        tokio::select! {
+            result = connection.as_mut() => break result,
+            () = stopped(&mut stop), if !stopping => {
+                stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            _ = looks.tick() => match activity.check(&limits) {
+                Bound::Kept => {}
+                Bound::Idle if closing.is_none() => {
+                    closing = Some(Instant::now());
+                    connection.as_mut().graceful_shutdown();
+                }
+                Bound::Idle if closing.is_some_and(|s| s.elapsed() < limits.stall_timeout) => {}
+                bound @ (Bound::Idle | Bound::Stalled) => {
+                    log::debug!(event = "caller-cut", peer:% = peer, bound:? = bound; "");
+                    return;
+                }
+            },
         }
     };
     if let Err(error) = result {
--- /dev/null
+++ b/tests/callers/slow.rs
@@ -0,0 +1,299 @@
+//! Callers that are slow, idle, too many or gone.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep};
+
+use crate::bed::{Bed, KEY, LONGEST_RUN, header, limits, ok, request, status};
+
+/// Answer that is larger than all buffers on the way.
+fn large(_: &str) -> (Vec<u8>, bool) {
+    const SIZE: usize = 32 << 20;
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {SIZE}\r\n\r\n");
+    ([head.into_bytes(), vec![b'x'; SIZE]].concat(), true)
+}
+
+/// Returns how long the port took to close the connection, at most 5 s.
+async fn closed_after(stream: &mut TcpStream) -> Duration {
+    let start = Instant::now();
+    let mut rest = [0; 4096];
+    let closed = async { while stream.read(&mut rest).await.is_ok_and(|n| n > 0) {} };
+    let _ = tokio::time::timeout(Duration::from_secs(5), closed).await;
+    start.elapsed()
+}
+
+/// Guards against connections that are held without a whole request, and against a bound that
+/// cuts idle connections as early as slow ones.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_and_idle_connections_are_closed() {
+    let whole = format!(
+        "GET /v1/services/one/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {KEY}\r\n\r\n"
+    );
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+    let (head, idle) = (limits().header_timeout, limits().idle_timeout);
+    let cases: [(&str, &[u8], Duration); 7] = [
+        ("nothing sent", b"", idle),
+        ("one byte", b"G", head),
+        ("half a preface of HTTP/2", b"PR", head),
+        (
+            "half a head",
+            b"GET /v1/services/one/x HTTP/1.1\r\nHost:",
+            head,
+        ),
+        (
+            "half a head after a request",
+            &[whole.as_bytes(), b""].concat(),
+            idle,
+        ),
+        ("idle after a request", whole.as_bytes(), idle),
+        ("idle with HTTP/2", preface, idle),
+    ];
+    let bed = Bed::start(ok).await;
+    for (name, bytes, bound) in cases {
+        let mut stream = bed.connect().await;
+        stream.write_all(bytes).await.unwrap();
+        if name.starts_with("half a head after") {
+            sleep(Duration::from_millis(100)).await;
+            stream.write_all(b"GET /v1").await.unwrap();
+        }
+        bed.assert_serves(name).await;
+        let took = closed_after(&mut stream).await;
+        // Half a head after a request counts from its first byte.
+        let bound = if name.starts_with("half a head") {
+            head
+        } else {
+            bound
+        };
+        assert!(
+            took < bound + Duration::from_millis(400),
+            "{name}: closed after {took:?}"
+        );
+        if bound == idle {
+            assert!(
+                took > idle - Duration::from_millis(200),
+                "{name}: closed after {took:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a sender that keeps its connection by sending a byte now and then.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_dribbled_head_is_cut() {
+    let bed = Bed::start(ok).await;
+    let mut stream = bed.connect().await;
+    let start = Instant::now();
+    while stream.write_all(b"G").await.is_ok() && start.elapsed() < Duration::from_secs(3) {
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert!(
+        start.elapsed() < Duration::from_secs(1),
+        "cut after {:?}",
+        start.elapsed()
+    );
+}
+
+/// Guards against callers that take no answer and hold a slot for it for ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_is_not_taken_gives_its_slot_back() {
+    let bed = Bed::start(large).await;
+    let mut callers = Vec::new();
+    for _ in 0..4 {
+        let mut stream = bed.connect().await;
+        stream
+            .write_all(&request("GET", "/x", "", ""))
+            .await
+            .unwrap();
+        callers.push(stream);
+    }
+    let start = Instant::now();
+    while bed.dispatcher.running() < 4 {
+        assert!(
+            start.elapsed() < Duration::from_millis(250),
+            "the calls did not start"
+        );
+        sleep(Duration::from_millis(1)).await;
+    }
+    bed.assert_serves("callers that read nothing").await;
+    bed.assert_free_within(LONGEST_RUN, "callers that read nothing")
+        .await;
+}
+
+/// Guards against the same by HTTP/2, where the socket stays writable while a stream is stalled.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stalled_stream_gives_its_slot_back() {
+    let bed = Bed::start(large).await;
+    let sender = open(&bed).await;
+    let send = || {
+        let mut sender = sender.clone();
+        async move { sender.send_request(call("/x")).await.unwrap() }
+    };
+    let answers = tokio::join!(send(), send(), send());
+    assert_eq!(bed.dispatcher.running(), 3);
+    bed.assert_free_within(LONGEST_RUN, "streams that are not read")
+        .await;
+    drop(answers);
+}
+
+/// Guards against cutting an answer whose caller is slow but keeps taking parts of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_reader_gets_its_whole_answer() {
+    let bed = Bed::start(|_| {
+        let size = 8 << 20;
+        let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n").into_bytes();
+        answer.resize(answer.len() + size, b'x');
+        (answer, true)
+    })
+    .await;
+    let mut stream = bed.connect().await;
+    stream
+        .write_all(&request("GET", "/x", "", ""))
+        .await
+        .unwrap();
+    let (mut got, mut part) = (0, vec![0; 1 << 20]);
+    loop {
+        let n = stream.read(&mut part).await.unwrap();
+        if n == 0 {
+            break;
+        }
+        got += n;
+        sleep(Duration::from_millis(2)).await;
+    }
+    assert!(got > 8 << 20, "got {got} bytes");
+}
+
+/// Guards against one caller taking all connections for good, and against losing those that wait
+/// for their turn.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_over_the_bound_wait_for_their_turn() {
+    let bed = Bed::start(ok).await;
+    let mut first = bed.connect().await;
+    let whole = format!(
+        "GET /v1/services/one/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {KEY}\r\n\r\n"
+    );
+    first.write_all(whole.as_bytes()).await.unwrap();
+    let mut answer = [0; 1024];
+    let n = first.read(&mut answer).await.unwrap();
+    assert!(answer[..n].starts_with(b"HTTP/1.1 200"));
+    let mut others = Vec::new();
+    for _ in 0..limits().connections + 10 {
+        others.push(bed.connect().await);
+    }
+    // Who is connected is served on.
+    first.write_all(whole.as_bytes()).await.unwrap();
+    let n = first.read(&mut answer).await.unwrap();
+    assert!(answer[..n].starts_with(b"HTTP/1.1 200"));
+    let waiting = bed.send(&request("GET", "/x", "", "")).await;
+    assert_eq!(status(&waiting), 200, "{waiting:?}");
+}
+
+/// Guards against a body that comes in drops and holds its slot beyond the longest run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_dribbled_body_ends_with_the_longest_run() {
+    let bed = Bed::start(ok).await;
+    let mut stream = bed.connect().await;
+    stream
+        .write_all(&request("POST", "/x", "Content-Length: 900\r\n", ""))
+        .await
+        .unwrap();
+    let start = Instant::now();
+    while start.elapsed() < LONGEST_RUN + Duration::from_millis(300) {
+        let _ = stream.write_all(b"x").await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    bed.assert_free_within(Duration::from_millis(200), "a body in drops")
+        .await;
+    assert!(bed.requests().is_empty());
+}
+
+/// Guards against the slot of a caller that is gone coming back while the target still runs.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_whose_caller_is_gone_keeps_its_slot_until_the_longest_run() {
+    // The head announces more than ever comes, and the connection stays open.
+    let bed = Bed::start(|_| (b"HTTP/1.1 200 OK\r\n".to_vec(), true)).await;
+    let mut stream = bed.connect().await;
+    stream
+        .write_all(&request("GET", "/x", "", ""))
+        .await
+        .unwrap();
+    sleep(Duration::from_millis(100)).await;
+    drop(stream);
+    sleep(LONGEST_RUN - Duration::from_millis(400)).await;
+    assert_eq!(bed.dispatcher.running(), 1);
+    bed.assert_free_within(Duration::from_millis(700), "caller gone")
+        .await;
+}
+
+/// Guards against many streams of one connection holding up others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_streams_are_answered() {
+    let bed = Bed::start(ok).await;
+    let sender = open(&bed).await;
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..500 {
+        let mut sender = sender.clone();
+        calls.spawn(async move {
+            sender
+                .send_request(call(&format!("/n{number}")))
+                .await
+                .unwrap()
+        });
+    }
+    bed.assert_serves("many streams").await;
+    while let Some(answer) = calls.join_next().await {
+        let answer = answer.unwrap();
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.headers()["coriandernotch-outcome"], "answered");
+        assert_eq!(answer.into_body().collect().await.unwrap().to_bytes(), "ok");
+    }
+    let requests = bed.requests();
+    assert_eq!(requests.len(), 500);
+    // HTTP/2 requests name their host only in the authority.
+    assert_eq!(header(&requests[0], "host"), Some("h2-host"));
+}
+
+/// Guards against streams that are cancelled in a wave leaving slots or waiting calls behind.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cancelled_streams_leave_nothing() {
+    let bed = Bed::start(|_| {
+        std::thread::sleep(Duration::from_millis(2));
+        ok("")
+    })
+    .await;
+    for wave in 0..5 {
+        let sender = open(&bed).await;
+        let mut calls = tokio::task::JoinSet::new();
+        for _ in 0..200 {
+            let mut sender = sender.clone();
+            calls.spawn(async move { drop(sender.send_request(call("/x")).await) });
+        }
+        sleep(Duration::from_millis(5 * wave)).await;
+        drop(calls);
+    }
+    bed.assert_serves("cancelled streams").await;
+    bed.assert_free_within(LONGEST_RUN + Duration::from_secs(1), "cancelled streams")
+        .await;
+}
+
+type Sender = http2::SendRequest<Full<Bytes>>;
+
+async fn open(bed: &Bed) -> Sender {
+    let io = TokioIo::new(bed.connect().await);
+    let (sender, connection) = http2::handshake(TokioExecutor::new(), io).await.unwrap();
+    tokio::spawn(connection);
+    sender
+}
+
+fn call(path: &str) -> Request<Full<Bytes>> {
+    Request::get(format!("http://h2-host/v1/services/one{path}"))
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(Full::default())
+        .unwrap()
+}
