--- a/tests/callers/bed.rs
+++ b/tests/callers/bed.rs
@@ -50,6 +50,7 @@
     /// Whole requests that the target got.
     pub(crate) requests: Arc<Mutex<Vec<String>>>,
     early: Arc<AtomicBool>,
+    target: tokio::task::AbortHandle,
     _stop: watch::Sender<bool>,
 }
 
@@ -63,7 +64,7 @@
         let early = Arc::<AtomicBool>::default();
         let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let dispatcher = dispatcher(target.local_addr().unwrap());
-        tokio::spawn(run_target(target, script, requests.clone(), early.clone()));
+        let target = tokio::spawn(run_target(target, script, requests.clone(), early.clone()));
         let owner = Owner {
             instance: "a".into(),
             incarnation: 1,
@@ -83,6 +84,7 @@
             dispatcher,
             requests,
             early,
+            target: target.abort_handle(),
             _stop: stop,
         }
     }
@@ -94,6 +96,14 @@
         bed
     }
 
+    /// Closes the listener and all connections of the target.
+    pub(crate) async fn stop_target(&self) {
+        self.target.abort();
+        while !self.target.is_finished() {
+            tokio::task::yield_now().await;
+        }
+    }
+
     pub(crate) async fn connect(&self) -> TcpStream {
         TcpStream::connect(self.address).await.unwrap()
     }
@@ -220,9 +230,11 @@
     requests: Arc<Mutex<Vec<String>>>,
     early: Arc<AtomicBool>,
 ) {
+    // Dropping the set closes the connections.
+    let mut connections = tokio::task::JoinSet::new();
     loop {
         let (stream, _) = listener.accept().await.unwrap();
-        tokio::spawn(run_connection(
+        connections.spawn(run_connection(
             stream,
             script,
             requests.clone(),
