Read the rest of a refused request before closing

Cause: a caller that was still sending got a reset in place of the refusal, because its connection was closed with unread bytes. Change: the write side is shut first, then the rest is dropped for at most 500 ms; the connection keeps its place among the connections until then. Conclusion: refusals arrive.

--- a/src/front/callers/serve.rs
+++ b/src/front/callers/serve.rs
@@ -67,10 +67,7 @@
         match accepted {
             Ok((slot, stream, peer)) => {
                 let (port, stop) = (port.clone(), stop.clone());
-                tokio::spawn(async move {
-                    serve_connection(port, stream, peer, stop).await;
-                    drop(slot);
-                });
+                tokio::spawn(serve_connection(port, stream, slot, peer, stop));
             }
             Err(error) => {
                 log::warn!(event = "accept-failed", error:% = error; "");
@@ -103,6 +100,7 @@
 async fn serve_connection(
     port: Arc<Port>,
     stream: TcpStream,
+    slot: OwnedSemaphorePermit,
     peer: SocketAddr,
     mut stop: watch::Receiver<bool>,
 ) {
@@ -133,7 +131,7 @@
             Ok::<_, Infallible>(response.map(|body| Tracked::new(body, open)))
         }
     });
-    let stream = TokioIo::new(Stream::new(stream, activity.clone()));
+    let stream = TokioIo::new(Stream::new(stream, slot, activity.clone()));
     let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
     let mut looks = tokio::time::interval(limits.look_every());
     let mut stopping = false;
--- a/src/front/callers/stream.rs
+++ b/src/front/callers/stream.rs
@@ -2,33 +2,52 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::timeout;
 
 use super::activity::Activity;
 
 /// First bytes of HTTP/2 (RFC 9113, section 3.4); no HTTP/1 method begins with them.
 const PREFACE: &[u8] = b"PRI ";
 
+/// Time for which the rest of a request is read and dropped before its connection is closed.
+/// Closing with unread bytes resets the connection, which can lose an answer on its way.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// Socket of a caller that notes when the bytes of a request begin to arrive.
 #[derive(Debug)]
 pub(super) struct Stream {
-    inner: TcpStream,
+    inner: Socket,
     activity: Arc<Activity>,
     /// How many bytes were equal to the preface; `None` when one was not.
     matched: Option<usize>,
 }
 
+/// Socket with its place among the connections, until the stream is dropped.
+type Socket = Option<(TcpStream, OwnedSemaphorePermit)>;
+
 impl Stream {
-    pub(super) fn new(inner: TcpStream, activity: Arc<Activity>) -> Self {
+    pub(super) fn new(
+        inner: TcpStream,
+        slot: OwnedSemaphorePermit,
+        activity: Arc<Activity>,
+    ) -> Self {
         Self {
-            inner,
+            inner: Some((inner, slot)),
             activity,
             matched: Some(0),
         }
     }
 
+    fn socket(&mut self) -> io::Result<Pin<&mut TcpStream>> {
+        let (socket, _) = self.inner.as_mut().ok_or(io::ErrorKind::NotConnected)?;
+        Ok(Pin::new(socket))
+    }
+
     fn note(&mut self, bytes: &[u8]) {
         if bytes.is_empty() || self.matched == Some(PREFACE.len()) {
             return;
@@ -52,7 +71,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        ready!(self.socket()?.poll_read(cx, buf))?;
         self.note(&buf.filled()[before..]);
         Poll::Ready(Ok(()))
     }
@@ -64,7 +83,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        self.socket()?.poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -72,18 +91,38 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        self.socket()?.poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
+        let socket = self.inner.as_ref();
+        socket.is_some_and(|(socket, _)| socket.is_write_vectored())
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+        self.socket()?.poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
+        self.socket()?.poll_shutdown(cx)
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        if let Some((socket, slot)) = self.inner.take() {
+            tokio::spawn(async move {
+                let _ = timeout(LINGER, linger(socket)).await;
+                drop(slot);
+            });
+        }
     }
 }
+
+/// Ends the answers and waits until the caller has ended its requests.
+async fn linger(mut socket: TcpStream) -> io::Result<()> {
+    socket.shutdown().await?;
+    let mut rest = vec![0; 16 << 10];
+    while socket.read(&mut rest).await? > 0 {}
+    Ok(())
+}
--- a/tests/callers/bed.rs
+++ b/tests/callers/bed.rs
@@ -259,6 +259,9 @@
         };
         let message: Vec<u8> = buffer.drain(..length).collect();
         let message = String::from_utf8_lossy(&message).into_owned();
+        if let Some(delay) = header(&message, "x-delay-ms") {
+            tokio::time::sleep(Duration::from_millis(delay.parse().unwrap())).await;
+        }
         let bystander = message.contains("/bystander");
         let (answer, stays) = if bystander {
             ok(&message)
--- a/tests/callers/framing.rs
+++ b/tests/callers/framing.rs
@@ -5,7 +5,9 @@
 use coriandernotch::front::callers::Limits;
 use coriandernotch::settings::Bounds;
 
-use crate::bed::{BODY_LIMIT, Bed, KEY, header, ok, request, status};
+use tokio::io::AsyncWriteExt;
+
+use crate::bed::{BODY_LIMIT, Bed, KEY, header, ok, read_to_end, request, status};
 
 /// Makes a request with exactly these lines after the request line.
 fn raw(lines: &str, body: &str) -> Vec<u8> {
@@ -511,3 +513,44 @@
     }
     assert_eq!(bed.requests().len(), 1);
 }
+
+/// Guards against refusals that are lost because the caller still sends its body: a connection
+/// that is closed with unread bytes is reset, and the reset discards the answer on its way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_arrives_although_the_body_is_still_sent() {
+    let body = "a".repeat(8 << 20);
+    let chunks = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+    let cases = [
+        (
+            "too large",
+            authorized(&format!("Content-Length: {}", body.len()), &body),
+            413,
+        ),
+        (
+            "too large in chunks",
+            authorized("Transfer-Encoding: chunked", &chunks),
+            413,
+        ),
+        (
+            "no key",
+            raw(&format!("Host: h\r\nContent-Length: {}", body.len()), &body),
+            401,
+        ),
+        ("head too long", authorized(&format!("h: {body}"), ""), 431),
+    ];
+    let bed = Bed::start(ok).await;
+    for (name, bytes, expected) in cases {
+        for round in 0..5 {
+            let mut stream = bed.connect().await;
+            // A caller that gives up when its body is refused does not look for the answer.
+            let written = stream.write_all(&bytes).await;
+            assert!(written.is_ok(), "{name}, round {round}: {written:?}");
+            let answer = read_to_end(&mut stream).await;
+            assert_eq!(
+                status(&answer),
+                expected,
+                "{name}, round {round}: {answer:?}"
+            );
+        }
+    }
+}
--- a/tests/callers/slow.rs
+++ b/tests/callers/slow.rs
@@ -262,17 +262,13 @@
 /// Guards against streams that are cancelled in a wave leaving slots or waiting calls behind.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn cancelled_streams_leave_nothing() {
-    let bed = Bed::start(|_| {
-        std::thread::sleep(Duration::from_millis(2));
-        ok("")
-    })
-    .await;
+    let bed = Bed::start(ok).await;
     for wave in 0..5 {
         let sender = open(&bed).await;
         let mut calls = tokio::task::JoinSet::new();
         for _ in 0..200 {
             let mut sender = sender.clone();
-            calls.spawn(async move { drop(sender.send_request(call("/x")).await) });
+            calls.spawn(async move { drop(sender.send_request(delayed("/x", 20)).await) });
         }
         sleep(Duration::from_millis(5 * wave)).await;
         drop(calls);
@@ -297,3 +293,10 @@
         .body(Full::default())
         .unwrap()
 }
+
+/// Makes a call whose answer the target holds back.
+fn delayed(path: &str, millis: u32) -> Request<Full<Bytes>> {
+    let mut request = call(path);
+    request.headers_mut().insert("x-delay-ms", millis.into());
+    request
+}
--- a/tests/callers/targets.rs
+++ b/tests/callers/targets.rs
@@ -343,20 +343,17 @@
 }
 
 /// Guards against a late answer that reaches a later caller on the same connection.
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_late_answer_reaches_nobody() {
     let bed = Bed::start(|request| {
         let path = request.split(' ').nth(1).unwrap();
-        if path.starts_with("/late") {
-            std::thread::sleep(Duration::from_millis(250));
-        }
         let length = path.len();
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{path}");
         (head.into_bytes(), true)
     })
     .await;
     for round in 0..3 {
-        let deadline = "Coriandernotch-Deadline-Ms: 100\r\n";
+        let deadline = "Coriandernotch-Deadline-Ms: 100\r\nX-Delay-Ms: 250\r\n";
         let late = bed
             .send(&request("GET", &format!("/late{round}"), deadline, ""))
             .await;
