Extend the operators' port: history, check, events, audit, status by role

Cause: operators could put a document in force and read one status, but not see past versions, try a change, or learn why calls were refused. PUT /v1/fleet let the role operate replace the whole document, and the time of a change was written in seconds where rows state milliseconds.

Change: routes are an enum with path, method and least role, from which the router is built. New are history with differences, re-apply, check with effects, events (bounded ring, repeated refusals counted per minute, figures taken without the lock of the ring), a new secret, and an OpenAPI description compared with the enum by a test. The role operate changes states of data centres and pauses of plans only, against a fixed base. Each change writes an audit row before it starts; without the row nothing is changed. A change goes on when its connection ends. Peers report their version in force (new field of Report, 0 from older instances), from which the status names those that lag. Requests of other sites' pages are refused.

--- a/src/call/dispatcher.rs
+++ b/src/call/dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::admit::{Refusal, Ticket, Waiting};
 use crate::clock::Instant;
 use crate::collections::Map;
+use crate::event::{Event, Log};
 use crate::fleet::{DataCentreId, ServiceId, Snapshot, TeamId};
 use crate::limit::{Ledger, Permit};
 use crate::platform::Instance;
@@ -40,6 +41,7 @@
     /// Woken when a call waits for a permit.
     permit_wanted: Notify,
     near: RwLock<Option<DataCentreId>>,
+    events: Log,
 }
 
 impl Dispatcher {
@@ -57,9 +59,15 @@
             draining: AtomicBool::new(false),
             permit_wanted: Notify::new(),
             near: RwLock::new(None),
+            events: Log::default(),
         })
     }
 
+    /// Returns the events of this entry instance.
+    pub fn events(&self) -> &Log {
+        &self.events
+    }
+
     /// Puts versions into force: the one in force first, then any whose result is pending.
     pub fn enforce(&self, versions: Arc<[Arc<Snapshot>]>, near: &str, now: Instant) {
         if let Some(current) = versions.first() {
@@ -429,7 +437,7 @@
                 lane.queues.record(now.since(grant.granted));
             }
             if let Some(ejected) = lane.targets.finish(grant.target, verdict, now) {
-                log_ejection(grant, verdict, ejected);
+                self.note_ejection(grant, verdict, ejected, now);
             }
         }
         match end {
@@ -450,7 +458,7 @@
         if let Some(lane) = self.lane(grant.order.service)
             && let Some(ejected) = lock(&lane).targets.judge(grant.target, verdict, now)
         {
-            log_ejection(grant, verdict, ejected);
+            self.note_ejection(grant, verdict, ejected, now);
         }
     }
 
@@ -498,7 +506,7 @@
             .unwrap_or(DEFAULT_LONGEST_RUN)
     }
 
-    fn lanes(&self) -> Vec<(ServiceId, Arc<Mutex<Lane>>)> {
+    pub(super) fn lanes(&self) -> Vec<(ServiceId, Arc<Mutex<Lane>>)> {
         let lanes = self.lanes.read().expect("lanes lock");
         (0u32..)
             .zip(lanes.iter())
@@ -506,7 +514,7 @@
             .collect()
     }
 
-    fn lane(&self, service: ServiceId) -> Option<Arc<Mutex<Lane>>> {
+    pub(super) fn lane(&self, service: ServiceId) -> Option<Arc<Mutex<Lane>>> {
         self.lanes
             .read()
             .expect("lanes lock")
@@ -514,6 +522,18 @@
             .cloned()
     }
 
+    fn note_ejection(&self, grant: &Grant, verdict: Verdict, length: Duration, now: Instant) {
+        let seconds = length.as_secs();
+        log::warn!(event = "target-ejected", peer:% = grant.address, verdict:% = verdict,
+            seconds = seconds; "");
+        let event = Event::Ejected {
+            target: grant.address.to_string().into(),
+            verdict: verdict.to_string().into(),
+            seconds,
+        };
+        self.events.add(now, event);
+    }
+
     fn lane_or_new(&self, service: ServiceId, slots: u32) -> Arc<Mutex<Lane>> {
         let mut lanes = self.lanes.write().expect("lanes lock");
         while lanes.len() <= service.index() {
@@ -538,12 +558,7 @@
     }
 }
 
-fn log_ejection(grant: &Grant, verdict: Verdict, length: Duration) {
-    log::warn!(event = "target-ejected", peer:% = grant.address, verdict:% = verdict,
-        seconds = length.as_secs(); "");
-}
-
-fn lock(lane: &Mutex<Lane>) -> MutexGuard<'_, Lane> {
+pub(super) fn lock(lane: &Mutex<Lane>) -> MutexGuard<'_, Lane> {
     lane.lock().expect("lane lock")
 }
 
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod dispatcher;
 mod end;
+mod figures;
 mod grant;
 mod lane;
 mod load;
--- a/src/config/outcome.rs
+++ b/src/config/outcome.rs
@@ -3,14 +3,18 @@
 use super::{Operation, Revision};
 
 /// Result of a commit.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Outcome {
+    #[error("accepted version={}", .0.head.version)]
     /// The write took effect as this revision, or as an older one that was since replaced.
     Accepted(Revision),
+    #[error("conflict version={}", .0.head.version)]
     /// Another change came first; nothing was written.
     Conflict(Revision),
+    #[error("refused {0}")]
     /// Nothing was written and nothing will be.
     Refused(Reason),
+    #[error("unknown operation={0}")]
     /// The write may have taken effect or may still do so.
     Unknown(Operation),
 }
--- a/src/control/control.rs
+++ b/src/control/control.rs
@@ -4,6 +4,7 @@
 use crate::call::Dispatcher;
 use crate::clock::Instant;
 use crate::config::{Ack, Prepare, Presence, State, Voter};
+use crate::event::Event;
 use crate::fleet::{Registry, Snapshot};
 use crate::limit::{Ledger, Terms};
 
@@ -155,6 +156,13 @@
         let snapshots: Arc<[Arc<Snapshot>]> = applied.iter().map(|a| a.snapshot.clone()).collect();
         log::info!(event = "version-enforced", versions:? =
             snapshots.iter().map(|s| s.version()).collect::<Vec<_>>(); "");
+        if let Some((first, pending)) = snapshots.split_first() {
+            let event = Event::InForce {
+                version: first.version(),
+                pending: pending.iter().map(|s| s.version()).collect(),
+            };
+            self.dispatcher.events().add(now, event);
+        }
         self.dispatcher.enforce(snapshots, &self.data_centre, now);
         inner.applied = applied;
     }
--- a/src/demo/bed.rs
+++ b/src/demo/bed.rs
@@ -6,14 +6,18 @@
 use tokio::net::TcpListener;
 
 use crate::collections::Map;
-use crate::fleet::{Document, parse};
+use crate::fleet::{Digest, Document, parse};
 use crate::node::Node;
 use crate::platform::{Instance, State};
-use crate::settings;
+use crate::settings::{self, Role};
 use crate::standin::{Store, Target};
 
-/// Operator key with all rights in a bed.
-const OPERATOR_KEY: &str = "administer-key";
+/// Operators of a bed; the key of each is the name of the role with `-key` after it.
+const OPERATORS: [(&str, Role); 3] = [
+    ("watch", Role::View),
+    ("shift", Role::Operate),
+    ("demo", Role::Administer),
+];
 
 /// Service time of the stand-in targets.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
@@ -100,11 +104,10 @@
             "platform": {
                 "table": ["127.0.0.1:1"], "objects": ["127.0.0.1:1"], "listing": ["127.0.0.1:1"]
             },
-            "operators": [{
-                "name": "demo",
-                "digest": crate::fleet::Digest::of(OPERATOR_KEY.as_bytes()),
-                "role": "administer",
-            }],
+            "operators": OPERATORS.map(|(name, role)| {
+                let digest = Digest::of(format!("{role}-key").as_bytes());
+                serde_json::json!({ "name": name, "digest": digest, "role": role })
+            }),
         });
         let settings = settings::parse("settings", &text.to_string()).map_err(|p| {
             eyre!(
--- a/src/front/callers/exchange.rs
+++ b/src/front/callers/exchange.rs
@@ -14,6 +14,7 @@
 use super::flight::Flight;
 use super::guard::Guard;
 use super::hold::Hold;
+use super::note::note;
 use super::reply::Reply;
 use super::request::{
     OUTCOME, check_framing, is_idempotent, read_deadline, read_key, rewrite_headers, split_path,
@@ -58,7 +59,7 @@
     request: Request<Incoming>,
     start: Instant,
 ) -> Result<Response<Body>, Reply> {
-    let call = accept(port, request, start)?;
+    let call = accept(port, request, start).inspect_err(|reply| note(port, reply, None))?;
     let Some(ask) = call.ask.clone() else {
         return dispatch(port, call).await;
     };
@@ -73,7 +74,13 @@
 }
 
 /// Runs a call, again where that is safe.
-async fn dispatch(port: &Arc<Port>, mut call: Call) -> Result<Response<Body>, Reply> {
+async fn dispatch(port: &Arc<Port>, call: Call) -> Result<Response<Body>, Reply> {
+    let order = call.order;
+    let result = try_dispatch(port, call).await;
+    result.inspect_err(|reply| note(port, reply, Some(order)))
+}
+
+async fn try_dispatch(port: &Arc<Port>, mut call: Call) -> Result<Response<Body>, Reply> {
     loop {
         let grant = port.dispatcher.admit(call.order, clock::now()).await?;
         let (grant, sender) = connect(port, grant).await?;
--- a/src/front/callers/mod.rs
+++ b/src/front/callers/mod.rs
@@ -11,6 +11,7 @@
 mod kept;
 mod limits;
 mod meter;
+mod note;
 mod reply;
 mod request;
 mod serve;
--- /dev/null
+++ b/src/front/callers/note.rs
@@ -0,0 +1,30 @@
+use super::reply::Reply;
+use super::serve::Port;
+use crate::call::Order;
+use crate::clock;
+use crate::event::{Event, Refusal, rule};
+
+/// Notes a refusal for operators, with the figures behind the first one of a minute.
+pub(super) fn note(port: &Port, reply: &Reply, order: Option<Order>) {
+    let Some(reason) = reply.refusal() else {
+        return;
+    };
+    let (team, service) = (order.map(|o| o.team), order.map(|o| o.service));
+    let refusal = Refusal {
+        reason,
+        team,
+        service,
+    };
+    let now = clock::now();
+    port.dispatcher.events().refuse(now, refusal, || {
+        let current = port.dispatcher.enforced().first().cloned();
+        let current = current.as_ref();
+        Event::Refused {
+            reason,
+            rule: rule(reason),
+            team: team.and_then(|id| Some(current?.team(id)?.name.clone())),
+            service: service.and_then(|id| Some(current?.service(id)?.name.clone())),
+            figures: port.dispatcher.figures(team, service, now).into(),
+        }
+    });
+}
--- a/src/front/callers/reply.rs
+++ b/src/front/callers/reply.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Returns the reason when the call was truly not run.
+    pub(super) fn refusal(&self) -> Option<&'static str> {
+        (self.outcome == Outcome::NotRun).then_some(self.reason)
+    }
+
     pub(super) fn into_response(self) -> Response<Body> {
         counter!("calls_refused_total", "reason" => self.reason, "outcome" => <&str>::from(self.outcome))
             .increment(1);
--- a/src/front/operators/level.rs
+++ b/src/front/operators/level.rs
@@ -1,18 +1,22 @@
 use std::str::FromStr;
+use std::sync::Arc;
 
 use log::LevelFilter;
 use salvo::http::StatusCode;
-use salvo::{Request, Response, handler};
+use salvo::{Depot, Request, Response, handler};
+
+use super::role::OPERATOR;
+use crate::node::{Audit, Shared};
 
 /// Longest accepted body in bytes; the longest level has five letters.
 const MAX_BODY: usize = 16;
 
 /// Sets the log level of the process.
-pub(super) struct SetLevel;
+pub(super) struct SetLevel(pub(super) Arc<Shared>);
 
 #[handler]
 impl SetLevel {
-    async fn handle(&self, request: &mut Request, response: &mut Response) {
+    async fn handle(&self, request: &mut Request, depot: &mut Depot, response: &mut Response) {
         let body = request.payload_with_max_size(MAX_BODY).await.ok();
         let text = body
             .and_then(|b| std::str::from_utf8(b).ok())
@@ -22,6 +26,8 @@
             Ok(level) => {
                 log::set_max_level(level);
                 response.render(format!("{level}\n"));
+                let author = depot.get::<Arc<str>>(OPERATOR).cloned().unwrap_or_default();
+                self.record(&author, level);
             }
             Err(_) => {
                 response.status_code(StatusCode::BAD_REQUEST);
@@ -30,3 +36,14 @@
         }
     }
 }
+
+impl SetLevel {
+    /// Writes the audit row without waiting: the level is wanted most while the store is down.
+    fn record(&self, author: &str, level: LevelFilter) {
+        let detail = format!("instance={} level={level}", self.0.member.name);
+        let mut audit = Audit::new(&self.0.origin(author), "set-log-level", &detail);
+        audit.outcome = "done".into();
+        let shared = self.0.clone();
+        tokio::spawn(async move { shared.record(&audit).await });
+    }
+}
--- a/src/front/operators/serve.rs
+++ b/src/front/operators/serve.rs
@@ -2,16 +2,12 @@
 
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::{Router, Server};
+use strum::IntoEnumIterator;
 use tokio::net::TcpListener;
 
-use super::fleet::{ReadFleet, WriteFleet};
-use super::health::{Live, Ready};
-use super::level::SetLevel;
-use super::metrics::Scrape;
-use super::role::Require;
-use super::status::Status;
+use super::Route;
+use super::guard::Guard;
 use crate::node::Shared;
-use crate::settings::Role;
 
 /// Serves the operators' port until the process ends.
 pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
@@ -22,23 +18,6 @@
 }
 
 fn make_router(shared: &Arc<Shared>) -> Router {
-    let require = |role| Require::new(shared.clone(), role);
-    let fleet = Router::with_path("v1/fleet")
-        .push(Router::with_hoop(require(Role::View)).get(ReadFleet(shared.clone())))
-        .push(Router::with_hoop(require(Role::Operate)).put(WriteFleet(shared.clone())));
-    Router::new()
-        .push(Router::with_path("healthz").get(Live))
-        .push(Router::with_path("readyz").get(Ready(shared.clone())))
-        .push(Router::with_path("metrics").get(Scrape))
-        .push(fleet)
-        .push(
-            Router::with_path("v1/status")
-                .hoop(require(Role::View))
-                .get(Status(shared.clone())),
-        )
-        .push(
-            Router::with_path("v1/log-level")
-                .hoop(require(Role::Operate))
-                .put(SetLevel),
-        )
+    let router = Router::new().hoop(Guard);
+    Route::iter().fold(router, |router, route| router.push(route.router(shared)))
 }
--- a/src/front/operators/status.rs
+++ b/src/front/operators/status.rs
@@ -1,3 +1,7 @@
+mod data_centres;
+mod instances;
+mod teams;
+
 use std::sync::Arc;
 
 use salvo::writing::Json;
@@ -21,35 +25,31 @@
             let voters: Vec<_> = head.iter().flat_map(|h| h.voters.clone()).collect();
             (head.map(|h| h.version), state.pending().len(), voters)
         });
-        let peers: Vec<_> = shared
-            .hub
-            .links()
-            .iter()
-            .map(|l| l.voter().name.clone())
-            .collect();
-        let load = dispatcher.load();
-        let teams = shared.control.current().map(|current| {
-            let row = |(id, team): (crate::fleet::TeamId, &crate::fleet::Team)| {
-                let (running, home, lent) =
-                    dispatcher.with_ledger(|l| (l.running(id), l.home(id), l.lent(id)));
-                json!({ "name": team.name, "limit": team.limit, "share": team.share,
-                    "running": running, "home": home, "lent": lent })
-            };
-            current.teams().map(row).collect::<Vec<_>>()
-        });
+        let links = shared.hub.links();
+        let peers: Vec<_> = links.iter().map(|l| l.voter().name.clone()).collect();
+        let instances = instances::list(shared, &voters);
+        let newest = instances.iter().filter_map(|i| i.version).max();
+        let lagging = instances.iter().filter(|i| i.version < newest);
+        let lagging: Vec<_> = lagging.map(|i| i.name.clone()).collect();
+        let current = shared.control.current();
+        let current = current.as_deref();
         response.render(Json(json!({
             "name": shared.member.name,
             "incarnation": shared.member.incarnation,
             "data-centre": shared.settings.data_centre,
             "ready": shared.is_ready(now),
+            "fresh": dispatcher.is_fresh(now),
             "version": version,
             "pending": pending,
             "voters": voters,
             "peers": peers,
+            "instances": instances,
+            "lagging": lagging,
             "running": dispatcher.running(),
             "waiting": dispatcher.waiting(),
-            "targets": load.targets.len(),
-            "teams": teams,
+            "targets": dispatcher.load().targets.len(),
+            "teams": current.map(|c| teams::list(dispatcher, c)),
+            "data-centres": current.map(|c| data_centres::list(dispatcher, c, now)),
         })));
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod control;
 pub mod demo;
 pub mod document;
+pub mod event;
 pub mod fleet;
 pub mod front;
 pub mod limit;
--- a/src/node/apply.rs
+++ b/src/node/apply.rs
@@ -5,6 +5,7 @@
 use crate::clock;
 use crate::config::{Ack, Commit, HEAD_KEY, Origin, Outcome, Reason, Revision};
 use crate::document::Problem;
+use crate::event::Event;
 use crate::fleet;
 use crate::wire::Body;
 
@@ -23,27 +24,36 @@
 impl Shared {
     /// Puts a document in force as the successor of version `base`, or of the newest when `None`.
     pub async fn apply(&self, content: &str, base: Option<u64>, author: &str) -> Applied {
+        self.apply_as(content, base, &self.origin(author)).await
+    }
+
+    /// Does what [`Shared::apply`] does as the operation that `origin` names.
+    pub async fn apply_as(&self, content: &str, base: Option<u64>, origin: &Origin) -> Applied {
         if let Err(problems) = fleet::parse("fleet", content) {
             return Applied::Invalid(problems);
         }
-        let origin = self.origin(author);
         let Some(revision) = self.control.read(|state| state.revision()) else {
-            return Applied::Committed(self.commit_first(content, base, &origin).await);
+            return Applied::Committed(self.commit_first(content, base, origin).await);
         };
         if base.is_some_and(|base| base != revision.head.version) {
             return Applied::Committed(Outcome::Conflict(revision));
         }
         Applied::Committed(
-            self.commit(Commit::document(revision, content, &origin))
+            self.commit(Commit::document(revision, content, origin))
                 .await,
         )
     }
 
-    pub(super) fn origin(&self, author: &str) -> Origin {
+    /// Makes the origin of a change by `author`, with an operation of its own.
+    pub fn origin(&self, author: &str) -> Origin {
         let time = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
-        Origin::new(self.next_operation(), author, time.as_secs())
+        Origin::new(
+            self.next_operation(),
+            author,
+            u64::try_from(time.as_millis()).unwrap_or(u64::MAX),
+        )
     }
 
     /// Writes the first head, unless the store has one that this instance has not read yet.
@@ -110,6 +120,13 @@
             Outcome::Refused(_) => self.abort(&commit),
             Outcome::Unknown(_) => {}
         }
+        let head = &commit.prepare().version.head;
+        let event = Event::Commit {
+            version: head.version,
+            author: head.author.clone(),
+            outcome: outcome.to_string().into(),
+        };
+        self.events().add(clock::now(), event);
         log::info!(event = "commit", version = commit.prepare().version.head.version,
             outcome:? = outcome; "");
         outcome
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,9 +3,11 @@
 //! Each file but [`Node`]'s own holds one task that runs until the instance stops.
 
 mod apply;
+mod audit;
 mod borrow;
 mod fetch;
 mod follow;
+mod history;
 mod join;
 mod list;
 mod members;
@@ -20,5 +22,7 @@
 mod vote;
 
 pub use apply::Applied;
+pub use audit::Audit;
+pub use history::{Page, Past};
 pub use node::Node;
 pub use shared::Shared;
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -9,6 +9,7 @@
 use crate::collections::Map;
 use crate::config::Operation;
 use crate::control::Control;
+use crate::event::Log;
 use crate::front::callers::Port;
 use crate::peer::{Hub, Member};
 use crate::platform::Platform;
@@ -84,6 +85,11 @@
         !self.leaving.load(Ordering::Acquire) && dispatcher.is_fresh(now) && dispatcher.has_list()
     }
 
+    /// Returns the events of this instance.
+    pub fn events(&self) -> &Log {
+        self.control.dispatcher().events()
+    }
+
     /// Lists the members of the last scan.
     pub fn members(&self) -> Vec<Member> {
         self.members.lock().expect("members lock").clone()
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -3,6 +3,7 @@
 
 use super::{Shared, borrow, join};
 use crate::clock;
+use crate::event::Event;
 use crate::wire::Body;
 
 /// Time between two looks at whether the running calls have ended.
@@ -19,6 +20,11 @@
     let start = clock::now();
     log::info!(event = "shutdown-started", running = dispatcher.running(),
         waiting = dispatcher.waiting(); "");
+    let event = Event::Shutdown {
+        running: dispatcher.running(),
+        waiting: dispatcher.waiting(),
+    };
+    shared.events().add(start, event);
     shared
         .leaving
         .store(true, std::sync::atomic::Ordering::Release);
--- a/src/node/vote.rs
+++ b/src/node/vote.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use super::Shared;
-use crate::config::{Commit, Vote, Voter};
+use crate::clock;
+use crate::config::{Commit, Outcome, Vote, Voter};
+use crate::event::Event;
 
 /// Time between two looks at the voters.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
@@ -39,8 +41,16 @@
             continue;
         };
         let origin = shared.origin("voters");
+        let names = |voters: &[Voter]| voters.iter().map(|v| v.name.clone()).collect();
+        let event = Event::Voters {
+            added: names(&change.add),
+            removed: names(&change.remove),
+        };
         let commit = Commit::voters(revision, content, &change.add, &change.remove, &origin);
         let outcome = shared.commit(commit).await;
+        if matches!(outcome, Outcome::Accepted(_)) {
+            shared.events().add(clock::now(), event);
+        }
         log::info!(event = "voters-changed", added = change.add.len(),
             removed = change.remove.len(), outcome:? = outcome; "");
     }
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -131,6 +131,7 @@
         let peer = ledger.peer(&to_limit(link.voter()));
         ledger.learn(peer, permits, now);
     });
+    hub.learn_version(&link.voter().name, report.version);
     hub.learn_load(&link.voter().name, read_load(&current, report), now);
 }
 
@@ -166,6 +167,7 @@
     };
     let team = |id| current.team(id).map(|t| t.name.clone());
     Report {
+        version: current.version(),
         settled: permits.settled,
         closed: permits.closed,
         permits: permits
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -17,6 +17,8 @@
     links: Mutex<Map<Arc<str>, Link>>,
     /// What each connected peer last said that it runs.
     loads: Mutex<Map<Arc<str>, Load>>,
+    /// Version in force at each connected peer, as it last said.
+    versions: Mutex<Map<Arc<str>, u64>>,
     /// Woken when something must be fetched.
     wants: Notify,
     stop: watch::Sender<bool>,
@@ -30,6 +32,7 @@
             data_centre: data_centre.into(),
             links: Mutex::default(),
             loads: Mutex::default(),
+            versions: Mutex::default(),
             wants: Notify::new(),
             stop: watch::Sender::new(false),
         })
@@ -113,10 +116,22 @@
             links.remove(name);
             drop(links);
             self.loads.lock().expect("loads lock").remove(name);
+            self.versions.lock().expect("versions lock").remove(name);
             self.pass_loads(now);
         }
     }
 
+    /// Returns the version in force at a connected peer, once it said so.
+    pub fn version(&self, name: &str) -> Option<u64> {
+        let versions = self.versions.lock().expect("versions lock");
+        versions.get(name).copied()
+    }
+
+    pub(super) fn learn_version(&self, name: &Arc<str>, version: u64) {
+        let mut versions = self.versions.lock().expect("versions lock");
+        versions.insert(name.clone(), version);
+    }
+
     pub(super) fn learn_load(&self, name: &Arc<str>, load: Load, now: Instant) {
         self.loads
             .lock()
--- a/src/wire/report.rs
+++ b/src/wire/report.rs
@@ -18,4 +18,7 @@
     /// Running calls per target.
     #[prost(message, repeated, tag = "5")]
     pub targets: Vec<Count>,
+    /// Version in force; 0 from an instance that does not say.
+    #[prost(uint64, tag = "6")]
+    pub version: u64,
 }
