Add commands for history, differences, data centres and keys

Cause: operators had to edit the document by hand to take a data centre out or withdraw a key, and apply did not say whether a version is in force everywhere.

--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -4,15 +4,25 @@
 
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 
+use super::Format;
+use super::options::Options;
+use crate::fleet::Direction;
+
 /// How the program is called.
 pub const USAGE: &str = "\
 usage: coriandernotch serve --settings FILE
        coriandernotch check FILE
-       coriandernotch apply FILE --to ADDRESS [--if-version N]
-       coriandernotch status --to ADDRESS
+       coriandernotch diff FILE --to ADDRESS [--format table|json]
+       coriandernotch apply FILE --to ADDRESS [--if-version N] [--wait]
+       coriandernotch status --to ADDRESS [--format table|json]
+       coriandernotch history --to ADDRESS [--format table|json]
+       coriandernotch data-centre out|in NAME --to ADDRESS [--wait]
+       coriandernotch key issue|withdraw TEAM NAME --to ADDRESS [--wait]
        coriandernotch demo [--seconds N] [--seed N] [--shape huallaga|rennes] [--report DIR] [--hold]
        coriandernotch --help | --version
-apply and status read the operator key from the variable CORIANDERNOTCH_KEY.
+Commands with --to read the operator key from the variable CORIANDERNOTCH_KEY.
+Exit codes: 0 done, 1 failed, 2 wrong usage or invalid, 3 another operator was first,
+4 unknown whether the change is in force, 5 accepted but not in force everywhere in 10 s.
 ";
 
 /// One call of the program.
@@ -40,11 +50,64 @@
         to: SocketAddr,
         /// Version that the document follows.
         if_version: Option<u64>,
+        /// Whether to wait until it is in force everywhere.
+        wait: bool,
+    },
+    /// Prints how a fleet document differs from the version in force.
+    Diff {
+        /// Fleet document.
+        file: PathBuf,
+        /// Operators' port of an entry instance.
+        to: SocketAddr,
+        /// How to print it.
+        format: Format,
     },
     /// Prints what an entry instance knows.
     Status {
         /// Operators' port of an entry instance.
         to: SocketAddr,
+        /// How to print it.
+        format: Format,
+    },
+    /// Prints the newest versions.
+    History {
+        /// Operators' port of an entry instance.
+        to: SocketAddr,
+        /// How to print it.
+        format: Format,
+    },
+    /// Takes a data centre out or back in.
+    DataCentre {
+        /// Name of the data centre.
+        name: String,
+        /// State that it is to have.
+        state: Direction,
+        /// Operators' port of an entry instance.
+        to: SocketAddr,
+        /// Whether to wait until it is in force everywhere.
+        wait: bool,
+    },
+    /// Adds a key to a team and shows its secret.
+    KeyIssue {
+        /// Name of the team.
+        team: String,
+        /// Name of the key.
+        name: String,
+        /// Operators' port of an entry instance.
+        to: SocketAddr,
+        /// Whether to wait until it is in force everywhere.
+        wait: bool,
+    },
+    /// Withdraws a key of a team.
+    KeyWithdraw {
+        /// Name of the team.
+        team: String,
+        /// Name of the key.
+        name: String,
+        /// Operators' port of an entry instance.
+        to: SocketAddr,
+        /// Whether to wait until it is in force everywhere.
+        wait: bool,
     },
     /// Runs stand-ins and entry instances in one process and checks the rules.
     Demo {
@@ -96,92 +159,12 @@
                 Long("shape") => options.shape = Some(parser.value()?.string()?),
                 Long("report") => options.report = Some(parser.value()?.into()),
                 Long("hold") => options.hold = true,
-                Value(file) if options.file.is_none() => options.file = Some(file.into()),
+                Long("wait") => options.wait = true,
+                Long("format") => options.format = Some(parser.value()?.parse()?),
+                Value(value) => options.values.push_back(value),
                 other => return Err(other.unexpected()),
             }
         }
         options.build(&name)
     }
 }
-
-/// Options of all commands.
-#[derive(Default)]
-struct Options {
-    settings: Option<PathBuf>,
-    file: Option<PathBuf>,
-    to: Option<SocketAddr>,
-    if_version: Option<u64>,
-    seconds: Option<u64>,
-    seed: Option<u64>,
-    shape: Option<String>,
-    report: Option<PathBuf>,
-    hold: bool,
-}
-
-impl Options {
-    fn build(mut self, name: &str) -> Result<Command, lexopt::Error> {
-        let command = match name {
-            "serve" => Command::Serve {
-                settings: need(self.settings.take(), "--settings FILE")?,
-            },
-            "check" => Command::Check {
-                file: need(self.file.take(), "FILE")?,
-            },
-            "apply" => Command::Apply {
-                file: need(self.file.take(), "FILE")?,
-                to: need(self.to.take(), "--to ADDRESS")?,
-                if_version: self.if_version.take(),
-            },
-            "status" => Command::Status {
-                to: need(self.to.take(), "--to ADDRESS")?,
-            },
-            "demo" => self.build_demo()?,
-            _ => return Err(format!("{name:?} is no command").into()),
-        };
-        match self.left_over() {
-            Some(option) => Err(format!("{name} takes no {option}").into()),
-            None => Ok(command),
-        }
-    }
-
-    fn build_demo(&mut self) -> Result<Command, lexopt::Error> {
-        let shape = self.shape.take().unwrap_or_else(|| "huallaga".to_owned());
-        if !["huallaga", "rennes"].contains(&&*shape) {
-            return Err(format!("--shape {shape:?}: accepted huallaga, rennes").into());
-        }
-        let seconds = self.seconds.take().unwrap_or(20);
-        if !(1..=86_400).contains(&seconds) {
-            return Err(format!("--seconds {seconds}: accepted 1 to 86400").into());
-        }
-        Ok(Command::Demo {
-            seconds,
-            seed: self.seed.take().unwrap_or(1),
-            shape,
-            report: self.report.take(),
-            hold: std::mem::take(&mut self.hold),
-        })
-    }
-
-    /// Names an option that the command does not take.
-    fn left_over(&self) -> Option<&'static str> {
-        let given = [
-            (self.settings.is_some(), "--settings"),
-            (self.file.is_some(), "FILE"),
-            (self.to.is_some(), "--to"),
-            (self.if_version.is_some(), "--if-version"),
-            (self.seconds.is_some(), "--seconds"),
-            (self.seed.is_some(), "--seed"),
-            (self.shape.is_some(), "--shape"),
-            (self.report.is_some(), "--report"),
-            (self.hold, "--hold"),
-        ];
-        given
-            .iter()
-            .find(|(given, _)| *given)
-            .map(|(_, name)| *name)
-    }
-}
-
-fn need<T>(option: Option<T>, name: &str) -> Result<T, lexopt::Error> {
-    option.ok_or_else(|| format!("{name} is missing").into())
-}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,15 +1,25 @@
 //! Commands of the program.
 
+mod answer;
 mod apply;
+mod change;
 mod check;
 mod command;
+mod data_centre;
 mod demo;
+mod exit;
+mod failure;
+mod format;
+mod key;
 mod log;
 mod operator;
+mod options;
+mod read;
 mod run;
 mod serve;
-mod status;
+mod table;
 
 pub use check::{check, check_to};
 pub use command::{Command, USAGE};
+pub use format::Format;
 pub use run::run;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,7 +1,7 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 
-use super::{Command, USAGE, apply, check, demo, serve, status};
+use super::{Command, USAGE, apply, check, data_centre, demo, key, read, serve};
 
 /// Exit code of wrong usage.
 const WRONG_USAGE: u8 = 2;
@@ -37,8 +37,29 @@
             file,
             to,
             if_version,
-        } => apply::apply(&file, to, if_version),
-        Command::Status { to } => status::status(to),
+            wait,
+        } => apply::apply(&file, to, if_version, wait),
+        Command::Diff { file, to, format } => read::diff(&file, to, format),
+        Command::Status { to, format } => read::status(to, format),
+        Command::History { to, format } => read::history(to, format),
+        Command::DataCentre {
+            name,
+            state,
+            to,
+            wait,
+        } => data_centre::data_centre(to, &name, state, wait),
+        Command::KeyIssue {
+            team,
+            name,
+            to,
+            wait,
+        } => key::issue(to, &team, &name, wait),
+        Command::KeyWithdraw {
+            team,
+            name,
+            to,
+            wait,
+        } => key::withdraw(to, &team, &name, wait),
         Command::Demo {
             seconds,
             seed,
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -183,7 +183,7 @@
     assert_eq!(code, 0, "{text}");
     call_until_answered(a.callers, "first").await;
     call_until_answered(b.callers, "second").await;
-    let (code, text) = bed.run(&["status"], b.operators);
+    let (code, text) = bed.run(&["status", "--format", "json"], b.operators);
     assert!(
         code == 0 && text.contains("\"ready\":true"),
         "{code} {text}"
