Add the operators' console

Cause: operators had no forms for the document and no live view.

Change: /console serves three static files from the binary under a policy of same-origin scripts, styles and calls. GET of a document takes plain=true, since a browser does not read JSON with comments.

No browser was run.

Conclusion: layout, keyboard and phone use are untested in a browser.

--- a/src/front/operators/fleet.rs
+++ b/src/front/operators/fleet.rs
@@ -6,6 +6,7 @@
 use super::change::Change;
 use super::reply::{Reply, render_json, set_etag};
 use crate::document::MAX_BYTES;
+use crate::fleet::parse;
 use crate::node::Shared;
 
 /// Answers with the fleet document in force; its version is the ETag.
@@ -13,13 +14,13 @@
 
 #[handler]
 impl ReadFleet {
-    async fn handle(&self, response: &mut Response) {
+    async fn handle(&self, request: &mut Request, response: &mut Response) {
         let version = self.0.control.read(|state| state.in_force().cloned());
         let Some(version) = version else {
             return Reply::error(StatusCode::NOT_FOUND, "no version is in force").render(response);
         };
         set_etag(response, version.head.version);
-        render_json(response, version.content.to_string());
+        render_document(request, response, &version.content);
     }
 }
 
@@ -38,6 +39,15 @@
     }
 }
 
+/// Answers with a document as it was written or, with `plain=true`, as JSON without comments and
+/// with all defaults.
+pub(super) fn render_document(request: &mut Request, response: &mut Response, content: &str) {
+    let plain = request.query::<bool>("plain").unwrap_or(false);
+    let document = plain.then(|| parse("fleet", content).ok()).flatten();
+    let text = document.and_then(|d| serde_json::to_string(&d).ok());
+    render_json(response, text.unwrap_or_else(|| content.to_owned()));
+}
+
 /// Reads a body of bounded length.
 pub(super) async fn read_document(request: &mut Request) -> Result<Arc<str>, Reply> {
     let body = request.payload_with_max_size(MAX_BYTES).await;
--- a/src/front/operators/history.rs
+++ b/src/front/operators/history.rs
@@ -5,7 +5,8 @@
 use serde_json::json;
 
 use super::change::Change;
-use super::reply::{Reply, render_json, set_etag};
+use super::fleet::render_document;
+use super::reply::{Reply, set_etag};
 use crate::node::Shared;
 
 /// Versions of a page when the request does not say how many.
@@ -47,7 +48,7 @@
         match find(&self.0, request).await {
             Ok((version, content)) => {
                 set_etag(response, version);
-                render_json(response, content.to_string());
+                render_document(request, response, &content);
             }
             Err(reply) => reply.render(response),
         }
--- a/src/front/operators/mod.rs
+++ b/src/front/operators/mod.rs
@@ -3,6 +3,7 @@
 mod change;
 mod check;
 mod conflict;
+mod console;
 mod events;
 mod fleet;
 mod guard;
--- a/src/front/operators/route.rs
+++ b/src/front/operators/route.rs
@@ -3,6 +3,7 @@
 use salvo::Router;
 
 use super::check::CheckFleet;
+use super::console::Console;
 use super::events::Events;
 use super::fleet::{ReadFleet, WriteFleet};
 use super::health::{Live, Ready};
@@ -27,6 +28,12 @@
     Metrics,
     /// Description of these routes.
     OpenApi,
+    /// Page of the console.
+    ConsolePage,
+    /// Script of the console.
+    ConsoleScript,
+    /// Style of the console.
+    ConsoleStyle,
     /// Document in force.
     ReadFleet,
     /// Puts a document in force.
@@ -57,6 +64,9 @@
             Self::Ready => "/readyz",
             Self::Metrics => "/metrics",
             Self::OpenApi => "/v1/openapi.json",
+            Self::ConsolePage => "/console",
+            Self::ConsoleScript => "/console/console.js",
+            Self::ConsoleStyle => "/console/console.css",
             Self::ReadFleet | Self::WriteFleet => "/v1/fleet",
             Self::CheckFleet => "/v1/fleet/check",
             Self::ReadHistory => "/v1/fleet/history",
@@ -88,7 +98,13 @@
     /// states of data centres and pauses of plans.
     pub fn role(self) -> Option<Role> {
         match self {
-            Self::Live | Self::Ready | Self::Metrics | Self::OpenApi => None,
+            Self::Live
+            | Self::Ready
+            | Self::Metrics
+            | Self::OpenApi
+            | Self::ConsolePage
+            | Self::ConsoleScript
+            | Self::ConsoleStyle => None,
             Self::ReadFleet
             | Self::CheckFleet
             | Self::ReadHistory
@@ -111,6 +127,9 @@
             Self::Ready => router.get(Ready(shared)),
             Self::Metrics => router.get(Scrape),
             Self::OpenApi => router.get(OpenApi),
+            Self::ConsolePage => router.get(Console::Page),
+            Self::ConsoleScript => router.get(Console::Script),
+            Self::ConsoleStyle => router.get(Console::Style),
             Self::ReadFleet => router.get(ReadFleet(shared)),
             Self::WriteFleet => router.put(WriteFleet(shared)),
             Self::CheckFleet => router.post(CheckFleet(shared)),
