Add the operators' page and gauges for alarms

Cause: operators had no page that says what refusals, events and outcomes mean, and no metric shows whether an instance is ready, current or behind.

Change: docs/operator.md; a test compares it with refusals, kinds of events, exit codes and the gauges of its alarms. /metrics sets config_version, config_fresh, instance_ready, peers_connected, calls_running and calls_waiting per instance at each scrape.

--- a/src/event/event.rs
+++ b/src/event/event.rs
@@ -5,13 +5,18 @@
 use super::Figures;
 
 /// Something that happened in an entry instance and that operators may want explained.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, strum::IntoStaticStr)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, strum::EnumDiscriminants)]
 #[serde(
     tag = "kind",
     rename_all = "kebab-case",
     rename_all_fields = "kebab-case"
 )]
-#[strum(serialize_all = "kebab-case")]
+#[strum_discriminants(
+    name(EventKind),
+    doc = "Kind of an [`Event`].",
+    derive(strum::EnumIter, strum::IntoStaticStr),
+    strum(serialize_all = "kebab-case")
+)]
 pub enum Event {
     /// Calls were refused before anything was run.
     Refused {
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -16,7 +16,7 @@
 mod rule;
 
 pub use entry::Entry;
-pub use event::Event;
+pub use event::{Event, EventKind};
 pub use figures::Figures;
 pub use log::Log;
 pub use refusal::Refusal;
--- a/src/front/operators/route.rs
+++ b/src/front/operators/route.rs
@@ -125,7 +125,7 @@
         match self {
             Self::Live => router.get(Live),
             Self::Ready => router.get(Ready(shared)),
-            Self::Metrics => router.get(Scrape),
+            Self::Metrics => router.get(Scrape(shared)),
             Self::OpenApi => router.get(OpenApi),
             Self::ConsolePage => router.get(Console::Page),
             Self::ConsoleScript => router.get(Console::Script),
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -849,3 +849,30 @@
     }
     assert!(has("budget.unavailable") && has("budget.rack") && has("digest"));
 }
+
+/// Guards against an operator's page that leaves out a refusal, an event, a gauge or an exit code.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_operators_page_explains_what_the_program_says() {
+    let page = include_str!("../docs/operator.md");
+    let refusals = coriandernotch::admit::Refusal::iter().map(|r| r.to_string());
+    let events = coriandernotch::event::EventKind::iter().map(|k| <&str>::from(k).to_owned());
+    for name in refusals.chain(events) {
+        assert!(page.contains(&format!("| `{name}` |")), "{name}");
+    }
+    for code in 0..=5 {
+        assert!(page.contains(&format!("\n| {code} | ")), "exit code {code}");
+    }
+    let bed = start(1).await;
+    let scraped = ask_with(&bed.nodes()[0], "GET", "/metrics", &[], b"")
+        .await
+        .text;
+    for line in page
+        .lines()
+        .filter(|line| line.contains("config_") || line.contains("_ready"))
+    {
+        for name in line.split('`').skip(1).step_by(2) {
+            let name = name.split([' ', '{']).next().unwrap();
+            assert!(scraped.contains(name), "{name} in {line}");
+        }
+    }
+}
