--- a/src/call/dispatcher.rs
+++ b/src/call/dispatcher.rs
@@ -14,6 +14,7 @@
 use crate::admit::Refusal;
 use crate::clock::Instant;
 use crate::collections::Map;
+use crate::event::Log;
 use crate::fleet::{DataCentreId, ServiceId, Snapshot, TeamId};
 use crate::limit::{Ledger, Permit};
 use crate::platform::Instance;
@@ -43,6 +44,7 @@
     /// Woken when a call waits for a permit.
     permit_wanted: Notify,
     near: RwLock<Option<DataCentreId>>,
+    events: Log,
 }
 
 impl Dispatcher {
@@ -60,9 +62,15 @@
             draining: AtomicBool::new(false),
             permit_wanted: Notify::new(),
             near: RwLock::new(None),
+            events: Log::default(),
         })
     }
 
+    /// Returns the events of this entry instance.
+    pub fn events(&self) -> &Log {
+        &self.events
+    }
+
     /// Puts versions into force: the one in force first, then any whose result is pending.
     pub fn enforce(&self, versions: Arc<[Arc<Snapshot>]>, near: &str, now: Instant) {
         if let Some(current) = versions.first() {
@@ -207,7 +215,7 @@
             .unwrap_or(DEFAULT_LONGEST_RUN)
     }
 
-    fn lanes(&self) -> Vec<(ServiceId, Arc<Mutex<Lane>>)> {
+    pub(super) fn lanes(&self) -> Vec<(ServiceId, Arc<Mutex<Lane>>)> {
         let lanes = self.lanes.read().expect("lanes lock");
         (0u32..)
             .zip(lanes.iter())
@@ -215,7 +223,7 @@
             .collect()
     }
 
-    fn lane(&self, service: ServiceId) -> Option<Arc<Mutex<Lane>>> {
+    pub(super) fn lane(&self, service: ServiceId) -> Option<Arc<Mutex<Lane>>> {
         self.lanes
             .read()
             .expect("lanes lock")
@@ -232,7 +240,7 @@
     }
 }
 
-fn lock(lane: &Mutex<Lane>) -> MutexGuard<'_, Lane> {
+pub(super) fn lock(lane: &Mutex<Lane>) -> MutexGuard<'_, Lane> {
     lane.lock().expect("lane lock")
 }
 
--- a/src/call/dispatcher/dispatch.rs
+++ b/src/call/dispatcher/dispatch.rs
@@ -6,6 +6,7 @@
 use crate::admit::Refusal;
 use crate::call::{End, Grant};
 use crate::clock::Instant;
+use crate::event::Event;
 use crate::fleet::ServiceId;
 use crate::limit::Permit;
 use crate::route::Verdict;
@@ -65,7 +66,7 @@
             Err(_) => lane.targets.judge(grant.target, verdict, now),
         };
         if let Some(length) = ejected {
-            log_ejection(grant, verdict, length);
+            self.note_ejection(grant, verdict, length, now);
         }
         let next = next?;
         grant.target = next;
@@ -87,7 +88,7 @@
                 lane.queues.record(now.since(grant.granted));
             }
             if let Some(ejected) = lane.targets.finish(grant.target, verdict, now) {
-                log_ejection(grant, verdict, ejected);
+                self.note_ejection(grant, verdict, ejected, now);
             }
         }
         match end {
@@ -104,11 +105,23 @@
         self.pump(now);
     }
 
+    fn note_ejection(&self, grant: &Grant, verdict: Verdict, length: Duration, now: Instant) {
+        let seconds = length.as_secs();
+        log::warn!(event = "target-ejected", peer:% = grant.address, verdict:% = verdict,
+            seconds = seconds; "");
+        let event = Event::Ejected {
+            target: grant.address.to_string().into(),
+            verdict: verdict.to_string().into(),
+            seconds,
+        };
+        self.events.add(now, event);
+    }
+
     pub(in crate::call) fn judge(&self, grant: &Grant, verdict: Verdict, now: Instant) {
         if let Some(lane) = self.lane(grant.order.service)
             && let Some(ejected) = lock(&lane).targets.judge(grant.target, verdict, now)
         {
-            log_ejection(grant, verdict, ejected);
+            self.note_ejection(grant, verdict, ejected, now);
         }
     }
 
@@ -134,8 +147,3 @@
         self.pump(now);
     }
 }
-
-fn log_ejection(grant: &Grant, verdict: Verdict, length: Duration) {
-    log::warn!(event = "target-ejected", peer:% = grant.address, verdict:% = verdict,
-        seconds = length.as_secs(); "");
-}
--- a/src/front/callers/exchange.rs
+++ b/src/front/callers/exchange.rs
@@ -8,6 +8,7 @@
 use super::claimed::claim;
 use super::connections::Sender;
 use super::hold::Hold;
+use super::note::note;
 use super::reply::Reply;
 use super::send::{Step, send};
 use super::serve::Port;
@@ -29,7 +30,7 @@
     request: Request<Incoming>,
     start: Instant,
 ) -> Result<Response<Body>, Reply> {
-    let call = accept(port, request, start)?;
+    let call = accept(port, request, start).inspect_err(|reply| note(port, reply, None))?;
     let Some(ask) = call.ask.clone() else {
         return dispatch(port, call).await;
     };
@@ -44,7 +45,13 @@
 }
 
 /// Runs a call, again where that is safe.
-async fn dispatch(port: &Arc<Port>, mut call: Call) -> Result<Response<Body>, Reply> {
+async fn dispatch(port: &Arc<Port>, call: Call) -> Result<Response<Body>, Reply> {
+    let order = call.order;
+    let result = try_dispatch(port, call).await;
+    result.inspect_err(|reply| note(port, reply, Some(order)))
+}
+
+async fn try_dispatch(port: &Arc<Port>, mut call: Call) -> Result<Response<Body>, Reply> {
     loop {
         let grant = port.dispatcher.admit(call.order, clock::now()).await?;
         let (grant, sender) = connect(port, call.order.deadline, grant).await?;
--- a/src/front/callers/mod.rs
+++ b/src/front/callers/mod.rs
@@ -13,6 +13,7 @@
 mod kept;
 mod limits;
 mod meter;
+mod note;
 mod reply;
 mod request;
 mod send;
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -41,6 +41,7 @@
 ///
 /// Counts of another version are left out: its order of names may differ.
 pub(super) fn take_report(hub: &Hub, link: &Link, report: &Report, now: Instant) {
+    hub.learn_version(&link.voter().name, report.version);
     let Some(current) = hub.control().current() else {
         return;
     };
