Take pools and phases of instances from their rows

Cause: the dispatcher took the pool of an instance from the document, so a move or a drain had no effect on calls. Change: pools::Roster reads the row assignments/recent, which every transaction of the manager writes without a condition; its version counts transactions, so a reader knows whether the list of recent changes misses one and only then reads all rows. An instance that drains, moves or is in another pool is no target; a taken-back drain makes it one again. Reports to peers state the version in force.

--- a/src/call/dispatcher.rs
+++ b/src/call/dispatcher.rs
@@ -14,6 +14,7 @@
 use crate::fleet::{DataCentreId, ServiceId, Snapshot, TeamId};
 use crate::limit::{Ledger, Permit};
 use crate::platform::Instance;
+use crate::pools::Roster;
 use crate::route::{Targets, Verdict};
 
 /// Longest run of a call before the first fleet document states it.
@@ -36,6 +37,12 @@
     fresh_until: AtomicU64,
     /// The platform's list as last read.
     listed: RwLock<Option<Arc<[Instance]>>>,
+    /// Pools and phases as last read; empty before that.
+    roster: RwLock<Arc<Roster>>,
+    /// Version of the roster with which all targets are in step.
+    assigned: AtomicU64,
+    /// Held while targets are brought in step, so that an older roster never comes last.
+    sync: Mutex<()>,
     draining: AtomicBool,
     /// Woken when a call waits for a permit.
     permit_wanted: Notify,
@@ -54,6 +61,9 @@
             enforced: RwLock::new(Arc::from([])),
             fresh_until: AtomicU64::new(0),
             listed: RwLock::new(None),
+            roster: RwLock::default(),
+            assigned: AtomicU64::new(0),
+            sync: Mutex::default(),
             draining: AtomicBool::new(false),
             permit_wanted: Notify::new(),
             near: RwLock::new(None),
@@ -104,16 +114,43 @@
         self.listed.read().expect("listed lock").is_some()
     }
 
-    /// Brings the targets of each service in step with the list and the pools of `current`.
+    /// Takes over the pools and phases of the instances.
+    pub fn assign(self: &Arc<Self>, roster: Arc<Roster>, now: Instant) {
+        let version = roster.version();
+        *self.roster.write().expect("roster lock") = roster;
+        if let Some(current) = self.enforced().first() {
+            self.sync_targets(current, now);
+        }
+        self.assigned.store(version, Ordering::Release);
+        self.pump(now);
+    }
+
+    /// Returns the pools and phases in force.
+    pub fn roster(&self) -> Arc<Roster> {
+        self.roster.read().expect("roster lock").clone()
+    }
+
+    /// Brings the targets of each service in step with the list and the pools of the instances.
+    ///
+    /// The document states the pool of an instance only until it has an assignment. An instance
+    /// that drains or moves is no target.
     fn sync_targets(&self, current: &Snapshot, now: Instant) {
         let Some(list) = self.listed.read().expect("listed lock").clone() else {
             return;
         };
+        let _sync = self.sync.lock().expect("sync lock");
+        let roster = self.roster();
+        let pool_of = |instance: &Instance| match roster.get(&instance.name) {
+            Some(membership) => current
+                .pool_id(&membership.pool)
+                .filter(|_| membership.takes_calls()),
+            None => current.pool_of(&instance.name),
+        };
         for (id, service) in current.services() {
             let pool = current.service_pool(id);
             let listed: Vec<&Instance> = list
                 .iter()
-                .filter(|i| pool.is_some() && current.pool_of(&i.name) == pool)
+                .filter(|i| pool.is_some() && pool_of(i) == pool)
                 .collect();
             let lane = self.lane_or_new(id, service.slots);
             lock(&lane).targets.sync(&listed, current, now);
@@ -160,7 +197,11 @@
 
     /// Returns what runs through this entry instance.
     pub fn load(&self) -> Load {
-        let mut load = Load::default();
+        // The version is taken first: a call that was granted by an older one is counted below.
+        let mut load = Load {
+            assigned: self.assigned(),
+            ..Load::default()
+        };
         for (id, lane) in self.lanes() {
             let lane = lock(&lane);
             let running = (0u32..).zip(&lane.running).filter(|(_, n)| **n > 0);
@@ -173,6 +214,11 @@
         load
     }
 
+    /// Returns the version of the roster by which calls are granted; none older is used any more.
+    pub fn assigned(&self) -> u64 {
+        self.assigned.load(Ordering::Acquire)
+    }
+
     /// Returns how many calls wait per team, over all services.
     pub fn demand(&self) -> Map<TeamId, u32> {
         let mut demand = Map::default();
--- a/src/call/load.rs
+++ b/src/call/load.rs
@@ -20,6 +20,8 @@
     pub teams: Map<(ServiceId, TeamId), u32>,
     /// Running calls per target name.
     pub targets: Map<Arc<str>, u32>,
+    /// Version of the roster by which the calls were granted; says nothing of a sum.
+    pub assigned: u64,
 }
 
 impl Load {
--- a/src/node/list.rs
+++ b/src/node/list.rs
@@ -27,7 +27,10 @@
     let now = clock::now();
     let dispatcher = shared.control.dispatcher();
     let shown: Set<Arc<str>> = instances.iter().map(|i| i.name.clone()).collect();
-    dispatcher.list(instances.into(), now);
+    // Without the assignments a target might be used that drains or has moved.
+    if shared.has_roster() {
+        dispatcher.list(instances.into(), now);
+    }
     shared
         .port
         .connections()
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,6 +3,7 @@
 //! Each file but [`Node`]'s own holds one task that runs until the instance stops.
 
 mod apply;
+mod assign;
 mod borrow;
 mod fetch;
 mod follow;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -6,7 +6,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use super::{Shared, borrow, fetch, follow, join, list, members, shutdown, tick, vote};
+use super::{Shared, assign, borrow, fetch, follow, join, list, members, shutdown, tick, vote};
 use crate::clock;
 use crate::config::Voter;
 use crate::control::Control;
@@ -44,6 +44,7 @@
         tokio::spawn(listen(shared.hub.clone(), peers));
         tokio::spawn(follow::follow(shared.clone()));
         tokio::spawn(fetch::fetch(shared.clone()));
+        tokio::spawn(assign::assign(shared.clone()));
         tokio::spawn(list::list(shared.clone()));
         tokio::spawn(members::members(shared.clone()));
         tokio::spawn(borrow::borrow(shared.clone()));
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -39,6 +39,8 @@
     pub(super) dialled: std::sync::Mutex<Map<Arc<str>, watch::Sender<Option<Member>>>>,
     /// Members of the last scan.
     pub(super) members: std::sync::Mutex<Vec<Member>>,
+    /// Set when the assignments were read for the first time.
+    pub(super) roster_read: AtomicBool,
     pub(super) stop: watch::Sender<bool>,
     pub(super) leaving: AtomicBool,
     sequence: AtomicU64,
@@ -72,6 +74,7 @@
             platform,
             dialled: Default::default(),
             members: Default::default(),
+            roster_read: AtomicBool::new(false),
             stop: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
@@ -84,6 +87,11 @@
         !self.leaving.load(Ordering::Acquire) && dispatcher.is_fresh(now) && dispatcher.has_list()
     }
 
+    /// Returns whether the assignments were read at least once.
+    pub(super) fn has_roster(&self) -> bool {
+        self.roster_read.load(Ordering::Acquire)
+    }
+
     /// Lists the members of the last scan.
     pub fn members(&self) -> Vec<Member> {
         self.members.lock().expect("members lock").clone()
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -148,6 +148,7 @@
     Load {
         teams: teams.collect(),
         targets: targets.collect(),
+        assigned: report.assigned,
     }
 }
 
@@ -166,6 +167,7 @@
     };
     let team = |id| current.team(id).map(|t| t.name.clone());
     Report {
+        assigned: load.assigned,
         settled: permits.settled,
         closed: permits.closed,
         permits: permits
--- a/src/plans/manager.rs
+++ b/src/plans/manager.rs
@@ -4,7 +4,7 @@
 use crate::clock::Instant;
 use crate::fleet::{Document, Registry};
 use crate::platform::{Error, Table};
-use crate::pools::{Change, Outcome, Planner, Refusal, Rows, State, Step, scan, settle};
+use crate::pools::{Change, Outcome, Planner, Recent, Refusal, Rows, State, Step, scan, settle};
 
 /// Brings the pools to what the document says, one turn after another.
 ///
@@ -18,6 +18,7 @@
     /// State before rows had to be read again, for its times only.
     older: Option<State>,
     plans: Vec<Plan>,
+    recent: Recent,
     fenced: u64,
 }
 
@@ -263,9 +264,13 @@
         table: &dyn Table,
         change: &Change,
     ) -> Result<Turn, Error> {
-        match (settle(table, change).await, &mut self.state) {
+        let mut recent = self.recent.clone();
+        recent.push(change);
+        let written = change.clone().with(recent.write());
+        match (settle(table, &written).await, &mut self.state) {
             (Outcome::Applied, Some(state)) => {
                 state.apply(now, change);
+                self.recent = recent;
                 Ok(Turn::Complete)
             }
             (Outcome::Unavailable(error) | Outcome::Unknown(error), _) => Err(error),
--- a/src/route/target.rs
+++ b/src/route/target.rs
@@ -28,6 +28,8 @@
     pub data_centre: Option<DataCentreId>,
     /// State in the platform's list, or leaving when the target said so itself.
     pub state: State,
+    /// Whether it belongs to the service's pool and serves there.
+    pub assigned: bool,
     /// Calls that this entry instance runs on it.
     pub running: u32,
     /// Calls that peers reported to run on it.
@@ -54,8 +56,13 @@
         by_ramp.min(by_ejection)
     }
 
+    /// Returns whether new work may start on it, as far as the list and its pool say.
+    pub(super) fn is_open(&self) -> bool {
+        self.assigned && self.state == State::Live
+    }
+
     pub(super) fn has_slot(&self, slots: u32, now: Instant) -> bool {
-        self.state == State::Live
+        self.is_open()
             && !self.health.is_ejected(now)
             && self.running + self.reported < self.usable(slots, now)
     }
--- a/src/route/targets.rs
+++ b/src/route/targets.rs
@@ -49,16 +49,14 @@
 
     /// Takes over the platform's list: adds, updates and drops targets.
     ///
-    /// A target that said itself that it leaves stays so, because the list lags. A target that
-    /// vanished from the list is kept as leaving while it still runs calls.
+    /// A target that said itself that it leaves stays so, because the list lags. A target that is
+    /// missing from `listed` is kept without new work while it still runs calls, and gets work
+    /// again when it comes back, for example after its drain was taken back.
     pub fn sync(&mut self, listed: &[&Instance], snapshot: &Snapshot, now: Instant) {
         let names: Set<&str> = listed.iter().map(|i| &*i.name).collect();
-        self.arena
-            .iter_mut()
-            .filter(|(_, t)| !names.contains(&*t.name))
-            .for_each(|(_, t)| {
-                t.state = State::Leaving;
-            });
+        for target in self.arena.values_mut() {
+            target.assigned = names.contains(&*target.name);
+        }
         for instance in listed {
             self.update(instance, snapshot);
         }
@@ -107,6 +105,7 @@
             address: instance.address,
             data_centre,
             state: instance.state,
+            assigned: true,
             running: 0,
             reported: 0,
             health: super::Health::default(),
@@ -169,7 +168,7 @@
     pub fn may_start(&self, id: TargetId, enforced: &[Arc<Snapshot>]) -> bool {
         self.arena
             .get(id)
-            .is_some_and(|t| t.state == State::Live && is_in(t, enforced))
+            .is_some_and(|t| t.is_open() && is_in(t, enforced))
     }
 
     /// Ends a call that [`Targets::choose`] counted, and ejects the target when its health says
@@ -214,7 +213,7 @@
     pub fn capacity(&self, now: Instant, enforced: &[Arc<Snapshot>]) -> u32 {
         self.arena
             .values()
-            .filter(|t| t.state == State::Live && !t.health.is_ejected(now) && is_in(t, enforced))
+            .filter(|t| t.is_open() && !t.health.is_ejected(now) && is_in(t, enforced))
             .map(|t| t.usable(self.slots, now))
             .sum()
     }
--- a/src/wire/report.rs
+++ b/src/wire/report.rs
@@ -18,4 +18,7 @@
     /// Running calls per target.
     #[prost(message, repeated, tag = "5")]
     pub targets: Vec<Count>,
+    /// Version of the roster by which calls are granted.
+    #[prost(uint64, tag = "6")]
+    pub assigned: u64,
 }
