Add the platform edge for orders, and machines to the stand-in

Cause: nothing carried the manager's orders to the platform, and the list did not show restarts. Change: platform::Machines with its HTTP call and stand-in; instances have an incarnation in the list; a reboot in the stand-in closes the target's connections at once, leaves the list for a set time and counts the requests it cut. A manager sees the instance, not only its name, when it asks what was last seen. Conclusion: the contract test runs both clients over refused, lost, repeated and outdated orders.

--- a/benches/callers.rs
+++ b/benches/callers.rs
@@ -68,6 +68,7 @@
             address,
             data_centre: "east".into(),
             rack: "r".into(),
+            incarnation: 0,
             state: State::Live,
         });
     }
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -69,5 +69,6 @@
         table: client("table", &settings.platform.table)?,
         objects: client("objects", &settings.platform.objects)?,
         listing: client("listing", &settings.platform.listing)?,
+        machines: client("listing", &settings.platform.listing)?,
     })
 }
--- a/src/demo/bed.rs
+++ b/src/demo/bed.rs
@@ -29,7 +29,7 @@
     pub document: Document,
     /// Targets by instance name.
     pub targets: Map<Arc<str>, Arc<Target>>,
-    /// Instances as they really are; the list may lag.
+    /// Instances with their places; the store's list leaves out those that reboot.
     pub instances: Mutex<Vec<Instance>>,
     nodes: Mutex<Vec<Arc<Node>>>,
     started: Mutex<usize>,
@@ -48,23 +48,25 @@
                 problems.first().map(ToString::to_string)
             )
         })?;
+        let store = Store::new();
         let mut targets = Map::default();
         let mut instances = Vec::new();
         for pool in &document.pools {
             for (number, name) in pool.instances.iter().enumerate() {
                 let data_centre = find_data_centre(&document, name)?;
                 let (target, address) = start_target().await?;
+                store.machines().add(name, target.clone());
                 targets.insert(name.clone(), target);
                 instances.push(Instance {
                     name: name.clone(),
                     address,
                     rack: format!("{data_centre}-{}-{}", pool.name, number / RACK).into(),
+                    incarnation: 0,
                     data_centre,
                     state: State::Live,
                 });
             }
         }
-        let store = Store::new();
         store.set_instances(instances.clone());
         Ok(Self {
             store,
@@ -126,6 +128,7 @@
             address: member.callers,
             data_centre: member.data_centre.clone(),
             rack: member.name.clone(),
+            incarnation: 0,
             state,
         };
         self.set_instance(instance);
@@ -135,15 +138,19 @@
     pub fn set_instance(&self, instance: Instance) {
         let mut instances = self.instances.lock().expect("instances lock");
         instances.retain(|i| i.name != instance.name);
-        instances.push(instance);
-        self.store.set_instances(instances.clone());
+        instances.push(instance.clone());
+        self.store.edit_instances(|list| {
+            list.retain(|i| i.name != instance.name);
+            list.push(instance);
+        });
     }
 
     /// Removes an instance from the platform's list.
     pub fn remove_instance(&self, name: &str) {
         let mut instances = self.instances.lock().expect("instances lock");
         instances.retain(|i| *i.name != *name);
-        self.store.set_instances(instances.clone());
+        self.store
+            .edit_instances(|list| list.retain(|i| *i.name != *name));
     }
 
     /// Lists the running entry instances.
--- a/src/plans/manager.rs
+++ b/src/plans/manager.rs
@@ -189,7 +189,7 @@
         let Some(state) = &self.state else {
             return Ok(Turn::Conflict);
         };
-        let sight = |id| (view.sight)(&state.instance(id).name);
+        let sight = |id| (view.sight)(state.instance(id));
         let mut steps = state.review(now, view.calendar.unix(now), sight);
         // A failure uses up budget, so it comes before any step that needs room.
         steps.sort_by_key(|step| step.action.needs_room());
--- a/src/plans/measure/shape.rs
+++ b/src/plans/measure/shape.rs
@@ -70,6 +70,7 @@
                 address: ([127, 0, 0, 1], 1).into(),
                 data_centre: data_centre.clone(),
                 rack: format!("{data_centre}-{}", (*count - 1) / RACK).into(),
+                incarnation: 0,
                 state: State::Live,
             }
         })
--- a/src/plans/view.rs
+++ b/src/plans/view.rs
@@ -3,7 +3,7 @@
 use super::Calendar;
 use crate::fleet::Document;
 use crate::platform::Instance;
-use crate::pools::{Sight, Tenure};
+use crate::pools::{self, Sight, Tenure};
 
 /// What a manager goes by in one turn.
 #[derive(Clone, Copy)]
@@ -16,6 +16,6 @@
     pub document: &'a Arc<Document>,
     /// The platform's list.
     pub listing: &'a [Instance],
-    /// What was last seen of an instance by name, `None` when nothing is known.
-    pub sight: &'a (dyn Fn(&str) -> Option<Sight> + Sync),
+    /// What was last seen of an instance, `None` when nothing is known.
+    pub sight: &'a (dyn Fn(&pools::Instance) -> Option<Sight> + Sync),
 }
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -8,6 +8,7 @@
 //! | put object | `PUT /objects/{name}` | 204 |
 //! | get object | `GET /objects/{name}` | 200 content, 404 |
 //! | list | `GET /instances` | 200 list of instances |
+//! | order | `POST /instances/orders` with one order | 204, 409 name of the instance |
 //!
 //! Keys, names and query values are percent-encoded; `/` stays as it is in a path.
 //!
--- a/src/platform/http/client.rs
+++ b/src/platform/http/client.rs
@@ -11,7 +11,9 @@
 use super::connection::Connection;
 use super::escape;
 use super::pool::Pool;
-use crate::platform::{Answer, Error, Instance, Listing, Objects, Row, Table, Write};
+use crate::platform::{
+    Answer, Command, Error, Instance, Listing, Machines, Objects, Row, Table, Write,
+};
 
 /// A store answer later than this is treated as lost, so callers can decide within a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -250,3 +252,27 @@
         Box::pin(async move { self.fetch_list("list", "/instances").await })
     }
 }
+
+impl Machines for Client {
+    fn order(&self, command: Command) -> Answer<'_, ()> {
+        Box::pin(async move {
+            let step = "order";
+            let body =
+                serde_json::to_vec(&command).map_err(|e| self.unavailable(step, e.to_string()))?;
+            let answer = self
+                .call(step, Method::POST, "/instances/orders", body.into())
+                .await?;
+            match answer {
+                (StatusCode::CONFLICT, body) if *body == *command.instance.as_bytes() => {
+                    Err(Error::Conflict {
+                        key: command.instance,
+                    })
+                }
+                (StatusCode::CONFLICT, _) => {
+                    Err(self.unknown(step, "conflict on another instance".into()))
+                }
+                _ => Ok(()),
+            }
+        })
+    }
+}
--- a/src/platform/instance.rs
+++ b/src/platform/instance.rs
@@ -17,6 +17,9 @@
     pub rack: Arc<str>,
     /// Whether it may get new work.
     pub state: State,
+    /// Grows with each restart.
+    #[serde(default)]
+    pub incarnation: u64,
 }
 
 /// State of a listed instance.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,13 +1,15 @@
-//! Access to the platform: table service, object store and instance list.
+//! Access to the platform: table service, object store, instance list and machines.
 //!
 //! The traits here are the edge of the process. Decision modules never call them; tasks that own
 //! a connection or a loop do.
 
+mod command;
 mod condition;
 mod error;
 pub mod http;
 mod instance;
 mod listing;
+mod machines;
 mod objects;
 mod row;
 mod table;
@@ -15,10 +17,12 @@
 
 use std::sync::Arc;
 
+pub use command::{Action, Command};
 pub use condition::Condition;
 pub use error::Error;
 pub use instance::{Instance, State};
 pub use listing::Listing;
+pub use machines::Machines;
 pub use objects::Objects;
 pub use row::Row;
 pub use table::Table;
@@ -29,7 +33,7 @@
 /// Answer of a platform call, boxed so that the traits can be used as objects.
 pub type Answer<'a, T> = BoxFuture<'a, Result<T, Error>>;
 
-/// Handles to the three platform services.
+/// Handles to the platform services.
 #[derive(Clone)]
 pub struct Platform {
     /// Transactional table service.
@@ -38,4 +42,6 @@
     pub objects: Arc<dyn Objects>,
     /// Lagging list of instances.
     pub listing: Arc<dyn Listing>,
+    /// Drains and reboots of the listed instances.
+    pub machines: Arc<dyn Machines>,
 }
--- a/src/pools/example.rs
+++ b/src/pools/example.rs
@@ -31,6 +31,7 @@
             address: ([127, 0, 0, 1], 1).into(),
             data_centre: if i.is_multiple_of(2) { "a" } else { "b" }.into(),
             rack: format!("{}-{}", &name[..2], i % 2).into(),
+            incarnation: 0,
             state: platform::State::Live,
         };
         let listing: Vec<_> = document
--- a/src/standin/client.rs
+++ b/src/standin/client.rs
@@ -5,7 +5,9 @@
 use tokio::time::timeout;
 
 use super::{Failure, Reply, Request, Store};
-use crate::platform::{Answer, Error, Instance, Listing, Objects, Row, Table, Write};
+use crate::platform::{
+    Answer, Command, Error, Instance, Listing, Machines, Objects, Row, Table, Write,
+};
 
 /// Same as in the HTTP client, so that both give up at the same time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -127,3 +129,12 @@
         })
     }
 }
+
+impl Machines for Handle {
+    fn order(&self, command: Command) -> Answer<'_, ()> {
+        Box::pin(async move {
+            self.call("order", Request::Order(command)).await?;
+            Ok(())
+        })
+    }
+}
--- a/src/standin/data.rs
+++ b/src/standin/data.rs
@@ -77,6 +77,17 @@
         self.lists.push_back((now, list));
     }
 
+    pub(super) fn edit_instances(&mut self, now: Instant, edit: impl FnOnce(&mut Vec<Instance>)) {
+        let mut list = self
+            .lists
+            .back()
+            .map_or_else(Vec::new, |(_, list)| list.clone());
+        edit(&mut list);
+        if self.lists.back().is_none_or(|(_, last)| *last != list) {
+            self.set_instances(now, list);
+        }
+    }
+
     /// Returns the list as it was at `at`, or the oldest known one.
     pub(super) fn instances(&self, at: Option<Instant>) -> Vec<Instance> {
         self.lists
--- a/src/standin/kind.rs
+++ b/src/standin/kind.rs
@@ -9,10 +9,12 @@
     Object,
     /// Instance list.
     List,
+    /// Order about an instance.
+    Order,
 }
 
 impl Kind {
-    pub(super) const COUNT: usize = 4;
+    pub(super) const COUNT: usize = 5;
 
     pub(super) fn index(self) -> usize {
         match self {
@@ -20,6 +22,7 @@
             Kind::Write => 1,
             Kind::Object => 2,
             Kind::List => 3,
+            Kind::Order => 4,
         }
     }
 }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -13,7 +13,7 @@
 
 use super::http::{Hangup, answer, body, json, unescape};
 use super::{Failure, Handle, Reply, Request};
-use crate::platform::Write;
+use crate::platform::{Command, Write};
 
 /// Largest request body in bytes.
 const MAX_BODY: usize = 16 << 20;
@@ -99,6 +99,11 @@
                 .map(Request::Transact)
         }
         (Method::GET, "/instances") => Some(Request::List),
+        (Method::POST, "/instances/orders") => {
+            serde_json::from_slice::<Command>(&body(request, MAX_BODY).await?)
+                .ok()
+                .map(Request::Order)
+        }
         _ => None,
     })
 }
--- a/src/standin/reply.rs
+++ b/src/standin/reply.rs
@@ -11,7 +11,7 @@
     Rows(Vec<Row>),
     /// New versions, in the order of the writes.
     Versions(Vec<u64>),
-    /// An object was stored.
+    /// An object was stored or an order accepted.
     Stored,
     /// An object, if it exists.
     Object(Option<Bytes>),
--- a/src/standin/request.rs
+++ b/src/standin/request.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 use super::Kind;
-use crate::platform::Write;
+use crate::platform::{Command, Write};
 
 /// A call to the store.
 #[derive(Clone, Debug)]
@@ -27,6 +27,8 @@
     Get(Arc<str>),
     /// Reads the instance list.
     List,
+    /// Takes an order about an instance.
+    Order(Command),
 }
 
 impl Request {
@@ -43,15 +45,19 @@
             Request::Transact(_) => Kind::Write,
             Request::Put(..) | Request::Get(_) => Kind::Object,
             Request::List => Kind::List,
+            Request::Order(_) => Kind::Order,
         }
     }
 
-    /// Returns whether the call can change the store.
+    /// Returns whether the call can change anything.
     ///
     /// ```
     /// assert!(!coriandernotch::standin::Request::List.changes());
     /// ```
     pub fn changes(&self) -> bool {
-        matches!(self, Request::Transact(_) | Request::Put(..))
+        matches!(
+            self,
+            Request::Transact(_) | Request::Put(..) | Request::Order(_)
+        )
     }
 }
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -4,14 +4,15 @@
 use tokio::time::{Instant, sleep};
 
 use super::data::Data;
-use super::{Counters, Failure, Fault, Faults, Handle, Reply, Request};
-use crate::platform::{Instance, Platform, Row};
+use super::{Counters, Failure, Fault, Faults, Handle, Machines, Reply, Request};
+use crate::platform::{Command, Instance, Platform, Row};
 
 /// State of the platform services in memory.
 ///
 /// Row versions restart at 1 after a deletion, which is the weakest reading of the protocol.
 pub struct Store {
-    data: Mutex<Data>,
+    data: Arc<Mutex<Data>>,
+    machines: Arc<Machines>,
     faults: Faults,
     counters: Counters,
 }
@@ -24,7 +25,8 @@
     /// ```
     pub fn new() -> Arc<Self> {
         Arc::new(Self {
-            data: Mutex::default(),
+            data: Arc::default(),
+            machines: Arc::new(Machines::new()),
             faults: Faults::default(),
             counters: Counters::new(),
         })
@@ -58,7 +60,16 @@
         Handle::new(self.clone(), name)
     }
 
-    /// Returns in-process handles to the three services.
+    /// Returns the machines on which the listed instances run.
+    ///
+    /// ```
+    /// assert!(coriandernotch::standin::Store::new().machines().accepted().is_empty());
+    /// ```
+    pub fn machines(&self) -> &Machines {
+        &self.machines
+    }
+
+    /// Returns in-process handles to the services.
     ///
     /// ```
     /// let platform = coriandernotch::standin::Store::new().platform("entry-1");
@@ -69,7 +80,8 @@
         Platform {
             table: handle.clone(),
             objects: handle.clone(),
-            listing: handle,
+            listing: handle.clone(),
+            machines: handle,
         }
     }
 
@@ -82,6 +94,15 @@
         self.data().set_instances(Instant::now(), list);
     }
 
+    /// Changes the newest list of instances.
+    ///
+    /// ```
+    /// coriandernotch::standin::Store::new().edit_instances(|list| list.clear());
+    /// ```
+    pub fn edit_instances(&self, edit: impl FnOnce(&mut Vec<Instance>)) {
+        self.data().edit_instances(Instant::now(), edit);
+    }
+
     /// Reads a row past faults and counters, for checks.
     ///
     /// ```
@@ -157,9 +178,42 @@
                 let at = Instant::now().checked_sub(self.faults.list_age());
                 Reply::Instances(data.instances(at))
             }
+            Request::Order(command) => {
+                drop(data);
+                self.order(&command)?;
+                Reply::Stored
+            }
         })
     }
 
+    /// Carries an order out: an instance that reboots is out of the list meanwhile.
+    fn order(&self, command: &Command) -> Result<(), Failure> {
+        if !self.machines.accept(command) {
+            return Err(Failure::Conflict(command.instance.clone()));
+        }
+        let ended = Machines::ends(command);
+        let mut found = None;
+        self.data().edit_instances(Instant::now(), |list| {
+            let place = list
+                .iter()
+                .position(|i| i.name == command.instance && Some(i.incarnation) == ended);
+            found = place.map(|place| list.remove(place));
+        });
+        let Some(mut instance) = found else {
+            return Ok(());
+        };
+        let time = self.machines.begin(&instance.name);
+        let (data, machines) = (self.data.clone(), self.machines.clone());
+        tokio::spawn(async move {
+            sleep(time).await;
+            machines.end(&instance.name);
+            instance.incarnation += 1;
+            let mut data = data.lock().expect("store lock");
+            data.edit_instances(Instant::now(), |list| list.push(instance));
+        });
+        Ok(())
+    }
+
     fn data(&self) -> std::sync::MutexGuard<'_, Data> {
         self.data.lock().expect("store lock")
     }
--- a/src/standin/target/ledger.rs
+++ b/src/standin/target/ledger.rs
@@ -16,6 +16,8 @@
     pub(super) refused: u64,
     pub(super) running: usize,
     pub(super) peak: usize,
+    /// Requests that ran when the target was turned off.
+    pub(super) cut: usize,
 }
 
 impl Ledger {
--- a/src/standin/target/server.rs
+++ b/src/standin/target/server.rs
@@ -8,7 +8,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
 
 use super::ledger::Ledger;
@@ -32,6 +32,7 @@
     settings: Mutex<Settings>,
     ledger: Mutex<Ledger>,
     slots: Semaphore,
+    power: watch::Sender<bool>,
 }
 
 impl Target {
@@ -45,6 +46,7 @@
             settings: Mutex::default(),
             ledger: Mutex::default(),
             slots: Semaphore::new(SLOTS),
+            power: watch::Sender::new(true),
         })
     }
 
@@ -79,6 +81,28 @@
         self.settings().service_time = time;
     }
 
+    /// Turns the target off, which closes its connections under running requests, or on again.
+    ///
+    /// ```
+    /// coriandernotch::standin::Target::new().set_power(false);
+    /// ```
+    pub fn set_power(&self, on: bool) {
+        self.power.send_replace(on);
+        if !on {
+            let mut ledger = self.ledger();
+            ledger.cut += ledger.running;
+        }
+    }
+
+    /// Returns how many requests ran when the target was turned off.
+    ///
+    /// ```
+    /// assert_eq!(coriandernotch::standin::Target::new().cut(), 0);
+    /// ```
+    pub fn cut(&self) -> usize {
+        self.ledger().cut
+    }
+
     /// Returns how many requests began to run.
     ///
     /// ```
@@ -228,10 +252,15 @@
 async fn connection(target: Arc<Target>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| target.respond(request));
+    let mut power = target.power.subscribe();
+    if !*power.borrow_and_update() {
+        return;
+    }
     // Broken connections are part of the modes, so their errors say nothing.
-    let _ = http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    tokio::select! {
+        _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service) => {}
+        _ = power.wait_for(|on| !on) => {}
+    }
 }
 
 /// Records the end of a run even when its connection is closed under it.
--- a/tests/bed/mod.rs
+++ b/tests/bed/mod.rs
@@ -52,6 +52,7 @@
                 address: ([127, 0, 0, 1], 1).into(),
                 data_centre: ["x", "y"][number % 2].into(),
                 rack: format!("{pool}-{}-{}", number % 2, number / 8).into(),
+                incarnation: 0,
                 state: platform::State::Live,
             }
         };
--- a/tests/manage.rs
+++ b/tests/manage.rs
@@ -1,7 +1,7 @@
 //! Pools, moves and maintenance end to end, and what entry instances know of them.
 
 use coriandernotch::plans::{Calendar, Manager, Turn, View};
-use coriandernotch::pools::{Assignment, Phase, Recent, Roster, Sight, Tenure};
+use coriandernotch::pools::{Assignment, Phase, Recent, Roster, Tenure};
 use coriandernotch::standin::{Kind, Store};
 
 mod bed;
@@ -13,7 +13,7 @@
         calendar: &Calendar::new(bed.now, bed::UNIX),
         document: &bed.document,
         listing: &bed.listing,
-        sight: &|name| -> Option<Sight> { sights.get(name).copied() },
+        sight: &|instance| sights.get(&*instance.name).copied(),
     };
     let table = bed.store.client("m");
     manager.turn(bed.now, &table, view).await.unwrap()
--- a/tests/plans_manager.rs
+++ b/tests/plans_manager.rs
@@ -57,7 +57,7 @@
             calendar: &self.bed.calendar,
             document: &self.bed.document,
             listing: &self.bed.listing,
-            sight: &|name| sights.get(name).copied(),
+            sight: &|instance| sights.get(&*instance.name).copied(),
         };
         let table = self.bed.store.client("m");
         let turn = manager.turn(self.bed.now, &table, view).await.ok();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -7,9 +7,9 @@
 
 use bytes::Bytes;
 use coriandernotch::platform::{
-    Condition, Error, Instance, Platform, State, Table, Write, http::Client,
+    Action, Command, Condition, Error, Instance, Platform, State, Table, Write, http::Client,
 };
-use coriandernotch::standin::{Fault, Kind, Store, platform};
+use coriandernotch::standin::{Fault, Kind, Store, Target, platform};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
@@ -31,7 +31,8 @@
             Platform {
                 table: client.clone(),
                 objects: client.clone(),
-                listing: client,
+                listing: client.clone(),
+                machines: client,
             }
         }
     }
@@ -232,6 +233,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "north".into(),
         rack: "r1".into(),
+        incarnation: 0,
         state,
     };
     for way in WAYS {
@@ -409,3 +411,65 @@
     receive(&mut stream);
     send(&mut stream, head, body);
 }
+
+/// Guards against a late order of a former manager, a second reboot by a repeated order, an order
+/// that names an incarnation that has ended, and a lost answer that is taken for a refusal.
+#[tokio::test]
+async fn orders() {
+    for way in WAYS {
+        let store = Store::new();
+        let target = Target::new();
+        store.machines().add("w-1", target);
+        store.machines().set_reboot_time(Duration::from_millis(20));
+        let listed = |incarnation| Instance {
+            name: "w-1".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            data_centre: "a".into(),
+            rack: "r".into(),
+            state: State::Live,
+            incarnation,
+        };
+        store.set_instances(vec![listed(3)]);
+        let platform = connect(way, &store, "a").await;
+        let order = |token, action| {
+            let instance = "w-1".into();
+            platform.machines.order(Command {
+                instance,
+                token,
+                action,
+            })
+        };
+        // Each case works on the state that the cases before it left; the last number counts
+        // the reboots so far.
+        let cases = [
+            (2, Action::Drain, None, Ok(()), 0),
+            (1, Action::Drain, None, Err("conflict"), 0),
+            (2, Action::Reboot(2), None, Ok(()), 0),
+            (
+                2,
+                Action::Reboot(3),
+                Some(Fault::Refuse),
+                Err("unavailable"),
+                0,
+            ),
+            (1, Action::Reboot(3), None, Err("conflict"), 0),
+            (2, Action::Reboot(3), Some(Fault::Lose), Err("unknown"), 1),
+            (2, Action::Reboot(3), None, Ok(()), 1),
+        ];
+        for (token, action, fault, expected, reboots) in cases {
+            store.faults().inject(Kind::Order, fault);
+            let result = order(token, action).await;
+            let label = format!("{way:?} {token} {action:?}");
+            assert_eq!(result.as_ref().map_err(kind).copied(), expected, "{label}");
+            assert_eq!(store.machines().rebooted().len(), reboots, "{label}");
+        }
+        let listing = &platform.listing;
+        let deadline = Instant::now() + Duration::from_secs(5);
+        while listing.instances().await.unwrap() != [listed(4)] {
+            assert!(Instant::now() < deadline, "{way:?} w-1 did not come back");
+            sleep(Duration::from_millis(5)).await;
+        }
+        order(2, Action::Reboot(3)).await.unwrap();
+        assert_eq!(listing.instances().await.unwrap(), [listed(4)]);
+    }
+}
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -54,6 +54,7 @@
             address,
             data_centre: "east".into(),
             rack: "r".into(),
+            incarnation: 0,
             state: State::Live,
         }]);
         let folder =
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -37,6 +37,7 @@
         .unwrap(),
         data_centre: data_centre.into(),
         rack: "r".into(),
+        incarnation: 0,
         state,
     }
 }
