Run the manager of pools and plans on the entry instance that holds the lease

Cause: nothing ran plans::Manager, so plans and sizes in the document had no effect. Conclusion: with calls running, a move, reboots, the loss of the manager's store in mid-wave and an outage of the store cut no call and keep every budget in tests/manage.rs.

--- a/src/node/assign.rs
+++ b/src/node/assign.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 const WHOLE_EVERY: Duration = Duration::from_secs(600);
 
 /// Reads the pools and phases of the instances for the dispatcher.
-pub(super) async fn assign(shared: std::sync::Arc<Shared>) {
+pub(super) async fn assign(shared: Arc<Shared>) {
     let mut roster = Roster::default();
     let mut last_whole = None;
     loop {
@@ -26,14 +27,14 @@
                     last_whole = Some(now);
                 }
                 if changed {
-                    let roster = std::sync::Arc::new(roster.clone());
+                    let roster = Arc::new(roster.clone());
                     shared.control.dispatcher().assign(roster, clock::now());
                 }
                 shared.roster_read.store(true, Ordering::Release);
             }
             Err(error) => log::warn!(event = "assignment-read-failed", error:% = error; ""),
         }
-        if shared.pause(READ_EVERY).await {
+        if shared.pause_unless(&shared.roster_wanted, READ_EVERY).await {
             return;
         }
     }
--- a/src/node/list.rs
+++ b/src/node/list.rs
@@ -28,9 +28,15 @@
     let dispatcher = shared.control.dispatcher();
     let shown: Set<Arc<str>> = instances.iter().map(|i| i.name.clone()).collect();
     // Without the assignments a target might be used that drains or has moved.
+    let instances: Arc<[Instance]> = instances.into();
     if shared.has_roster() {
-        dispatcher.list(instances.into(), now);
+        dispatcher.list(instances.clone(), now);
     }
+    shared
+        .sightings
+        .lock()
+        .expect("sightings lock")
+        .take(instances, started);
     shared
         .port
         .connections()
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -16,11 +17,15 @@
 /// Scans the members' rows and dials those whose name comes after this instance's.
 pub(super) async fn members(shared: Arc<Shared>) {
     loop {
+        let assigned = shared.control.dispatcher().assigned();
         match scan(&shared).await {
-            Ok(members) => take(&shared, members),
+            Ok(members) => take(&shared, members, assigned),
             Err(error) => log::warn!(event = "member-scan-failed", error:% = error; ""),
         }
-        if shared.pause(SCAN_EVERY).await {
+        if shared
+            .pause_unless(&shared.members_wanted, SCAN_EVERY)
+            .await
+        {
             return;
         }
     }
@@ -46,7 +51,7 @@
     }
 }
 
-fn take(shared: &Arc<Shared>, members: Vec<Member>) {
+fn take(shared: &Arc<Shared>, members: Vec<Member>, assigned: u64) {
     let own = &shared.member.name;
     let mut dialled = shared.dialled.lock().expect("dialled lock");
     dialled.retain(|name, peer| {
@@ -74,5 +79,7 @@
         }
     }
     drop(dialled);
-    *shared.members.lock().expect("members lock") = members;
+    let mut known = shared.members.lock().expect("members lock");
+    *known = members;
+    shared.members_at.store(assigned, Ordering::Release);
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,17 +9,21 @@
 mod follow;
 mod join;
 mod list;
+mod manage;
 mod members;
 #[expect(
     clippy::module_inception,
     reason = "the module is named after its main type"
 )]
 mod node;
+mod observer;
 mod shared;
 mod shutdown;
+mod sightings;
 mod tick;
 mod vote;
 
 pub use apply::Applied;
 pub use node::Node;
+use observer::Observer;
 pub use shared::Shared;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -6,7 +6,9 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use super::{Shared, assign, borrow, fetch, follow, join, list, members, shutdown, tick, vote};
+use super::{
+    Shared, assign, borrow, fetch, follow, join, list, manage, members, shutdown, tick, vote,
+};
 use crate::clock;
 use crate::config::Voter;
 use crate::control::Control;
@@ -22,6 +24,7 @@
 pub struct Node {
     shared: Arc<Shared>,
     callers: Mutex<Option<JoinHandle<()>>>,
+    manager: Mutex<Option<JoinHandle<()>>>,
 }
 
 impl Node {
@@ -47,6 +50,7 @@
         tokio::spawn(assign::assign(shared.clone()));
         tokio::spawn(list::list(shared.clone()));
         tokio::spawn(members::members(shared.clone()));
+        let manager = tokio::spawn(manage::manage(shared.clone()));
         tokio::spawn(borrow::borrow(shared.clone()));
         tokio::spawn(tick::tick(shared.clone()));
         tokio::spawn(vote::vote(shared.clone()));
@@ -58,6 +62,7 @@
         Ok(Self {
             shared,
             callers: Mutex::new(Some(callers)),
+            manager: Mutex::new(Some(manager)),
         })
     }
 
@@ -75,6 +80,12 @@
     /// Shuts the instance down without cutting a call.
     pub async fn stop(&self) {
         shutdown::shut_down(&self.shared).await;
+        let manager = self.manager.lock().expect("manager lock").take();
+        if let Some(manager) = manager
+            && tokio::time::timeout(CLOSE_TIMEOUT, manager).await.is_err()
+        {
+            log::warn!(event = "manager-left-running"; "");
+        }
         let callers = self.callers.lock().expect("callers lock").take();
         let Some(callers) = callers else { return };
         if tokio::time::timeout(CLOSE_TIMEOUT, callers).await.is_err() {
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -2,8 +2,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
+use super::sightings::Sightings;
 use crate::claim::{self, Desk, Owner};
 use crate::clock::Instant;
 use crate::collections::Map;
@@ -39,6 +40,13 @@
     pub(super) dialled: std::sync::Mutex<Map<Arc<str>, watch::Sender<Option<Member>>>>,
     /// Members of the last scan.
     pub(super) members: std::sync::Mutex<Vec<Member>>,
+    /// Version of the roster in force before the last scan of the members.
+    pub(super) members_at: AtomicU64,
+    /// Woken when the assignments should be read at once.
+    pub(super) roster_wanted: Notify,
+    /// Woken when the members should be scanned at once.
+    pub(super) members_wanted: Notify,
+    pub(super) sightings: std::sync::Mutex<Sightings>,
     /// Set when the assignments were read for the first time.
     pub(super) roster_read: AtomicBool,
     pub(super) stop: watch::Sender<bool>,
@@ -74,6 +82,10 @@
             platform,
             dialled: Default::default(),
             members: Default::default(),
+            members_at: AtomicU64::new(0),
+            roster_wanted: Notify::new(),
+            members_wanted: Notify::new(),
+            sightings: Default::default(),
             roster_read: AtomicBool::new(false),
             stop: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
@@ -97,11 +109,25 @@
         self.members.lock().expect("members lock").clone()
     }
 
+    /// Lists the members of the last scan, with the roster version in force before the scan.
+    pub(super) fn scanned_members(&self) -> (Vec<Member>, u64) {
+        let members = self.members.lock().expect("members lock");
+        (members.clone(), self.members_at.load(Ordering::Acquire))
+    }
+
     pub(super) fn next_operation(&self) -> Operation {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         Operation::of(self.control.own(), sequence)
     }
 
+    /// Waits like [`Shared::pause`], but goes on at once when `wanted` is woken.
+    pub(super) async fn pause_unless(&self, wanted: &Notify, period: Duration) -> bool {
+        tokio::select! {
+            stops = self.pause(period) => stops,
+            () = wanted.notified() => *self.stop.borrow(),
+        }
+    }
+
     /// Waits `period`, give or take a tenth, or returns true when the instance stops.
     ///
     /// The spread keeps instances that started together from reading the store together.
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -117,6 +117,11 @@
         }
     }
 
+    /// Returns what a connected peer last said that it runs.
+    pub fn load(&self, name: &str) -> Option<Load> {
+        self.loads.lock().expect("loads lock").get(name).cloned()
+    }
+
     pub(super) fn learn_load(&self, name: &Arc<str>, load: Load, now: Instant) {
         self.loads
             .lock()
--- a/src/standin/target/server.rs
+++ b/src/standin/target/server.rs
@@ -94,6 +94,15 @@
         }
     }
 
+    /// Returns whether the target is on.
+    ///
+    /// ```
+    /// assert!(coriandernotch::standin::Target::new().is_on());
+    /// ```
+    pub fn is_on(&self) -> bool {
+        *self.power.borrow()
+    }
+
     /// Returns how many requests ran when the target was turned off.
     ///
     /// ```
--- a/tests/manage.rs
+++ b/tests/manage.rs
@@ -1,8 +1,21 @@
 //! Pools, moves and maintenance end to end, and what entry instances know of them.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use coriandernotch::config::Outcome;
+use coriandernotch::demo::{Bed, Client};
+use coriandernotch::fleet::Digest;
+use coriandernotch::node::{Applied, Node};
 use coriandernotch::plans::{Calendar, Manager, Turn, View};
+use coriandernotch::platform::Row;
 use coriandernotch::pools::{Assignment, Phase, Recent, Roster, Tenure};
 use coriandernotch::standin::{Kind, Store};
+use http_body_util::Full;
+use hyper::Request;
+use tokio::task::JoinSet;
 
 mod bed;
 
@@ -78,3 +91,288 @@
     assert_eq!(follow(&bed.store, &mut roster).await, 1);
     assert_eq!(roster.get("a-0").unwrap().phase, Phase::Down);
 }
+
+const WAIT: Duration = Duration::from_secs(20);
+
+/// Two services with a pool each, a plan for the first, and three spare instances.
+fn fleet() -> serde_json::Value {
+    let digest = Digest::of(b"red-key");
+    let names = |pool: &str, n: usize| -> Vec<_> {
+        let places = ["east", "mid", "west"].into_iter().take(n);
+        places.map(|place| format!("{pool}-{place}")).collect()
+    };
+    serde_json::json!({
+        "name": "test",
+        "longest-run-ms": 3000,
+        "data-centres": [
+            {"name": "east", "region": "r"}, {"name": "mid", "region": "r"},
+            {"name": "west", "region": "r"},
+        ],
+        "teams": [{"name": "red", "share": 1, "limit": 40,
+            "keys": [{"name": "first", "digest": digest}]}],
+        "pools": [
+            {"name": "one", "size": 3, "budget": {"unavailable": 1}, "instances": names("one", 3)},
+            {"name": "two", "size": 3, "budget": {"unavailable": 1}, "instances": names("two", 3)},
+            {"name": "rest", "size": 3, "spare": true, "budget": {"unavailable": 1},
+             "instances": names("rest", 3)},
+        ],
+        "services": [{"name": "one", "pool": "one"}, {"name": "two", "pool": "two"}],
+    })
+}
+
+struct World {
+    bed: Arc<Bed>,
+    document: serde_json::Value,
+    stop: Arc<AtomicBool>,
+}
+
+impl World {
+    async fn start(nodes: usize) -> Self {
+        let document = fleet();
+        let bed = Arc::new(Bed::start(&document.to_string()).await.unwrap());
+        for _ in 0..nodes {
+            bed.start_node().await.unwrap();
+        }
+        let stop = Arc::default();
+        let world = Self {
+            bed,
+            document,
+            stop,
+        };
+        world.apply().await;
+        world
+            .wait("the start", |w| {
+                let voters = |n: &Arc<Node>| {
+                    n.shared()
+                        .control
+                        .read(|s| s.revision().map_or(0, |r| r.head.voters.len()))
+                };
+                w.bed.ready().len() == nodes
+                    && w.bed.nodes().iter().all(|n| voters(n) == nodes)
+                    && w.rows().len() == 9
+            })
+            .await;
+        world
+    }
+
+    async fn apply(&self) {
+        for _ in 0..50 {
+            let node = self.bed.nodes()[0].clone();
+            let content = self.document.to_string();
+            let applied = node.shared().apply(&content, None, "test").await;
+            if let Applied::Committed(Outcome::Accepted(_)) = applied {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        panic!("the document was not accepted");
+    }
+
+    /// Puts a plan for the first pool in force.
+    async fn plan(&mut self) {
+        self.document["plans"] =
+            serde_json::json!([{"name": "reboots", "pool": "one", "period-days": 21}]);
+        self.apply().await;
+    }
+
+    async fn wait(&self, what: &str, mut done: impl FnMut(&Self) -> bool) {
+        let held = self.bed.wait(WAIT, |_| {
+            self.check();
+            done(self)
+        });
+        assert!(held.await, "{what} did not happen: {:?}", self.rows());
+    }
+
+    fn rows(&self) -> Vec<(String, Assignment)> {
+        let rows = self.bed.store.rows(Assignment::PREFIX);
+        let read = |row: &Row| {
+            let name = row.key.strip_prefix(Assignment::PREFIX).unwrap();
+            (name.to_owned(), serde_json::from_str(&row.value).unwrap())
+        };
+        rows.iter().map(read).collect()
+    }
+
+    /// Checks the budget of every pool by the rows and by which targets are away in truth.
+    fn check(&self) {
+        let rows = self.rows();
+        for pool in ["one", "two", "rest"] {
+            let members: Vec<_> = rows.iter().filter(|(_, row)| &*row.pool == pool).collect();
+            let out = members
+                .iter()
+                .filter(|(_, row)| !matches!(row.phase, Phase::Serving | Phase::Moving));
+            let away = members
+                .iter()
+                .filter(|(name, _)| !self.bed.targets[&**name].is_on());
+            let (out, away) = (out.count(), away.count());
+            assert!(out <= 1 && away <= 1, "pool {pool} out {out} away {away}");
+        }
+    }
+
+    fn rebooted(&self) -> usize {
+        self.bed.store.machines().rebooted().len()
+    }
+
+    /// Calls both services from all nodes until stopped; returns the answers that were not whole.
+    fn call(&self) -> JoinSet<(usize, Vec<String>)> {
+        let mut callers = JoinSet::new();
+        for number in 0..8usize {
+            let (bed, stop) = (self.bed.clone(), self.stop.clone());
+            callers.spawn(async move {
+                let (mut client, mut faults, mut calls) = (Client::default(), Vec::new(), 0);
+                let service = ["one", "two"][number % 2];
+                while !stop.load(Ordering::Acquire) {
+                    let ready = bed.ready();
+                    let Some(to) = ready.get(number / 2 % ready.len().max(1)) else {
+                        tokio::time::sleep(Duration::from_millis(10)).await;
+                        continue;
+                    };
+                    calls += 1;
+                    let id = format!("{number}-{calls}");
+                    let request = Request::builder()
+                        .method("POST")
+                        .uri(format!("/v1/services/{service}/x"))
+                        .header("host", "test")
+                        .header("authorization", "Bearer red-key")
+                        .header("x-request-id", &id)
+                        .header("coriandernotch-deadline-ms", "20000")
+                        .body(Full::new(Bytes::from(id.clone())))
+                        .unwrap();
+                    match client.call(*to, request).await {
+                        Ok(reply) if reply.status.is_success() && reply.body == id => {}
+                        Ok(reply) if reply.outcome() == "not-run" => {}
+                        Ok(reply) => faults.push(format!("{id} {}", reply.status)),
+                        Err(error) => faults.push(format!("{id} {error:#}")),
+                    }
+                }
+                (calls, faults)
+            });
+        }
+        callers
+    }
+
+    /// Ends the calls and checks that none was cut.
+    async fn finish(self, mut callers: JoinSet<(usize, Vec<String>)>) {
+        self.stop.store(true, Ordering::Release);
+        while let Some(ended) = callers.join_next().await {
+            let (calls, faults) = ended.unwrap();
+            assert!(calls > 0);
+            assert!(faults.is_empty(), "{faults:?}");
+        }
+        let cut: usize = self.bed.targets.values().map(|t| t.cut()).sum();
+        assert_eq!(cut, 0, "a reboot cut requests");
+        for node in self.bed.nodes() {
+            self.bed.stop_node(&node).await;
+        }
+    }
+}
+
+/// Guards against a reboot or a move that cuts a call, and against a target that gets calls of a
+/// service whose pool it has left or has not been admitted to.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_move_and_reboots_cut_no_call() {
+    let mut world = World::start(2).await;
+    world
+        .bed
+        .targets
+        .values()
+        .for_each(|t| t.set_service_time(Duration::from_millis(60)));
+    let callers = world.call();
+    world.document["pools"][1]["size"] = 4.into();
+    world.document["pools"][2]["size"] = 2.into();
+    world.plan().await;
+    world
+        .wait("a reboot and a move", |w| {
+            let moved = w.rows().iter().any(|(name, row)| {
+                name.starts_with("rest") && &*row.pool == "two" && row.phase == Phase::Serving
+            });
+            let back = w.rows().iter().any(|(_, row)| row.maintained > 0);
+            moved && back
+        })
+        .await;
+    // The instance that has moved gets calls of its new pool.
+    world
+        .wait("a call on the moved instance", |w| {
+            w.bed
+                .targets
+                .iter()
+                .any(|(name, t)| name.starts_with("rest") && t.total() > 0)
+        })
+        .await;
+    for (name, target) in &world.bed.targets {
+        for run in target.runs() {
+            let number: usize = run.id.split('-').next().unwrap().parse().unwrap();
+            let allowed = if number.is_multiple_of(2) {
+                "one"
+            } else {
+                "two"
+            };
+            let ok = name.starts_with(allowed) || (name.starts_with("rest") && allowed == "two");
+            assert!(ok, "{name} ran {}", run.id);
+        }
+    }
+    world.finish(callers).await;
+}
+
+/// Guards against a wave that nobody ends after its manager has stopped, and against more than
+/// the budget down under two managers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn another_instance_takes_over_in_mid_wave() {
+    let mut world = World::start(3).await;
+    let callers = world.call();
+    world.plan().await;
+    world
+        .wait("a drain", |w| {
+            w.rows().iter().any(|(_, row)| row.phase == Phase::Draining)
+        })
+        .await;
+    let holder = world.bed.store.row("managers/pools").unwrap();
+    let nodes = world.bed.nodes();
+    let manager = nodes.iter().find(|n| {
+        let member = &n.shared().member;
+        holder
+            .value
+            .contains(&format!("{}/{}", member.name, member.incarnation))
+    });
+    // Cut off from the store it cannot renew the lease; its peers still hear of its calls.
+    let name = manager.unwrap().shared().member.name.clone();
+    world.bed.store.faults().cut(&name, true);
+    world.wait("a reboot", |w| w.rebooted() > 0).await;
+    world
+        .wait("its end", |w| {
+            w.rows().iter().any(|(_, row)| row.maintained > 0)
+        })
+        .await;
+    let tokens: Vec<u64> = world.rows().iter().map(|(_, row)| row.token).collect();
+    assert!(tokens.iter().any(|token| *token > 1), "{tokens:?}");
+    world.bed.store.faults().cut(&name, false);
+    world.finish(callers).await;
+}
+
+/// Guards against a reboot that is ordered on stale rows, and against a wave that an outage ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_wave_goes_on_after_an_outage_of_the_store() {
+    let mut world = World::start(2).await;
+    let callers = world.call();
+    world.plan().await;
+    world
+        .wait("a drain", |w| {
+            w.rows().iter().any(|(_, row)| row.phase == Phase::Draining)
+        })
+        .await;
+    world.bed.store.faults().set_outage(true);
+    let before = world.rebooted();
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert_eq!(
+        world.rebooted(),
+        before,
+        "nothing can be decided without the rows"
+    );
+    world.check();
+    world.bed.store.faults().set_outage(false);
+    world
+        .wait("a reboot", |w| {
+            w.rows().iter().any(|(_, row)| row.maintained > 0)
+        })
+        .await;
+    world.finish(callers).await;
+}
