--- a/tests/callers/framing.rs
+++ b/tests/callers/framing.rs
@@ -131,6 +131,15 @@
             401,
             NOT_RUN,
         ),
+        (
+            "body announced without a key",
+            raw(
+                "Host: h\r\nConnection: close\r\nExpect: 100-continue\r\nContent-Length: 5",
+                "",
+            ),
+            401,
+            NOT_RUN,
+        ),
         (
             "very long key",
             raw(
