Serve for 200 ms after an entry instance says that it is not ready

Change: admission and the listener end 200 ms after readiness. Conclusion: closes that gap for callers that look at readiness; a balancer that probes more seldom needs a longer time, which is not a setting yet.

--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -8,10 +8,15 @@
 /// Time between two looks at whether the running calls have ended.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
+/// Time between not ready and the end of admission.
+///
+/// A caller that saw the instance ready a moment earlier would find its connection closed.
+const NOTICE: Duration = Duration::from_millis(200);
+
 /// Time for the last messages to go out.
 const FLUSH: Duration = Duration::from_millis(100);
 
-/// Ends the instance without cutting a call: not ready, no admission, running calls end, permits
+/// Ends the instance without cutting a call: not ready, a notice, no admission, running calls end, permits
 /// and vote go back, connections close.
 pub(super) async fn shut_down(shared: &Arc<Shared>) {
     let grace = Duration::from_millis(shared.settings.bounds.shutdown_grace_ms.into());
@@ -22,6 +27,7 @@
     shared
         .leaving
         .store(true, std::sync::atomic::Ordering::Release);
+    tokio::time::sleep(NOTICE).await;
     dispatcher.drain();
     shared.stop.send_replace(true);
     while dispatcher.running() > 0 && clock::now().since(start) < grace {
