Show plans to operators and take their commands at any entry instance

Cause: plans could only be paused through the library, and their state was not visible. Change: the manager writes managers/plans (plans::Survey) when it changes, at most once a second; GET /v1/plans and POST /v1/plans/{name}/pause|resume|withdraw on the operators' port. Conclusion: the test reads and commands at both of two instances.

--- a/src/front/operators/mod.rs
+++ b/src/front/operators/mod.rs
@@ -4,6 +4,7 @@
 mod health;
 mod level;
 mod metrics;
+mod plans;
 mod role;
 mod serve;
 mod status;
--- a/src/front/operators/serve.rs
+++ b/src/front/operators/serve.rs
@@ -31,6 +31,7 @@
         .push(Router::with_path("readyz").get(Ready(shared.clone())))
         .push(Router::with_path("metrics").get(Scrape))
         .push(fleet)
+        .push(super::plans::make_router(shared))
         .push(
             Router::with_path("v1/status")
                 .hoop(require(Role::View))
--- a/src/node/manage.rs
+++ b/src/node/manage.rs
@@ -7,7 +7,7 @@
 use super::{Observer, Shared};
 use crate::clock::{self, Instant};
 use crate::collections::Set;
-use crate::plans::{Calendar, Manager, Turn, View};
+use crate::plans::{Calendar, Manager, Survey, Turn, View};
 use crate::platform::{Action, Command, Error};
 use crate::pools::{Lease, Order, Phase, State, Tenure};
 
@@ -26,6 +26,12 @@
 /// Time after which all orders are sent again; a drain holds for 30 s.
 const ORDER_AGAIN: Duration = Duration::from_secs(5);
 
+/// Shortest time between two writes of where the plans stand.
+const SURVEY_EVERY: Duration = Duration::from_secs(1);
+
+/// Time after which where the plans stand is written even if nothing but the clock has changed.
+const SURVEY_AGAIN: Duration = Duration::from_secs(10);
+
 /// Orders sent at once.
 const ORDERS: usize = 16;
 
@@ -79,6 +85,8 @@
     /// Orders that the platform has accepted, since `sent_since`.
     sent: Set<Command>,
     sent_since: Instant,
+    /// Survey that was last written, and when.
+    survey: Option<(Survey, Instant)>,
 }
 
 impl Desk {
@@ -90,6 +98,7 @@
             token: 0,
             sent: Set::default(),
             sent_since: Instant::default(),
+            survey: None,
         }
     }
 
@@ -136,6 +145,7 @@
             Ok(Turn::Complete) => {
                 self.hasten(shared);
                 self.order(shared).await;
+                self.publish(shared, now, &calendar).await;
             }
             Ok(turn) => log::info!(event = "manager-turn", end:? = turn; ""),
             Err(error) => log::warn!(event = "manager-turn-failed", error:% = error; ""),
@@ -161,6 +171,24 @@
         }
     }
 
+    /// Writes where the plans stand, when that has changed and now and then.
+    async fn publish(&mut self, shared: &Shared, now: Instant, calendar: &Calendar) {
+        let Some(survey) = Survey::of(&self.manager, now, calendar) else {
+            return;
+        };
+        let same = |old: &Survey| old.token == survey.token && old.is_like(&survey);
+        let kept = self.survey.as_ref().is_some_and(|(old, at)| {
+            now.since(*at) < SURVEY_EVERY || (same(old) && now.since(*at) < SURVEY_AGAIN)
+        });
+        if kept {
+            return;
+        }
+        match shared.platform.table.transact(vec![survey.write()]).await {
+            Ok(_) => self.survey = Some((survey, now)),
+            Err(error) => log::warn!(event = "survey-not-written", error:% = error; ""),
+        }
+    }
+
     /// Sends the orders that the platform has not accepted yet, and all now and then.
     async fn order(&mut self, shared: &Shared) {
         let now = clock::now();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,6 +17,7 @@
 )]
 mod node;
 mod observer;
+mod plans;
 mod shared;
 mod shutdown;
 mod sightings;
--- a/tests/manage.rs
+++ b/tests/manage.rs
@@ -376,3 +376,61 @@
         .await;
     world.finish(callers).await;
 }
+
+/// Guards against commands and states of plans that only the managing instance knows, and against
+/// a wave that starts after an accepted pause.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_see_and_pause_plans_at_any_instance() {
+    let mut world = World::start(2).await;
+    world.plan().await;
+    let nodes = world.bed.nodes();
+    let ask = async |node: &Arc<Node>, method: &str, path: &str| {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "test")
+            .header("authorization", "Bearer administer-key")
+            .body(Full::new(Bytes::new()))
+            .unwrap();
+        let to = node.shared().member.operators;
+        let reply = Client::default().call(to, request).await.unwrap();
+        let body = serde_json::from_slice(&reply.body).unwrap_or(serde_json::Value::Null);
+        (reply.status.as_u16(), body)
+    };
+    let cases = [
+        ("POST", "/v1/plans/reboots/pause", 200),
+        ("POST", "/v1/plans/reboots/stop", 404),
+        ("POST", "/v1/plans/other/pause", 404),
+        ("POST", "/v1/plans/reboots/resume", 200),
+        ("POST", "/v1/plans/reboots/pause", 200),
+    ];
+    for (number, (method, path, status)) in cases.into_iter().enumerate() {
+        let answer = ask(&nodes[number % 2], method, path).await;
+        assert_eq!(answer.0, status, "{path} {}", answer.1);
+    }
+    // A drain that began before the pause is taken back; a reboot may go on.
+    world
+        .wait("an end of the drains", |w| {
+            w.rows().iter().all(|(_, row)| row.phase == Phase::Serving)
+        })
+        .await;
+    let before = world.rebooted();
+    let end = tokio::time::Instant::now() + WAIT;
+    for node in &nodes {
+        loop {
+            let (status, body) = ask(node, "GET", "/v1/plans").await;
+            if status == 200 && body["plans"][0]["wait"] == "paused" {
+                assert_eq!(body["plans"][0]["total"], 3);
+                assert_eq!(body["plans"][0]["author"], "demo");
+                break;
+            }
+            assert!(tokio::time::Instant::now() < end, "{status} {body}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    assert_eq!(world.rebooted(), before);
+    let answer = ask(&nodes[0], "POST", "/v1/plans/reboots/withdraw").await;
+    assert_eq!(answer.0, 200);
+    let answer = ask(&nodes[1], "POST", "/v1/plans/reboots/resume").await;
+    assert_eq!(answer.0, 409, "{}", answer.1);
+}
