--- a/tests/manage.rs
+++ b/tests/manage.rs
@@ -10,7 +10,7 @@
 use coriandernotch::fleet::Digest;
 use coriandernotch::node::{Applied, Node};
 use coriandernotch::plans::{Calendar, Manager, Turn, View};
-use coriandernotch::platform::Row;
+use coriandernotch::platform::{Condition, Row, Table, Write};
 use coriandernotch::pools::{Assignment, Phase, Recent, Roster, Tenure};
 use coriandernotch::standin::{Kind, Store};
 use http_body_util::Full;
@@ -434,3 +434,50 @@
     let answer = ask(&nodes[1], "POST", "/v1/plans/reboots/resume").await;
     assert_eq!(answer.0, 409, "{}", answer.1);
 }
+
+/// Guards against two managers that drain more than the budget together while each believes that
+/// it leads.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_managers_race() {
+    let mut world = World::start(2).await;
+    let callers = world.call();
+    world.plan().await;
+    // The holder looks at the lease again only after a while, and goes on until then.
+    let table = world.bed.store.client("rival");
+    let lease = |holder: &str| {
+        let value = format!(r#"{{"holder": "{holder}", "token": 2}}"#);
+        vec![Write::put("managers/pools", Condition::Any, &value)]
+    };
+    table.transact(lease("rival")).await.unwrap();
+    let (mut manager, tenure) = (Manager::default(), Tenure::new(2));
+    let document = world.bed.nodes()[0].shared().control.current().unwrap();
+    let listing = world.bed.instances.lock().unwrap().clone();
+    let now = coriandernotch::clock::now();
+    let mut complete = 0;
+    for _ in 0..60 {
+        let view = View {
+            tenure: &tenure,
+            calendar: &Calendar::new(now, bed::UNIX),
+            document: document.document().unwrap(),
+            listing: &listing,
+            // It knows nothing of calls, so it never goes beyond a drain.
+            sight: &|_| None,
+        };
+        let turn = manager
+            .turn(coriandernotch::clock::now(), &table, view)
+            .await;
+        complete += u32::from(turn == Ok(Turn::Complete));
+        world.check();
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(complete > 0, "the rival completed no turn");
+    table.transact(lease("")).await.unwrap();
+    world
+        .wait("a reboot under the next manager", |w| {
+            w.rows()
+                .iter()
+                .any(|(_, row)| row.maintained > 0 && row.token > 2)
+        })
+        .await;
+    world.finish(callers).await;
+}
