--- a/src/front/operators/mod.rs
+++ b/src/front/operators/mod.rs
@@ -13,6 +13,7 @@
 mod level;
 mod metrics;
 mod openapi;
+mod plans;
 mod reply;
 mod role;
 mod route;
--- a/src/front/operators/route.rs
+++ b/src/front/operators/route.rs
@@ -12,6 +12,7 @@
 use super::level::SetLevel;
 use super::metrics::Scrape;
 use super::openapi::OpenApi;
+use super::plans::{CommandPlan, ReadPlans};
 use super::role::Require;
 use super::status::Status;
 use crate::node::Shared;
@@ -46,6 +47,10 @@
     ReadPast,
     /// Puts an old document in force.
     Reapply,
+    /// Where the maintenance plans stand.
+    ReadPlans,
+    /// Pauses, resumes or withdraws a plan.
+    CommandPlan,
     /// What the instance knows.
     Status,
     /// What happened in the last hour.
@@ -72,6 +77,8 @@
             Self::ReadHistory => "/v1/fleet/history",
             Self::ReadPast => "/v1/fleet/history/{version}",
             Self::Reapply => "/v1/fleet/history/{version}/apply",
+            Self::ReadPlans => "/v1/plans",
+            Self::CommandPlan => "/v1/plans/{name}/{action}",
             Self::Status => "/v1/status",
             Self::Events => "/v1/events",
             Self::NewKey => "/v1/keys",
@@ -87,7 +94,7 @@
     pub fn method(self) -> &'static str {
         match self {
             Self::WriteFleet | Self::SetLevel => "PUT",
-            Self::CheckFleet | Self::Reapply | Self::NewKey => "POST",
+            Self::CheckFleet | Self::Reapply | Self::NewKey | Self::CommandPlan => "POST",
             _ => "GET",
         }
     }
@@ -109,9 +116,12 @@
             | Self::CheckFleet
             | Self::ReadHistory
             | Self::ReadPast
+            | Self::ReadPlans
             | Self::Status
             | Self::Events => Some(Role::View),
-            Self::WriteFleet | Self::Reapply | Self::SetLevel => Some(Role::Operate),
+            Self::WriteFleet | Self::Reapply | Self::CommandPlan | Self::SetLevel => {
+                Some(Role::Operate)
+            }
             Self::NewKey => Some(Role::Administer),
         }
     }
@@ -136,6 +146,8 @@
             Self::ReadHistory => router.get(ReadHistory(shared)),
             Self::ReadPast => router.get(ReadPast(shared)),
             Self::Reapply => router.post(Reapply(shared)),
+            Self::ReadPlans => router.get(ReadPlans(shared)),
+            Self::CommandPlan => router.post(CommandPlan(shared)),
             Self::Status => router.get(Status(shared)),
             Self::Events => router.get(Events(shared)),
             Self::NewKey => router.post(NewKey),
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -145,7 +145,9 @@
 }
 
 fn path(route: Route) -> String {
-    route.path().replace("{version}", "1")
+    let path = route.path().replace("{version}", "1");
+    path.replace("{name}", "monthly")
+        .replace("{action}", "pause")
 }
 
 /// Guards against a route that a lower role, a cookie, a page of another site or nobody may use.
