Add the command measure

Cause: the figures of jobs, moves, roll-out and buffers could only be read from tests. Change: coriandernotch measure prints measure::run and the rows of plans::measure::run with their bounds and baselines, as a table or as JSON.

--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -4,6 +4,9 @@
 
 use lexopt::prelude::{Long, Short, Value, ValueExt};
 
+use super::Format;
+use crate::measure::Shape;
+
 /// How the program is called.
 pub const USAGE: &str = "\
 usage: coriandernotch serve --settings FILE
@@ -11,6 +14,7 @@
        coriandernotch apply FILE --to ADDRESS [--if-version N]
        coriandernotch status --to ADDRESS
        coriandernotch demo [--seconds N] [--seed N] [--shape huallaga|rennes] [--report DIR] [--hold]
+       coriandernotch measure [--shape huallaga|rennes|target] [--seed N] [--format table|json]
        coriandernotch --help | --version
 apply and status read the operator key from the variable CORIANDERNOTCH_KEY.
 ";
@@ -46,6 +50,15 @@
         /// Operators' port of an entry instance.
         to: SocketAddr,
     },
+    /// Measures the decisions over a fleet, next to naive baselines.
+    Measure {
+        /// Fleet.
+        shape: Shape,
+        /// Seed of the load.
+        seed: u64,
+        /// How the figures are printed.
+        format: Format,
+    },
     /// Runs stand-ins and entry instances in one process and checks the rules.
     Demo {
         /// Length of the load in seconds.
@@ -95,6 +108,7 @@
                 Long("seed") => options.seed = Some(parser.value()?.parse()?),
                 Long("shape") => options.shape = Some(parser.value()?.string()?),
                 Long("report") => options.report = Some(parser.value()?.into()),
+                Long("format") => options.format = Some(parser.value()?.string()?),
                 Long("hold") => options.hold = true,
                 Value(file) if options.file.is_none() => options.file = Some(file.into()),
                 other => return Err(other.unexpected()),
@@ -116,6 +130,7 @@
     shape: Option<String>,
     report: Option<PathBuf>,
     hold: bool,
+    format: Option<String>,
 }
 
 impl Options {
@@ -136,6 +151,7 @@
                 to: need(self.to.take(), "--to ADDRESS")?,
             },
             "demo" => self.build_demo()?,
+            "measure" => self.build_measure()?,
             _ => return Err(format!("{name:?} is no command").into()),
         };
         match self.left_over() {
@@ -162,6 +178,20 @@
         })
     }
 
+    fn build_measure(&mut self) -> Result<Command, lexopt::Error> {
+        let shape = self.shape.take().unwrap_or_else(|| "huallaga".to_owned());
+        let format = self.format.take().unwrap_or_else(|| "table".to_owned());
+        Ok(Command::Measure {
+            shape: shape
+                .parse()
+                .map_err(|_| format!("--shape {shape:?}: accepted huallaga, rennes, target"))?,
+            seed: self.seed.take().unwrap_or(1),
+            format: format
+                .parse()
+                .map_err(|_| format!("--format {format:?}: accepted table, json"))?,
+        })
+    }
+
     /// Names an option that the command does not take.
     fn left_over(&self) -> Option<&'static str> {
         let given = [
@@ -174,6 +204,7 @@
             (self.shape.is_some(), "--shape"),
             (self.report.is_some(), "--report"),
             (self.hold, "--hold"),
+            (self.format.is_some(), "--format"),
         ];
         given
             .iter()
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,7 +1,7 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 
-use super::{Command, USAGE, apply, check, demo, serve, status};
+use super::{Command, USAGE, apply, check, demo, measure, serve, status};
 
 /// Exit code of wrong usage.
 const WRONG_USAGE: u8 = 2;
@@ -39,6 +39,11 @@
             if_version,
         } => apply::apply(&file, to, if_version),
         Command::Status { to } => status::status(to),
+        Command::Measure {
+            shape,
+            seed,
+            format,
+        } => measure::measure(shape, seed, format),
         Command::Demo {
             seconds,
             seed,
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -11,6 +11,7 @@
 mod shape;
 mod tally;
 mod task;
+mod upkeep;
 mod world;
 
 pub use report::Report;
