Run jobs from submission to end

Cause: jobs had decisions but no path from a caller to a worker. Change: jobs on the callers' port (submit, get, cancel, list; rows written in batches before the answer); one task per queue that leases it, places its jobs and writes their rows in transactions that renew the lease; one task per worker that starts, renews and reads runs with the fencing token. Workers tell their size and reject earlier holders before they get work. Scheduler::adopt and put_back take over runs and take back starts that were not sent.

--- a/src/admit/refusal.rs
+++ b/src/admit/refusal.rs
@@ -24,6 +24,8 @@
     LimitReached,
     /// The idempotency record cannot be written.
     IdempotencyUnavailable,
+    /// The table service cannot be read or written.
+    StoreUnavailable,
     /// The target could not be reached and the retry budget is spent.
     Unreachable,
 }
--- a/src/demo/bed.rs
+++ b/src/demo/bed.rs
@@ -10,7 +10,7 @@
 use crate::node::Node;
 use crate::platform::{Instance, State};
 use crate::settings;
-use crate::standin::{Store, Target};
+use crate::standin::{Store, Target, Worker, worker::Need};
 
 /// Operator key with all rights in a bed.
 const OPERATOR_KEY: &str = "administer-key";
@@ -18,6 +18,13 @@
 /// Service time of the stand-in targets.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 
+/// Size of the stand-in workers, about that of the first user's.
+const WORKER_SIZE: Need = Need {
+    milli_cpus: 32_000,
+    memory_mib: 131_072,
+    accelerators: 0,
+};
+
 /// Workers to a rack.
 const RACK: usize = 4;
 
@@ -29,6 +36,8 @@
     pub document: Document,
     /// Targets by instance name.
     pub targets: Map<Arc<str>, Arc<Target>>,
+    /// Workers by instance name, in the pools that queues name and services do not.
+    pub workers: Map<Arc<str>, Arc<Worker>>,
     /// Instances as they really are; the list may lag.
     pub instances: Mutex<Vec<Instance>>,
     nodes: Mutex<Vec<Arc<Node>>>,
@@ -49,12 +58,23 @@
             )
         })?;
         let mut targets = Map::default();
+        let mut workers = Map::default();
         let mut instances = Vec::new();
         for pool in &document.pools {
             for (number, name) in pool.instances.iter().enumerate() {
                 let data_centre = find_data_centre(&document, name)?;
-                let (target, address) = start_target().await?;
-                targets.insert(name.clone(), target);
+                let address = match runs_jobs(&document, &pool.name) {
+                    true => {
+                        let (worker, address) = start_worker().await?;
+                        workers.insert(name.clone(), worker);
+                        address
+                    }
+                    false => {
+                        let (target, address) = start_target().await?;
+                        targets.insert(name.clone(), target);
+                        address
+                    }
+                };
                 instances.push(Instance {
                     name: name.clone(),
                     address,
@@ -70,6 +90,7 @@
             store,
             document,
             targets,
+            workers,
             instances: Mutex::new(instances),
             nodes: Mutex::default(),
             started: Mutex::new(0),
@@ -183,6 +204,21 @@
     }
 }
 
+fn runs_jobs(document: &Document, pool: &str) -> bool {
+    document.queues.iter().any(|q| *q.pool == *pool)
+        && document.services.iter().all(|s| *s.pool != *pool)
+}
+
+async fn start_worker() -> Result<(Arc<Worker>, SocketAddr), Report> {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .wrap_err("step=bind peer=worker")?;
+    let address = listener.local_addr().wrap_err("step=local-address")?;
+    let worker = Worker::new(WORKER_SIZE);
+    tokio::spawn(worker.serve(listener));
+    Ok((worker, address))
+}
+
 async fn start_target() -> Result<(Arc<Target>, SocketAddr), Report> {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -5,6 +5,7 @@
 mod bed;
 mod caller;
 mod client;
+mod jobs;
 mod journal;
 mod plan;
 mod random;
@@ -16,6 +17,7 @@
 
 pub use bed::Bed;
 pub use client::{Client, Reply};
+pub use jobs::check_jobs;
 pub use plan::Plan;
 pub use rule::Rule;
 pub use run::run;
--- a/src/front/callers/claimed.rs
+++ b/src/front/callers/claimed.rs
@@ -12,7 +12,7 @@
 use crate::fleet::Digest;
 
 /// Header of idempotent submissions.
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+pub(super) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Longest accepted key in bytes.
 const MAX_KEY: usize = 255;
--- /dev/null
+++ b/src/front/callers/jobs/cancel.rs
@@ -0,0 +1,67 @@
+use hyper::{Response, StatusCode};
+use serde_json::json;
+
+use super::Desk;
+use super::caller::Caller;
+use super::desk::respond;
+use super::read::find;
+use crate::front::callers::body::Body;
+use crate::front::callers::reply::Reply;
+use crate::jobs::{Reason, Record, State};
+use crate::platform::{Condition, Error, Write};
+
+/// Tries against changes of the row by the holder of the queue.
+const TRIES: usize = 8;
+
+/// Cancels a job.
+///
+/// The holder writes the row before it sends a start, so a waiting job whose row could be changed
+/// has not run since.
+pub(super) async fn cancel(
+    desk: &Desk,
+    caller: &Caller,
+    queue: &str,
+    id: &str,
+) -> Result<Response<Body>, Reply> {
+    let mut lost = false;
+    for _ in 0..TRIES {
+        let (row, mut record) = find(desk, caller, queue, id).await?;
+        let answer = |status, result: &str, record: &Record| {
+            let id = format!("{queue}.{id}");
+            let state = record.state;
+            respond(
+                status,
+                &json!({"id": id, "result": result, "state": state, "runs": record.run}),
+            )
+        };
+        if record.state == State::Cancelled && record.run == 0 {
+            return Ok(answer(StatusCode::OK, "cancelled before it ran", &record));
+        }
+        if record.state.is_final() {
+            return Ok(answer(StatusCode::OK, "already ended", &record));
+        }
+        if record.cancel {
+            return Ok(answer(StatusCode::ACCEPTED, "stop requested", &record));
+        }
+        if record.state.is_waiting() {
+            record.go(State::Cancelled, Reason::ByCaller);
+        }
+        record.cancel = true;
+        let writes = vec![
+            Write::put(&row.key, Condition::Version(row.version), &record.json()),
+            Write::put(&Record::news_key(queue, id), Condition::Any, "{}"),
+        ];
+        match desk.intake.write(writes).await {
+            Ok(()) => desk.hub.ring(queue),
+            // What the row says next settles it.
+            Err(Error::Conflict { .. }) => {}
+            Err(Error::Unknown { .. }) => lost = true,
+            Err(Error::Unavailable { .. }) if lost => break,
+            Err(error) => return Err(super::desk::unreadable(&error)),
+        }
+    }
+    Err(Reply::unknown(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "the cancellation may have taken effect",
+    ))
+}
--- /dev/null
+++ b/src/front/callers/jobs/mod.rs
@@ -0,0 +1,15 @@
+//! Jobs on the callers' port: `/v1/queues/{queue}/jobs` and `/v1/jobs/{id}`.
+//!
+//! The id that callers see is `{queue}.{id}`, so that it names the row without an index.
+
+mod caller;
+mod cancel;
+mod desk;
+mod intake;
+mod path;
+mod read;
+mod submission;
+mod submit;
+mod view;
+
+pub use desk::Desk;
--- /dev/null
+++ b/src/front/callers/jobs/read.rs
@@ -0,0 +1,72 @@
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+use super::Desk;
+use super::caller::Caller;
+use super::desk::{respond, show, unreadable};
+use super::view::View;
+use crate::front::callers::body::Body;
+use crate::front::callers::reply::Reply;
+use crate::jobs::Record;
+use crate::platform::Row;
+
+/// Part of the jobs of a queue.
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct Page {
+    jobs: Vec<View>,
+    /// Value of `after` for the next page.
+    next: Option<String>,
+}
+
+/// Answers with one job.
+pub(super) async fn get(
+    desk: &Desk,
+    caller: &Caller,
+    queue: &str,
+    id: &str,
+) -> Result<Response<Body>, Reply> {
+    let (row, _) = find(desk, caller, queue, id).await?;
+    show(StatusCode::OK, queue, &row)
+}
+
+/// Answers with the caller's jobs in a queue. A page may be shorter than asked for, or empty,
+/// when rows of other teams lie between.
+pub(super) async fn list(
+    desk: &Desk,
+    caller: &Caller,
+    queue: &str,
+    after: &str,
+    limit: usize,
+) -> Result<Response<Body>, Reply> {
+    let after = match after {
+        "" => String::new(),
+        id => Record::key(queue, id),
+    };
+    let rows = desk
+        .table
+        .scan(Record::prefix(queue).into(), after.into(), limit)
+        .await
+        .map_err(|e| unreadable(&e))?;
+    let id_of = |row: &Row| Some(format!("{queue}.{}", row.key.rsplit_once('/')?.1));
+    let next = rows.last().filter(|_| rows.len() == limit).and_then(id_of);
+    let views = rows.iter().filter_map(|row| View::read(queue, row));
+    let jobs = views.filter(|view| view.team == caller.team).collect();
+    Ok(respond(StatusCode::OK, &Page { jobs, next }))
+}
+
+/// Reads a job of the caller; jobs of other teams look like unknown ones.
+pub(super) async fn find(
+    desk: &Desk,
+    caller: &Caller,
+    queue: &str,
+    id: &str,
+) -> Result<(Row, Record), Reply> {
+    let row = desk.table.read(Record::key(queue, id).into()).await;
+    let row = row.map_err(|e| unreadable(&e))?;
+    row.and_then(|row| {
+        let record: Record = serde_json::from_str(&row.value).ok()?;
+        (record.team == caller.team).then_some((row, record))
+    })
+    .ok_or(Reply::not_run(StatusCode::NOT_FOUND, "unknown job"))
+}
--- a/src/front/callers/mod.rs
+++ b/src/front/callers/mod.rs
@@ -1,4 +1,4 @@
-//! The callers' port: `/v1/services/{service}/{path}`.
+//! The callers' port: `/v1/services/{service}/{path}` and the jobs of [`jobs`].
 
 mod answer;
 mod body;
@@ -8,6 +8,7 @@
 mod flight;
 mod guard;
 mod hold;
+pub mod jobs;
 mod kept;
 mod limits;
 mod meter;
--- a/src/front/callers/serve.rs
+++ b/src/front/callers/serve.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{Semaphore, watch};
 
 use super::exchange::exchange;
+use super::jobs::Desk as Jobs;
 use super::meter::Meters;
 use super::{Connections, Limits};
 use crate::call::Dispatcher;
@@ -26,12 +27,19 @@
     pub(super) connections: Arc<Connections>,
     pub(super) meters: Meters,
     pub(super) limits: Limits,
+    jobs: Option<Arc<Jobs>>,
 }
 
 impl Port {
-    /// Makes a port that dispatches through `dispatcher`.
-    pub fn new(dispatcher: Arc<Dispatcher>, claims: Arc<Desk>, limits: Limits) -> Arc<Self> {
+    /// Makes a port that dispatches through `dispatcher` and, if given, takes jobs.
+    pub fn new(
+        dispatcher: Arc<Dispatcher>,
+        claims: Arc<Desk>,
+        limits: Limits,
+        jobs: Option<Arc<Jobs>>,
+    ) -> Arc<Self> {
         Arc::new(Self {
+            jobs,
             dispatcher,
             claims,
             connections: Arc::default(),
@@ -110,7 +118,14 @@
         .keep_alive_timeout(limits.header_timeout);
     let service = service_fn(|request: Request<Incoming>| {
         let port = port.clone();
-        async move { Ok::<_, Infallible>(exchange(port, request).await) }
+        async move {
+            let jobs = port.jobs.clone();
+            let jobs = jobs.filter(|_| Jobs::takes(request.uri().path()));
+            Ok::<_, Infallible>(match jobs {
+                Some(jobs) => jobs.answer(request).await,
+                None => exchange(port, request).await,
+            })
+        }
     });
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let result = tokio::select! {
--- /dev/null
+++ b/src/jobs/past.rs
@@ -0,0 +1,12 @@
+/// What is known of a job that another holder of its queue began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Past {
+    /// Number of the latest run.
+    pub run: u32,
+    /// Failures that count against the job.
+    pub failures: u32,
+    /// Runs lost with their worker.
+    pub losses: u32,
+    /// Whether progress was saved.
+    pub checkpointed: bool,
+}
--- /dev/null
+++ b/src/jobs/scheduler/adopt.rs
@@ -0,0 +1,86 @@
+use std::time::Duration;
+
+use super::Scheduler;
+use crate::clock::Instant;
+use crate::jobs::{Job, JobId, Past, Reason, Spec, State, WorkerId};
+
+impl Scheduler {
+    /// Takes over a job that an earlier holder of the queue accepted, waiting or on a worker.
+    ///
+    /// Limits on waiting jobs are not applied, since the job was accepted.
+    ///
+    /// # Errors
+    ///
+    /// The team is unknown.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::fleet::{DataCentreId, TeamId};
+    /// use coriandernotch::jobs::{KindId, Past, RackId, Scheduler, Size, Spec, State, Tuning, Worker};
+    ///
+    /// let now = Instant::default();
+    /// let mut scheduler = Scheduler::new(Tuning::default());
+    /// let size = Size::new(1_000, 1_024, 0);
+    /// let worker = scheduler.add_worker(Worker::new(RackId(0), DataCentreId(0), size));
+    /// scheduler.set_team(TeamId(0), 1, 100);
+    /// let (team, kind) = (TeamId(0), KindId(0));
+    /// let spec = Spec { team, kind, declared: size, urgent: false, checkpoints: false };
+    /// let past = Past { run: 3, ..Past::default() };
+    /// let job = scheduler.adopt(spec, past, Some(worker), now).unwrap();
+    /// assert_eq!(scheduler.job(job).unwrap().run, 3);
+    /// assert!(scheduler.confirm(job, 3));
+    /// ```
+    pub fn adopt(
+        &mut self,
+        spec: Spec,
+        past: Past,
+        worker: Option<WorkerId>,
+        now: Instant,
+    ) -> Result<JobId, Reason> {
+        self.fairness.limit(spec.team).ok_or(Reason::UnknownTeam)?;
+        let mut job = Job::new(spec, self.size_of(&spec), now);
+        (job.failures, job.losses) = (past.failures, past.losses);
+        job.run = past.run;
+        if past.checkpointed {
+            job.state = State::Checkpointed;
+        }
+        let id = JobId(self.jobs.insert(job));
+        self.enqueue(id, false);
+        if let Some(worker) = worker {
+            self.urgent.retain(|other| *other != id);
+            self.place(id, worker, now);
+            let lane = self.lane(spec.team);
+            self.lanes[lane].retain(|other| *other != id);
+            // The run goes on; it is not another one.
+            self.jobs[id.0].run = past.run;
+        }
+        Ok(id)
+    }
+
+    /// Takes back a decided start that was not sent. The job waits for `delay`, with its number of
+    /// losses unchanged. Returns false for a run that is not the present one.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::jobs::{JobId, Scheduler, Tuning};
+    ///
+    /// let mut scheduler = Scheduler::new(Tuning::default());
+    /// let none = JobId::from_number(0x1_0000_0001);
+    /// assert!(!scheduler.put_back(none, 1, Duration::ZERO, Instant::default()));
+    /// ```
+    pub fn put_back(&mut self, id: JobId, run: u32, delay: Duration, now: Instant) -> bool {
+        let current = |job: &&Job| job.run == run && job.worker.is_some();
+        if self.jobs.get(id.0).filter(current).is_none() {
+            return false;
+        }
+        self.release(id);
+        let job = &mut self.jobs[id.0];
+        if job.go(State::Queued, Reason::Submitted) {
+            let due = now + delay;
+            job.due = Some(due);
+            self.delayed.insert((due, id));
+        }
+        true
+    }
+}
--- a/src/jobs/scheduler/end.rs
+++ b/src/jobs/scheduler/end.rs
@@ -134,7 +134,7 @@
     }
 
     /// Takes back all that a job holds. Returns its worker.
-    fn release(&mut self, id: JobId) -> Option<WorkerId> {
+    pub(super) fn release(&mut self, id: JobId) -> Option<WorkerId> {
         let job = &mut self.jobs[id.0];
         let worker = job.worker.take()?;
         let (team, size, placed) = (job.spec.team, job.charge, job.placed);
--- a/src/jobs/scheduler/mod.rs
+++ b/src/jobs/scheduler/mod.rs
@@ -1,3 +1,4 @@
+mod adopt;
 mod end;
 mod reclaim;
 mod relief;
--- a/src/jobs/scheduler/start.rs
+++ b/src/jobs/scheduler/start.rs
@@ -142,7 +142,7 @@
         Some(self.place(id, worker, now))
     }
 
-    fn place(&mut self, id: JobId, worker: WorkerId, now: Instant) -> Start {
+    pub(super) fn place(&mut self, id: JobId, worker: WorkerId, now: Instant) -> Start {
         self.dequeue(id);
         let job = &mut self.jobs[id.0];
         let (team, size) = (job.spec.team, job.charge);
--- a/src/node/list.rs
+++ b/src/node/list.rs
@@ -27,7 +27,9 @@
     let now = clock::now();
     let dispatcher = shared.control.dispatcher();
     let shown: Set<Arc<str>> = instances.iter().map(|i| i.name.clone()).collect();
-    dispatcher.list(instances.into(), now);
+    let instances: Arc<[Instance]> = instances.into();
+    *shared.instances.lock().expect("instances lock") = instances.clone();
+    dispatcher.list(instances, now);
     shared
         .port
         .connections()
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,6 +18,7 @@
 mod shutdown;
 mod tick;
 mod vote;
+mod work;
 
 pub use apply::Applied;
 pub use node::Node;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -6,7 +6,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use super::{Shared, borrow, fetch, follow, join, list, members, shutdown, tick, vote};
+use super::{Shared, borrow, fetch, follow, join, list, members, shutdown, tick, vote, work};
 use crate::clock;
 use crate::config::Voter;
 use crate::control::Control;
@@ -49,6 +49,7 @@
         tokio::spawn(borrow::borrow(shared.clone()));
         tokio::spawn(tick::tick(shared.clone()));
         tokio::spawn(vote::vote(shared.clone()));
+        tokio::spawn(work::work(shared.clone()));
         let claims = shared.port.claims().clone();
         tokio::spawn(async move { claims.upkeep().await });
         tokio::spawn(operators::serve(shared.clone(), operators));
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -9,9 +9,9 @@
 use crate::collections::Map;
 use crate::config::Operation;
 use crate::control::Control;
-use crate::front::callers::Port;
+use crate::front::callers::{Port, jobs};
 use crate::peer::{Hub, Member};
-use crate::platform::Platform;
+use crate::platform::{Instance, Platform};
 use crate::settings::Settings;
 
 /// Transactions a second that claims of the whole fleet may take of the several hundred that the
@@ -39,6 +39,10 @@
     pub(super) dialled: std::sync::Mutex<Map<Arc<str>, watch::Sender<Option<Member>>>>,
     /// Members of the last scan.
     pub(super) members: std::sync::Mutex<Vec<Member>>,
+    /// Last reading of the platform's list.
+    pub(super) instances: std::sync::Mutex<Arc<[Instance]>>,
+    /// Permits held for jobs, until no run can use them any more.
+    pub(super) job_permits: AtomicUsize,
     pub(super) stop: watch::Sender<bool>,
     pub(super) leaving: AtomicBool,
     sequence: AtomicU64,
@@ -62,6 +66,7 @@
             control.dispatcher().clone(),
             claims,
             (&settings.bounds).into(),
+            Some(jobs::Desk::start(platform.table.clone(), hub.clone())),
         );
         Arc::new(Self {
             settings,
@@ -72,6 +77,8 @@
             platform,
             dialled: Default::default(),
             members: Default::default(),
+            instances: std::sync::Mutex::new(Arc::default()),
+            job_permits: AtomicUsize::new(0),
             stop: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -24,7 +24,12 @@
         .store(true, std::sync::atomic::Ordering::Release);
     dispatcher.drain();
     shared.stop.send_replace(true);
-    while dispatcher.running() > 0 && clock::now().since(start) < grace {
+    let jobs = || {
+        shared
+            .job_permits
+            .load(std::sync::atomic::Ordering::Acquire)
+    };
+    while dispatcher.running() + jobs() > 0 && clock::now().since(start) < grace {
         // Evidence and loans must stay current for what still runs; the peer tasks go on.
         let now = clock::now();
         shared.control.act(now, |state| state.tick(now));
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -78,6 +78,10 @@
             control.act(now, |state| state.on_retire(now, &affirmation));
             Ok(Answer::None)
         }
+        Body::Work(queue) => {
+            hub.bells().ring(&queue);
+            Ok(Answer::None)
+        }
         Body::Hello(_) | Body::Affirmation(_) | Body::Ack(_) | Body::Fetched(_) => Ok(Answer::None),
     }
 }
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -2,14 +2,18 @@
 
 use tokio::sync::{Notify, watch};
 
-use super::Link;
+use super::{Bells, Link};
 use crate::call::Load;
 use crate::clock::Instant;
 use crate::collections::Map;
 use crate::config::Voter;
 use crate::control::Control;
+use crate::fleet::Digest;
 use crate::wire::{Body, Hello, PROTOCOL};
 
+/// Instances that watch the lease of each queue, so that the reads do not grow with the fleet.
+pub const CANDIDATES: usize = 3;
+
 /// Connected peers of one entry instance.
 pub struct Hub {
     control: Arc<Control>,
@@ -17,6 +21,7 @@
     links: Mutex<Map<Arc<str>, Link>>,
     /// What each connected peer last said that it runs.
     loads: Mutex<Map<Arc<str>, Load>>,
+    bells: Bells,
     /// Woken when something must be fetched.
     wants: Notify,
     stop: watch::Sender<bool>,
@@ -30,6 +35,7 @@
             data_centre: data_centre.into(),
             links: Mutex::default(),
             loads: Mutex::default(),
+            bells: Bells::default(),
             wants: Notify::new(),
             stop: watch::Sender::new(false),
         })
@@ -76,6 +82,29 @@
         &self.wants
     }
 
+    /// Returns the signs that queues have news.
+    pub fn bells(&self) -> &Bells {
+        &self.bells
+    }
+
+    /// Returns the place of this instance in the order of those who should hold `queue`.
+    pub fn place(&self, queue: &str) -> usize {
+        let own = weigh(queue, &self.control.own().name);
+        let links = self.links();
+        let before = links.iter().filter(|l| weigh(queue, &l.voter().name) > own);
+        before.count()
+    }
+
+    /// Tells those who may hold `queue` that it has news. A lost message only delays the holder.
+    pub fn ring(&self, queue: &str) {
+        self.bells.ring(queue);
+        let mut links = self.links();
+        links.sort_by_key(|l| std::cmp::Reverse(weigh(queue, &l.voter().name)));
+        for link in links.iter().take(CANDIDATES) {
+            link.tell(Body::Work(queue.to_owned()));
+        }
+    }
+
     /// Ends all connections.
     pub fn stop(&self) {
         self.stop.send_replace(true);
@@ -135,3 +164,8 @@
         self.control.dispatcher().report(&sum, now);
     }
 }
+
+/// Weight of an instance for a queue in the rendezvous order.
+fn weigh(queue: &str, name: &str) -> Digest {
+    Digest::of(format!("{queue} {name}").as_bytes())
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,6 +6,7 @@
 
 mod ask;
 mod backoff;
+mod bells;
 mod dial;
 mod handle;
 mod hub;
@@ -15,8 +16,9 @@
 mod session;
 
 pub use backoff::Backoff;
+pub use bells::Bells;
 pub use dial::dial;
-pub use hub::Hub;
+pub use hub::{CANDIDATES, Hub};
 pub use link::Link;
 pub use listen::listen;
 pub use member::Member;
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -7,6 +7,7 @@
 //! | checkpoint | `POST /jobs/{id}/checkpoint` with `{"token": T}` | 204, the job stops |
 //! | throttle | `POST /jobs/{id}/throttle` with `{"token": T, "percent": N}` | 204 |
 //! | stop | `POST /jobs/{id}/stop` with `{"token": T}` | 204 |
+//! | size | `GET /machine` | 200 [`Need`], all that the machine has |
 //! | report | `GET /jobs` | 200 list of [`Report`], as it was some time ago |
 //!
 //! Each order carries the fencing token of the shard (`shard` names it) under which it was given.
@@ -21,6 +22,7 @@
 mod order;
 mod refusal;
 mod report;
+mod run;
 mod server;
 mod status;
 mod task;
@@ -32,5 +34,6 @@
 pub use order::Order;
 pub use refusal::Refusal;
 pub use report::Report;
+pub use run::Run;
 pub use server::Worker;
 pub use status::Status;
--- a/src/standin/worker/machine.rs
+++ b/src/standin/worker/machine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::task::Task;
-use super::{Behaviour, Command, Need, Order, Refusal, Report, Status};
+use super::{Behaviour, Command, Need, Order, Refusal, Report, Run, Status};
 use crate::clock::Instant;
 
 /// State and decisions of a worker.
@@ -58,6 +58,17 @@
         }
     }
 
+    /// Returns all that the machine has.
+    ///
+    /// ```
+    /// use coriandernotch::standin::worker::{Machine, Need};
+    ///
+    /// assert_eq!(Machine::new(Need::default()).size(), Need::default());
+    /// ```
+    pub fn size(&self) -> Need {
+        self.size
+    }
+
     /// Changes what happens to jobs started from now on.
     ///
     /// ```
@@ -91,6 +102,28 @@
         &self.starts
     }
 
+    /// Returns every job with its state and when it ran, for checks.
+    ///
+    /// ```
+    /// use coriandernotch::clock::Instant;
+    /// use coriandernotch::standin::worker::{Machine, Need};
+    ///
+    /// assert!(Machine::new(Need::default()).runs(Instant::default()).is_empty());
+    /// ```
+    pub fn runs(&mut self, now: Instant) -> Vec<Run> {
+        self.advance(now);
+        let runs = self.tasks.iter().map(|(id, task)| {
+            let (start, end) = task.times();
+            Run {
+                id: id.clone(),
+                status: task.status,
+                start,
+                end,
+            }
+        });
+        runs.collect()
+    }
+
     /// Starts a job; `false` means that it runs already.
     ///
     /// A job that ended here may be started again. Errors: [`Refusal::Older`], [`Refusal::Full`].
@@ -153,8 +186,8 @@
                     percent: percent @ 1..=100,
                 } => task.percent = percent,
                 Command::Throttle { .. } => return Err(Refusal::Malformed),
-                Command::Checkpoint => task.status = Status::Checkpointed,
-                Command::Stop => task.status = Status::Stopped,
+                Command::Checkpoint => task.finish(Status::Checkpointed, now),
+                Command::Stop => task.finish(Status::Stopped, now),
             }
         }
         self.record(now);
--- a/src/standin/worker/server.rs
+++ b/src/standin/worker/server.rs
@@ -86,6 +86,9 @@
         if request.method() == Method::GET && path == "/jobs" {
             return Ok(json(&self.machine().report(clock::now())));
         }
+        if request.method() == Method::GET && path == "/machine" {
+            return Ok(json(&self.machine().size()));
+        }
         let job = path.strip_prefix("/jobs/");
         let (Some(job), &Method::POST) = (job, request.method()) else {
             return Ok(answer(StatusCode::BAD_REQUEST, "unknown call"));
--- a/src/standin/worker/task.rs
+++ b/src/standin/worker/task.rs
@@ -11,6 +11,9 @@
     pub(super) percent: u32,
     pub(super) done: Duration,
     counted: Instant,
+    start: Instant,
+    /// When it ended, which may be before that was noticed.
+    end: Option<Instant>,
 }
 
 impl Task {
@@ -22,9 +25,22 @@
             percent: 100,
             done: Duration::ZERO,
             counted: now,
+            start: now,
+            end: (status != Status::Running).then_some(now),
         }
     }
 
+    /// Ends the job in this state.
+    pub(super) fn finish(&mut self, status: Status, at: Instant) {
+        self.status = status;
+        self.end = Some(at);
+    }
+
+    /// Returns when the job ran.
+    pub(super) fn times(&self) -> (Instant, Option<Instant>) {
+        (self.start, self.end)
+    }
+
     /// Moves the work done forward to `now` and ends the job when its time or lease is over.
     pub(super) fn advance(&mut self, now: Instant) {
         if self.status != Status::Running {
@@ -35,10 +51,13 @@
         self.counted = self.counted.max(until);
         let whole = Duration::from_millis(self.order.run_ms);
         if self.done >= whole {
+            let late = (self.done - whole) * 100 / self.percent;
             self.done = whole;
-            self.status = Status::Succeeded;
+            let start = self.start;
+            let end = start + until.since(start).saturating_sub(late);
+            self.finish(Status::Succeeded, end);
         } else if now >= self.lease_end {
-            self.status = Status::Expired;
+            self.finish(Status::Expired, self.lease_end);
         }
     }
 }
--- a/src/wire/body.rs
+++ b/src/wire/body.rs
@@ -50,4 +50,7 @@
     /// Last message of an instance that retires.
     #[prost(message, tag = "24")]
     Retire(Affirmation),
+    /// Tells that the rows `news/{queue}/` have changed.
+    #[prost(string, tag = "25")]
+    Work(String),
 }
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -15,7 +15,7 @@
     /// Content.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
     )]
     pub body: Option<Body>,
 }
