Test faults on the path of a job

Cause: holders, workers and the store fail while jobs run. Change: tests of takeover after a crash and after a cut from the store, lost answers, an outage, a silent worker, cancellations that race with starts, a worker that fails everything, and limits over queues.

--- a/tests/work.rs
+++ b/tests/work.rs
@@ -9,7 +9,7 @@
 use coriandernotch::demo::{Bed, Client, Reply, Rule, Tally, check_jobs};
 use coriandernotch::fleet::Digest;
 use coriandernotch::node::{Applied, Node};
-use coriandernotch::standin::worker::Status;
+use coriandernotch::standin::worker::{Behaviour, Status};
 use coriandernotch::standin::{Fault, Kind};
 use http_body_util::Full;
 use hyper::Request;
@@ -18,12 +18,15 @@
 /// Long enough that the load of the machine decides nothing.
 const WAIT: Duration = Duration::from_secs(40);
 
-fn fleet() -> String {
+/// Longest run of most tests; tasks get leases of half of it, at most 6 s.
+const LONGEST_RUN_MS: u64 = 12_000;
+
+fn fleet(longest_run_ms: u64) -> String {
     let key =
         |team: &str| json!({"name": "k", "digest": Digest::of(format!("{team}-key").as_bytes())});
     json!({
         "name": "test",
-        "longest-run-ms": 12000,
+        "longest-run-ms": longest_run_ms,
         "data-centres": [
             {"name": "east", "region": "r"}, {"name": "mid", "region": "r"},
             {"name": "west", "region": "r"},
@@ -46,12 +49,17 @@
 }
 
 async fn start(nodes: usize) -> Arc<Bed> {
-    let bed = Arc::new(Bed::start(&fleet()).await.unwrap());
+    let bed = Bed::start(&fleet(LONGEST_RUN_MS)).await.unwrap();
+    start_in(bed, nodes, LONGEST_RUN_MS).await
+}
+
+async fn start_in(bed: Bed, nodes: usize, longest_run_ms: u64) -> Arc<Bed> {
+    let bed = Arc::new(bed);
     for _ in 0..nodes {
         bed.start_node().await.unwrap();
     }
     let shared = bed.nodes()[0].shared().clone();
-    let applied = shared.apply(&fleet(), None, "test").await;
+    let applied = shared.apply(&fleet(longest_run_ms), None, "test").await;
     assert!(
         matches!(applied, Applied::Committed(Outcome::Accepted(_))),
         "{applied:?}"
@@ -259,3 +267,206 @@
         assert_eq!(runs(&bed, id), [Status::Succeeded]);
     }
 }
+
+/// Returns the instance that holds a queue.
+fn find_holder(bed: &Bed, queue: &str) -> Arc<Node> {
+    let id = holder(bed, queue).0;
+    let identity = |node: &Arc<Node>| {
+        let own = node.shared().control.own().clone();
+        let digest = Digest::of(format!("{} {}", own.name, own.incarnation).as_bytes());
+        u64::from_str_radix(&digest.to_string()[..16], 16).unwrap() == id
+    };
+    bed.nodes().into_iter().find(identity).unwrap()
+}
+
+async fn submit_many(bed: &Bed, queue: &str, team: &str, run_ms: u64, count: usize) -> Vec<String> {
+    let each = (0..count).map(|_| submit(bed, queue, team, run_ms));
+    futures_util::future::join_all(each).await
+}
+
+/// Guards against a task that runs twice, or never, when the holder of its queue is lost or only
+/// believes that it still holds it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_holder_is_replaced_and_its_tasks_go_on() {
+    for (name, cut_peers) in [("crashed", true), ("cut off from the store only", false)] {
+        let bed = start(3).await;
+        let ids = submit_many(&bed, "open", "blue", 5_000, 6).await;
+        wait_for(&bed, &ids, &["running"]).await;
+        let (old, token) = holder(&bed, "open");
+        let node = find_holder(&bed, "open");
+        bed.store.faults().cut(&node.shared().member.name, true);
+        if cut_peers {
+            node.shared().hub.stop();
+        }
+        let replaced = bed.wait(WAIT, |bed| holder(bed, "open").1 > token);
+        assert!(replaced.await, "{name}: nobody took the queue");
+        assert_ne!(holder(&bed, "open").0, old, "{name}");
+        wait_for(&bed, &ids, &["succeeded"]).await;
+        audit(&bed);
+        let went_on = ids.iter().filter(|id| runs(&bed, id).len() == 1);
+        println!("{name}: {} of {} tasks went on", went_on.count(), ids.len());
+        let order = coriandernotch::standin::worker::Order {
+            shard: "open".into(),
+            token,
+            lease_ms: 1,
+            need: Default::default(),
+            real: Default::default(),
+            run_ms: 1,
+        };
+        for worker in bed.workers.values() {
+            let now = coriandernotch::clock::now();
+            let refused = worker.machine().run("late", order.clone(), now);
+            assert!(refused.is_err(), "{name}: an older token was accepted");
+        }
+    }
+}
+
+/// Guards against a job that runs again because an answer of the store was lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_answers_about_starts_and_ends_repeat_nothing() {
+    let bed = start(2).await;
+    let ids = submit_many(&bed, "open", "blue", 300, 10).await;
+    for _ in 0..20 {
+        let faults = [Fault::Lose, Fault::Pass, Fault::Refuse, Fault::Lose];
+        bed.store.faults().inject(Kind::Write, faults);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    bed.store.faults().clear();
+    wait_for(&bed, &ids, &["succeeded"]).await;
+    for id in &ids {
+        assert_eq!(runs(&bed, id), [Status::Succeeded], "{id}");
+    }
+    audit(&bed);
+}
+
+/// Guards against tasks that stop because the store is down for longer than their leases.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_go_on_while_the_store_is_down() {
+    let bed = Bed::start(&fleet(6_000)).await.unwrap();
+    let bed = start_in(bed, 3, 6_000).await;
+    let ids = submit_many(&bed, "open", "blue", 5_500, 4).await;
+    wait_for(&bed, &ids, &["running"]).await;
+    bed.store.faults().set_outage(true);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    bed.store.faults().set_outage(false);
+    wait_for(&bed, &ids, &["succeeded"]).await;
+    for id in &ids {
+        assert_eq!(runs(&bed, id), [Status::Succeeded], "{id}");
+    }
+    audit(&bed);
+}
+
+/// Guards against a task that starts elsewhere while it may still run, or is lost with its worker.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_task_starts_again_only_after_its_worker_was_silent_for_its_lease() {
+    let mut bed = Bed::start(&fleet(4_000)).await.unwrap();
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let worker = bed.workers["batch-east"].clone();
+    let server = tokio::spawn(worker.serve(listener));
+    let mut instance = bed.instances.lock().unwrap()[0].clone();
+    assert_eq!(&*instance.name, "batch-east");
+    instance.address = address;
+    bed.set_instance(instance);
+    bed.remove_instance("batch-mid");
+    bed.remove_instance("batch-west");
+    bed.workers.retain(|name, _| &**name == "batch-east");
+    let bed = start_in(bed, 1, 4_000).await;
+    let id = submit(&bed, "open", "blue", 1_500).await;
+    wait_for(&bed, std::slice::from_ref(&id), &["running"]).await;
+    server.abort();
+    wait_for(&bed, std::slice::from_ref(&id), &["queued"]).await;
+    let listener = tokio::net::TcpListener::bind(address).await.unwrap();
+    tokio::spawn(worker.serve(listener));
+    wait_for(&bed, std::slice::from_ref(&id), &["succeeded"]).await;
+    let mut ended = runs(&bed, &id);
+    ended.sort_by_key(|status| *status == Status::Succeeded);
+    // A pause that begins as the task ends may leave it succeeded unseen.
+    assert_eq!(ended.len(), 2, "{ended:?}");
+    assert_eq!(ended[1], Status::Succeeded);
+}
+
+/// Guards against a job that runs although its caller was told that it did not, and against
+/// cancellations that stop the queue.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cancellations_that_race_with_starts_are_answered_truly() {
+    let bed = start(2).await;
+    // Jobs that run for long make sure that both answers occur.
+    let mut ids = submit_many(&bed, "open", "blue", 20_000, 3).await;
+    wait_for(&bed, &ids, &["running"]).await;
+    ids.extend(submit_many(&bed, "open", "red", 20_000, 12).await);
+    ids.extend(submit_many(&bed, "open", "blue", 400, 30).await);
+    let cancels = ids.iter().enumerate().map(|(number, id)| {
+        let (to, path) = (address(&bed, number % 2), format!("jobs/{id}"));
+        let team = if (3..15).contains(&number) {
+            "red"
+        } else {
+            "blue"
+        };
+        async move {
+            tokio::time::sleep(Duration::from_millis(number as u64 * 5)).await;
+            send(to, "DELETE", &path, team, &Value::Null).await
+        }
+    });
+    let replies = futures_util::future::join_all(cancels).await;
+    wait_for(&bed, &ids, &["cancelled", "succeeded"]).await;
+    let mut results = std::collections::BTreeMap::new();
+    for (id, reply) in ids.iter().zip(&replies) {
+        let result = read(reply)["result"].as_str().unwrap().to_owned();
+        match &*result {
+            "cancelled before it ran" => assert_eq!(runs(&bed, id), [], "{id}"),
+            "stop requested" => assert!(runs(&bed, id).len() <= 1, "{id}"),
+            other => assert_eq!(other, "already ended", "{id}"),
+        }
+        *results.entry(result).or_insert(0) += 1;
+    }
+    println!("{results:?}");
+    assert!(results["stop requested"] >= 3 && results["cancelled before it ran"] >= 6);
+    let next = submit(&bed, "open", "red", 20).await;
+    wait_for(&bed, &[next], &["succeeded"]).await;
+    audit(&bed);
+}
+
+/// Guards against a worker that fails everything and takes the queue with it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_that_fails_everything_gets_no_more_work() {
+    let bed = start(1).await;
+    let bad = bed.workers["batch-mid"].clone();
+    bad.machine().set_behaviour(Behaviour::FailAll);
+    let ids = submit_many(&bed, "open", "blue", 30, 24).await;
+    wait_for(&bed, &ids, &["succeeded"]).await;
+    let before = bad.machine().starts().len();
+    assert!(
+        before > 0,
+        "the bad worker got nothing, so nothing was shown"
+    );
+    let ids = submit_many(&bed, "open", "blue", 30, 24).await;
+    wait_for(&bed, &ids, &["succeeded"]).await;
+    assert_eq!(bad.machine().starts().len(), before);
+    audit(&bed);
+}
+
+/// Guards against a limit that jobs of two queues exceed together, and measures the cost in the
+/// store.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_team_limit_holds_over_all_queues() {
+    let bed = start(3).await;
+    let before = (
+        bed.store.counters().get(Kind::Write),
+        bed.store.counters().rows(),
+    );
+    let open = submit_many(&bed, "open", "blue", 100, 100);
+    let own = submit_many(&bed, "own", "blue", 100, 100);
+    let red = submit_many(&bed, "open", "red", 100, 20);
+    let (open, own, red) = tokio::join!(open, own, red);
+    for ids in [open, own, red] {
+        wait_for(&bed, &ids, &["succeeded"]).await;
+    }
+    let counters = bed.store.counters();
+    println!(
+        "220 jobs: {before:?} {:?} {:?}",
+        counters.get(Kind::Write),
+        counters.rows()
+    );
+    audit(&bed);
+}
