Submit jobs in the demonstration

Change: stand-in workers in the pools of queues, submissions of every team to its queues, and checks of limit (calls and jobs together), data-centre, key, at-most-once, answer and not-run for jobs; the summary prints jobs accepted and done and the start of urgent jobs.

--- a/src/demo/audit.rs
+++ b/src/demo/audit.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::jobs::{self, check_jobs};
 use super::journal::Entry;
 use super::script::{BOUND, Events};
 use super::{Bed, Rule, Tally};
@@ -32,7 +33,7 @@
         );
     }
     check_services(bed, tally, entries, &runs);
-    check_limits(bed, tally, &runs);
+    check_jobs(bed, tally, &list_edges(&runs));
     check_data_centre(bed, tally, events, &runs);
     check_leaving(tally, events, &runs);
 }
@@ -86,39 +87,29 @@
     }
 }
 
-/// Checks the largest number of runs at once per team against its limit.
-fn check_limits(bed: &Bed, tally: &Tally, runs: &Runs) {
-    for team in &bed.document.teams {
-        let own = runs.iter().filter(|(_, run)| run.team == team.name);
-        let mut edges: Vec<(Instant, i64)> = own
-            .flat_map(|(_, run)| [Some((run.start, 1)), run.end.map(|end| (end, -1))])
-            .flatten()
-            .collect();
-        // At the same instant an end comes before a start.
-        edges.sort();
-        let mut running = 0;
-        for (_, step) in edges {
-            running += step;
-            if step > 0 {
-                tally.check(Rule::Limit, running <= i64::from(team.limit), || {
-                    format!("team={} running={running} limit={}", team.name, team.limit)
-                });
-            }
-        }
+/// Lists starts and ends of the calls of each team.
+fn list_edges(runs: &Runs) -> Map<Arc<str>, Vec<(Instant, i64)>> {
+    let mut edges: Map<Arc<str>, Vec<(Instant, i64)>> = Map::default();
+    for (_, run) in runs {
+        let own = edges.entry(run.team.clone()).or_default();
+        own.push((run.start, 1));
+        own.extend(run.end.map(|end| (end, -1)));
     }
+    edges
 }
 
 fn check_data_centre(bed: &Bed, tally: &Tally, events: &Events, runs: &Runs) {
     let Some((name, out, back)) = &events.out else {
         return;
     };
+    let end = back.unwrap_or(*out + Duration::from_secs(86_400));
+    jobs::check_data_centre(bed, tally, name, *out + BOUND, end);
     let instances = bed.instances.lock().expect("instances lock");
     let inside: Vec<&Arc<str>> = instances
         .iter()
         .filter(|i| i.data_centre == *name)
         .map(|i| &i.name)
         .collect();
-    let end = back.unwrap_or(*out + Duration::from_secs(86_400));
     let during = runs
         .iter()
         .filter(|(_, run)| run.start > *out + BOUND && run.start < end);
--- a/src/demo/jobs.rs
+++ b/src/demo/jobs.rs
@@ -1,13 +1,20 @@
 //! Checks of the rules on what the stand-in workers recorded of jobs.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use super::script::{BOUND, Events};
+use super::ticket::Ticket;
+use super::work::Work;
 use super::{Bed, Rule, Tally};
 use crate::clock::{self, Instant};
 use crate::collections::Map;
-use crate::jobs::Record;
+use crate::jobs::{Record, State};
 use crate::standin::worker::{Run, Status};
 
+/// Time within which urgent jobs should start.
+const URGENT: Duration = Duration::from_millis(1_300);
+
 /// Runs of one job, with the worker of each.
 type Runs = Vec<(Arc<str>, Run)>;
 
@@ -74,3 +81,73 @@
         }
     }
 }
+
+/// Checks that no job started in a data centre after `from` and before `to`.
+pub(super) fn check_data_centre(bed: &Bed, tally: &Tally, name: &str, from: Instant, to: Instant) {
+    let instances = bed.instances.lock().expect("instances lock").clone();
+    let inside = |worker: &str| {
+        let found = instances.iter().find(|i| *i.name == *worker);
+        found.is_some_and(|i| *i.data_centre == *name)
+    };
+    for (job, runs) in collect(bed) {
+        for (worker, run) in runs.iter().filter(|(_, r)| r.start > from && r.start < to) {
+            tally.check(Rule::DataCentre, !inside(worker), || {
+                format!(
+                    "job={job} worker={worker} after={:?}",
+                    run.start.since(from)
+                )
+            });
+        }
+    }
+}
+
+/// Checks what callers were told of their jobs. Returns what became of them.
+pub(super) fn check_tickets(bed: &Bed, tally: &Tally, tickets: &[Ticket], events: &Events) -> Work {
+    let runs = collect(bed);
+    let mut work = Work::default();
+    for ticket in tickets {
+        if let Some((_, at)) = events
+            .withdrawn
+            .as_ref()
+            .filter(|(team, _)| *team == ticket.team)
+            && ticket.sent.since(*at) > BOUND
+        {
+            let refused = ticket.accepted.is_none();
+            tally.check(Rule::Key, refused, || format!("ticket={ticket:?}"));
+        }
+        let Some((id, at)) = &ticket.accepted else {
+            work.refused += 1;
+            continue;
+        };
+        work.accepted += 1;
+        let record = read(bed, id);
+        tally.check(Rule::Answer, record.is_some(), || {
+            format!("job={id} row=none")
+        });
+        let state = record.map(|record| record.state);
+        work.done += usize::from(state == Some(State::Succeeded));
+        work.unfinished += usize::from(state.is_some_and(|state| !state.is_final()));
+        let started = runs
+            .get(id)
+            .and_then(|runs| runs.iter().map(|(_, r)| r.start).min());
+        if ticket.cancelled {
+            tally.check(Rule::NotRun, started.is_none(), || format!("job={id}"));
+        }
+        if let Some(started) = started.filter(|_| ticket.urgent) {
+            let wait = started.since(*at);
+            if meets_outage(events, *at) {
+                work.delayed = (work.delayed.0.max(wait), work.delayed.1 + 1);
+            } else {
+                work.urgent.push(wait);
+            }
+        }
+    }
+    work.urgent.sort();
+    work
+}
+
+/// Returns whether a job accepted at `at` should have started in the outage of the store.
+fn meets_outage(events: &Events, at: Instant) -> bool {
+    let within = |(down, up): &(Instant, Instant)| at + URGENT > *down && at < *up;
+    events.outage.as_ref().is_some_and(within)
+}
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -12,8 +12,11 @@
 mod rule;
 mod run;
 mod script;
+mod submitter;
 mod summary;
 mod tally;
+mod ticket;
+mod work;
 
 pub use bed::Bed;
 pub use client::{Client, Reply};
--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -1,5 +1,5 @@
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use eyre::{Report, WrapErr, eyre};
@@ -7,11 +7,15 @@
 
 use super::audit::audit;
 use super::caller::Caller;
+use super::jobs::check_tickets;
 use super::journal::Journal;
 use super::script::play;
+use super::submitter::Submitter;
+use super::ticket::Ticket;
 use super::{Bed, Plan, Rule, Summary, Tally};
 use crate::config::Outcome;
 use crate::fleet::{Document, Service};
+use crate::jobs::Record;
 use crate::node::Applied;
 use crate::standin::Kind;
 
@@ -27,6 +31,9 @@
 /// Callers per team and service.
 const CALLERS: u64 = 6;
 
+/// Time for accepted jobs to end after the load.
+const JOBS_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Time for the first instances to become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -57,18 +64,30 @@
         .map(|_| Arc::new(AtomicU32::new(100)))
         .collect();
     let mut load = start_load(plan, &bed, &journal, &paces, &stop);
+    let tickets: Arc<Mutex<Vec<Ticket>>> = Arc::default();
+    start_jobs(plan, &bed, &tickets, &stop, &mut load);
     load.spawn(watch_versions(bed.clone(), tally.clone(), stop.clone()));
     let events = play(&bed, &tally, &paces, Duration::from_secs(plan.seconds)).await?;
     stop.store(true, Ordering::Release);
     while load.join_next().await.is_some() {}
+    bed.wait(JOBS_TIMEOUT, |bed| {
+        let open = |row: &crate::platform::Row| {
+            let record = serde_json::from_str::<Record>(&row.value);
+            record.is_ok_and(|record| !record.state.is_final())
+        };
+        !bed.store.rows("jobs/").iter().any(open)
+    })
+    .await;
     let entries = journal.take();
     audit(&bed, &tally, &events, &entries);
+    let tickets = std::mem::take(&mut *tickets.lock().expect("tickets lock"));
+    let work = check_tickets(&bed, &tally, &tickets, &events);
     let counters = bed.store.counters();
     let peaks = (
         counters.get(Kind::Read).peak,
         counters.get(Kind::Write).peak,
     );
-    let summary = Summary::new(tally, events, &entries, peaks);
+    let summary = Summary::new(tally, events, &entries, peaks, work);
     if plan.hold {
         print!("{summary}");
         print_addresses(&bed);
@@ -140,6 +159,34 @@
     load
 }
 
+/// Starts submissions of each team to each queue that it may use.
+fn start_jobs(
+    plan: &Plan,
+    bed: &Arc<Bed>,
+    tickets: &Arc<Mutex<Vec<Ticket>>>,
+    stop: &Arc<AtomicBool>,
+    load: &mut JoinSet<()>,
+) {
+    let mut number = 1_000;
+    for queue in &bed.document.queues {
+        let all = || bed.document.teams.iter().map(|t| t.name.clone()).collect();
+        let teams: Vec<Arc<str>> = match queue.teams.is_empty() {
+            true => all(),
+            false => queue.teams.clone(),
+        };
+        for team in teams {
+            number += 1;
+            let submitter = Submitter {
+                seed: plan.seed.wrapping_add(number),
+                team,
+                queue: queue.name.clone(),
+                stop: stop.clone(),
+            };
+            load.spawn(submitter.run(bed.clone(), tickets.clone()));
+        }
+    }
+}
+
 fn callers_of(document: &Document, service: &Service) -> Vec<Arc<str>> {
     match service.teams.is_empty() {
         true => document.teams.iter().map(|t| t.name.clone()).collect(),
--- a/src/demo/summary.rs
+++ b/src/demo/summary.rs
@@ -4,6 +4,7 @@
 
 use super::journal::Entry;
 use super::script::Events;
+use super::work::Work;
 use super::{Rule, Tally};
 use crate::collections::Map;
 
@@ -24,6 +25,7 @@
     work: Option<f64>,
     peak_writes: u64,
     peak_reads: u64,
+    jobs: Work,
 }
 
 impl Summary {
@@ -32,6 +34,7 @@
         events: Events,
         entries: &[Entry],
         (peak_reads, peak_writes): (u64, u64),
+        jobs: Work,
     ) -> Self {
         let answered: Vec<&Entry> = entries.iter().filter(|e| is_answered(e)).collect();
         let mut times: Vec<Duration> = answered.iter().map(|e| e.took).collect();
@@ -54,6 +57,7 @@
             events,
             peak_writes,
             peak_reads,
+            jobs,
         }
     }
 
@@ -120,6 +124,30 @@
                 work * 100.0
             )?;
         }
+        let jobs = &self.jobs;
+        writeln!(
+            f,
+            "jobs accepted, refused         {}, {}",
+            jobs.accepted, jobs.refused
+        )?;
+        writeln!(
+            f,
+            "jobs done, unfinished          {}, {}",
+            jobs.done, jobs.unfinished
+        )?;
+        writeln!(
+            f,
+            "urgent start p50, p99, worst   {:?}, {:?}, {:?} of {}",
+            jobs.urgent_quantile(0.5),
+            jobs.urgent_quantile(0.99),
+            jobs.urgent_quantile(1.0),
+            jobs.urgent.len()
+        )?;
+        writeln!(
+            f,
+            "urgent start, store down       {:?} worst of {}",
+            jobs.delayed.0, jobs.delayed.1
+        )?;
         writeln!(
             f,
             "store reads, writes peak       {}/s, {}/s",
