--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -7,6 +7,7 @@
 use super::Format;
 use super::options::Options;
 use crate::fleet::Direction;
+use crate::measure::Shape;
 
 /// How the program is called.
 pub const USAGE: &str = "\
@@ -19,6 +20,7 @@
        coriandernotch data-centre out|in NAME --to ADDRESS [--wait]
        coriandernotch key issue|withdraw TEAM NAME --to ADDRESS [--wait]
        coriandernotch demo [--seconds N] [--seed N] [--shape huallaga|rennes] [--report DIR] [--hold]
+       coriandernotch measure [--shape huallaga|rennes|target] [--seed N] [--format table|json]
        coriandernotch --help | --version
 Commands with --to read the operator key from the variable CORIANDERNOTCH_KEY.
 Exit codes: 0 done, 1 failed, 2 wrong usage or invalid, 3 another operator was first,
@@ -109,6 +111,15 @@
         /// Whether to wait until it is in force everywhere.
         wait: bool,
     },
+    /// Measures the decisions over a fleet, next to naive baselines.
+    Measure {
+        /// Fleet.
+        shape: Shape,
+        /// Seed of the load.
+        seed: u64,
+        /// How the figures are printed.
+        format: Format,
+    },
     /// Runs stand-ins and entry instances in one process and checks the rules.
     Demo {
         /// Length of the load in seconds.
--- a/src/cli/format.rs
+++ b/src/cli/format.rs
@@ -1,10 +1,16 @@
-/// How a command prints what it found.
+/// How figures are printed.
+///
+/// ```
+/// use coriandernotch::cli::Format;
+///
+/// assert_eq!("json".parse::<Format>().unwrap(), Format::Json);
+/// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::EnumString)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Format {
-    /// Lines of columns for people.
+    /// Aligned columns.
     #[default]
     Table,
-    /// The answer of the instance as it is.
+    /// One JSON document.
     Json,
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -12,6 +12,7 @@
 mod format;
 mod key;
 mod log;
+mod measure;
 mod operator;
 mod options;
 mod read;
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -64,6 +64,7 @@
             }
             "key" => self.build_key()?,
             "demo" => self.build_demo()?,
+            "measure" => self.build_measure()?,
             _ => return Err(format!("{name:?} is no command").into()),
         };
         match self.left_over() {
@@ -119,6 +120,17 @@
         })
     }
 
+    fn build_measure(&mut self) -> Result<Command, lexopt::Error> {
+        let shape = self.shape.take().unwrap_or_else(|| "huallaga".to_owned());
+        Ok(Command::Measure {
+            shape: shape
+                .parse()
+                .map_err(|_| format!("--shape {shape:?}: accepted huallaga, rennes, target"))?,
+            seed: self.seed.take().unwrap_or(1),
+            format: self.format.take().unwrap_or_default(),
+        })
+    }
+
     /// Names an option that the command does not take.
     fn left_over(&self) -> Option<&'static str> {
         let given = [
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,7 +1,7 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 
-use super::{Command, USAGE, apply, check, data_centre, demo, key, read, serve};
+use super::{Command, USAGE, apply, check, data_centre, demo, key, measure, read, serve};
 
 /// Exit code of wrong usage.
 const WRONG_USAGE: u8 = 2;
@@ -60,6 +60,11 @@
             to,
             wait,
         } => key::withdraw(to, &team, &name, wait),
+        Command::Measure {
+            shape,
+            seed,
+            format,
+        } => measure::measure(shape, seed, format),
         Command::Demo {
             seconds,
             seed,
--- a/src/front/callers/serve.rs
+++ b/src/front/callers/serve.rs
@@ -14,6 +14,7 @@
 
 use super::activity::{Activity, Bound};
 use super::exchange::exchange;
+use super::jobs::Desk as Jobs;
 use super::meter::Meters;
 use super::stream::Stream;
 use super::tracked::Tracked;
@@ -31,12 +32,19 @@
     pub(super) connections: Arc<Connections>,
     pub(super) meters: Meters,
     pub(super) limits: Limits,
+    jobs: Option<Arc<Jobs>>,
 }
 
 impl Port {
-    /// Makes a port that dispatches through `dispatcher`.
-    pub fn new(dispatcher: Arc<Dispatcher>, claims: Arc<Desk>, limits: Limits) -> Arc<Self> {
+    /// Makes a port that dispatches through `dispatcher` and, if given, takes jobs.
+    pub fn new(
+        dispatcher: Arc<Dispatcher>,
+        claims: Arc<Desk>,
+        limits: Limits,
+        jobs: Option<Arc<Jobs>>,
+    ) -> Arc<Self> {
         Arc::new(Self {
+            jobs,
             dispatcher,
             claims,
             connections: Arc::default(),
@@ -127,7 +135,12 @@
     let service = service_fn(|request: Request<Incoming>| {
         let (port, open) = (port.clone(), activity.open());
         async move {
-            let response = exchange(port, request).await;
+            let jobs = port.jobs.clone();
+            let jobs = jobs.filter(|_| Jobs::takes(request.uri().path()));
+            let response = match jobs {
+                Some(jobs) => jobs.answer(request).await,
+                None => exchange(port, request).await,
+            };
             Ok::<_, Infallible>(response.map(|body| Tracked::new(body, open)))
         }
     });
--- a/src/node/list.rs
+++ b/src/node/list.rs
@@ -29,6 +29,7 @@
     let shown: Set<Arc<str>> = instances.iter().map(|i| i.name.clone()).collect();
     // Without the assignments a target might be used that drains or has moved.
     let instances: Arc<[Instance]> = instances.into();
+    *shared.instances.lock().expect("instances lock") = instances.clone();
     if shared.has_roster() {
         dispatcher.list(instances.clone(), now);
     }
--- a/src/node/manage.rs
+++ b/src/node/manage.rs
@@ -7,6 +7,7 @@
 use super::{Observer, Shared};
 use crate::clock::{self, Instant};
 use crate::collections::Set;
+use crate::fleet::Document;
 use crate::plans::{Calendar, Manager, Survey, Turn, View};
 use crate::platform::{Action, Command, Error};
 use crate::pools::{Lease, Order, Phase, State, Tenure};
@@ -131,6 +132,7 @@
         let Some(document) = current.document() else {
             return;
         };
+        let document = &Arc::new(leave_out_job_pools(document));
         let observer = Observer::new(shared, now);
         let calendar = Calendar::new(now, unix());
         let view = View {
@@ -239,6 +241,18 @@
     })
 }
 
+/// Leaves out the plans of pools whose instances run jobs: a drain would wait for ever, because
+/// tasks are not counted in the reports that prove an instance idle.
+fn leave_out_job_pools(document: &Document) -> Document {
+    let mut document = document.clone();
+    let queues = std::mem::take(&mut document.queues);
+    document
+        .plans
+        .retain(|plan| queues.iter().all(|queue| queue.pool != plan.pool));
+    document.queues = queues;
+    document
+}
+
 fn unix() -> u64 {
     let time = SystemTime::now().duration_since(UNIX_EPOCH);
     time.unwrap_or_default().as_secs()
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -25,6 +25,7 @@
 mod sightings;
 mod tick;
 mod vote;
+mod work;
 
 pub use apply::Applied;
 pub use audit::Audit;
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinHandle;
 
 use super::{
-    Shared, assign, borrow, fetch, follow, join, list, manage, members, shutdown, tick, vote,
+    Shared, assign, borrow, fetch, follow, join, list, manage, members, shutdown, tick, vote, work,
 };
 use crate::clock;
 use crate::config::Voter;
@@ -54,6 +54,7 @@
         tokio::spawn(borrow::borrow(shared.clone()));
         tokio::spawn(tick::tick(shared.clone()));
         tokio::spawn(vote::vote(shared.clone()));
+        tokio::spawn(work::work(shared.clone()));
         let claims = shared.port.claims().clone();
         tokio::spawn(async move { claims.upkeep().await });
         tokio::spawn(operators::serve(shared.clone(), operators));
--- a/src/node/observer.rs
+++ b/src/node/observer.rs
@@ -88,8 +88,20 @@
         self.proven_running(instance).unwrap_or(1)
     }
 
+    /// Returns whether tasks of jobs run on the pool of an instance. They are not in the reports,
+    /// so nothing is proven about such an instance.
+    fn runs_jobs(&self, pool: &str) -> bool {
+        let documents = self.enforced.iter().filter_map(|s| s.document());
+        documents
+            .flat_map(|d| &d.queues)
+            .any(|queue| *queue.pool == *pool)
+    }
+
     fn proven_running(&self, instance: &pools::Instance) -> Option<u32> {
         let membership = self.roster.get(&instance.name)?;
+        if self.runs_jobs(&membership.pool) {
+            return None;
+        }
         let known = membership.version == instance.version && !membership.takes_calls();
         if !known || self.members_at < membership.since || self.own.assigned < membership.since {
             return None;
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::sync::{Notify, watch};
@@ -11,9 +11,9 @@
 use crate::config::Operation;
 use crate::control::Control;
 use crate::event::Log;
-use crate::front::callers::Port;
+use crate::front::callers::{Port, jobs};
 use crate::peer::{Hub, Member};
-use crate::platform::Platform;
+use crate::platform::{Instance, Platform};
 use crate::settings::Settings;
 
 /// Transactions a second that claims of the whole fleet may take of the several hundred that the
@@ -50,6 +50,10 @@
     pub(super) sightings: std::sync::Mutex<Sightings>,
     /// Set when the assignments were read for the first time.
     pub(super) roster_read: AtomicBool,
+    /// Last reading of the platform's list.
+    pub(super) instances: std::sync::Mutex<Arc<[Instance]>>,
+    /// Permits held for jobs, until no run can use them any more.
+    pub(super) job_permits: AtomicUsize,
     pub(super) stop: watch::Sender<bool>,
     pub(super) leaving: AtomicBool,
     sequence: AtomicU64,
@@ -73,6 +77,7 @@
             control.dispatcher().clone(),
             claims,
             (&settings.bounds).into(),
+            Some(jobs::Desk::start(platform.table.clone(), hub.clone())),
         );
         Arc::new(Self {
             settings,
@@ -88,6 +93,8 @@
             members_wanted: Notify::new(),
             sightings: Default::default(),
             roster_read: AtomicBool::new(false),
+            instances: std::sync::Mutex::new(Arc::default()),
+            job_permits: AtomicUsize::new(0),
             stop: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,6 +6,7 @@
 
 mod ask;
 mod backoff;
+mod bells;
 mod dial;
 mod handle;
 mod hub;
@@ -16,8 +17,9 @@
 mod session;
 
 pub use backoff::Backoff;
+pub use bells::Bells;
 pub use dial::dial;
-pub use hub::Hub;
+pub use hub::{CANDIDATES, Hub};
 pub use link::Link;
 pub use listen::listen;
 pub use member::Member;
--- a/tests/callers/bed.rs
+++ b/tests/callers/bed.rs
@@ -77,7 +77,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (stop, stopped) = watch::channel(false);
-        let port = Port::new(dispatcher.clone(), Arc::new(desk), limits);
+        let port = Port::new(dispatcher.clone(), Arc::new(desk), limits, None);
         tokio::spawn(serve(port, listener, stopped));
         Self {
             address,
