Say ready only when permits can be had; explain store-unavailable

Cause: a new instance said that it was ready before it had a home or a connected voter, so calls sent to it waited for a permit until their deadline; one run of tests/node.rs in six failed with deadline-passed.

--- a/src/event/rule.rs
+++ b/src/event/rule.rs
@@ -18,6 +18,7 @@
         "shutting-down" => "an instance that shuts down admits no calls",
         "withdrawn" => "a call starts only while its key and service are in the document",
         "limit-reached" => "a team runs at most its limit in the whole fleet",
+        "store-unavailable" => "a job is accepted only once the table service has its row",
         "idempotency-unavailable" => "a call with an idempotency key runs only once it is recorded",
         "unreachable" => "retries are at most a tenth of recent calls",
         "missing key" | "unknown or withdrawn key" => {
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -8,7 +8,7 @@
 use crate::claim::{self, Desk, Owner};
 use crate::clock::Instant;
 use crate::collections::Map;
-use crate::config::Operation;
+use crate::config::{Operation, Voter};
 use crate::control::Control;
 use crate::event::Log;
 use crate::front::callers::{Port, jobs};
@@ -104,7 +104,22 @@
     /// Returns whether the balancer should send callers here.
     pub fn is_ready(&self, now: Instant) -> bool {
         let dispatcher = self.control.dispatcher();
-        !self.leaving.load(Ordering::Acquire) && dispatcher.is_fresh(now) && dispatcher.has_list()
+        !self.leaving.load(Ordering::Acquire)
+            && dispatcher.is_fresh(now)
+            && dispatcher.has_list()
+            && self.has_permits()
+    }
+
+    /// Returns whether this instance has a home, or a voter from whom it can borrow.
+    ///
+    /// A new instance has neither for up to a scan of the members; its calls would wait in vain.
+    fn has_permits(&self) -> bool {
+        let own = self.control.own();
+        let head = self.control.read(|state| state.revision()).map(|r| r.head);
+        head.is_some_and(|head| {
+            let usable = |voter: &Voter| voter == own || self.hub.link(voter).is_some();
+            head.voters.iter().any(usable)
+        })
     }
 
     /// Returns the events of this instance.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -471,5 +471,6 @@
             .await
     );
     let reply = call_with_key(address(&node), "k", "x", "order").await;
-    assert_eq!((reply.status.as_u16(), runs(&bed, "k")), (200, 1));
+    let text = String::from_utf8_lossy(&reply.body);
+    assert_eq!((reply.status.as_u16(), runs(&bed, "k")), (200, 1), "{text}");
 }
