--- a/src/control/applied.rs
+++ b/src/control/applied.rs
@@ -1,9 +1,9 @@
 use std::sync::Arc;
 
-use crate::config::{Operation, Version, Voter};
+use crate::config::{Operation, Version};
 use crate::document::Problem;
 use crate::fleet::{Document, Registry, Snapshot, parse};
-use crate::limit::{self, Terms};
+use crate::limit::Terms;
 
 /// A version as it was passed on to the dispatcher.
 #[derive(Clone, Debug)]
@@ -19,7 +19,7 @@
         let document: Document = parse("fleet", &version.content)?;
         let head = &version.head;
         let snapshot = Arc::new(Snapshot::build(head.version, document.into(), registry));
-        let voters = head.voters.iter().map(to_limit).collect();
+        let voters = head.voters.clone();
         Ok(Self {
             operation: head.operation,
             terms: Terms::of(&snapshot, voters),
@@ -27,14 +27,3 @@
         })
     }
 }
-
-/// Converts a voter of the configuration to one of the ledger.
-///
-/// ```
-/// use coriandernotch::config::Voter;
-///
-/// assert_eq!(coriandernotch::control::to_limit(&Voter::new("a", 2)).incarnation, 2);
-/// ```
-pub fn to_limit(voter: &Voter) -> limit::Voter {
-    limit::Voter::new(voter.name.clone(), voter.incarnation)
-}
--- a/src/control/control.rs
+++ b/src/control/control.rs
@@ -1,6 +1,6 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
-use super::applied::{Applied, to_limit};
+use super::applied::Applied;
 use crate::call::Dispatcher;
 use crate::clock::Instant;
 use crate::config::{Ack, Prepare, Presence, State, Voter};
@@ -37,7 +37,7 @@
     /// ```
     pub fn new(own: Voter, data_centre: &str, now: Instant) -> Self {
         Self {
-            dispatcher: Dispatcher::new(Ledger::new(to_limit(&own))),
+            dispatcher: Dispatcher::new(Ledger::new(own.clone())),
             inner: Mutex::new(Inner {
                 state: State::new(own.clone(), now),
                 presence: Presence::default(),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,5 +11,4 @@
 )]
 mod control;
 
-pub use applied::to_limit;
 pub use control::Control;
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -9,6 +9,7 @@
 mod journal;
 mod plan;
 mod random;
+mod report;
 mod rule;
 mod run;
 mod script;
--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -9,6 +9,7 @@
 use super::caller::Caller;
 use super::jobs::check_tickets;
 use super::journal::Journal;
+use super::report::write_report;
 use super::script::play;
 use super::submitter::Submitter;
 use super::ticket::Ticket;
@@ -103,6 +104,9 @@
         counters.get(Kind::Write).peak,
     );
     let summary = Summary::new(tally, events, &entries, peaks, work);
+    if let Some(dir) = &plan.report {
+        write_report(dir, &summary, &entries)?;
+    }
     if plan.hold {
         print!("{summary}");
         print_addresses(&bed);
--- a/src/limit/home.rs
+++ b/src/limit/home.rs
@@ -24,7 +24,7 @@
     /// assert!(home.shares().iter().all(|s| (3..=4).contains(s)));
     /// ```
     pub fn split(team: &str, limit: u32, voters: &[Voter]) -> Self {
-        let hashes: Vec<u64> = voters.iter().map(Voter::hash).collect();
+        let hashes: Vec<u64> = voters.iter().map(super::hash_voter).collect();
         Self::split_hashed(team, limit, &hashes)
     }
 
--- a/src/limit/ledger/borrow.rs
+++ b/src/limit/ledger/borrow.rs
@@ -3,7 +3,7 @@
 use crate::collections::Map;
 use crate::fleet::TeamId;
 use crate::limit::phase::Phase;
-use crate::limit::{Loan, LoanId, Order, PeerId, Reply, Request, mix};
+use crate::limit::{Loan, LoanId, Order, PeerId, Reply, Request, hash_voter, mix};
 use std::time::Duration;
 
 /// Peers asked at once for one team.
@@ -167,7 +167,7 @@
             };
         }
         let mine = |peer| mine.get(&peer).copied().unwrap_or_default();
-        let seed = mix(self.round ^ self.peers[self.own].voter.hash());
+        let seed = mix(self.round ^ hash_voter(&self.peers[self.own].voter));
         let refused = |peer| self.refused.get(&(peer, team)).is_some_and(|t| now < *t);
         newest
             .shares(team)
@@ -178,7 +178,7 @@
                 let running = known.running.get(team.index()).copied().unwrap_or(0);
                 let idle = share.saturating_sub(running + mine(peer).0);
                 let magnitude = u32::BITS - idle.leading_zeros();
-                Some((magnitude, mix(seed ^ known.voter.hash()), idle, peer))
+                Some((magnitude, mix(seed ^ hash_voter(&known.voter)), idle, peer))
             })
             .collect()
     }
--- a/src/limit/ledger/versions.rs
+++ b/src/limit/ledger/versions.rs
@@ -4,7 +4,7 @@
 use crate::clock::Instant;
 use crate::limit::account::Account;
 use crate::limit::edition::Edition;
-use crate::limit::{FRESHNESS, Home, Mark, PeerId, Terms, Voter};
+use crate::limit::{FRESHNESS, Home, Mark, PeerId, Terms};
 
 impl Ledger {
     /// Puts a committed version in force.
@@ -188,7 +188,7 @@
 
     fn edition(&mut self, terms: &Terms, now: Instant) -> Edition {
         let voters: Vec<PeerId> = terms.voters.iter().map(|v| self.peer(v)).collect();
-        let hashes: Vec<u64> = terms.voters.iter().map(Voter::hash).collect();
+        let hashes: Vec<u64> = terms.voters.iter().map(crate::limit::hash_voter).collect();
         let teams = terms.caps.iter().map(|c| c.team.index() + 1).max();
         let mut homes = vec![None; teams.unwrap_or(0)];
         for cap in &terms.caps {
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -33,7 +33,6 @@
 mod request;
 mod source;
 mod terms;
-mod voter;
 
 pub use basis::Basis;
 pub use cap::Cap;
@@ -51,12 +50,10 @@
 pub use request::Request;
 pub use source::Source;
 pub use terms::Terms;
-pub use voter::Voter;
 
 use std::time::Duration;
 
-/// Greatest age of the evidence under which an instance starts work.
-pub const FRESHNESS: Duration = Duration::from_secs(3);
+pub use crate::config::{FRESHNESS, Voter};
 
 /// Time for which a loan may be used, counted by the borrower from its request.
 pub const TERM: Duration = Duration::from_secs(5);
@@ -71,6 +68,11 @@
     mix(fnv)
 }
 
+/// Hashes one life of an instance.
+fn hash_voter(voter: &Voter) -> u64 {
+    hash(voter.incarnation, voter.name.as_bytes())
+}
+
 fn mix(value: u64) -> u64 {
     let z = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     let z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/src/limit/terms.rs
+++ b/src/limit/terms.rs
@@ -79,7 +79,7 @@
         let name = |i: u8| char::from(b'a' + i).to_string();
         Self::new(
             version,
-            (0..voters).map(|i| Voter::new(name(i), 1)).collect(),
+            (0..voters).map(|i| Voter::new(&name(i), 1)).collect(),
             vec![Cap {
                 team: TeamId(0),
                 name: Arc::from("quotes"),
@@ -101,7 +101,7 @@
         let voters = self
             .voters
             .iter()
-            .fold(nanos, |h, v| super::mix(h ^ v.hash()));
+            .fold(nanos, |h, v| super::mix(h ^ super::hash_voter(v)));
         let tag = self.caps.iter().fold(voters, |h, c| {
             super::mix(super::hash(h, c.name.as_bytes()) ^ u64::from(c.limit))
         });
--- a/src/node/borrow.rs
+++ b/src/node/borrow.rs
@@ -3,7 +3,6 @@
 
 use super::Shared;
 use crate::clock;
-use crate::config::Voter;
 use crate::fleet::Snapshot;
 use crate::limit::{Order, Request};
 use crate::wire::{Body, Borrow, Renew, Return};
@@ -48,7 +47,7 @@
             .dispatcher()
             .with_ledger(|ledger| ledger.voter(order.to).cloned());
         let Some(voter) = voter else { continue };
-        let Some(link) = shared.hub.link(&Voter::new(&voter.name, voter.incarnation)) else {
+        let Some(link) = shared.hub.link(&voter) else {
             continue;
         };
         if let Some(body) = encode(&current, order.request) {
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -4,7 +4,6 @@
 use super::{Hub, Link};
 use crate::clock::Instant;
 use crate::config::{State, Want};
-use crate::control::to_limit;
 use crate::limit::Request;
 use crate::wire::{Body, Fetched, Malformed};
 
@@ -62,7 +61,7 @@
         Body::Lent(lent) => {
             let dispatcher = control.dispatcher();
             dispatcher.with_ledger(|ledger| {
-                let peer = ledger.peer(&to_limit(link.voter()));
+                let peer = ledger.peer(link.voter());
                 ledger.accept(peer, lent.into(), now);
             });
             dispatcher.pump(now);
@@ -88,7 +87,7 @@
 fn lend(hub: &Hub, link: &Link, request: Request, now: Instant) -> Answer {
     let dispatcher = hub.control().dispatcher();
     let reply = dispatcher.with_ledger(|ledger| {
-        let peer = ledger.peer(&to_limit(link.voter()));
+        let peer = ledger.peer(link.voter());
         ledger.lend(peer, request, now)
     });
     if matches!(request, Request::Return { .. }) {
--- a/src/peer/report.rs
+++ b/src/peer/report.rs
@@ -2,7 +2,6 @@
 use crate::call::Load;
 use crate::clock::Instant;
 use crate::collections::Map;
-use crate::control::to_limit;
 use crate::fleet::Snapshot;
 use crate::limit;
 use crate::route::Tag;
@@ -58,7 +57,7 @@
         running,
     };
     hub.control().dispatcher().with_ledger(|ledger| {
-        let peer = ledger.peer(&to_limit(link.voter()));
+        let peer = ledger.peer(link.voter());
         ledger.learn(peer, permits, now);
     });
     let targets = report.targets.iter().zip(&report.target_counts);
--- a/tests/limit/cost.rs
+++ b/tests/limit/cost.rs
@@ -88,7 +88,7 @@
 
 fn voters() -> Vec<Voter> {
     (0..VOTERS)
-        .map(|i| Voter::new(format!("entry-{i:03}"), 1))
+        .map(|i| Voter::new(&format!("entry-{i:03}"), 1))
         .collect()
 }
 
--- a/tests/limit/home.rs
+++ b/tests/limit/home.rs
@@ -79,7 +79,7 @@
 
 fn voters(count: u32) -> Vec<Voter> {
     (0..count)
-        .map(|i| Voter::new(format!("entry-{i:03}"), 1))
+        .map(|i| Voter::new(&format!("entry-{i:03}"), 1))
         .collect()
 }
 
--- a/tests/limit/node.rs
+++ b/tests/limit/node.rs
@@ -11,7 +11,7 @@
 impl Node {
     pub(crate) fn new(index: usize, incarnation: u64) -> Self {
         let name = char::from(b'a' + index as u8).to_string();
-        let voter = Voter::new(name, incarnation);
+        let voter = Voter::new(&name, incarnation);
         Self {
             ledger: Ledger::new(voter.clone()),
             voter,
