--- a/benches/callers.rs
+++ b/benches/callers.rs
@@ -33,7 +33,8 @@
 struct Bed {
     child: Child,
     callers: SocketAddr,
-    target: SocketAddr,
+    /// Addresses of the targets.
+    direct: Vec<SocketAddr>,
     targets: Vec<Arc<Target>>,
     folder: std::path::PathBuf,
 }
@@ -72,7 +73,7 @@
             state: State::Live,
         });
     }
-    let target = instances[0].address;
+    let direct = instances.iter().map(|i| i.address).collect();
     let names: Vec<_> = instances.iter().map(|i| i.name.clone()).collect();
     store.set_instances(instances);
     let folder = std::env::temp_dir().join(format!("coriandernotch-bench-{}", std::process::id()));
@@ -121,7 +122,7 @@
     let bed = Bed {
         child,
         callers: member.callers,
-        target,
+        direct,
         targets,
         folder,
     };
@@ -148,13 +149,14 @@
 
 /// Calls from many connections with a pause between calls; returns the sorted times.
 async fn load(
-    to: SocketAddr,
+    to: &[SocketAddr],
     path: &'static str,
     connections: usize,
     pause: Duration,
 ) -> Vec<Duration> {
     let end = Instant::now() + LENGTH;
-    let tasks = (0..connections).map(|_| {
+    let tasks = (0..connections).map(|number| {
+        let to = to[number % to.len()];
         tokio::spawn(async move {
             let mut client = Client::default();
             let mut times = Vec::new();
@@ -247,9 +249,9 @@
         resident_mib(pid)
     );
     let path = "/v1/services/one/x";
-    load(bed.callers, path, CONNECTIONS, Duration::ZERO).await;
+    load(&[bed.callers], path, CONNECTIONS, Duration::ZERO).await;
     let before = processor_seconds(pid);
-    let full = load(bed.callers, path, CONNECTIONS, Duration::ZERO).await;
+    let full = load(&[bed.callers], path, CONNECTIONS, Duration::ZERO).await;
     let used = processor_seconds(pid) - before;
     let rate = full.len() as f64 / LENGTH.as_secs_f64();
     println!("calls a second, 64 connections  {rate:>10.0}");
@@ -263,8 +265,8 @@
     );
     // Half load: the pause makes a connection busy half of the time of the full run.
     let pause = at(&full, 0.5).max(Duration::from_millis(1)) * 2;
-    let direct = load(bed.target, path, 8, pause).await;
-    let through = load(bed.callers, path, CONNECTIONS / 2, pause).await;
+    let direct = load(&bed.direct, path, CONNECTIONS / 2, pause).await;
+    let through = load(&[bed.callers], path, CONNECTIONS / 2, pause).await;
     for part in [0.5, 0.99] {
         let (d, t) = (at(&direct, part), at(&through, part));
         println!(
