Give each type of the document tree and of the callers' bounds its own file

Cause: document/node.rs held five types, guard.rs and activity.rs three each. Change: one type a file, no change of behaviour. Conclusion: done.

--- a/src/document/conform.rs
+++ b/src/document/conform.rs
@@ -6,11 +6,12 @@
 use super::close::closest;
 use super::faults::Faults;
 use super::field::{Field, Presence};
-use super::node::{NodeId, Value};
+use super::node_id::NodeId;
 use super::problem::Problem;
 use super::shape::Shape;
 use super::tree::Tree;
 use super::r#type::Type;
+use super::value::Value;
 
 /// Records every value of the tree that `shape` does not accept.
 pub(crate) fn conform(tree: &Tree, shape: &'static Shape, faults: &mut Faults) {
--- a/src/document/faults.rs
+++ b/src/document/faults.rs
@@ -1,4 +1,4 @@
-use super::node::NodeId;
+use super::node_id::NodeId;
 use super::problem::Problem;
 use super::tree::Tree;
 
--- a/src/document/load.rs
+++ b/src/document/load.rs
@@ -7,9 +7,13 @@
 use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
 
 use super::faults::Faults;
-use super::node::{Member, Node, NodeId, Step, Value};
+use super::member::Member;
+use super::node::Node;
+use super::node_id::NodeId;
 use super::problem::Problem;
+use super::step::Step;
 use super::tree::{Tree, shorten};
+use super::value::Value;
 use super::{MAX_BYTES, MAX_DEPTH};
 
 /// Reads `text` and returns the tree with the problems of syntax after which reading went on.
--- a/src/document/tree.rs
+++ b/src/document/tree.rs
@@ -1,7 +1,11 @@
 use std::sync::Arc;
 
-use super::node::{Member, Node, NodeId, Step, Value};
+use super::member::Member;
+use super::node::Node;
+use super::node_id::NodeId;
+use super::step::Step;
 use super::r#type::Type;
+use super::value::Value;
 
 /// Characters of a value that a problem repeats.
 const SHOWN: usize = 60;
--- a/src/document/unique.rs
+++ b/src/document/unique.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use super::faults::Faults;
-use super::node::NodeId;
+use super::node_id::NodeId;
 use super::tree::Tree;
 
 /// Records every text that an earlier value has already.
--- a/src/front/callers/accept.rs
+++ b/src/front/callers/accept.rs
@@ -6,8 +6,9 @@
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode, Version};
 
+use super::cause::Cause;
 use super::claimed::read_ask;
-use super::guard::{Cause, Guard};
+use super::guard::Guard;
 use super::reply::Reply;
 use super::request::{check_head, read_deadline, read_key, set_host, split_path};
 use super::serve::Port;
--- a/src/front/callers/activity.rs
+++ b/src/front/callers/activity.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use super::Limits;
+use super::bound::Bound;
 
 /// What one caller's connection is doing, for its bounds in time.
 ///
@@ -23,17 +24,6 @@
     head_since: Option<Instant>,
 }
 
-/// What follows from the bounds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Bound {
-    /// All bounds hold.
-    Kept,
-    /// No request came for too long.
-    Idle,
-    /// The caller is too slow with a head or does not take its answer.
-    Stalled,
-}
-
 impl Activity {
     pub(super) fn new() -> Arc<Self> {
         Arc::new(Self(Mutex::new(State {
--- a/src/front/callers/guard.rs
+++ b/src/front/callers/guard.rs
@@ -4,49 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::StatusCode;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::{Instant, Sleep};
 
-/// Failure of a request body, after which the target gets an aborted request.
-#[derive(Debug, thiserror::Error)]
-pub(super) enum Fault {
-    /// The body is longer than the service allows.
-    #[error("step=read-body peer=caller reason=too-large")]
-    TooLarge,
-    /// The caller sent nothing for too long.
-    #[error("step=read-body peer=caller reason=timeout")]
-    Slow,
-    /// The caller broke off.
-    #[error("step=read-body peer=caller reason={0}")]
-    Broken(#[from] hyper::Error),
-}
-
-/// Why a request body failed, for the answer to its caller.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum Cause {
-    TooLarge,
-    Slow,
-    Broken,
-}
-
-impl Cause {
-    pub(super) fn status(self) -> StatusCode {
-        match self {
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Slow => StatusCode::REQUEST_TIMEOUT,
-            Self::Broken => StatusCode::BAD_REQUEST,
-        }
-    }
-
-    pub(super) fn reason(self) -> &'static str {
-        match self {
-            Self::TooLarge => "request body too large",
-            Self::Slow => "request body too slow",
-            Self::Broken => "request body broken off",
-        }
-    }
-}
+use super::body_fault::Fault;
+use super::cause::Cause;
 
 /// Request body bounded in length and in the time between two parts.
 #[derive(Debug)]
--- a/src/front/callers/serve.rs
+++ b/src/front/callers/serve.rs
@@ -12,7 +12,8 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::Instant;
 
-use super::activity::{Activity, Bound};
+use super::activity::Activity;
+use super::bound::Bound;
 use super::exchange::exchange;
 use super::jobs::Desk as Jobs;
 use super::meter::Meters;
