Go on to the next platform address when one cannot be reached

Cause: settings take three addresses for each platform service, and only the first was used. Change: the client connects to the address that worked last, then to the others, each within its part of the call's time; nothing was sent before, so errors stay true.

--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -60,10 +60,10 @@
 
 fn connect(settings: &Settings) -> Result<Platform, Report> {
     let client = |name: &str, addresses: &[std::net::SocketAddr]| {
-        let address = addresses
-            .first()
+        let (first, others) = addresses
+            .split_first()
             .ok_or_else(|| eyre!("step=connect peer={name}"))?;
-        Ok::<_, Report>(Arc::new(http::Client::new(*address)))
+        Ok::<_, Report>(Arc::new(http::Client::with_addresses(*first, others)))
     };
     Ok(Platform {
         table: client("table", &settings.platform.table)?,
--- a/src/platform/http/client.rs
+++ b/src/platform/http/client.rs
@@ -1,12 +1,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode};
 use serde::de::DeserializeOwned;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::connection::Connection;
 use super::escape;
@@ -21,9 +22,11 @@
 /// Largest answer that the client reads, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
 
-/// Client of the platform services at one address.
+/// Client of the platform services, which one or several addresses offer.
 pub struct Client {
-    address: SocketAddr,
+    addresses: Vec<SocketAddr>,
+    /// Place of the address that was reached last.
+    current: AtomicUsize,
     peer: Arc<str>,
     pool: Pool,
 }
@@ -44,13 +47,49 @@
     /// drop(client);
     /// ```
     pub fn new(address: SocketAddr) -> Self {
+        Self::with_addresses(address, &[])
+    }
+
+    /// Makes a client that goes on to one of `others` when an address cannot be reached.
+    ///
+    /// All addresses must offer the same service: whichever answers has the latest state.
+    ///
+    /// ```
+    /// let address = "127.0.0.1:1".parse().unwrap();
+    /// coriandernotch::platform::http::Client::with_addresses(address, &[address]);
+    /// ```
+    pub fn with_addresses(first: SocketAddr, others: &[SocketAddr]) -> Self {
         Self {
-            address,
-            peer: address.to_string().into(),
+            addresses: std::iter::once(first)
+                .chain(others.iter().copied())
+                .collect(),
+            current: AtomicUsize::new(0),
+            peer: first.to_string().into(),
             pool: Pool::default(),
         }
     }
 
+    /// Connects to the address that was reached last, or to the next ones. Nothing is sent here,
+    /// so a failure proves that a request had no effect.
+    async fn connect(&self, step: &'static str, deadline: Instant) -> Result<Connection, Error> {
+        let first = self.current.load(Ordering::Relaxed);
+        let mut reason = String::new();
+        for left in (1..=self.addresses.len()).rev() {
+            let place = (first + self.addresses.len() - left) % self.addresses.len();
+            // An address that does not answer leaves time for those after it.
+            let share = deadline.saturating_duration_since(Instant::now()) / left as u32;
+            match timeout(share, Connection::open(self.addresses[place])).await {
+                Ok(Ok(connection)) => {
+                    self.current.store(place, Ordering::Relaxed);
+                    return Ok(connection);
+                }
+                Ok(Err(error)) => reason = format!("{}: {error}", self.addresses[place]),
+                Err(_) => reason = format!("{}: connect timed out", self.addresses[place]),
+            }
+        }
+        Err(self.unavailable(step, reason))
+    }
+
     async fn call(
         &self,
         step: &'static str,
@@ -76,10 +115,7 @@
                 Err(Broken::Sent(_) | Broken::Unsent(_)) => {}
             }
         }
-        let connection = timeout_at(deadline, Connection::open(self.address))
-            .await
-            .map_err(|_| self.unavailable(step, "connect timed out".into()))?
-            .map_err(|e| self.unavailable(step, e.to_string()))?;
+        let connection = self.connect(step, deadline).await?;
         match self.exchange(connection, request, deadline).await {
             Ok(answer) => self.judge(step, write, answer),
             Err(Broken::Sent(reason)) if write => Err(self.unknown(step, reason)),
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -473,3 +473,28 @@
         assert_eq!(listing.instances().await.unwrap(), [listed(4)]);
     }
 }
+
+/// Guards against an outage for an instance whose first platform address cannot be reached.
+#[tokio::test]
+async fn a_client_goes_on_to_the_next_address() {
+    let store = Store::new();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let good = listener.local_addr().unwrap();
+    let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let refusing = closed.local_addr().unwrap();
+    drop(closed);
+    tokio::spawn(coriandernotch::standin::platform::serve(
+        listener,
+        store.client("a"),
+    ));
+    for (first, others) in [(refusing, [refusing, good]), (good, [refusing, refusing])] {
+        let client = Client::with_addresses(first, &others);
+        for _ in 0..3 {
+            assert_eq!(client.read("row".into()).await, Ok(None));
+        }
+    }
+    let none = Client::with_addresses(refusing, &[refusing])
+        .read("row".into())
+        .await;
+    assert!(matches!(none, Err(Error::Unavailable { .. })), "{none:?}");
+}
