Name claim managers, job handlers and queue signals by their usual terms

Cause: Desk and Bells were names of our own for a manager, a request handler and a set of wake-up signals. Change: claim::Manager, callers::jobs::Handler, peer::Signals. Conclusion: no change of behaviour.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -1,6 +1,6 @@
 //! Idempotency claims: a request with an idempotency key runs at most once in the fleet.
 //!
-//! Before a request is sent to a target, [`Desk::claim`] inserts the row `claims/{team}/{digest of
+//! Before a request is sent to a target, [`Manager::claim`] inserts the row `claims/{team}/{digest of
 //! the key}` under the condition that it does not exist. Whoever inserted it runs the request;
 //! everybody else finds the row and gets the stored answer or learns that the request is taken.
 //! `docs/notes/idempotency.md` gives the reasons and the cost.
@@ -10,8 +10,8 @@
 mod batch;
 mod body;
 mod decision;
-mod desk;
 mod failure;
+mod manager;
 mod orphans;
 mod owner;
 mod pace;
@@ -28,7 +28,7 @@
 
 pub use ask::Ask;
 pub use decision::Decision;
-pub use desk::Desk;
+pub use manager::Manager;
 pub use owner::Owner;
 pub use pace::Pace;
 pub use record::Claim;
--- a/src/claim/attempt.rs
+++ b/src/claim/attempt.rs
@@ -1,9 +1,9 @@
-use super::desk::Desk;
+use super::manager::Manager;
 use super::{Ask, Stamp, Ticket, Verdict};
 
 /// Attempt to claim; when it ends without the claim, what may still take effect is remembered.
 pub(super) struct Attempt<'a> {
-    desk: &'a Desk,
+    manager: &'a Manager,
     ask: &'a Ask,
     operation: u64,
     now: Stamp,
@@ -12,9 +12,9 @@
 }
 
 impl<'a> Attempt<'a> {
-    pub(super) fn new(desk: &'a Desk, ask: &'a Ask, operation: u64, now: Stamp) -> Self {
+    pub(super) fn new(manager: &'a Manager, ask: &'a Ask, operation: u64, now: Stamp) -> Self {
         Self {
-            desk,
+            manager,
             ask,
             operation,
             now,
@@ -55,7 +55,7 @@
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
         if self.under_way || self.lost {
-            self.desk
+            self.manager
                 .abandon(self.operation, self.ask.row.clone(), self.now);
         }
     }
--- a/src/claim/desk.rs
+++ b/src/claim/manager.rs
@@ -32,7 +32,7 @@
 const MAX_TEXT: usize = 160 << 10;
 
 /// Decides for one entry instance which requests with an idempotency key may run.
-pub struct Desk {
+pub struct Manager {
     pub(super) table: Arc<dyn Table>,
     pub(super) owner: Owner,
     pub(super) queue: Queue,
@@ -42,19 +42,19 @@
     reads: Semaphore,
 }
 
-impl Desk {
-    /// Starts a desk; it must be called within a runtime.
+impl Manager {
+    /// Starts a manager; it must be called within a runtime.
     ///
     /// ```
-    /// use coriandernotch::claim::{Ask, Desk, Owner, Settings, Stamp, Verdict};
+    /// use coriandernotch::claim::{Ask, Manager, Owner, Settings, Stamp, Verdict};
     /// use coriandernotch::{fleet::Digest, standin::Store};
     ///
     /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
     /// let owner = Owner { instance: "e1".into(), incarnation: 1 };
-    /// let desk = Desk::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
+    /// let manager = Manager::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
     /// let ask = Ask::new("quotes", "order-17", Digest::of(b"POST /orders"));
-    /// assert!(matches!(desk.claim(&ask, Stamp(0)).await, Verdict::First(_)));
-    /// assert_eq!(desk.claim(&ask, Stamp(1)).await, Verdict::Running);
+    /// assert!(matches!(manager.claim(&ask, Stamp(0)).await, Verdict::First(_)));
+    /// assert_eq!(manager.claim(&ask, Stamp(1)).await, Verdict::Running);
     /// # });
     /// ```
     pub fn start(table: Arc<dyn Table>, owner: Owner, settings: Settings) -> Self {
@@ -74,7 +74,7 @@
     /// Every verdict but [`Verdict::First`] means that this request does not run. Dropping the
     /// future is safe: a claim that takes effect afterwards is released later.
     ///
-    /// The example of [`Desk::start`] shows a first and a repeated request.
+    /// The example of [`Manager::start`] shows a first and a repeated request.
     pub async fn claim(&self, ask: &Ask, now: Stamp) -> Verdict {
         let operation = self.operations.fetch_add(1, Ordering::Relaxed);
         let text = self.text(operation, ask.digest, State::Started, now);
@@ -127,17 +127,17 @@
     /// It goes on for about a minute while the store is down, so callers need not wait for it.
     ///
     /// ```
-    /// use coriandernotch::claim::{Ask, Desk, Owner, Reply, Settings, Stamp, Verdict};
+    /// use coriandernotch::claim::{Ask, Manager, Owner, Reply, Settings, Stamp, Verdict};
     /// use coriandernotch::{fleet::Digest, standin::Store};
     ///
     /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
     /// let owner = Owner { instance: "e1".into(), incarnation: 1 };
-    /// let desk = Desk::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
+    /// let manager = Manager::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
     /// let ask = Ask::new("quotes", "order-17", Digest::of(b"POST /orders"));
-    /// let Verdict::First(ticket) = desk.claim(&ask, Stamp(0)).await else { panic!() };
+    /// let Verdict::First(ticket) = manager.claim(&ask, Stamp(0)).await else { panic!() };
     /// let reply = Reply { status: 201, headers: vec![], body: "made".into() };
-    /// assert!(desk.finish(ticket, reply.clone(), Stamp(1)).await);
-    /// assert_eq!(desk.claim(&ask, Stamp(2)).await, Verdict::Replay(reply));
+    /// assert!(manager.finish(ticket, reply.clone(), Stamp(1)).await);
+    /// assert_eq!(manager.claim(&ask, Stamp(2)).await, Verdict::Replay(reply));
     /// # });
     /// ```
     pub async fn finish(&self, ticket: Ticket, reply: Reply, now: Stamp) -> bool {
@@ -168,19 +168,19 @@
 
     /// Gives up the claim of a request that provably did not run, so that a repeat may run.
     ///
-    /// Returns whether it is given up already; otherwise [`Desk::release_orphans`] goes on.
+    /// Returns whether it is given up already; otherwise [`Manager::release_orphans`] goes on.
     ///
     /// ```
-    /// use coriandernotch::claim::{Ask, Desk, Owner, Settings, Stamp, Verdict};
+    /// use coriandernotch::claim::{Ask, Manager, Owner, Settings, Stamp, Verdict};
     /// use coriandernotch::{fleet::Digest, standin::Store};
     ///
     /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
     /// let owner = Owner { instance: "e1".into(), incarnation: 1 };
-    /// let desk = Desk::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
+    /// let manager = Manager::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
     /// let ask = Ask::new("quotes", "order-17", Digest::of(b"POST /orders"));
-    /// let Verdict::First(ticket) = desk.claim(&ask, Stamp(0)).await else { panic!() };
-    /// assert!(desk.release(ticket, Stamp(1)).await);
-    /// assert!(matches!(desk.claim(&ask, Stamp(2)).await, Verdict::First(_)));
+    /// let Verdict::First(ticket) = manager.claim(&ask, Stamp(0)).await else { panic!() };
+    /// assert!(manager.release(ticket, Stamp(1)).await);
+    /// assert!(matches!(manager.claim(&ask, Stamp(2)).await, Verdict::First(_)));
     /// # });
     /// ```
     pub async fn release(&self, ticket: Ticket, now: Stamp) -> bool {
--- a/src/claim/settings.rs
+++ b/src/claim/settings.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-/// Limits of the load that one desk puts on the store.
+/// Limits of the load that one manager puts on the store.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
     /// Time for which writes are gathered into one transaction.
--- a/src/claim/upkeep.rs
+++ b/src/claim/upkeep.rs
@@ -1,10 +1,10 @@
-//! Work of a desk besides the requests.
+//! Work of a manager besides the requests.
 
 use std::time::Duration;
 
 use tokio::time::sleep;
 
-use super::{Claim, Desk, Stamp, State, Sweep};
+use super::{Claim, Manager, Stamp, State, Sweep};
 use crate::platform::{Condition, Write};
 
 /// Pause between two looks at the orphans.
@@ -13,23 +13,23 @@
 /// Ticks between two steps of the sweep.
 const SWEEP_TICKS: u64 = 10;
 
-/// Claims that [`Desk::release_orphans`] handles in one step.
+/// Claims that [`Manager::release_orphans`] handles in one step.
 const ORPHANS_PER_STEP: usize = 16;
 
 /// Time after which a write that was not seen to take effect is taken to be gone.
 const LATE_EFFECT: Duration = Duration::from_secs(60);
 
-impl Desk {
+impl Manager {
     /// Releases orphans and sweeps with the time of day until dropped.
     ///
     /// ```
-    /// use coriandernotch::claim::{Desk, Owner, Settings};
+    /// use coriandernotch::claim::{Manager, Owner, Settings};
     /// use coriandernotch::standin::Store;
     ///
     /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
     /// let owner = Owner { instance: "e1".into(), incarnation: 1 };
-    /// let desk = Desk::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
-    /// drop(desk.upkeep());
+    /// let manager = Manager::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
+    /// drop(manager.upkeep());
     /// # });
     /// ```
     pub async fn upkeep(&self) {
@@ -52,13 +52,13 @@
     /// One step costs at most 16 reads and 16 rows in shared transactions. Returns how many remain.
     ///
     /// ```
-    /// use coriandernotch::claim::{Desk, Owner, Settings, Stamp};
+    /// use coriandernotch::claim::{Manager, Owner, Settings, Stamp};
     /// use coriandernotch::standin::Store;
     ///
     /// # tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap().block_on(async {
     /// let owner = Owner { instance: "e1".into(), incarnation: 1 };
-    /// let desk = Desk::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
-    /// assert_eq!(desk.release_orphans(Stamp(0)).await, 0);
+    /// let manager = Manager::start(Store::new().platform("e1").table, owner, Settings::share(100.0, 1));
+    /// assert_eq!(manager.release_orphans(Stamp(0)).await, 0);
     /// # });
     /// ```
     pub async fn release_orphans(&self, now: Stamp) -> usize {
--- a/src/front/callers/claimed.rs
+++ b/src/front/callers/claimed.rs
@@ -8,7 +8,7 @@
 use super::reply::Reply;
 use super::request::{OUTCOME, is_idempotent};
 use crate::admit::Refusal;
-use crate::claim::{Ask, Desk, Stamp, Ticket, Verdict};
+use crate::claim::{Ask, Manager, Stamp, Ticket, Verdict};
 use crate::fleet::Digest;
 
 /// Header of idempotent submissions.
@@ -44,9 +44,9 @@
 }
 
 /// Claims a call; the answer of an earlier run comes back as an error.
-pub(super) async fn claim(desk: &Desk, ask: &Ask) -> Result<Ticket, Box<Response<Body>>> {
+pub(super) async fn claim(manager: &Manager, ask: &Ask) -> Result<Ticket, Box<Response<Body>>> {
     let unknown = |reason| Reply::unknown(StatusCode::CONFLICT, reason);
-    let refusal = match desk.claim(ask, Stamp::now()).await {
+    let refusal = match manager.claim(ask, Stamp::now()).await {
         Verdict::First(ticket) => return Ok(ticket),
         Verdict::Replay(reply) => return Err(Box::new(replay(reply))),
         Verdict::Unkept(_) => unknown("ran before, answer too large to be kept"),
--- a/src/front/callers/hold.rs
+++ b/src/front/callers/hold.rs
@@ -5,22 +5,22 @@
 
 use super::body::Body;
 use super::kept::keep;
-use crate::claim::{Desk, Stamp, Ticket};
+use crate::claim::{Manager, Stamp, Ticket};
 
 /// Claim of a call that is under way.
 ///
 /// When it is dropped before the call was sent, because the caller went away or the call was
 /// refused, the claim is released, so that a repeat may run.
 pub(super) struct Hold {
-    desk: Arc<Desk>,
+    manager: Arc<Manager>,
     ticket: Option<Ticket>,
     sent: Arc<AtomicBool>,
 }
 
 impl Hold {
-    pub(super) fn new(desk: &Arc<Desk>, ticket: Ticket, sent: Arc<AtomicBool>) -> Self {
+    pub(super) fn new(manager: &Arc<Manager>, ticket: Ticket, sent: Arc<AtomicBool>) -> Self {
         Self {
-            desk: desk.clone(),
+            manager: manager.clone(),
             ticket: Some(ticket),
             sent,
         }
@@ -29,7 +29,7 @@
     /// Stores the answer for repeats once it has ended.
     pub(super) fn keep(mut self, response: Response<Body>) -> Response<Body> {
         match self.ticket.take() {
-            Some(ticket) => keep(&self.desk, ticket, response),
+            Some(ticket) => keep(&self.manager, ticket, response),
             None => response,
         }
     }
@@ -44,7 +44,7 @@
         else {
             return;
         };
-        let desk = self.desk.clone();
-        tokio::spawn(async move { desk.release(ticket, Stamp::now()).await });
+        let manager = self.manager.clone();
+        tokio::spawn(async move { manager.release(ticket, Stamp::now()).await });
     }
 }
--- a/src/front/callers/jobs/cancel.rs
+++ b/src/front/callers/jobs/cancel.rs
@@ -1,9 +1,9 @@
 use hyper::{Response, StatusCode};
 use serde_json::json;
 
-use super::Desk;
+use super::Handler;
 use super::caller::Caller;
-use super::desk::respond;
+use super::handler::respond;
 use super::read::find;
 use crate::front::callers::body::Body;
 use crate::front::callers::reply::Reply;
@@ -18,14 +18,14 @@
 /// The holder writes the row before it sends a start, so a waiting job whose row could be changed
 /// has not run since.
 pub(super) async fn cancel(
-    desk: &Desk,
+    handler: &Handler,
     caller: &Caller,
     queue: &str,
     id: &str,
 ) -> Result<Response<Body>, Reply> {
     let mut lost = false;
     for _ in 0..TRIES {
-        let (row, mut record) = find(desk, caller, queue, id).await?;
+        let (row, mut record) = find(handler, caller, queue, id).await?;
         let answer = |status, result: &str, record: &Record| {
             let id = format!("{queue}.{id}");
             let state = record.state;
@@ -51,13 +51,13 @@
             Write::put(&row.key, Condition::Version(row.version), &record.json()),
             Write::put(&Record::news_key(queue, id), Condition::Any, "{}"),
         ];
-        match desk.intake.write(writes).await {
-            Ok(()) => desk.hub.ring(queue),
+        match handler.intake.write(writes).await {
+            Ok(()) => handler.hub.notify(queue),
             // What the row says next settles it.
             Err(Error::Conflict { .. }) => {}
             Err(Error::Unknown { .. }) => lost = true,
             Err(Error::Unavailable { .. }) if lost => break,
-            Err(error) => return Err(super::desk::unreadable(&error)),
+            Err(error) => return Err(super::handler::unreadable(&error)),
         }
     }
     Err(Reply::unknown(
--- a/src/front/callers/jobs/desk.rs
+++ b/src/front/callers/jobs/handler.rs
@@ -19,15 +19,15 @@
 use crate::platform::{Error, Row, Table};
 
 /// What the requests about jobs share.
-pub struct Desk {
+pub struct Handler {
     pub(super) table: Arc<dyn Table>,
     pub(super) hub: Arc<Hub>,
     pub(super) intake: Intake,
     sequence: AtomicU64,
 }
 
-impl Desk {
-    /// Makes a desk over the rows of `table`. It needs a runtime, for the task that writes.
+impl Handler {
+    /// Makes a handler over the rows of `table`. It needs a runtime, for the task that writes.
     pub fn start(table: Arc<dyn Table>, hub: Arc<Hub>) -> Arc<Self> {
         Arc::new(Self {
             intake: Intake::start(table.clone(), hub.clone()),
--- a/src/front/callers/jobs/mod.rs
+++ b/src/front/callers/jobs/mod.rs
@@ -4,7 +4,7 @@
 
 mod caller;
 mod cancel;
-mod desk;
+mod handler;
 mod intake;
 mod path;
 mod read;
@@ -12,4 +12,4 @@
 mod submit;
 mod view;
 
-pub use desk::Desk;
+pub use handler::Handler;
--- a/src/front/callers/jobs/submit.rs
+++ b/src/front/callers/jobs/submit.rs
@@ -5,9 +5,9 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
-use super::Desk;
+use super::Handler;
 use super::caller::Caller;
-use super::desk::{short, show, unreadable};
+use super::handler::{short, show, unreadable};
 use super::submission::Submission;
 use crate::fleet::Digest;
 use crate::front::callers::body::Body;
@@ -24,7 +24,7 @@
 
 /// Accepts a job: its row is in the table before the answer.
 pub(super) async fn submit(
-    desk: &Desk,
+    handler: &Handler,
     caller: &Caller,
     queue: &str,
     request: Request<Incoming>,
@@ -33,7 +33,7 @@
     let id = match read_idempotency(request.headers())? {
         // The id follows from team and key, so the insert itself settles a repeat.
         Some(key) => short(&format!("{}\n{key}", caller.team)),
-        None => desk.new_id(),
+        None => handler.new_id(),
     };
     let body = read_body(request).await?;
     let submission = Submission::read(&body).map_err(bad)?;
@@ -64,9 +64,9 @@
     ];
     let mut lost = false;
     for _ in 0..TRIES {
-        match desk.intake.write(writes.clone()).await {
+        match handler.intake.write(writes.clone()).await {
             Ok(()) => {
-                desk.hub.ring(queue);
+                handler.hub.notify(queue);
                 let row = Row {
                     key: key.into(),
                     version: 1,
@@ -79,9 +79,9 @@
             Err(Error::Unavailable { .. }) if lost => continue,
             Err(error) => return Err(unreadable(&error)),
         }
-        match desk.table.read(key.as_str().into()).await {
+        match handler.table.read(key.as_str().into()).await {
             Ok(Some(row)) => {
-                desk.hub.ring(queue);
+                handler.hub.notify(queue);
                 return settle(queue, &row, &record, lost);
             }
             // The first try may still take effect; another one with the same id does no harm.
--- a/src/front/callers/kept.rs
+++ b/src/front/callers/kept.rs
@@ -11,7 +11,7 @@
 use super::answer::{Answer, Fault};
 use super::body::Body;
 use super::request::OUTCOME;
-use crate::claim::{Desk, MAX_BODY, Stamp, Ticket};
+use crate::claim::{MAX_BODY, Manager, Stamp, Ticket};
 
 /// Answer of a target that is copied while it streams to the caller.
 pub struct Kept {
@@ -23,7 +23,7 @@
 
 /// What is needed to store the answer.
 struct Rest {
-    desk: Arc<Desk>,
+    manager: Arc<Manager>,
     ticket: Ticket,
     status: StatusCode,
     headers: Vec<(String, String)>,
@@ -38,14 +38,18 @@
 }
 
 /// Wraps the body of an answer so that it is stored when it has ended whole.
-pub(super) fn keep(desk: &Arc<Desk>, ticket: Ticket, response: Response<Body>) -> Response<Body> {
+pub(super) fn keep(
+    manager: &Arc<Manager>,
+    ticket: Ticket,
+    response: Response<Body>,
+) -> Response<Body> {
     let (parts, body) = response.into_parts();
     let Body::Target(answer) = body else {
         return Response::from_parts(parts, body);
     };
     let headers = read_headers(&parts.headers);
     let rest = Some(Rest {
-        desk: desk.clone(),
+        manager: manager.clone(),
         ticket,
         status: parts.status,
         headers,
@@ -74,7 +78,7 @@
 impl Kept {
     fn end(&mut self) {
         let Some(Rest {
-            desk,
+            manager,
             ticket,
             status,
             headers,
@@ -89,7 +93,7 @@
             body,
         };
         tokio::spawn(async move {
-            if !desk.finish(ticket, reply, Stamp::now()).await {
+            if !manager.finish(ticket, reply, Stamp::now()).await {
                 log::warn!(event = "answer-not-kept"; "");
             }
         });
--- a/src/front/callers/serve.rs
+++ b/src/front/callers/serve.rs
@@ -15,13 +15,13 @@
 use super::activity::Activity;
 use super::bound::Bound;
 use super::exchange::exchange;
-use super::jobs::Desk as Jobs;
+use super::jobs::Handler as Jobs;
 use super::meter::Meters;
 use super::stream::Stream;
 use super::tracked::Tracked;
 use super::{Connections, Limits};
 use crate::call::Dispatcher;
-use crate::claim::Desk;
+use crate::claim;
 
 /// Streams of one HTTP/2 connection.
 const MAX_STREAMS: u32 = 256;
@@ -29,7 +29,7 @@
 /// What the connections of the callers' port share.
 pub struct Port {
     pub(super) dispatcher: Arc<Dispatcher>,
-    pub(super) claims: Arc<Desk>,
+    pub(super) claims: Arc<claim::Manager>,
     pub(super) connections: Arc<Connections>,
     pub(super) meters: Meters,
     pub(super) limits: Limits,
@@ -40,7 +40,7 @@
     /// Makes a port that dispatches through `dispatcher` and, if given, takes jobs.
     pub fn new(
         dispatcher: Arc<Dispatcher>,
-        claims: Arc<Desk>,
+        claims: Arc<claim::Manager>,
         limits: Limits,
         jobs: Option<Arc<Jobs>>,
     ) -> Arc<Self> {
@@ -55,7 +55,7 @@
     }
 
     /// Returns the claims of calls with an idempotency key.
-    pub fn claims(&self) -> &Arc<Desk> {
+    pub fn claims(&self) -> &Arc<claim::Manager> {
         &self.claims
     }
 
--- a/src/node/manage.rs
+++ b/src/node/manage.rs
@@ -41,22 +41,22 @@
 /// No instance is special: all look at the lease, and what the manager needs is in the table.
 pub(super) async fn manage(shared: Arc<Shared>) {
     let name = format!("{}/{}", shared.member.name, shared.member.incarnation);
-    let mut desk = Desk::new(&name);
+    let mut state = Loop::new(&name);
     loop {
-        let holds = desk.renew(&shared).await;
+        let holds = state.renew(&shared).await;
         if let Some(tenure) = holds {
-            let turn = desk.turn(&shared, &tenure);
+            let turn = state.turn(&shared, &tenure);
             tokio::select! {
                 () = turn => {}
                 () = stale(&shared) => {
                     // What the dropped turn wrote is in the rows, but not in its state. The lease
                     // stays, because a token must not get a second tenure.
                     log::warn!(event = "manager-stopped", reason = "stale-configuration"; "");
-                    desk.manager = Manager::default();
+                    state.manager = Manager::default();
                 }
             }
         }
-        let period = match desk.lease.tenure(clock::now()) {
+        let period = match state.lease.tenure(clock::now()) {
             Some(_) => TURN_EVERY,
             None => LEASE_EVERY,
         };
@@ -64,7 +64,7 @@
             break;
         }
     }
-    if let Err(error) = desk.lease.release(&*shared.platform.table).await {
+    if let Err(error) = state.lease.release(&*shared.platform.table).await {
         log::warn!(event = "lease-release-failed", error:% = error; "");
     }
 }
@@ -77,7 +77,7 @@
 }
 
 /// What the task keeps between turns.
-struct Desk {
+struct Loop {
     lease: Lease,
     /// When the lease was last looked at.
     looked: Option<Instant>,
@@ -90,7 +90,7 @@
     survey: Option<(Survey, Instant)>,
 }
 
-impl Desk {
+impl Loop {
     fn new(name: &str) -> Self {
         Self {
             lease: Lease::new(name).with_term(TERM),
--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -5,7 +5,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::sightings::Sightings;
-use crate::claim::{self, Desk, Owner};
+use crate::claim::{self, Owner};
 use crate::clock::Instant;
 use crate::collections::Map;
 use crate::config::{Operation, Voter};
@@ -72,12 +72,12 @@
             incarnation: member.incarnation,
         };
         let share = claim::Settings::share(CLAIM_BUDGET, ENTRY_INSTANCES);
-        let claims = Arc::new(Desk::start(platform.table.clone(), owner, share));
+        let claims = Arc::new(claim::Manager::start(platform.table.clone(), owner, share));
         let port = Port::new(
             control.dispatcher().clone(),
             claims,
             (&settings.bounds).into(),
-            Some(jobs::Desk::start(platform.table.clone(), hub.clone())),
+            Some(jobs::Handler::start(platform.table.clone(), hub.clone())),
         );
         Arc::new(Self {
             settings,
--- a/src/node/work/queue.rs
+++ b/src/node/work/queue.rs
@@ -84,7 +84,7 @@
     let (sender, mut news) = mpsc::unbounded_channel();
     let shared = holder.gate.shared.clone();
     let name = holder.gate.queue.clone();
-    let sign = shared.hub.bells().sign(&name);
+    let sign = shared.hub.signals().sign(&name);
     let mut stop = shared.stop.subscribe();
     holder.begin(rows, sender, clock::now());
     let mut first_since = clock::now();
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -77,7 +77,7 @@
             Ok(Answer::None)
         }
         Body::Work(queue) => {
-            hub.bells().ring(&queue);
+            hub.signals().notify(&queue);
             Ok(Answer::None)
         }
         Body::Hello(_) | Body::Affirmation(_) | Body::Ack(_) | Body::Fetched(_) => Ok(Answer::None),
--- a/src/peer/hub.rs
+++ b/src/peer/hub.rs
@@ -3,7 +3,7 @@
 
 use tokio::sync::{Notify, watch};
 
-use super::{Bells, Link};
+use super::{Link, Signals};
 use crate::call::Load;
 use crate::clock::Instant;
 use crate::collections::Map;
@@ -24,7 +24,7 @@
     loads: Mutex<Map<Arc<str>, Load>>,
     /// Version in force at each connected peer, as it last said.
     versions: Mutex<Map<Arc<str>, u64>>,
-    bells: Bells,
+    signals: Signals,
     /// Woken when something must be fetched.
     wants: Notify,
     /// Bytes sent to peers, with headers.
@@ -41,7 +41,7 @@
             links: Mutex::default(),
             loads: Mutex::default(),
             versions: Mutex::default(),
-            bells: Bells::default(),
+            signals: Signals::default(),
             wants: Notify::new(),
             sent: AtomicU64::new(0),
             stop: watch::Sender::new(false),
@@ -99,8 +99,8 @@
     }
 
     /// Returns the signs that queues have news.
-    pub fn bells(&self) -> &Bells {
-        &self.bells
+    pub fn signals(&self) -> &Signals {
+        &self.signals
     }
 
     /// Returns the place of this instance in the order of those who should hold `queue`.
@@ -112,8 +112,8 @@
     }
 
     /// Tells those who may hold `queue` that it has news. A lost message only delays the holder.
-    pub fn ring(&self, queue: &str) {
-        self.bells.ring(queue);
+    pub fn notify(&self, queue: &str) {
+        self.signals.notify(queue);
         let mut links = self.links();
         links.sort_by_key(|l| std::cmp::Reverse(weigh(queue, &l.voter().name)));
         for link in links.iter().take(CANDIDATES) {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,7 +6,6 @@
 
 mod ask;
 mod backoff;
-mod bells;
 mod dial;
 mod handle;
 mod hub;
@@ -15,11 +14,12 @@
 mod member;
 mod report;
 mod session;
+mod signals;
 
 pub use backoff::Backoff;
-pub use bells::Bells;
 pub use dial::dial;
 pub use hub::{CANDIDATES, Hub};
 pub use link::Link;
 pub use listen::listen;
 pub use member::Member;
+pub use signals::Signals;
--- a/src/peer/bells.rs
+++ b/src/peer/signals.rs
@@ -6,29 +6,29 @@
 
 /// Signs that wake the tasks of queues when their rows have news.
 #[derive(Debug, Default)]
-pub struct Bells {
+pub struct Signals {
     queues: Mutex<Map<Arc<str>, Arc<Notify>>>,
 }
 
-impl Bells {
+impl Signals {
     /// Returns the sign of a queue, for the task of that queue.
     ///
     /// ```
-    /// let bells = coriandernotch::peer::Bells::default();
-    /// let sign = bells.sign("free");
-    /// bells.ring("free");
+    /// let signals = coriandernotch::peer::Signals::default();
+    /// let sign = signals.sign("free");
+    /// signals.notify("free");
     /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
     /// sign.notified().await;
     /// # });
     /// ```
     pub fn sign(&self, queue: &str) -> Arc<Notify> {
-        let mut queues = self.queues.lock().expect("bells lock");
+        let mut queues = self.queues.lock().expect("signals lock");
         queues.entry(queue.into()).or_default().clone()
     }
 
     /// Wakes the task of a queue, if this instance has one.
-    pub fn ring(&self, queue: &str) {
-        let queues = self.queues.lock().expect("bells lock");
+    pub fn notify(&self, queue: &str) {
+        let queues = self.queues.lock().expect("signals lock");
         if let Some(sign) = queues.get(queue) {
             sign.notify_one();
         }
--- a/tests/callers/bed.rs
+++ b/tests/callers/bed.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use coriandernotch::call::Dispatcher;
-use coriandernotch::claim::{Desk, Owner, Settings};
+use coriandernotch::claim::{Manager, Owner, Settings};
 use coriandernotch::clock;
 use coriandernotch::fleet::{Digest, Document, Registry, Snapshot};
 use coriandernotch::front::callers::{Limits, Port, serve};
@@ -69,7 +69,7 @@
             instance: "a".into(),
             incarnation: 1,
         };
-        let desk = Desk::start(
+        let claims = Manager::start(
             Store::new().platform("a").table,
             owner,
             Settings::share(100.0, 1),
@@ -77,7 +77,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (stop, stopped) = watch::channel(false);
-        let port = Port::new(dispatcher.clone(), Arc::new(desk), limits, None);
+        let port = Port::new(dispatcher.clone(), Arc::new(claims), limits, None);
         tokio::spawn(serve(port, listener, stopped));
         Self {
             address,
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coriandernotch::claim::{
-    Ask, Claim, Decision, Desk, MAX_BODY, Owner, Reply, Settings, Stamp, State, Sweep, Verdict,
+    Ask, Claim, Decision, MAX_BODY, Manager, Owner, Reply, Settings, Stamp, State, Sweep, Verdict,
     WINDOW,
 };
 use coriandernotch::fleet::Digest;
@@ -22,9 +22,9 @@
     }
 }
 
-fn desk(store: &Arc<Store>, name: &str, incarnation: u64) -> Desk {
+fn manager(store: &Arc<Store>, name: &str, incarnation: u64) -> Manager {
     let settings = Settings::share(200.0, 8);
-    Desk::start(
+    Manager::start(
         store.platform(name).table,
         owner(name, incarnation),
         settings,
@@ -62,7 +62,7 @@
     struct Case {
         name: &'static str,
         fault: fn(&Store),
-        /// Verdicts of the claim, then without fault of a repeat elsewhere and at the same desk.
+        /// Verdicts of the claim, then without fault of a repeat elsewhere and at the same manager.
         verdicts: [&'static str; 3],
     }
     fn inject(s: &Store, kind: Kind, faults: &[Fault]) {
@@ -84,7 +84,7 @@
     ];
     for case in cases {
         let store = Store::new();
-        let (a, b) = (desk(&store, "a", 1), desk(&store, "b", 1));
+        let (a, b) = (manager(&store, "a", 1), manager(&store, "b", 1));
         (case.fault)(&store);
         let first = a.claim(&ask("k"), Stamp(0)).await;
         store.faults().clear();
@@ -100,7 +100,7 @@
 #[tokio::test(start_paused = true)]
 async fn orphans_are_released() {
     let store = Store::new();
-    let (a, b) = (desk(&store, "a", 1), desk(&store, "b", 1));
+    let (a, b) = (manager(&store, "a", 1), manager(&store, "b", 1));
     // The caller goes away while the write is under way.
     store.faults().set_delay(Duration::from_millis(500));
     let left = timeout(Duration::from_millis(100), a.claim(&ask("left"), Stamp(0))).await;
@@ -128,7 +128,7 @@
 #[tokio::test(start_paused = true)]
 async fn late_orphan_is_released() {
     let store = Store::new();
-    let (a, b) = (desk(&store, "a", 1), desk(&store, "b", 1));
+    let (a, b) = (manager(&store, "a", 1), manager(&store, "b", 1));
     store.faults().set_delay(Duration::from_secs(5));
     let slow = a.claim(&ask("k"), Stamp(0)).await;
     assert_eq!(name(&slow), "unavailable");
@@ -191,7 +191,7 @@
 async fn conflicts_within_a_batch() {
     for taken in [0, 1, 5, 40] {
         let store = Store::new();
-        let (a, b) = (desk(&store, "a", 1), desk(&store, "b", 1));
+        let (a, b) = (manager(&store, "a", 1), manager(&store, "b", 1));
         let keys: Vec<_> = (0..50).map(|n| ask(&format!("k{n}"))).collect();
         let before = join_all(keys[..taken].iter().map(|k| a.claim(k, Stamp(0)))).await;
         assert!(before.iter().all(|v| name(v) == "first"));
@@ -205,7 +205,7 @@
         assert!(spent <= 3, "{taken} taken cost {spent} transactions");
     }
     let store = Store::new();
-    let (a, k) = (desk(&store, "a", 1), ask("k"));
+    let (a, k) = (manager(&store, "a", 1), ask("k"));
     let verdicts = join_all((0..20).map(|_| a.claim(&k, Stamp(0)))).await;
     let first = verdicts.iter().filter(|v| name(v) == "first").count();
     assert_eq!(first, 1);
@@ -237,7 +237,7 @@
     ];
     for (case, fault, body, wanted) in cases {
         let store = Store::new();
-        let (a, b) = (desk(&store, "a", 1), desk(&store, "b", 1));
+        let (a, b) = (manager(&store, "a", 1), manager(&store, "b", 1));
         let Verdict::First(ticket) = a.claim(&ask("k"), Stamp(0)).await else {
             panic!("{case}");
         };
@@ -261,7 +261,7 @@
 #[tokio::test(start_paused = true)]
 async fn sweep() {
     let store = Store::new();
-    let a = desk(&store, "a", 1);
+    let a = manager(&store, "a", 1);
     let mut keys: Vec<_> = (0..400).map(|n| (ask(&format!("old{n}")), 0)).collect();
     keys.extend((0..60).map(|n| (ask(&format!("new{n}")), 20 * HOUR)));
     join_all(keys.iter().map(|(k, at)| a.claim(k, Stamp(*at)))).await;
@@ -294,7 +294,7 @@
 #[tokio::test(start_paused = true)]
 async fn late_sweep() {
     let store = Store::new();
-    let a = desk(&store, "a", 1);
+    let a = manager(&store, "a", 1);
     a.claim(&ask("k"), Stamp(0)).await;
     // The transaction of this sweep is held up after it has looked at the row.
     let late = Sweep::new(Arc::new(Held(store.platform("late").table)));
@@ -335,22 +335,22 @@
     for rate in [20u64, 200, 1000] {
         let store = Store::new();
         store.faults().set_delay(Duration::from_millis(3));
-        let desks: Vec<_> = (0..8)
-            .map(|n| Arc::new(desk(&store, &format!("e{n}"), 1)))
+        let managers: Vec<_> = (0..8)
+            .map(|n| Arc::new(manager(&store, &format!("e{n}"), 1)))
             .collect();
         let seconds = 20;
         let calls = (0..rate * seconds).map(|n| {
-            let desk = desks[usize::try_from(n % 8).unwrap()].clone();
+            let manager = managers[usize::try_from(n % 8).unwrap()].clone();
             tokio::spawn(async move {
                 sleep(Duration::from_micros(n * 1_000_000 / rate)).await;
                 let start = tokio::time::Instant::now();
-                let Verdict::First(ticket) = desk.claim(&ask(&n.to_string()), Stamp(0)).await
+                let Verdict::First(ticket) = manager.claim(&ask(&n.to_string()), Stamp(0)).await
                 else {
                     panic!("call {n}");
                 };
                 let waited = start.elapsed();
                 sleep(Duration::from_millis(20)).await;
-                assert!(desk.finish(ticket, reply(b"made"), Stamp(1)).await);
+                assert!(manager.finish(ticket, reply(b"made"), Stamp(1)).await);
                 waited
             })
         });
@@ -371,7 +371,7 @@
             waited[waited.len() / 2],
             waited[waited.len() * 99 / 100],
         );
-        // 200 a second in the long run and a burst of 5 of each of 8 desks.
+        // 200 a second in the long run and a burst of 5 of each of 8 managers.
         assert!(writes.peak <= 240, "{} transactions", writes.peak);
         assert_eq!(rows.total, 2 * total);
         assert!(writes.total <= 2 * total);
@@ -385,7 +385,7 @@
     let write = Write::put(&ask("k").row, Condition::Absent, "{}");
     let table = store.platform("x").table;
     table.transact(vec![write]).await.unwrap();
-    let verdict = desk(&store, "a", 1).claim(&ask("k"), Stamp(0)).await;
+    let verdict = manager(&store, "a", 1).claim(&ask("k"), Stamp(0)).await;
     assert_eq!(name(&verdict), "unavailable");
     assert_eq!(&*store.row(&ask("k").row).unwrap().value, "{}");
 }
--- a/tests/claim_interleavings.rs
+++ b/tests/claim_interleavings.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use coriandernotch::claim::{Ask, Desk, Owner, Reply, Settings, Stamp, Sweep, Verdict};
+use coriandernotch::claim::{Ask, Manager, Owner, Reply, Settings, Stamp, Sweep, Verdict};
 use coriandernotch::fleet::Digest;
 use coriandernotch::standin::{Fault, Kind, Store};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -84,28 +84,28 @@
 
 const NAMES: [&str; 2] = ["a", "b"];
 
-fn start(store: &Arc<Store>, at: usize, incarnation: u64) -> Arc<Desk> {
+fn start(store: &Arc<Store>, at: usize, incarnation: u64) -> Arc<Manager> {
     let owner = Owner {
         instance: NAMES[at].into(),
         incarnation,
     };
     let table = store.platform(NAMES[at]).table;
-    Arc::new(Desk::start(table, owner, Settings::share(400.0, 2)))
+    Arc::new(Manager::start(table, owner, Settings::share(400.0, 2)))
 }
 
 async fn request(
-    desk: Arc<Desk>,
+    manager: Arc<Manager>,
     ledger: Arc<Mutex<Ledger>>,
     (key, fate, patience): (u8, Fate, u64),
     (number, now): (usize, Stamp),
 ) {
     let ask = Ask::new("t", &key.to_string(), Digest::of(b"same"));
-    let claim = timeout(Duration::from_millis(patience), desk.claim(&ask, now));
+    let claim = timeout(Duration::from_millis(patience), manager.claim(&ask, now));
     let Ok(verdict) = claim.await else { return };
     match verdict {
         Verdict::First(ticket) => {
             if let Fate::NotRun = fate {
-                desk.release(ticket, now).await;
+                manager.release(ticket, now).await;
                 return;
             }
             let reply = Reply {
@@ -116,7 +116,7 @@
             let runs = &mut ledger.lock().unwrap().runs;
             runs.entry((key, now.0)).or_default().push(reply.clone());
             if let Fate::Answered = fate {
-                tokio::spawn(async move { desk.finish(ticket, reply, now).await });
+                tokio::spawn(async move { manager.finish(ticket, reply, now).await });
             }
         }
         Verdict::Replay(reply) => {
@@ -139,7 +139,7 @@
     let store = Store::new();
     let ledger = Arc::new(Mutex::new(Ledger::default()));
     let mut incarnation = 1;
-    let mut desks = [0, 1].map(|at| start(&store, at, incarnation));
+    let mut managers = [0, 1].map(|at| start(&store, at, incarnation));
     let mut requests = JoinSet::new();
     let mut now = Stamp(0);
     for (number, step) in steps.into_iter().enumerate() {
@@ -152,18 +152,18 @@
             } => {
                 let what = (key, fate, patience);
                 let ledger = ledger.clone();
-                requests.spawn(request(desks[at].clone(), ledger, what, (number, now)));
+                requests.spawn(request(managers[at].clone(), ledger, what, (number, now)));
             }
             Step::Fault(kind, fault) => store.faults().inject(kind, [fault]),
             Step::Delay(ms) => store.faults().set_delay(Duration::from_millis(ms)),
             Step::Cut(at, on) => store.faults().cut(NAMES[at], on),
             Step::Restart(at) => {
                 incarnation += 1;
-                desks[at] = start(&store, at, incarnation);
+                managers[at] = start(&store, at, incarnation);
             }
             Step::Release => {
-                for desk in &desks {
-                    desk.release_orphans(now).await;
+                for manager in &managers {
+                    manager.release_orphans(now).await;
                 }
             }
             Step::Wait(ms) => sleep(Duration::from_millis(ms)).await,
