Give the re-apply handler of the operators' port its own file

Cause: history.rs held three handlers. Change: reapply.rs; the look-up of a past version stays in history.rs and is shared. Conclusion: no change of behaviour.

--- a/src/front/operators/history.rs
+++ b/src/front/operators/history.rs
@@ -1,10 +1,9 @@
 use std::sync::Arc;
 
 use salvo::http::StatusCode;
-use salvo::{Depot, Request, Response, handler};
+use salvo::{Request, Response, handler};
 use serde_json::json;
 
-use super::change::Change;
 use super::fleet::render_document;
 use super::reply::{Reply, set_etag};
 use crate::node::Shared;
@@ -55,25 +54,7 @@
     }
 }
 
-/// Puts the document of an old version in force as a new version.
-pub(super) struct Reapply(pub(super) Arc<Shared>);
-
-#[handler]
-impl Reapply {
-    async fn handle(&self, request: &mut Request, depot: &mut Depot, response: &mut Response) {
-        let change = Change::read(request, depot, "reapply");
-        let reply = match change {
-            Ok(change) => match find(&self.0, request).await {
-                Ok((_, content)) => change.run(&self.0, content).await,
-                Err(reply) => reply,
-            },
-            Err(reply) => reply,
-        };
-        reply.render(response);
-    }
-}
-
-async fn find(shared: &Shared, request: &Request) -> Result<(u64, Arc<str>), Reply> {
+pub(super) async fn find(shared: &Shared, request: &Request) -> Result<(u64, Arc<str>), Reply> {
     let missing = |what: &str| Reply::error(StatusCode::NOT_FOUND, what);
     let version = request.param::<u64>("version");
     let version = version.ok_or_else(|| {
--- a/src/front/operators/mod.rs
+++ b/src/front/operators/mod.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod openapi;
 mod plans;
+mod reapply;
 mod reply;
 mod role;
 mod route;
