--- /dev/null
+++ b/src/batch/engine/accept.rs
@@ -0,0 +1,246 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Engine, Job, Round, StageKey, Worker};
+use crate::batch::leadership::ACT_FOR;
+use crate::batch::{JobKey, Offer, Progress, Record, State, WorkerKey};
+use crate::clock::Instant;
+use crate::collections::Set;
+
+impl Engine {
+    /// Takes over a stored job. A job that is known already stays as it is.
+    pub fn accept(
+        &mut self,
+        id: &Arc<str>,
+        record: Record,
+        progress: Option<Progress>,
+        wall_ms: u64,
+        now: Instant,
+    ) {
+        if self.ids.contains_key(id) {
+            return;
+        }
+        let inherited = progress.is_some();
+        let progress = progress.unwrap_or_default();
+        if progress.state.is_final() {
+            if !self.past.iter().any(|(_, past)| past == id) {
+                self.past.push_back((progress.ended_ms, id.clone()));
+            }
+            return;
+        }
+        let job = Job {
+            id: id.clone(),
+            service: record.service.clone(),
+            priority: 0,
+            max_attempts: u32::MAX,
+            objective: Duration::ZERO,
+            rounds: Vec::new(),
+            next_round: 0,
+            complete: Vec::new(),
+            state: progress.state,
+            ended_ms: 0,
+            changes: 0,
+            stored: 0,
+            urgent: false,
+            dirty: false,
+            inherited,
+            record,
+        };
+        let key = self.jobs.insert(job);
+        self.ids.insert(id.clone(), key);
+        self.follow_route(key);
+        self.restore(key, &progress);
+        self.complete(key, wall_ms, now);
+    }
+
+    /// Marks jobs that a former leader may have started, and the workers on which they may run.
+    pub fn inherit(&mut self, busy: impl IntoIterator<Item = Arc<str>>, changed: Instant) {
+        self.unheard.extend(busy);
+        self.unheard
+            .extend(self.workers.values().map(|w| w.offer.id.clone()));
+        self.inherited_until = changed + ACT_FOR + self.lapse();
+        for job in self.jobs.values_mut() {
+            job.inherited = true;
+        }
+    }
+
+    /// Longest time from an order until a lease that it granted has run out.
+    pub(super) fn lapse(&self) -> Duration {
+        // The clock of a worker may be slow by 2%; the rest covers the way of the order.
+        self.tuning.lease.mul_f64(1.025) + Duration::from_millis(300)
+    }
+
+    /// Ends a job for its caller.
+    pub fn cancel(&mut self, id: &Arc<str>, wall_ms: u64, now: Instant) {
+        if let Some(&key) = self.ids.get(id) {
+            self.finish(key, State::Cancelled, wall_ms, now);
+        }
+    }
+
+    /// Returns the stored state of a job in progress.
+    pub fn state(&self, id: &Arc<str>) -> Option<State> {
+        let job = self.jobs.get(*self.ids.get(id)?)?;
+        Some(if job.stored == job.changes || !job.state.is_final() {
+            job.state
+        } else {
+            State::Running
+        })
+    }
+
+    /// Sets the workers that the store lists.
+    pub fn set_workers(&mut self, offers: Vec<Offer>) {
+        let listed: Set<Arc<str>> = offers.iter().map(|o| o.id.clone()).collect();
+        for worker in self.workers.values_mut() {
+            worker.gone = !listed.contains(&worker.offer.id);
+        }
+        offers.into_iter().for_each(|offer| {
+            self.offer(offer);
+        });
+    }
+
+    /// Takes note of what a worker says about itself.
+    pub fn offer(&mut self, offer: Offer) -> WorkerKey {
+        if let Some(&key) = self.worker_ids.get(&offer.id) {
+            let worker = &mut self.workers[key];
+            worker.gone = false;
+            worker.offer = offer;
+            return key;
+        }
+        let id = offer.id.clone();
+        let key = self.workers.insert(Worker::new(offer));
+        self.worker_ids.insert(id, key);
+        key
+    }
+
+    /// Takes note that the store no longer lists a worker.
+    pub fn withdraw(&mut self, id: &str) {
+        if let Some(&key) = self.worker_ids.get(id) {
+            self.workers[key].gone = true;
+        }
+    }
+
+    /// Returns the workers to talk to: identity and address.
+    pub fn worker_addresses(&self) -> Vec<(WorkerKey, Arc<str>, Arc<str>)> {
+        let address =
+            |(key, w): (WorkerKey, &Worker)| (key, w.offer.id.clone(), w.offer.address.clone());
+        self.workers.iter().map(address).collect()
+    }
+
+    /// Applies the present configuration of its queue to a job.
+    pub(super) fn follow_route(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let Some(route) = self.config.route_named(&job.record.route) else {
+            return;
+        };
+        let chain = job.record.spec.chain();
+        job.priority = route.priority;
+        job.max_attempts = route.max_attempts.max(1);
+        job.objective = chain.mul_f64(route.stretch.max(1.0)) + route.allowance;
+        if job.service == route.service {
+            return;
+        }
+        let old = std::mem::replace(&mut job.service, route.service.clone());
+        if let Some(stages) = self.open.get_mut(&old) {
+            let moved: Vec<StageKey> = stages.extract_if(.., |s| s.job == key).collect();
+            let service = self.jobs[key].service.clone();
+            self.open.entry(service).or_default().extend(moved);
+        }
+    }
+
+    /// Makes the occurrences that were begun, with what is stored of their tasks.
+    fn restore(&mut self, key: JobKey, progress: &Progress) {
+        let job = &mut self.jobs[key];
+        if job.record.spec.occurrences == 0 {
+            job.rounds.push(Round::new(0, &job.record.spec));
+            job.next_round = 1;
+        } else {
+            let done = progress.done.iter().map(|(occurrence, ..)| *occurrence);
+            let failed = progress.failed.iter().map(|(occurrence, ..)| *occurrence);
+            job.next_round = done.chain(failed).max().map_or(0, |last| last + 1);
+            for number in 0..job.next_round {
+                job.rounds.push(Round::new(number, &job.record.spec));
+            }
+        }
+        for (occurrence, step, index) in &progress.done {
+            let round = job.rounds.iter_mut().find(|r| r.number == *occurrence);
+            let stage = round.and_then(|r| r.stages.get_mut(*step as usize));
+            if let Some(stage) = stage
+                && let Some(task) = stage.tasks.get_mut(*index as usize)
+                && !task.done
+            {
+                task.done = true;
+                stage.left -= 1;
+            }
+        }
+        for (occurrence, step, index, failures) in &progress.failed {
+            let round = job.rounds.iter_mut().find(|r| r.number == *occurrence);
+            let stage = round.and_then(|r| r.stages.get_mut(*step as usize));
+            if let Some(task) = stage.and_then(|s| s.tasks.get_mut(*index as usize)) {
+                task.failures = *failures;
+            }
+        }
+        let complete = |r: &Round| r.is_complete();
+        job.complete = job
+            .rounds
+            .iter()
+            .filter(|r| complete(r))
+            .map(|r| r.number)
+            .collect();
+        if job.record.spec.occurrences > 0 {
+            job.rounds.retain(|r| !r.is_complete());
+        }
+        self.open_stages(key);
+    }
+
+    /// Begins occurrences that are due.
+    pub(super) fn begin_rounds(&mut self, wall_ms: u64) {
+        let due = |job: &Job| {
+            let spec = &job.record.spec;
+            job.next_round < spec.rounds()
+                && spec.due_ms(job.next_round).is_some_and(|at| at <= wall_ms)
+        };
+        let keys: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| due(j))
+            .map(|(k, _)| k)
+            .collect();
+        for key in keys {
+            while due(&self.jobs[key]) {
+                let job = &mut self.jobs[key];
+                job.rounds
+                    .push(Round::new(job.next_round, &job.record.spec));
+                job.next_round += 1;
+            }
+            self.open_stages(key);
+        }
+    }
+
+    /// Opens the stages whose earlier steps are complete.
+    pub(super) fn open_stages(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        for round in &mut job.rounds {
+            let left: Vec<usize> = round.stages.iter().map(|s| s.left).collect();
+            for (number, stage) in round.stages.iter_mut().enumerate() {
+                let after = &job.record.spec.steps[number].after;
+                let ready = after.iter().all(|s| left[*s as usize] == 0);
+                if stage.open || stage.left == 0 || !ready {
+                    continue;
+                }
+                stage.open = true;
+                let step = u32::try_from(number).expect("few steps");
+                let place = StageKey {
+                    job: key,
+                    occurrence: round.number,
+                    step,
+                };
+                self.open
+                    .entry(job.service.clone())
+                    .or_default()
+                    .push(place);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/batch/engine/ack.rs
@@ -0,0 +1,116 @@
+use std::sync::Arc;
+
+use super::Engine;
+use crate::batch::{JobKey, Progress, WorkerKey};
+use crate::clock::Instant;
+
+impl Engine {
+    /// Returns whether something is to be stored, and whether callers wait for it.
+    pub fn unstored(&self) -> Option<bool> {
+        let urgent = |key: &JobKey| self.jobs.get(*key).is_some_and(|j| j.urgent);
+        (!self.dirty.is_empty()).then(|| self.dirty.iter().any(urgent))
+    }
+
+    /// Takes up to `limit` jobs to store: key, id, number of the change and progress.
+    pub fn take_unstored(
+        &mut self,
+        limit: usize,
+        part: impl Fn(&str) -> bool,
+    ) -> Vec<(JobKey, Arc<str>, u64, Progress)> {
+        let mut rows = Vec::new();
+        let mut rest = Vec::new();
+        for key in std::mem::take(&mut self.dirty) {
+            let Some(job) = self.jobs.get_mut(key) else {
+                continue;
+            };
+            if rows.len() >= limit || !part(&job.id) {
+                rest.push(key);
+                continue;
+            }
+            (job.dirty, job.urgent) = (false, false);
+            rows.push((key, job.id.clone(), job.changes, job.progress()));
+        }
+        self.dirty = rest;
+        rows
+    }
+
+    /// Takes note that a change of a job is stored.
+    pub fn stored(&mut self, key: JobKey, change: u64) {
+        let Some(job) = self.jobs.get_mut(key) else {
+            return;
+        };
+        job.stored = job.stored.max(change);
+        let idle = || {
+            let stages = job.rounds.iter().flat_map(|r| &r.stages);
+            stages.flat_map(|s| &s.tasks).all(|t| t.runs.is_empty())
+        };
+        if job.state.is_final() && job.stored == job.changes && idle() {
+            self.forget(key);
+        }
+    }
+
+    /// Drops a job that has ended, is stored and has no runs.
+    pub(super) fn forget(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.remove(key) {
+            self.ids.remove(&job.id);
+            self.past.push_back((job.ended_ms, job.id));
+        }
+    }
+
+    /// Takes the ids of ended jobs that need not be kept any longer.
+    pub fn take_outdated(&mut self, wall_ms: u64, limit: usize) -> Vec<Arc<str>> {
+        let kept = u64::try_from(self.tuning.kept.as_millis()).unwrap_or(u64::MAX);
+        let old = |(ended, _): &(u64, Arc<str>)| ended.saturating_add(kept) < wall_ms;
+        let count = self
+            .past
+            .iter()
+            .take(limit)
+            .take_while(|row| old(row))
+            .count();
+        self.past.drain(..count).map(|(_, id)| id).collect()
+    }
+
+    /// Returns the position up to which the ends of a worker may be acknowledged: what they
+    /// changed is stored.
+    pub fn acknowledged(&mut self, key: WorkerKey) -> u64 {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return 0;
+        };
+        let jobs = &self.jobs;
+        let is_stored = |job: JobKey, change: u64| jobs.get(job).is_none_or(|j| j.stored >= change);
+        worker
+            .unstored
+            .retain(|(_, job, change)| !is_stored(*job, *change));
+        let open = worker.unstored.iter().map(|(position, ..)| position - 1);
+        worker.acknowledged = open.min().unwrap_or(worker.seen);
+        worker.acknowledged
+    }
+
+    /// Returns whether a look at a worker is due: it has runs, or ends to acknowledge.
+    pub fn wants_look(&self, key: WorkerKey) -> bool {
+        self.workers.get(key).is_some_and(|w| {
+            !w.runs.is_empty()
+                || w.acknowledged < w.seen
+                || (w.heard.is_none() && !w.gone)
+                || self.unheard.contains(&w.offer.id)
+        })
+    }
+
+    /// Returns whether a worker holds an end that is not stored yet.
+    pub fn has_unstored_ends(&self, key: WorkerKey) -> bool {
+        self.workers
+            .get(key)
+            .is_some_and(|w| !w.unstored.is_empty())
+    }
+
+    /// Returns the deadline on the clock of a worker for a lease from `now`, and remembers that it
+    /// is granted. `None` before the clock is known.
+    pub fn grant(&mut self, key: WorkerKey, now: Instant) -> Option<u64> {
+        let until = now + self.lapse();
+        let lease = u64::try_from(self.tuning.lease.as_millis()).unwrap_or(u64::MAX / 2);
+        let worker = self.workers.get_mut(key)?;
+        let clock = worker.clock_ms(now)?;
+        worker.lease_until = worker.lease_until.max(until);
+        Some(clock + lease)
+    }
+}
--- /dev/null
+++ b/src/batch/engine/job.rs
@@ -0,0 +1,74 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Round;
+use crate::batch::{Progress, Record, State};
+
+/// A job in progress.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) id: Arc<str>,
+    pub(super) record: Record,
+    /// Service whose workers run it now.
+    pub(super) service: Arc<str>,
+    pub(super) priority: u32,
+    pub(super) max_attempts: u32,
+    /// Time from arrival within which it is worth most.
+    pub(super) objective: Duration,
+    /// Occurrences that were due and are not complete.
+    pub(super) rounds: Vec<Round>,
+    /// Number of the next occurrence.
+    pub(super) next_round: u32,
+    /// Occurrences that are complete.
+    pub(super) complete: Vec<u32>,
+    pub(super) state: State,
+    /// When it ended, in milliseconds since 1970.
+    pub(super) ended_ms: u64,
+    /// Number of changes, and of those the ones that are stored.
+    pub(super) changes: u64,
+    pub(super) stored: u64,
+    /// Whether the change is one that callers wait for.
+    pub(super) urgent: bool,
+    pub(super) dirty: bool,
+    /// Whether a former leader may have started tasks.
+    pub(super) inherited: bool,
+}
+
+impl Job {
+    /// Returns whether a task was started.
+    pub(super) fn is_started(&self) -> bool {
+        self.state != State::Queued
+    }
+
+    /// Returns what is to be stored.
+    pub(super) fn progress(&self) -> Progress {
+        let mut progress = Progress {
+            state: self.state,
+            ended_ms: self.ended_ms,
+            ..Progress::default()
+        };
+        if self.state.is_final() {
+            return progress;
+        }
+        for occurrence in &self.complete {
+            for (step, stage) in (0..).zip(&self.record.spec.steps) {
+                let all = (0..stage.count).map(|index| (*occurrence, step, index));
+                progress.done.extend(all);
+            }
+        }
+        for round in &self.rounds {
+            for (step, stage) in (0..).zip(&round.stages) {
+                for (index, task) in (0..).zip(&stage.tasks) {
+                    if task.done {
+                        progress.done.push((round.number, step, index));
+                    }
+                    if task.failures > 0 {
+                        let row = (round.number, step, index, task.failures);
+                        progress.failed.push(row);
+                    }
+                }
+            }
+        }
+        progress
+    }
+}
--- /dev/null
+++ b/src/batch/engine/mod.rs
@@ -0,0 +1,233 @@
+mod accept;
+mod ack;
+mod advise;
+mod choose;
+mod end;
+mod job;
+mod look;
+mod pace;
+mod place;
+mod reply;
+mod review;
+mod round;
+mod run;
+mod stage;
+mod task;
+mod upkeep;
+mod worker;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use slotmap::SlotMap;
+
+use super::{Config, JobKey, Order, RunKey, TaskId, Tuning, Wave, WorkerKey};
+use crate::clock::Instant;
+use crate::collections::{Map, Set};
+use crate::jobs::Size;
+
+use job::Job;
+use round::Round;
+use run::Run;
+use stage::{Stage, StageKey};
+use task::Task;
+use worker::Worker;
+
+/// All jobs in progress and the workers that run their tasks.
+///
+/// ```
+/// use std::sync::Arc;
+/// use coriandernotch::batch::{Config, Engine, Tuning};
+///
+/// let engine = Engine::new(Tuning::default(), 1, Arc::new(Config::default()));
+/// assert_eq!(engine.pending().count(), 0);
+/// ```
+#[derive(Debug)]
+pub struct Engine {
+    tuning: Tuning,
+    /// Fencing token of this leader.
+    token: u64,
+    config: Arc<Config>,
+    jobs: SlotMap<JobKey, Job>,
+    ids: Map<Arc<str>, JobKey>,
+    /// Ended jobs that can still be asked for: when they ended in milliseconds since 1970, and id.
+    past: VecDeque<(u64, Arc<str>)>,
+    workers: SlotMap<WorkerKey, Worker>,
+    worker_ids: Map<Arc<str>, WorkerKey>,
+    runs: SlotMap<RunKey, Run>,
+    /// Stages with tasks that are not done, by service.
+    open: Map<Arc<str>, Vec<StageKey>>,
+    /// What each workspace has on workers.
+    usage: Map<Arc<str>, Size>,
+    /// Data centres that operators have taken out.
+    out: Set<Arc<str>>,
+    waves: Vec<upkeep::Progress>,
+    orders: Vec<(WorkerKey, Order)>,
+    dirty: Vec<JobKey>,
+    /// Workers that the last leader knew and that were not heard yet.
+    unheard: Set<Arc<str>>,
+    /// Until when unheard workers may run tasks that the last leader started.
+    inherited_until: Instant,
+    /// Whether a worker has seen a higher fencing token.
+    fenced: bool,
+}
+
+impl Engine {
+    /// Makes the engine of a leader with its fencing token.
+    pub fn new(tuning: Tuning, token: u64, config: Arc<Config>) -> Self {
+        Self {
+            tuning,
+            token,
+            config,
+            jobs: SlotMap::with_key(),
+            ids: Map::default(),
+            past: VecDeque::new(),
+            workers: SlotMap::with_key(),
+            worker_ids: Map::default(),
+            runs: SlotMap::with_key(),
+            open: Map::default(),
+            usage: Map::default(),
+            out: Set::default(),
+            waves: Vec::new(),
+            orders: Vec::new(),
+            dirty: Vec::new(),
+            unheard: Set::default(),
+            inherited_until: Instant::default(),
+            fenced: false,
+        }
+    }
+
+    /// Returns the fencing token of this leader.
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Returns whether a worker rejected an order because of a newer leader.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// Puts a version of the configuration in force; older versions are ignored.
+    pub fn set_config(&mut self, config: &Arc<Config>) {
+        if config.version < self.config.version {
+            return;
+        }
+        self.config = config.clone();
+        let keys: Vec<JobKey> = self.jobs.keys().collect();
+        for key in keys {
+            self.follow_route(key);
+        }
+    }
+
+    /// Sets the data centres that operators have taken out.
+    pub fn set_out(&mut self, out: Set<Arc<str>>) {
+        self.out = out;
+    }
+
+    /// Sets the maintenance that operators ask for.
+    pub fn set_waves(&mut self, waves: Vec<Wave>) {
+        for wave in waves {
+            match self.waves.iter_mut().find(|w| w.wave.number == wave.number) {
+                Some(known) => known.wave = wave,
+                None => self.waves.push(upkeep::Progress::new(wave)),
+            }
+        }
+    }
+
+    /// Takes the orders that were decided since the last call.
+    pub fn take_orders(&mut self) -> Vec<(WorkerKey, Order)> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Counts the jobs without set times of each queue of which no task was started.
+    pub fn pending(&self) -> impl Iterator<Item = (Arc<str>, u64)> + use<> {
+        let mut counts: Map<Arc<str>, u64> = Map::default();
+        let waiting = |job: &&Job| !job.is_started() && !job.state.is_final();
+        for job in self.jobs.values().filter(waiting) {
+            if job.record.spec.occurrences == 0 {
+                *counts.entry(job.record.route.clone()).or_default() += 1;
+            }
+        }
+        counts.into_iter()
+    }
+
+    /// Returns the ids of the workers that may have runs.
+    pub fn busy_workers(&self) -> Vec<Arc<str>> {
+        let busy = self.workers.values().filter(|w| !w.runs.is_empty());
+        busy.map(|w| w.offer.id.clone()).collect()
+    }
+
+    fn task(&self, key: JobKey, id: &TaskId) -> Option<&Task> {
+        let stage = self.stage(key, id.occurrence, id.step)?;
+        stage.tasks.get(id.index as usize)
+    }
+
+    fn task_mut(&mut self, key: JobKey, id: &TaskId) -> Option<&mut Task> {
+        let job = self.jobs.get_mut(key)?;
+        let round = job.rounds.iter_mut().find(|r| r.number == id.occurrence)?;
+        let stage = round.stages.get_mut(id.step as usize)?;
+        stage.tasks.get_mut(id.index as usize)
+    }
+
+    fn stage(&self, key: JobKey, occurrence: u32, step: u32) -> Option<&Stage> {
+        let job = self.jobs.get(key)?;
+        let round = job.rounds.iter().find(|r| r.number == occurrence)?;
+        round.stages.get(step as usize)
+    }
+
+    fn stage_mut(&mut self, key: StageKey) -> Option<&mut Stage> {
+        let job = self.jobs.get_mut(key.job)?;
+        let round = job.rounds.iter_mut().find(|r| r.number == key.occurrence)?;
+        round.stages.get_mut(key.step as usize)
+    }
+
+    /// Removes a run and frees what it holds.
+    fn release(&mut self, key: RunKey) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        if let Some(worker) = self.workers.get_mut(run.worker) {
+            worker.runs.retain(|r| *r != key);
+            worker.used = worker.used - run.charge;
+        }
+        if let Some(usage) = self.usage.get_mut(&run.workspace) {
+            *usage = *usage - run.size;
+        }
+        if let Some(task) = self.task_mut(run.job, &run.task) {
+            task.runs.retain(|r| *r != key);
+        }
+        Some(run)
+    }
+
+    /// Adds a run to its worker and task and takes what it holds.
+    fn hold(&mut self, run: Run) -> RunKey {
+        let (job, task, worker) = (run.job, run.task.clone(), run.worker);
+        *self.usage.entry(run.workspace.clone()).or_default() =
+            self.used_by(&run.workspace) + run.size;
+        let charge = run.charge;
+        let key = self.runs.insert(run);
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.runs.push(key);
+            worker.used = worker.used + charge;
+        }
+        if let Some(task) = self.task_mut(job, &task) {
+            task.runs.push(key);
+        }
+        key
+    }
+
+    fn used_by(&self, workspace: &Arc<str>) -> Size {
+        self.usage.get(workspace).copied().unwrap_or_default()
+    }
+
+    /// Orders the stop of a run that is present or on its way.
+    fn stop(&mut self, key: RunKey, now: Instant) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        if run.stopping.is_some() {
+            return;
+        }
+        run.stopping = Some(now);
+        let (worker, task, number) = (run.worker, run.task.clone(), run.number);
+        self.orders.push((worker, Order::Stop { task, number }));
+    }
+}
--- /dev/null
+++ b/src/batch/engine/reply.rs
@@ -0,0 +1,138 @@
+use std::time::Duration;
+
+use super::Engine;
+use crate::batch::{JobKey, Launch, Reply, RunKey, State, TaskId, WorkerKey};
+use crate::clock::Instant;
+
+/// Pause for a worker that says it is unhealthy.
+const UNHEALTHY_FOR: Duration = Duration::from_millis(1_500);
+
+/// Pause for a worker that had less room than was known.
+const FULL_FOR: Duration = Duration::from_millis(300);
+
+/// Pause for a task whose start was not understood.
+const REJECTED_FOR: Duration = Duration::from_secs(1);
+
+impl Engine {
+    /// Returns what the start order of a run is to say. `None` when the run is not wanted any more
+    /// or its worker does not answer.
+    pub fn launch(&self, key: RunKey) -> Option<Launch> {
+        let run = self.runs.get(key)?;
+        let worker = self.workers.get(run.worker)?;
+        if run.stopping.is_some() || worker.failing {
+            return None;
+        }
+        let job = self.jobs.get(run.job)?;
+        let ticket = self
+            .stage(run.job, run.task.occurrence, run.task.step)
+            .and_then(|stage| stage.tickets.get(&run.worker))
+            .map(|(ticket, _)| ticket.clone());
+        Some(Launch {
+            task: run.task.clone(),
+            number: run.number,
+            payload: job.record.spec.payload.clone(),
+            saved: run.saved.clone(),
+            ticket,
+        })
+    }
+
+    /// Takes note of the outcome of a start order.
+    pub fn started(&mut self, key: RunKey, reply: &Reply, clock_ms: Option<u64>, now: Instant) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        let (job, worker, task) = (run.job, run.worker, run.task.clone());
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.failing = matches!(reply, Reply::Unsent | Reply::Unknown | Reply::Replaced);
+            if let Some(clock) = clock_ms {
+                worker.clock = Some((clock, now));
+            }
+        }
+        if *reply != Reply::Started {
+            log::info!(event = "start-refused", job = task.job, step = task.step, index = task.index,
+                run = run.number, reply:? = reply; "");
+        }
+        match reply {
+            Reply::Started => {
+                run.confirmed = Some(now);
+                run.moved = now;
+                run.doubtful = None;
+            }
+            Reply::Unknown => run.doubtful = Some(now),
+            Reply::Fenced => {
+                self.fenced = true;
+                self.drop_run(key, Duration::ZERO, now);
+            }
+            Reply::Stale | Reply::Late | Reply::Unsent | Reply::Replaced => {
+                self.drop_run(key, Duration::ZERO, now);
+            }
+            Reply::Full => {
+                self.shun(worker, FULL_FOR, now);
+                self.drop_run(key, Duration::ZERO, now);
+            }
+            Reply::Unhealthy => {
+                self.shun(worker, UNHEALTHY_FOR, now);
+                self.drop_run(key, Duration::ZERO, now);
+            }
+            Reply::Rejected => self.drop_run(key, REJECTED_FOR, now),
+            Reply::Unadvised => {
+                self.drop_ticket(job, &task, worker);
+                self.drop_run(key, Duration::ZERO, now);
+            }
+        }
+    }
+
+    /// Takes note that a start order will not be sent.
+    pub fn unsent(&mut self, key: RunKey, now: Instant) {
+        self.drop_run(key, Duration::ZERO, now);
+    }
+
+    /// Takes note that a worker confirmed a stop; from now on it rejects the run.
+    pub fn stopped(&mut self, worker: WorkerKey, task: &TaskId, number: u64, now: Instant) {
+        let Some(worker) = self.workers.get(worker) else {
+            return;
+        };
+        let same = |key: &&RunKey| {
+            let run = &self.runs[**key];
+            run.number == number && run.task == *task
+        };
+        if let Some(&key) = worker.runs.iter().find(same) {
+            self.runs[key].stopped = Some(now);
+        }
+    }
+
+    /// Takes note that a step has at least one run.
+    pub(super) fn mark_started(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        if job.state == State::Queued {
+            job.state = State::Running;
+            self.change(key, false);
+        }
+    }
+
+    fn shun(&mut self, key: WorkerKey, pause: Duration, now: Instant) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.shunned_until = worker.shunned_until.max(now + pause);
+        }
+    }
+
+    /// Releases a run that is on no worker; its task may start again after `pause`.
+    fn drop_run(&mut self, key: RunKey, pause: Duration, now: Instant) {
+        if let Some(run) = self.release(key)
+            && let Some(task) = self.task_mut(run.job, &run.task)
+        {
+            task.not_before = task.not_before.max(now + pause);
+        }
+    }
+
+    fn drop_ticket(&mut self, job: JobKey, task: &TaskId, worker: WorkerKey) {
+        let place = super::StageKey {
+            job,
+            occurrence: task.occurrence,
+            step: task.step,
+        };
+        if let Some(stage) = self.stage_mut(place) {
+            stage.tickets.remove(&worker);
+        }
+    }
+}
--- /dev/null
+++ b/src/batch/engine/review.rs
@@ -0,0 +1,171 @@
+use std::time::Duration;
+
+use super::{Engine, StageKey};
+use crate::batch::{RunKey, WorkerKey};
+use crate::clock::Instant;
+
+/// Time without progress after which a task counts as standing still, in times of its estimate.
+const STILL_FACTOR: f64 = 1.5;
+
+/// Shortest time without progress after which a task counts as standing still.
+const STILL_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Age of a run in times of its estimate from which a copy is worth its cost.
+const COPY_FACTOR: f64 = 2.0;
+
+/// Time after which a confirmed stop that no look shows is repeated.
+const STOP_AGAIN: Duration = Duration::from_secs(2);
+
+impl Engine {
+    /// Looks after runs and workers that do not get on. Called several times a second.
+    pub fn review(&mut self, now: Instant, wall_ms: u64) {
+        self.drop_lapsed(now);
+        self.drop_gone();
+        self.stop_still(now);
+        self.repeat_stops(now);
+        self.copy_slow(now);
+        self.empty_workers(now, wall_ms);
+        self.forget_ended();
+    }
+
+    /// Gives up runs whose leases have run out because nobody could reach the worker.
+    fn drop_lapsed(&mut self, now: Instant) {
+        let lapsed = |(_, w): &(WorkerKey, &super::Worker)| {
+            !w.runs.is_empty() && w.heard.is_some() && w.lease_until < now
+        };
+        let keys: Vec<WorkerKey> = self.workers.iter().filter(lapsed).map(|(k, _)| k).collect();
+        for key in keys {
+            self.lose_runs(key, "lease lapsed");
+        }
+        if now >= self.inherited_until {
+            self.unheard.clear();
+        }
+    }
+
+    /// Forgets workers that the store no longer lists and that hold nothing.
+    fn drop_gone(&mut self) {
+        let dead = |w: &super::Worker| w.gone && w.runs.is_empty();
+        let keys: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| dead(w))
+            .map(|(k, _)| k)
+            .collect();
+        for key in keys {
+            if let Some(worker) = self.workers.remove(key) {
+                log::info!(event = "worker-removed", worker = worker.offer.id; "");
+                self.worker_ids.remove(&worker.offer.id);
+            }
+        }
+    }
+
+    /// Stops runs that make no progress, so that they start elsewhere.
+    fn stop_still(&mut self, now: Instant) {
+        let mut still: Vec<RunKey> = Vec::new();
+        for (key, run) in &self.runs {
+            let Some(step) = self.jobs[run.job]
+                .record
+                .spec
+                .steps
+                .get(run.task.step as usize)
+            else {
+                continue;
+            };
+            let patience = step.estimate().mul_f64(STILL_FACTOR).max(STILL_AFTER);
+            let started = run.confirmed.is_some() && run.stopping.is_none();
+            let heard = self.workers.get(run.worker).and_then(|w| w.heard);
+            let fresh = heard.is_some_and(|at| now.since(at) < Duration::from_secs(1));
+            let stands = if run.lasting {
+                run.percent < 100 && run.pace == 100 && now.since(run.moved) > self.tuning.notice
+            } else {
+                now.since(run.moved) > patience
+            };
+            if started && fresh && stands {
+                still.push(key);
+            }
+        }
+        for key in still {
+            let run = &self.runs[key];
+            let (job, task, worker) = (run.job, run.task.clone(), run.worker);
+            log::warn!(event = "run-still", job = task.job, step = task.step, index = task.index,
+                run = run.number, percent = run.percent, still_ms = now.since(run.moved).as_millis(); "");
+            self.stop(key, now);
+            if let Some(task) = self.task_mut(job, &task) {
+                task.avoid.push(worker);
+            }
+        }
+    }
+
+    /// Repeats stops that a worker did not carry out.
+    fn repeat_stops(&mut self, now: Instant) {
+        let late = now - (STOP_AGAIN + self.tuning.stop);
+        let old = |run: &super::Run| run.stopping.is_some_and(|at| at < late);
+        let keys: Vec<RunKey> = self
+            .runs
+            .iter()
+            .filter(|(_, r)| old(r))
+            .map(|(k, _)| k)
+            .collect();
+        for key in keys {
+            self.runs[key].stopping = None;
+            self.stop(key, now);
+        }
+    }
+
+    /// Starts copies of runs that take much longer than declared.
+    fn copy_slow(&mut self, now: Instant) {
+        let mut slow = Vec::new();
+        for run in self.runs.values() {
+            let Some(step) = self.jobs[run.job]
+                .record
+                .spec
+                .steps
+                .get(run.task.step as usize)
+            else {
+                continue;
+            };
+            if !step.speculative || step.gang || step.lasting || run.stopping.is_some() {
+                continue;
+            }
+            let age = now.since(run.decided);
+            let alone = self
+                .task(run.job, &run.task)
+                .is_some_and(|t| !t.done && t.runs.len() == 1);
+            if alone && age > step.estimate().mul_f64(COPY_FACTOR) {
+                slow.push((run.job, run.task.clone(), run.worker, step.clone()));
+            }
+        }
+        for (job, task, worker, step) in slow {
+            let place = StageKey {
+                job,
+                occurrence: task.occurrence,
+                step: task.step,
+            };
+            if let Some(task) = self.task_mut(job, &task)
+                && !task.avoid.contains(&worker)
+            {
+                task.avoid.push(worker);
+            }
+            let chosen = self.choose(place, task.index, &step, None, now);
+            if let Some(other) = chosen.filter(|other| *other != worker) {
+                self.start(place, task.index, &step, other, None, now);
+            }
+        }
+    }
+
+    fn forget_ended(&mut self) {
+        let over = |job: &super::Job| {
+            let stages = job.rounds.iter().flat_map(|r| &r.stages);
+            job.state.is_final()
+                && job.stored == job.changes
+                && stages.flat_map(|s| &s.tasks).all(|t| t.runs.is_empty())
+        };
+        let keys: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| over(j))
+            .map(|(k, _)| k)
+            .collect();
+        keys.into_iter().for_each(|key| self.forget(key));
+    }
+}
--- /dev/null
+++ b/src/batch/engine/task.rs
@@ -0,0 +1,30 @@
+use std::sync::Arc;
+
+use crate::batch::{RunKey, WorkerKey};
+use crate::clock::Instant;
+
+/// One task of a stage.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Task {
+    /// Whether it has ended well.
+    pub(super) done: bool,
+    /// Runs that may be present on workers.
+    pub(super) runs: Vec<RunKey>,
+    /// Number of the latest run.
+    pub(super) number: u64,
+    /// Runs that failed.
+    pub(super) failures: u32,
+    /// Latest saved progress.
+    pub(super) saved: Option<Arc<str>>,
+    /// No start before this time.
+    pub(super) not_before: Instant,
+    /// Workers on which it failed or stood still.
+    pub(super) avoid: Vec<WorkerKey>,
+}
+
+impl Task {
+    /// Returns whether a run may be started.
+    pub(super) fn is_waiting(&self, now: Instant) -> bool {
+        !self.done && self.runs.is_empty() && self.not_before <= now
+    }
+}
--- /dev/null
+++ b/src/batch/leadership.rs
@@ -0,0 +1,99 @@
+use std::time::Duration;
+
+use crate::clock::Instant;
+
+/// Time after the last renewal that was seen from which another instance may take over.
+const TAKEOVER_AFTER: Duration = Duration::from_secs(3);
+
+/// Time after its last renewal for which a leader goes on. Workers reject its orders earlier, as
+/// soon as a new leader has given them an order with a higher fencing token.
+pub(super) const ACT_FOR: Duration = Duration::from_secs(10);
+
+/// Time after its last renewal for which a leader gives orders about machines. They are not
+/// fenced, so this ends well before [`TAKEOVER_AFTER`].
+const MACHINES_FOR: Duration = Duration::from_millis(1_800);
+
+/// Time from which a new leader gives orders about machines: orders of the last one have arrived.
+const MACHINES_AFTER: Duration = Duration::from_millis(3_500);
+
+/// What an instance may do by its leadership.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// Another instance leads.
+    #[default]
+    Follower,
+    /// It leads and its last renewal is recent enough for orders to workers.
+    Leader,
+    /// It must stop to lead.
+    Expired,
+}
+
+/// Leadership over all queues as one instance sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Leadership {
+    /// Fencing token of the latest leader that was seen.
+    pub token: u64,
+    /// When the row of the leader was last seen to change.
+    seen: Instant,
+    /// When this instance began to lead.
+    begun: Option<Instant>,
+    /// When the last renewal that succeeded was sent.
+    renewed: Instant,
+    /// Whether the last leader gave up by itself.
+    vacant: bool,
+}
+
+impl Leadership {
+    /// Takes note that the row of the leader changed.
+    pub fn observe(&mut self, token: u64, vacant: bool, now: Instant) {
+        (self.token, self.vacant, self.seen) = (token, vacant, now);
+    }
+
+    /// Returns whether this instance may try to lead.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use coriandernotch::{batch::Leadership, clock::Instant};
+    ///
+    /// let now = Instant::from_start(Duration::from_secs(100));
+    /// let mut leadership = Leadership::default();
+    /// leadership.observe(1, false, now);
+    /// assert!(!leadership.may_take(now + Duration::from_secs(2)));
+    /// assert!(leadership.may_take(now + Duration::from_secs(4)));
+    /// ```
+    pub fn may_take(&self, now: Instant) -> bool {
+        self.begun.is_none() && (self.vacant || now.since(self.seen) >= TAKEOVER_AFTER)
+    }
+
+    /// Takes note that this instance leads, by a write sent at `sent`.
+    pub fn begin(&mut self, token: u64, sent: Instant) {
+        (self.token, self.begun, self.renewed) = (token, Some(sent), sent);
+        self.vacant = false;
+    }
+
+    /// Takes note of a renewal sent at `sent`.
+    pub fn renew(&mut self, sent: Instant) {
+        self.renewed = self.renewed.max(sent);
+    }
+
+    /// Takes note that this instance no longer leads.
+    pub fn end(&mut self, now: Instant) {
+        (self.begun, self.seen) = (None, now);
+    }
+
+    /// Returns what this instance may do.
+    pub fn standing(&self, now: Instant) -> Standing {
+        match self.begun {
+            None => Standing::Follower,
+            Some(_) if now.since(self.renewed) > ACT_FOR => Standing::Expired,
+            Some(_) => Standing::Leader,
+        }
+    }
+
+    /// Returns whether orders about machines may be sent, which nothing fences.
+    pub fn may_order_machines(&self, now: Instant) -> bool {
+        self.begun
+            .is_some_and(|begun| now.since(begun) >= MACHINES_AFTER)
+            && now.since(self.renewed) < MACHINES_FOR
+    }
+}
--- /dev/null
+++ b/src/batch/mod.rs
@@ -0,0 +1,53 @@
+//! Jobs that run as tasks on workers: what callers hand in, what is stored, and the decisions.
+//!
+//! An [`Engine`] holds all jobs in progress and the workers that serve them. It sends nothing: its
+//! caller carries out each [`Order`] and reports each [`Look`] and [`Reply`]. Nothing here depends
+//! on an encoding or a socket.
+
+mod advice;
+mod config;
+mod end;
+mod engine;
+mod ids;
+mod launch;
+mod leadership;
+mod look;
+mod mark;
+mod offer;
+mod order;
+mod progress;
+mod question;
+mod record;
+mod reply;
+mod route;
+mod spec;
+mod state;
+mod step;
+mod task_id;
+mod tuning;
+mod wave;
+mod workspace;
+
+pub use advice::Advice;
+pub use config::Config;
+pub use end::End;
+pub use engine::Engine;
+pub use ids::{JobKey, RunKey, WorkerKey};
+pub use launch::Launch;
+pub use leadership::{Leadership, Standing};
+pub use look::{Ended, Look, Running};
+pub use mark::Mark;
+pub use offer::Offer;
+pub use order::Order;
+pub use progress::Progress;
+pub use question::Question;
+pub use record::Record;
+pub use reply::Reply;
+pub use route::Route;
+pub use spec::Spec;
+pub use state::State;
+pub use step::Step;
+pub use task_id::TaskId;
+pub use tuning::Tuning;
+pub use wave::Wave;
+pub use workspace::Workspace;
--- /dev/null
+++ b/src/batch/progress.rs
@@ -0,0 +1,19 @@
+use serde::{Deserialize, Serialize};
+
+use super::State;
+
+/// What is stored about the tasks of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Progress {
+    /// State that callers see.
+    pub state: State,
+    /// Tasks that have ended well, as (occurrence, step, index).
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<(u32, u32, u32)>,
+    /// Tasks that failed, as (occurrence, step, index, failures).
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub failed: Vec<(u32, u32, u32, u32)>,
+    /// When the job ended, in milliseconds since 1970; 0 before.
+    pub ended_ms: u64,
+}
--- /dev/null
+++ b/src/batch/record.rs
@@ -0,0 +1,21 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::Spec;
+
+/// An accepted job as it is stored.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Record {
+    /// Name of its queue.
+    pub route: Arc<str>,
+    /// Service of the queue at acceptance, used when the queue is removed.
+    pub service: Arc<str>,
+    /// Workspace that owns the job; empty on open queues.
+    pub workspace: Arc<str>,
+    /// When it arrived, in milliseconds since 1970.
+    pub arrived_ms: u64,
+    /// What its caller described.
+    pub spec: Spec,
+}
--- /dev/null
+++ b/src/batch/tuning.rs
@@ -0,0 +1,25 @@
+use std::time::Duration;
+
+/// Times and limits of an [`super::Engine`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tuning {
+    /// Longest lease that workers grant.
+    pub lease: Duration,
+    /// Longest time that a stop takes.
+    pub stop: Duration,
+    /// Time after which a task that is not at work counts as away.
+    pub notice: Duration,
+    /// Time for which ended jobs can be asked for.
+    pub kept: Duration,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(6),
+            stop: Duration::from_millis(900),
+            notice: Duration::from_millis(4_500),
+            kept: Duration::from_secs(120),
+        }
+    }
+}
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -12,6 +12,7 @@
 /// How the program is called.
 pub const USAGE: &str = "\
 usage: coriandernotch serve --settings FILE
+       coriandernotch entry --settings FILE
        coriandernotch check FILE
        coriandernotch diff FILE --to ADDRESS [--format table|json]
        coriandernotch apply FILE --to ADDRESS [--if-version N] [--wait]
@@ -39,6 +40,11 @@
         /// Settings file.
         settings: PathBuf,
     },
+    /// Runs one entry instance on the users' platform.
+    Entry {
+        /// Settings file.
+        settings: PathBuf,
+    },
     /// Validates a file.
     Check {
         /// Settings or fleet document.
--- a/src/cli/log.rs
+++ b/src/cli/log.rs
@@ -2,6 +2,16 @@
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 
+/// Starts logging to standard output, one line of key=value pairs for each event.
+pub(super) fn start_to_stdout(level: LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
+    let logger = Logger::with(flexi_logger::LogSpecification::trace())
+        .log_to_stdout()
+        .format(write_line)
+        .start()?;
+    log::set_max_level(level);
+    Ok(logger)
+}
+
 /// Starts logging to standard error, one line of key=value pairs for each event.
 pub(super) fn start(level: LevelFilter) -> Result<LoggerHandle, FlexiLoggerError> {
     // The level is set at run time by the maximum of the log crate, so the logger takes all.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod command;
 mod data_centre;
 mod demo;
+mod entry;
 mod exit;
 mod failure;
 mod format;
--- a/src/cli/options.rs
+++ b/src/cli/options.rs
@@ -31,6 +31,9 @@
             "serve" => Command::Serve {
                 settings: need(self.settings.take(), "--settings FILE")?,
             },
+            "entry" => Command::Entry {
+                settings: need(self.settings.take(), "--settings FILE")?,
+            },
             "check" => Command::Check {
                 file: need(self.values.pop_front(), "FILE")?.into(),
             },
--- /dev/null
+++ b/src/entry/drain.rs
@@ -0,0 +1,20 @@
+use std::time::Duration;
+
+/// Times of a graceful shutdown, from SIGTERM on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Drain {
+    /// Time for which new connections are still served: the balancer needs two misses.
+    pub(super) accept: Duration,
+    /// Further time for requests under way.
+    pub(super) finish: Duration,
+}
+
+impl Drain {
+    /// Divides the time until SIGKILL.
+    pub(super) fn within(grace: Duration) -> Self {
+        Self {
+            accept: grace.mul_f64(0.42),
+            finish: grace.mul_f64(0.4),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/lead.rs
@@ -0,0 +1,259 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+
+use super::load;
+use super::row::{self, LEADERS, Leader, OWNER};
+use super::schedule;
+use super::shared::{STORE_LIMIT, Shared, pause};
+use super::term::Term;
+use crate::batch::{Leadership, Standing};
+use crate::clock::{self, Instant};
+use crate::platform::api::{Expected, Fault, Feed, Outcome, Row, Transaction};
+
+/// Time between two renewals.
+const RENEW_EVERY: Duration = Duration::from_millis(800);
+
+/// Time for which one call waits for news of the leader.
+const WAIT: Duration = Duration::from_millis(900);
+
+/// Pause after a call that failed.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// Longest pause before an instance tries to lead, so that not all try at once.
+const TRY_WITHIN: Duration = Duration::from_millis(120);
+
+/// The row of the leader as this instance knows it.
+struct Seat {
+    shared: Arc<Shared>,
+    leadership: Leadership,
+    leader: Leader,
+    version: u64,
+    /// Version of the table up to which changes were read.
+    heard: u64,
+}
+
+/// Follows the leader and leads when there is none, until the instance stops.
+pub(super) async fn lead(shared: Arc<Shared>) {
+    let mut seat = Seat {
+        shared,
+        leadership: Leadership::default(),
+        leader: Leader::default(),
+        version: 0,
+        heard: 0,
+    };
+    loop {
+        if let Err(fault) = seat.follow().await {
+            log::debug!(event = "leader-unknown", fault:% = fault; "");
+            tokio::time::sleep(RETRY_AFTER).await;
+        }
+    }
+}
+
+impl Seat {
+    /// Reads the row and its changes, and leads when it may.
+    async fn follow(&mut self) -> Result<(), Fault> {
+        self.read().await?;
+        loop {
+            if self.leadership.may_take(clock::now()) && self.may_lead() {
+                pause(&self.shared.settings.name, TRY_WITHIN).await;
+                if self.take().await? {
+                    self.reign().await;
+                    self.read().await?;
+                }
+                continue;
+            }
+            match self.shared.store.feed(LEADERS, self.heard, WAIT).await? {
+                Feed::Gone => return Ok(()),
+                Feed::Changes(rows, version) => {
+                    self.heard = version;
+                    rows.iter().for_each(|row| self.observe(row));
+                }
+            }
+        }
+    }
+
+    fn may_lead(&self) -> bool {
+        !self.shared.is_stopping() && self.shared.is_fresh(clock::now())
+    }
+
+    async fn read(&mut self) -> Result<(), Fault> {
+        let store = &self.shared.store;
+        let (rows, version) = store.read(LEADERS, "", "", "", STORE_LIMIT).await?;
+        self.heard = version;
+        if rows.is_empty() {
+            self.leadership.observe(0, true, clock::now());
+        }
+        rows.iter().for_each(|row| self.observe(row));
+        Ok(())
+    }
+
+    fn observe(&mut self, row: &Row) {
+        if &*row.key != OWNER || row.version <= self.version {
+            return;
+        }
+        let Some(content) = &row.content else {
+            return;
+        };
+        self.version = row.version;
+        let Some(leader) = row::decode::<Leader>(&row.key, content) else {
+            return;
+        };
+        self.leadership
+            .observe(leader.token, leader.vacant, clock::now());
+        *self.shared.leader.lock().expect("leader lock") = leader.clone();
+        self.leader = leader;
+    }
+
+    /// Writes the row on condition that nobody else did. Returns whether it is written.
+    async fn write(&mut self, leader: &Leader) -> Result<bool, Fault> {
+        let transaction = Transaction {
+            part: String::new(),
+            expected: vec![Expected {
+                table: LEADERS,
+                key: OWNER.into(),
+                version: self.version,
+            }],
+            puts: vec![(LEADERS, OWNER.into(), row::encode(leader))],
+            deletes: Vec::new(),
+        };
+        match self
+            .shared
+            .store
+            .transact(&transaction, STORE_LIMIT)
+            .await?
+        {
+            Outcome::Applied(version) => {
+                self.version = version;
+                self.leader = leader.clone();
+                Ok(true)
+            }
+            Outcome::Conflict(rows) => {
+                let own = |leader: &Leader| {
+                    leader.holder == self.shared.settings.name
+                        && leader.incarnation == self.shared.incarnation
+                };
+                // An earlier write of this instance whose answer was lost may be the other one.
+                let found = rows.iter().find(|r| &*r.key == OWNER);
+                let content = found.and_then(|r| Some((r.version, r.content.as_ref()?)));
+                let decoded =
+                    content.and_then(|(v, c)| Some((v, row::decode::<Leader>(OWNER, c)?)));
+                if let Some((version, other)) = decoded
+                    && own(&other)
+                    && other.token == leader.token
+                    && !other.vacant
+                {
+                    self.version = version;
+                    self.leader = other;
+                    return Ok(true);
+                }
+                rows.iter().for_each(|row| self.observe(row));
+                Ok(false)
+            }
+        }
+    }
+
+    /// Tries to become the leader.
+    async fn take(&mut self) -> Result<bool, Fault> {
+        let sent = clock::now();
+        let leader = Leader {
+            holder: self.shared.settings.name.clone(),
+            incarnation: self.shared.incarnation,
+            token: self.leader.token + 1,
+            renewal: 0,
+            vacant: false,
+            pending: self.leader.pending.clone(),
+            busy: self.leader.busy.clone(),
+        };
+        if !self.write(&leader).await? {
+            return Ok(false);
+        }
+        self.leadership.begin(leader.token, sent);
+        log::info!(event = "leadership-begun", token = leader.token; "");
+        Ok(true)
+    }
+
+    /// Leads until another instance does or this one stops.
+    async fn reign(&mut self) {
+        let begun = clock::now();
+        let term = loop {
+            match load::load(&self.shared, &self.leader, self.leadership, begun).await {
+                Ok(Some(term)) => break Arc::new(term),
+                Ok(None) => return self.abdicate("another instance leads"),
+                Err(fault) => log::warn!(event = "load-failed", fault:% = fault; ""),
+            }
+            if self.leadership.standing(clock::now()) != Standing::Leader {
+                return self.abdicate("the store does not answer");
+            }
+            tokio::time::sleep(RETRY_AFTER).await;
+        };
+        *self.shared.term.lock().expect("term lock") = Some(term.clone());
+        let mut tasks = JoinSet::new();
+        schedule::spawn(&self.shared, &term, &mut tasks);
+        self.renew_until_over(&term).await;
+        *self.shared.term.lock().expect("term lock") = None;
+        if self.shared.is_stopping() && !term.is_over() {
+            super::flush::flush_now(&self.shared, &term).await;
+            self.resign(&term).await;
+        }
+        tasks.shutdown().await;
+        self.leadership.end(clock::now());
+    }
+
+    fn abdicate(&mut self, reason: &str) {
+        log::warn!(event = "leadership-ended", token = self.leader.token, reason; "");
+        self.leadership.end(clock::now());
+    }
+
+    async fn renew_until_over(&mut self, term: &Term) {
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep(RENEW_EVERY) => {}
+                () = term.ended.notified() => {}
+                () = self.shared.stop.notified() => {}
+            }
+            if term.is_over() || self.shared.is_stopping() {
+                return;
+            }
+            let sent = clock::now();
+            let leader = self.next(term, false);
+            match self.write(&leader).await {
+                Ok(true) => self.renewed(term, sent),
+                Ok(false) => term.end("another instance leads"),
+                Err(fault) => log::warn!(event = "renewal-failed", fault:% = fault; ""),
+            }
+            if term.engine().is_fenced() {
+                term.end("a worker knows a newer leader");
+            }
+            if self.leadership.standing(clock::now()) != Standing::Leader {
+                term.end("no renewal for too long");
+            }
+        }
+    }
+
+    fn renewed(&mut self, term: &Term, sent: Instant) {
+        self.leadership.renew(sent);
+        *term.leadership.lock().expect("leadership lock") = self.leadership;
+    }
+
+    fn next(&self, term: &Term, vacant: bool) -> Leader {
+        Leader {
+            renewal: self.leader.renewal + 1,
+            vacant,
+            pending: term.pending(),
+            busy: term.engine().busy_workers(),
+            ..self.leader.clone()
+        }
+    }
+
+    /// Gives up, so that another instance leads at once.
+    async fn resign(&mut self, term: &Term) {
+        term.end("the instance stops");
+        let leader = self.next(term, true);
+        match self.write(&leader).await {
+            Ok(_) => log::info!(event = "leadership-resigned", token = leader.token; ""),
+            Err(fault) => log::warn!(event = "resign-failed", fault:% = fault; ""),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,32 @@
+//! An entry instance on the users' platform.
+//!
+//! Each instance serves callers from the platform's store. One of them at a time leads: it holds
+//! the [`crate::batch::Engine`] and talks to the workers. Each task here owns one loop or one
+//! connection; decisions are in [`crate::batch`], names and calls in [`crate::platform::api`].
+
+mod advise;
+mod call;
+mod commit;
+mod desired;
+mod drain;
+mod flush;
+mod follow_jobs;
+mod follow_workers;
+mod instance;
+mod lead;
+mod load;
+mod looks;
+mod orders;
+mod part;
+mod port;
+mod readiness;
+mod row;
+mod schedule;
+mod settings;
+mod shared;
+mod term;
+mod upkeep;
+mod watch;
+
+pub use instance::run;
+pub use settings::{Bounds, Settings};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod admit;
+pub mod batch;
 pub mod call;
 pub mod claim;
 pub mod cli;
@@ -21,6 +22,7 @@
 pub mod control;
 pub mod demo;
 pub mod document;
+pub mod entry;
 pub mod event;
 pub mod fleet;
 pub mod front;
--- /dev/null
+++ b/src/platform/api/intent.rs
@@ -0,0 +1,158 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use super::server::Room;
+use crate::batch::{Advice, Config, Route, Wave, Workspace};
+use crate::collections::Map;
+
+/// One thing that operators ask for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Intent {
+    /// The newest configuration.
+    Config(Box<Config>),
+    /// Nothing more is to be sent to this data centre.
+    Out(Arc<str>),
+    /// Machines are due for maintenance.
+    Wave(Wave),
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireConfig {
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    tenants: Vec<WireTenant>,
+    limits: WireLimits,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireRoute {
+    name: Arc<str>,
+    host: Arc<str>,
+    prefix: Arc<str>,
+    service: Arc<str>,
+    priority: u32,
+    max_attempts: u32,
+    stretch: f64,
+    /// Time beyond the stretched chain of work, not the whole objective.
+    target_duration_ms: u64,
+    public: bool,
+    advice: Option<WireAdvice>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireAdvice {
+    decide_ms: u64,
+    each_ms: u64,
+    valid_ms: u64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireService {
+    name: Arc<str>,
+    standby: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireTenant {
+    name: Arc<str>,
+    api_keys: Vec<Arc<str>>,
+    weight: f64,
+    maximum: Room,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireLimits {
+    max_body_bytes: usize,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct WireWave {
+    wave: u64,
+    machines: Vec<Arc<str>>,
+    maximum: usize,
+}
+
+/// Reads a row that operators wrote. `None` when it is of no kind that is known.
+///
+/// ```
+/// use coriandernotch::platform::api::{Intent, decode_intent};
+///
+/// assert_eq!(decode_intent("evacuate/a", b"{}"), Some(Intent::Out("a".into())));
+/// assert_eq!(decode_intent("config", b"no JSON"), None);
+/// ```
+pub fn decode_intent(key: &str, content: &[u8]) -> Option<Intent> {
+    if key == "config" {
+        let config = serde_json::from_slice::<WireConfig>(content).ok()?;
+        return Some(Intent::Config(Box::new(config.into())));
+    }
+    if let Some(data_centre) = key.strip_prefix("evacuate/") {
+        return Some(Intent::Out(data_centre.into()));
+    }
+    key.strip_prefix("wave/")?;
+    let wave = serde_json::from_slice::<WireWave>(content).ok()?;
+    Some(Intent::Wave(Wave {
+        number: wave.wave,
+        machines: wave.machines,
+        maximum: wave.maximum,
+    }))
+}
+
+impl From<WireConfig> for Config {
+    fn from(wire: WireConfig) -> Self {
+        let mut keys = Map::default();
+        let mut workspaces = Map::default();
+        for tenant in wire.tenants {
+            for key in tenant.api_keys {
+                keys.insert(key, tenant.name.clone());
+            }
+            let workspace = Workspace {
+                name: tenant.name.clone(),
+                weight: tenant.weight.max(0.0) as u64,
+                maximum: tenant.maximum.into(),
+            };
+            workspaces.insert(tenant.name, workspace);
+        }
+        let spares = wire.services.into_iter().filter(|s| s.standby);
+        Self {
+            version: wire.version,
+            routes: wire.routes.into_iter().map(Route::from).collect(),
+            workspaces,
+            keys,
+            spares: spares.map(|service| service.name).collect(),
+            max_body: wire.limits.max_body_bytes,
+        }
+    }
+}
+
+impl From<WireRoute> for Route {
+    fn from(wire: WireRoute) -> Self {
+        let millis = Duration::from_millis;
+        let advice = wire.advice.map(|advice| Advice {
+            decide: millis(advice.decide_ms),
+            each: millis(advice.each_ms),
+            valid: millis(advice.valid_ms),
+        });
+        Self {
+            name: wire.name,
+            host: wire.host,
+            prefix: wire.prefix,
+            service: wire.service,
+            priority: wire.priority,
+            max_attempts: wire.max_attempts,
+            stretch: wire.stretch,
+            allowance: millis(wire.target_duration_ms),
+            open: wire.public,
+            advice,
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/api/mod.rs
@@ -0,0 +1,40 @@
+//! The users' platform: names, formats and calls, and nothing that decides.
+//!
+//! Each file decodes one kind of message into the types of the project, whose fields say what they
+//! hold. Nothing outside this folder knows the names on the wire.
+
+mod adviser;
+mod caller;
+mod executor;
+mod fault;
+mod feed;
+mod fleet;
+mod intent;
+mod link;
+mod machine;
+mod names;
+mod order;
+mod reply;
+mod row;
+mod server;
+mod store;
+mod submission;
+mod task_name;
+mod transaction;
+
+pub use adviser::Adviser;
+pub use caller::{Caller, Method};
+pub use executor::Executor;
+pub use fault::Fault;
+pub use feed::Feed;
+pub use fleet::Fleet;
+pub use intent::{Intent, decode_intent};
+pub use link::Link;
+pub use machine::Machine;
+pub use names::{READINESS_PATH, wave_status};
+pub use reply::Answer;
+pub use row::Row;
+pub use server::decode_offer;
+pub use store::Store;
+pub use submission::decode_submission;
+pub use transaction::{Expected, Outcome, Transaction};
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -21,3 +21,6 @@
 mod pool;
 
 pub use client::Client;
+pub(super) use connection::Connection;
+pub(super) use escape::query;
+pub(super) use pool::Pool;
--- a/src/platform/http/connection.rs
+++ b/src/platform/http/connection.rs
@@ -8,14 +8,14 @@
 use tokio::net::TcpStream;
 
 /// Connection with a task of its own that reads and writes.
-pub(super) struct Connection {
-    pub(super) sender: SendRequest<Full<Bytes>>,
+pub(in crate::platform) struct Connection {
+    pub(in crate::platform) sender: SendRequest<Full<Bytes>>,
     /// Second handle of the socket, which hyper owns, to look for its end.
     probe: std::net::TcpStream,
 }
 
 impl Connection {
-    pub(super) async fn open(
+    pub(in crate::platform) async fn open(
         address: SocketAddr,
     ) -> Result<Self, Box<dyn std::error::Error + Send + Sync>> {
         let stream = TcpStream::connect(address).await?;
@@ -32,7 +32,7 @@
     ///
     /// It asks the system, since the task of the connection may not have seen the end yet and
     /// would write the next request into a closed connection.
-    pub(super) async fn is_usable(&mut self) -> bool {
+    pub(in crate::platform) async fn is_usable(&mut self) -> bool {
         let silent = |e: std::io::Error| e.kind() == ErrorKind::WouldBlock;
         self.sender.ready().await.is_ok() && self.probe.peek(&mut [0]).is_err_and(silent)
     }
--- a/src/platform/http/escape.rs
+++ b/src/platform/http/escape.rs
@@ -1,12 +1,12 @@
 use std::fmt::Write;
 
 /// Escapes a key or name for use in a path; `/` separates its parts and stays.
-pub(super) fn path(text: &str) -> String {
+pub(in crate::platform) fn path(text: &str) -> String {
     escape(text, b"-._~/")
 }
 
 /// Escapes a value for use in a query.
-pub(super) fn query(text: &str) -> String {
+pub(in crate::platform) fn query(text: &str) -> String {
     escape(text, b"-._~")
 }
 
--- a/src/platform/http/pool.rs
+++ b/src/platform/http/pool.rs
@@ -7,13 +7,13 @@
 
 /// Idle connections to one address.
 #[derive(Default)]
-pub(super) struct Pool {
+pub(in crate::platform) struct Pool {
     idle: Mutex<Vec<Connection>>,
 }
 
 impl Pool {
     /// Takes the connection that was used last and drops those that were closed meanwhile.
-    pub(super) async fn take(&self) -> Option<Connection> {
+    pub(in crate::platform) async fn take(&self) -> Option<Connection> {
         while let Some(mut connection) = self.pop() {
             if connection.is_usable().await {
                 return Some(connection);
@@ -27,7 +27,7 @@
     }
 
     /// Keeps a connection whose last answer was read to its end.
-    pub(super) fn keep(&self, connection: Connection) {
+    pub(in crate::platform) fn keep(&self, connection: Connection) {
         let mut idle = self.idle.lock().expect("idle connections lock");
         if idle.len() < MAX_IDLE {
             idle.push(connection);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //! The traits here are the edge of the process. Decision modules never call them; tasks that own
 //! a connection or a loop do.
 
+pub mod api;
 mod command;
 mod condition;
 mod error;
