Hand over exact lists of runs between leaders and pace waves by their time

Change: the row of the leader lists the runs of each worker; a first look counts a lease; a wave takes as many machines at once as its time asks for, of the least used service first, also those without a worker.

--- /dev/null
+++ b/src/batch/busy.rs
@@ -0,0 +1,21 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::TaskId;
+
+/// A worker that may have runs, as a leader leaves it to the next one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Busy {
+    /// Identity of the worker.
+    pub worker: Arc<str>,
+    /// Service of the worker.
+    pub service: Arc<str>,
+    /// Whether it does not answer, so that it gets no further starts.
+    pub silent: bool,
+    /// Time until its lease has run out for certain, in milliseconds.
+    pub lease_ms: u64,
+    /// Tasks that may run there.
+    pub tasks: Vec<TaskId>,
+}
--- a/src/batch/engine/accept.rs
+++ b/src/batch/engine/accept.rs
@@ -2,7 +2,6 @@
 use std::time::Duration;
 
 use super::{Engine, Job, Round, StageKey, Worker};
-use crate::batch::leadership::ACT_FOR;
 use crate::batch::{JobKey, Offer, Progress, Record, State, WorkerKey};
 use crate::clock::Instant;
 use crate::collections::Set;
@@ -53,17 +52,6 @@
         self.complete(key, wall_ms, now);
     }
 
-    /// Marks jobs that a former leader may have started, and the workers on which they may run.
-    pub fn inherit(&mut self, busy: impl IntoIterator<Item = Arc<str>>, changed: Instant) {
-        self.unheard.extend(busy);
-        self.unheard
-            .extend(self.workers.values().map(|w| w.offer.id.clone()));
-        self.inherited_until = changed + ACT_FOR + self.lapse();
-        for job in self.jobs.values_mut() {
-            job.inherited = true;
-        }
-    }
-
     /// Longest time from an order until a lease that it granted has run out.
     pub(super) fn lapse(&self) -> Duration {
         // The clock of a worker may be slow by 2%; the rest covers the way of the order.
--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -92,7 +92,7 @@
             !w.runs.is_empty()
                 || w.acknowledged < w.seen
                 || (w.heard.is_none() && !w.gone)
-                || self.unheard.contains(&w.offer.id)
+                || self.unheard.contains_key(&w.offer.id)
         })
     }
 
--- a/src/batch/engine/look.rs
+++ b/src/batch/engine/look.rs
@@ -17,7 +17,12 @@
             worker.born_ms = look.born_ms;
             self.lose_runs(key, "worker restarted");
         }
+        let lapse = self.lapse();
         let worker = &mut self.workers[key];
+        if worker.heard.is_none() {
+            // The last leader may have granted a lease until just now.
+            worker.lease_until = worker.lease_until.max(now + lapse);
+        }
         worker.born_ms = look.born_ms;
         worker.clock = Some((look.clock_ms, now));
         (worker.heard, worker.failing) = (Some(now), false);
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -3,6 +3,7 @@
 mod advise;
 mod choose;
 mod end;
+mod inherit;
 mod job;
 mod look;
 mod pace;
@@ -13,7 +14,9 @@
 mod run;
 mod stage;
 mod task;
+mod unheard;
 mod upkeep;
+mod wave_progress;
 mod worker;
 
 use std::collections::VecDeque;
@@ -31,6 +34,8 @@
 use run::Run;
 use stage::{Stage, StageKey};
 use task::Task;
+use unheard::Unheard;
+use wave_progress::WaveProgress;
 use worker::Worker;
 
 /// All jobs in progress and the workers that run their tasks.
@@ -61,13 +66,11 @@
     usage: Map<Arc<str>, Size>,
     /// Data centres that operators have taken out.
     out: Set<Arc<str>>,
-    waves: Vec<upkeep::Progress>,
+    waves: Vec<WaveProgress>,
     orders: Vec<(WorkerKey, Order)>,
     dirty: Vec<JobKey>,
-    /// Workers that the last leader knew and that were not heard yet.
-    unheard: Set<Arc<str>>,
-    /// Until when unheard workers may run tasks that the last leader started.
-    inherited_until: Instant,
+    /// Workers on which the last leader may have runs and that were not heard yet.
+    unheard: Map<Arc<str>, Unheard>,
     /// Whether a worker has seen a higher fencing token.
     fenced: bool,
 }
@@ -91,8 +94,7 @@
             waves: Vec::new(),
             orders: Vec::new(),
             dirty: Vec::new(),
-            unheard: Set::default(),
-            inherited_until: Instant::default(),
+            unheard: Map::default(),
             fenced: false,
         }
     }
@@ -129,7 +131,7 @@
         for wave in waves {
             match self.waves.iter_mut().find(|w| w.wave.number == wave.number) {
                 Some(known) => known.wave = wave,
-                None => self.waves.push(upkeep::Progress::new(wave)),
+                None => self.waves.push(WaveProgress::new(wave)),
             }
         }
     }
@@ -151,12 +153,6 @@
         counts.into_iter()
     }
 
-    /// Returns the ids of the workers that may have runs.
-    pub fn busy_workers(&self) -> Vec<Arc<str>> {
-        let busy = self.workers.values().filter(|w| !w.runs.is_empty());
-        busy.map(|w| w.offer.id.clone()).collect()
-    }
-
     fn task(&self, key: JobKey, id: &TaskId) -> Option<&Task> {
         let stage = self.stage(key, id.occurrence, id.step)?;
         stage.tasks.get(id.index as usize)
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -44,10 +44,6 @@
     }
 
     fn has_waiting(&self, place: StageKey, now: Instant) -> bool {
-        let job = &self.jobs[place.job];
-        if job.inherited && !self.unheard.is_empty() && now < self.inherited_until {
-            return false;
-        }
         self.stage(place.job, place.occurrence, place.step)
             .is_some_and(|stage| stage.tasks.iter().any(|task| task.is_waiting(now)))
     }
@@ -84,7 +80,7 @@
             let Some(task) = stage.map(|s| &s.tasks[index as usize]) else {
                 return;
             };
-            if !task.is_waiting(now) {
+            if !task.is_waiting(now) || self.may_run_unheard(place, index, now) {
                 continue;
             }
             let Some(worker) = self.choose(place, index, &step, None, now) else {
@@ -102,6 +98,9 @@
         if !stage.tasks.iter().all(|task| task.is_waiting(now)) {
             return;
         }
+        if (0..step.count).any(|index| self.may_run_unheard(place, index, now)) {
+            return;
+        }
         let number = stage.tasks.iter().map(|task| task.number).max();
         let number = self.next_number(number.unwrap_or_default());
         let saved = stage.tasks.iter().find_map(|task| task.saved.clone());
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -18,13 +18,13 @@
 
 impl Engine {
     /// Looks after runs and workers that do not get on. Called several times a second.
-    pub fn review(&mut self, now: Instant, wall_ms: u64) {
+    pub fn review(&mut self, now: Instant) {
         self.drop_lapsed(now);
         self.drop_gone();
         self.stop_still(now);
         self.repeat_stops(now);
         self.copy_slow(now);
-        self.empty_workers(now, wall_ms);
+        self.empty_workers(now);
         self.forget_ended();
     }
 
@@ -37,9 +37,7 @@
         for key in keys {
             self.lose_runs(key, "lease lapsed");
         }
-        if now >= self.inherited_until {
-            self.unheard.clear();
-        }
+        self.unheard.retain(|_, unheard| now < unheard.until);
     }
 
     /// Forgets workers that the store no longer lists and that hold nothing.
--- a/src/batch/engine/upkeep.rs
+++ b/src/batch/engine/upkeep.rs
@@ -1,116 +1,143 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::Engine;
-use crate::batch::{RunKey, Wave, WorkerKey};
+use super::wave_progress::{Slot, WaveProgress};
+use super::{Engine, Worker};
+use crate::batch::{RunKey, WorkerKey};
 use crate::clock::Instant;
 use crate::collections::{Map, Set};
+use crate::jobs::Size;
 
 /// Time for which a machine is waited for after its maintenance was ordered.
 const RETURN_WITHIN: Duration = Duration::from_secs(15);
 
+/// Time beyond the maintenance itself until a machine counts as back that no worker shows.
+const RETURN_SLACK: Duration = Duration::from_millis(1_200);
+
+/// Time to empty a machine and wait for its worker, beyond the maintenance itself.
+const EMPTY_WITHIN: Duration = Duration::from_millis(2_200);
+
+/// Part of the time of a wave that is planned for; the rest is for what goes wrong.
+const PLANNED: f64 = 0.75;
+
+/// Machines of one service that are taken at once, as a part of those of all services.
+const SERVICES_AT_ONCE: usize = 3;
+
 /// Time after which short tasks on a machine that is due are stopped.
 const PATIENCE: Duration = Duration::from_secs(5);
 
-/// Maintenance of one wave so far.
-#[derive(Clone, Debug)]
-pub(super) struct Progress {
-    pub(super) wave: Wave,
-    /// Machines being emptied, and since when.
-    emptying: Map<Arc<str>, Instant>,
-    /// Machines down, with the worker that lived there and since when.
-    down: Map<Arc<str>, (Arc<str>, Instant)>,
-    done: Set<Arc<str>>,
-    reported: Option<bool>,
-}
+/// Time for which a machine is left alone whose maintenance was refused.
+const REFUSED_FOR: Duration = Duration::from_secs(1);
 
-impl Progress {
-    pub(super) fn new(wave: Wave) -> Self {
-        Self {
-            wave,
-            emptying: Map::default(),
-            down: Map::default(),
-            done: Set::default(),
-            reported: None,
-        }
-    }
-}
+/// Age of the latest look at a worker from which its tasks count as away.
+const HEARD_WITHIN: Duration = Duration::from_millis(1_500);
 
 impl Engine {
     /// Chooses machines that are due and empties them.
-    pub(super) fn empty_workers(&mut self, now: Instant, _wall_ms: u64) {
+    pub(super) fn empty_workers(&mut self, now: Instant) {
         for number in 0..self.waves.len() {
             self.note_returns(number, now);
-            self.choose_machines(number, now);
+            while let Some((machine, slot)) = self.choose_machine(number, now) {
+                self.waves[number].emptying.insert(machine, slot);
+            }
         }
-        let due: Set<Arc<str>> = self
-            .waves
-            .iter()
-            .flat_map(|w| w.emptying.keys().cloned())
-            .collect();
+        let due = self.waves.iter().flat_map(|w| w.emptying.keys().cloned());
+        let due: Set<Arc<str>> = due.collect();
         for worker in self.workers.values_mut() {
             worker.cordoned = due.contains(&worker.offer.machine);
         }
-        let cordoned = |w: &super::Worker| w.cordoned || w.offer.draining;
-        let keys: Vec<WorkerKey> = self
-            .workers
-            .iter()
-            .filter(|(_, w)| cordoned(w))
-            .map(|(k, _)| k)
-            .collect();
+        let leaving = |w: &Worker| w.cordoned || w.offer.draining;
+        let keys = self.workers.iter().filter(|(_, w)| leaving(w));
+        let keys: Vec<WorkerKey> = keys.map(|(key, _)| key).collect();
         for key in keys {
-            self.move_lasting(key, now);
+            self.move_tasks(key, now);
         }
     }
 
     fn note_returns(&mut self, number: usize, now: Instant) {
-        let progress = &mut self.waves[number];
         let workers = &self.workers;
-        progress.down.retain(|machine, (old, since)| {
+        let absent = self.tuning.upkeep + RETURN_SLACK;
+        self.waves[number].down.retain(|machine, slot| {
             let back = workers.values().any(|w| {
-                !w.gone && w.offer.machine == *machine && w.offer.id != *old && w.heard.is_some()
+                let new = w.offer.id != slot.worker && w.heard.is_some();
+                !w.gone && w.offer.machine == *machine && new
             });
-            !back && now.since(*since) < RETURN_WITHIN
+            let age = now.since(slot.since);
+            let over = slot.worker.is_empty() && age > absent;
+            !back && !over && age < RETURN_WITHIN
         });
     }
 
-    fn choose_machines(&mut self, number: usize, now: Instant) {
+    /// Chooses a machine of the service that is used least, as many at once as the time asks for.
+    fn choose_machine(&self, number: usize, now: Instant) -> Option<(Arc<str>, Slot)> {
         let progress = &self.waves[number];
-        let maximum = progress.wave.maximum.max(1);
-        let mut room = maximum.saturating_sub(progress.down.len() + progress.emptying.len());
-        let mut chosen = Vec::new();
+        let at_once = self.machines_at_once(progress, now);
+        if progress.down.len() + progress.emptying.len() >= at_once {
+            return None;
+        }
+        let most = at_once.div_ceil(SERVICES_AT_ONCE);
+        let used = self.used_parts();
+        let mut best: Option<(f64, Arc<str>, Slot)> = None;
         for machine in &progress.wave.machines {
-            let known = progress.emptying.contains_key(machine)
-                || progress.down.contains_key(machine)
-                || progress.done.contains(machine);
-            let here = self
-                .workers
-                .values()
-                .any(|w| w.offer.machine == *machine && !w.gone);
-            if room == 0 {
-                break;
+            if !progress.is_left(machine, now) {
+                continue;
+            }
+            let here = self.workers.values().find(|w| w.offer.machine == *machine);
+            let (service, worker) = here.map_or_else(Default::default, |w| {
+                (w.offer.service.clone(), w.offer.id.clone())
+            });
+            if !service.is_empty() && progress.taken(&service) >= most {
+                continue;
             }
-            if !known && here {
-                room -= 1;
-                chosen.push(machine.clone());
+            let part = used.get(&service).copied().unwrap_or_default();
+            if best.as_ref().is_none_or(|(least, ..)| part < *least) {
+                let since = now;
+                best = Some((
+                    part,
+                    machine.clone(),
+                    Slot {
+                        service,
+                        worker,
+                        since,
+                    },
+                ));
             }
         }
-        for machine in chosen {
-            self.waves[number].emptying.insert(machine, now);
+        best.map(|(_, machine, slot)| (machine, slot))
+    }
+
+    fn machines_at_once(&self, progress: &WaveProgress, now: Instant) -> usize {
+        let left = progress.wave.machines.len() - progress.done.len();
+        let time = progress.wave.due.since(now).mul_f64(PLANNED);
+        let each = self.tuning.upkeep + EMPTY_WITHIN;
+        let needed = each.as_secs_f64() * left as f64 / time.as_secs_f64().max(1.0);
+        (needed.ceil() as usize).clamp(1, progress.wave.maximum.max(1))
+    }
+
+    /// Returns which part of the processors of each service is in use.
+    pub(super) fn used_parts(&self) -> Map<Arc<str>, f64> {
+        let mut sums: Map<Arc<str>, (Size, Size)> = Map::default();
+        for worker in self.workers.values().filter(|w| !w.gone) {
+            let (used, all) = sums.entry(worker.offer.service.clone()).or_default();
+            (*used, *all) = (*used + worker.used, *all + worker.offer.capacity);
         }
+        let part =
+            |(used, all): (Size, Size)| used.processors as f64 / all.processors.max(1) as f64;
+        sums.into_iter()
+            .map(|(service, sum)| (service, part(sum)))
+            .collect()
     }
 
-    /// Stops lasting tasks on a worker that must become empty, as far as their steps allow.
-    fn move_lasting(&mut self, key: WorkerKey, now: Instant) {
+    /// Stops tasks on a worker that must become empty, as far as their steps allow.
+    fn move_tasks(&mut self, key: WorkerKey, now: Instant) {
         let worker = &self.workers[key];
         let leaving = worker.offer.draining;
-        let patient = self
+        let slots = self
             .waves
             .iter()
             .filter_map(|w| w.emptying.get(&worker.offer.machine));
-        let overdue = patient
-            .min()
-            .is_some_and(|since| now.since(*since) > PATIENCE);
+        let since = slots.map(|slot| slot.since).min();
+        let overdue = since.is_some_and(|since| now.since(since) > PATIENCE);
         for run in worker.runs.clone() {
             let run_ref = &self.runs[run];
             let movable = if run_ref.lasting {
@@ -125,24 +152,29 @@
     }
 
     /// Returns whether a lasting task may be stopped: not too many others of its step are away.
-    fn may_move(&self, key: RunKey, _now: Instant) -> bool {
+    pub(super) fn may_move(&self, key: RunKey, now: Instant) -> bool {
         let run = &self.runs[key];
         let Some(stage) = self.stage(run.job, run.task.occurrence, run.task.step) else {
             return true;
         };
         let step = &self.jobs[run.job].record.spec.steps[run.task.step as usize];
-        let at_work = |task: &super::Task| {
-            task.runs.iter().any(|r| {
-                let r = &self.runs[*r];
-                r.confirmed.is_some() && r.stopping.is_none() && (r.percent >= 100 || r.pace < 100)
-            })
-        };
         let others = stage.tasks.iter().enumerate();
         let others = others.filter(|(index, _)| *index != run.task.index as usize);
+        let at_work = |task: &super::Task| task.runs.iter().any(|run| self.is_at_work(*run, now));
         let away = others.filter(|(_, task)| !at_work(task)).count();
         away < (step.may_miss as usize).max(1)
     }
 
+    fn is_at_work(&self, key: RunKey, now: Instant) -> bool {
+        let run = &self.runs[key];
+        let worker = self.workers.get(run.worker).filter(|w| !w.failing);
+        let heard = worker.and_then(|w| w.heard);
+        heard.is_some_and(|at| now.since(at) < HEARD_WITHIN)
+            && run.confirmed.is_some()
+            && run.stopping.is_none()
+            && (run.percent >= 100 || run.pace < 100)
+    }
+
     /// Returns the machines that are empty and may go down for a wave: number and machine.
     pub fn upkeep_due(&self) -> Vec<(u64, Arc<str>)> {
         let empty = |machine: &Arc<str>| {
@@ -154,11 +186,8 @@
         };
         let mut due = Vec::new();
         for progress in &self.waves {
-            let room = progress
-                .wave
-                .maximum
-                .max(1)
-                .saturating_sub(progress.down.len());
+            let maximum = progress.wave.maximum.max(1);
+            let room = maximum.saturating_sub(progress.down.len());
             let ready = progress.emptying.keys().filter(|m| empty(m)).take(room);
             due.extend(ready.map(|machine| (progress.wave.number, machine.clone())));
         }
@@ -167,25 +196,43 @@
 
     /// Takes note that the maintenance of a machine has begun, or had been done before.
     pub fn upkeep_begun(&mut self, wave: u64, machine: &Arc<str>, now: Instant) {
-        let old = self.workers.values().find(|w| w.offer.machine == *machine);
-        let old = old.map(|w| w.offer.id.clone()).unwrap_or_default();
-        if let Some(progress) = self.waves.iter_mut().find(|w| w.wave.number == wave) {
-            progress.emptying.remove(machine);
-            progress.done.insert(machine.clone());
-            progress.down.insert(machine.clone(), (old, now));
+        let Some(progress) = self.waves.iter_mut().find(|w| w.wave.number == wave) else {
+            return;
+        };
+        if let Some(slot) = progress.emptying.remove(machine) {
+            progress
+                .down
+                .insert(machine.clone(), Slot { since: now, ..slot });
         }
+        progress.done.insert(machine.clone());
     }
 
     /// Takes note that the maintenance of a machine cannot begin; it is chosen again later.
-    pub fn upkeep_refused(&mut self, wave: u64, machine: &Arc<str>) {
+    pub fn upkeep_refused(&mut self, wave: u64, machine: &Arc<str>, now: Instant) {
         if let Some(progress) = self.waves.iter_mut().find(|w| w.wave.number == wave) {
             progress.emptying.remove(machine);
+            progress.refused.insert(machine.clone(), now + REFUSED_FOR);
+        }
+    }
+
+    /// Returns the machines whose maintenance has begun, by wave, for the next leader.
+    pub fn maintained(&self) -> Vec<(u64, Vec<Arc<str>>)> {
+        let row = |w: &WaveProgress| (w.wave.number, w.done.iter().cloned().collect());
+        self.waves.iter().map(row).collect()
+    }
+
+    /// Takes over which machines the last leader has maintained.
+    pub fn inherit_waves(&mut self, maintained: &[(u64, Vec<Arc<str>>)]) {
+        for (number, machines) in maintained {
+            if let Some(progress) = self.waves.iter_mut().find(|w| w.wave.number == *number) {
+                progress.done.extend(machines.iter().cloned());
+            }
         }
     }
 
     /// Returns the waves whose state is to be reported: number and whether it is complete.
     pub fn wave_reports(&self) -> Vec<(u64, bool)> {
-        let report = |w: &Progress| {
+        let report = |w: &WaveProgress| {
             let complete = w.wave.machines.iter().all(|m| w.done.contains(m)) && w.down.is_empty();
             (w.reported != Some(complete)).then_some((w.wave.number, complete))
         };
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //! on an encoding or a socket.
 
 mod advice;
+mod busy;
 mod config;
 mod end;
 mod engine;
@@ -29,6 +30,7 @@
 mod workspace;
 
 pub use advice::Advice;
+pub use busy::Busy;
 pub use config::Config;
 pub use end::End;
 pub use engine::Engine;
--- a/src/batch/task_id.rs
+++ b/src/batch/task_id.rs
@@ -1,7 +1,10 @@
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 /// One task: a job, an occurrence, a step and a place in the step.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct TaskId {
     /// Job.
     pub job: Arc<str>,
--- a/src/batch/tuning.rs
+++ b/src/batch/tuning.rs
@@ -9,6 +9,10 @@
     pub stop: Duration,
     /// Time after which a task that is not at work counts as away.
     pub notice: Duration,
+    /// Time for which a machine is down for maintenance.
+    pub upkeep: Duration,
+    /// Time for which a machine is down while it moves.
+    pub relocation: Duration,
     /// Time for which ended jobs can be asked for.
     pub kept: Duration,
 }
@@ -19,6 +23,8 @@
             lease: Duration::from_secs(6),
             stop: Duration::from_millis(900),
             notice: Duration::from_millis(4_500),
+            upkeep: Duration::from_secs(2),
+            relocation: Duration::from_millis(1_500),
             kept: Duration::from_secs(120),
         }
     }
--- a/src/entry/desired.rs
+++ b/src/entry/desired.rs
@@ -20,13 +20,14 @@
     /// Replaces everything by all rows of the operators, read at `sent`.
     pub(super) fn replace(&mut self, rows: &[Row], sent: Instant) {
         self.out.clear();
-        self.waves.clear();
-        rows.iter().for_each(|row| self.apply(row));
+        self.waves
+            .retain(|key, _| rows.iter().any(|row| row.key == *key));
+        rows.iter().for_each(|row| self.apply(row, sent));
         self.hear(sent);
     }
 
     /// Takes note of a row that changed.
-    pub(super) fn apply(&mut self, row: &Row) {
+    pub(super) fn apply(&mut self, row: &Row, now: Instant) {
         let Some(content) = &row.content else {
             self.waves.remove(&row.key);
             if let Some(Intent::Out(data_centre)) = decode_intent(&row.key, b"{}") {
@@ -41,7 +42,9 @@
                 log::info!(event = "data-centre-out", data_centre; "");
                 self.out.insert(data_centre);
             }
-            Some(Intent::Wave(wave)) => {
+            Some(Intent::Wave(mut wave)) => {
+                let known = self.waves.get(&row.key);
+                wave.due = known.map_or(now + wave.within, |known| known.due);
                 self.waves.insert(row.key.clone(), wave);
             }
             None => log::warn!(event = "intent-unreadable", key = row.key; ""),
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -58,8 +58,9 @@
         loop {
             if self.leadership.may_take(clock::now()) && self.may_lead() {
                 pause(&self.shared.settings.name, TRY_WITHIN).await;
+                let resigned = self.leader.vacant;
                 if self.take().await? {
-                    self.reign().await;
+                    self.reign(resigned).await;
                     self.read().await?;
                 }
                 continue;
@@ -165,6 +166,7 @@
             vacant: false,
             pending: self.leader.pending.clone(),
             busy: self.leader.busy.clone(),
+            maintained: self.leader.maintained.clone(),
         };
         if !self.write(&leader).await? {
             return Ok(false);
@@ -175,10 +177,10 @@
     }
 
     /// Leads until another instance does or this one stops.
-    async fn reign(&mut self) {
+    async fn reign(&mut self, resigned: bool) {
         let begun = clock::now();
         let term = loop {
-            match load::load(&self.shared, &self.leader, self.leadership, begun).await {
+            match load::load(&self.shared, &self.leader, self.leadership, resigned, begun).await {
                 Ok(Some(term)) => break Arc::new(term),
                 Ok(None) => return self.abdicate("another instance leads"),
                 Err(fault) => log::warn!(event = "load-failed", fault:% = fault; ""),
@@ -238,11 +240,13 @@
     }
 
     fn next(&self, term: &Term, vacant: bool) -> Leader {
+        let engine = term.engine();
         Leader {
             renewal: self.leader.renewal + 1,
             vacant,
-            pending: term.pending(),
-            busy: term.engine().busy_workers(),
+            pending: engine.pending().collect(),
+            busy: engine.busy(clock::now()),
+            maintained: engine.maintained(),
             ..self.leader.clone()
         }
     }
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -15,6 +15,7 @@
     shared: &Shared,
     leader: &Leader,
     leadership: Leadership,
+    resigned: bool,
     begun: Instant,
 ) -> Result<Option<Term>, Fault> {
     let desired = shared.desired.lock().expect("desired lock").clone();
@@ -37,8 +38,10 @@
         .iter()
         .filter_map(|row| decode_offer(&row.key, row.content.as_ref()?));
     engine.set_workers(offers.collect());
+    engine.set_waves(desired.waves());
+    engine.inherit_waves(&leader.maintained);
     if leader.token > 1 {
-        engine.inherit(leader.busy.iter().cloned(), begun);
+        engine.inherit(&leader.busy, resigned, begun);
     }
     log::info!(event = "state-loaded", token = leader.token, workers = rows.len(),
         took_ms = clock::now().since(begun).as_millis(); "");
@@ -52,6 +55,8 @@
         lease: millis(bounds.lease_ms),
         stop: millis(bounds.stop_ms),
         notice: millis(bounds.notice_ms),
+        upkeep: std::time::Duration::from_secs_f64(bounds.upkeep_s.max(0.0)),
+        relocation: std::time::Duration::from_secs_f64(bounds.move_s.max(0.0)),
         kept: std::time::Duration::from_secs(bounds.status_s),
     }
 }
--- a/src/entry/row.rs
+++ b/src/entry/row.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::Busy;
+
 /// Tables of the system in the platform's store.
 pub(super) const JOBS: &str = "jobs";
 pub(super) const PROGRESS: &str = "progress";
@@ -41,7 +43,9 @@
     /// Jobs that wait, by queue.
     pub(super) pending: Vec<(Arc<str>, u64)>,
     /// Workers that may have runs.
-    pub(super) busy: Vec<Arc<str>>,
+    pub(super) busy: Vec<Busy>,
+    /// Machines whose maintenance has begun, by wave.
+    pub(super) maintained: Vec<(u64, Vec<Arc<str>>)>,
 }
 
 /// Row that fences the writes to one partition.
--- a/src/entry/schedule.rs
+++ b/src/entry/schedule.rs
@@ -49,7 +49,7 @@
             }
             engine.set_out(desired.out());
             engine.set_waves(desired.waves());
-            engine.review(now, wall_ms);
+            engine.review(now);
             engine.place(now, wall_ms);
         }
         follow_sites(&term, &mut workers);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -43,6 +43,10 @@
     pub stop_ms: u64,
     /// Time after which a task that is not at work counts as away, in milliseconds.
     pub notice_ms: u64,
+    /// Time for which a machine is down for maintenance, in seconds.
+    pub upkeep_s: f64,
+    /// Time for which a machine is down while it moves, in seconds.
+    pub move_s: f64,
     /// Time for which ended jobs can be asked for, in seconds.
     pub status_s: u64,
     /// Time within which a change of the configuration is in force, in milliseconds.
@@ -57,6 +61,8 @@
             lease_ms: 6_000,
             stop_ms: 900,
             notice_ms: 4_500,
+            upkeep_s: 2.0,
+            move_s: 1.5,
             status_s: 120,
             config_ms: 2_000,
             grace_s: 6.0,
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -50,7 +50,7 @@
             Feed::Changes(rows, next) => {
                 version = next;
                 let mut desired = shared.desired.lock().expect("desired lock");
-                rows.iter().for_each(|row| desired.apply(row));
+                rows.iter().for_each(|row| desired.apply(row, clock::now()));
                 // An answer without changes tells that there were none until it was written; the
                 // time at which the call was sent is certain.
                 desired.hear(if rows.is_empty() {
--- a/src/platform/api/intent.rs
+++ b/src/platform/api/intent.rs
@@ -5,6 +5,7 @@
 
 use super::server::Room;
 use crate::batch::{Advice, Config, Route, Wave, Workspace};
+use crate::clock::Instant;
 use crate::collections::Map;
 
 /// One thing that operators ask for.
@@ -80,6 +81,8 @@
     wave: u64,
     machines: Vec<Arc<str>>,
     maximum: usize,
+    /// Seconds from the request of the wave.
+    complete_by_s: f64,
 }
 
 /// Reads a row that operators wrote. `None` when it is of no kind that is known.
@@ -104,6 +107,8 @@
         number: wave.wave,
         machines: wave.machines,
         maximum: wave.maximum,
+        within: Duration::from_secs_f64(wave.complete_by_s.clamp(0.0, 1e9)),
+        due: Instant::default(),
     }))
 }
 
