--- a/src/batch/busy.rs
+++ b/src/batch/busy.rs
@@ -12,6 +12,10 @@
     pub worker: Arc<str>,
     /// Service of the worker.
     pub service: Arc<str>,
+    /// Machine on which it lives.
+    pub machine: Arc<str>,
+    /// Start of its life in milliseconds since 1970.
+    pub born_ms: u64,
     /// Whether it does not answer, so that it gets no further starts.
     pub silent: bool,
     /// Time until its lease has run out for certain, in milliseconds.
--- a/src/batch/engine/accept.rs
+++ b/src/batch/engine/accept.rs
@@ -166,7 +166,7 @@
             let round = job.rounds.iter_mut().find(|r| r.number == *occurrence);
             let stage = round.and_then(|r| r.stages.get_mut(*step as usize));
             if let Some(task) = stage.and_then(|s| s.tasks.get_mut(*index as usize)) {
-                task.failures = *failures;
+                task.failures.clone_from(failures);
             }
         }
         let complete = |r: &Round| r.is_complete();
--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -104,11 +104,12 @@
     }
 
     /// Returns the deadline on the clock of a worker for a lease from `now`, and remembers that it
-    /// is granted. `None` before the clock is known.
+    /// is granted. `None` before the clock is known, and while the worker does not answer: its
+    /// runs are given up when the leases granted before have run out.
     pub fn grant(&mut self, key: WorkerKey, now: Instant) -> Option<u64> {
         let until = now + self.lapse();
         let lease = u64::try_from(self.tuning.lease.as_millis()).unwrap_or(u64::MAX / 2);
-        let worker = self.workers.get_mut(key)?;
+        let worker = self.workers.get_mut(key).filter(|w| !w.failing)?;
         let clock = worker.clock_ms(now)?;
         worker.lease_until = worker.lease_until.max(until);
         Some(clock + lease)
--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -114,7 +114,7 @@
         let Some(task) = self.task_mut(key, &ended.task) else {
             return;
         };
-        if task.done {
+        if task.done || task.failures.contains(&ended.number) {
             return;
         }
         task.not_before = now + RETRY_AFTER;
@@ -124,8 +124,8 @@
         if lasting {
             return;
         }
-        task.failures += 1;
-        let hopeless = task.failures >= limit;
+        task.failures.push(ended.number);
+        let hopeless = task.failures.len() >= limit as usize;
         self.change(key, false);
         if hopeless {
             self.finish(key, State::Failed, wall_ms, now);
--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -7,6 +7,10 @@
 use crate::batch::{Busy, RunKey, TaskId};
 use crate::clock::Instant;
 
+/// Time beyond that of a stop after which a new leader stops lasting tasks: stops of the last
+/// leader are over, so it knows which tasks are away.
+const MOVE_AFTER: Duration = Duration::from_millis(1_500);
+
 impl Engine {
     /// Takes over from the last leader, which began to be followed at `begun`.
     ///
@@ -15,11 +19,21 @@
     pub fn inherit(&mut self, busy: &[Busy], resigned: bool, begun: Instant) {
         let longest = begun + ACT_FOR + self.lapse();
         for worker in busy {
-            let exact = resigned || worker.silent;
-            let until = begun + Duration::from_millis(worker.lease_ms);
+            if self.is_replaced(worker) {
+                continue;
+            }
+            let listed = self.worker_ids.contains_key(&worker.worker);
+            let exact = resigned || worker.silent || !listed;
+            let until = if resigned || worker.silent {
+                begun + Duration::from_millis(worker.lease_ms)
+            } else if listed {
+                longest
+            } else {
+                begun + self.lapse()
+            };
             let unheard = Unheard {
                 service: worker.service.clone(),
-                until: if exact { until } else { longest },
+                until,
                 tasks: exact.then(|| worker.tasks.clone()),
             };
             self.unheard.insert(worker.worker.clone(), unheard);
@@ -39,6 +53,15 @@
         for job in self.jobs.values_mut() {
             job.inherited = true;
         }
+        self.moves_from = begun + self.tuning.stop + MOVE_AFTER;
+    }
+
+    /// Returns whether a younger worker lives on the machine, so that all runs there have ended.
+    fn is_replaced(&self, busy: &Busy) -> bool {
+        !busy.machine.is_empty()
+            && self.workers.values().any(|worker| {
+                worker.offer.machine == busy.machine && worker.offer.born_ms > busy.born_ms
+            })
     }
 
     /// Lists the workers that may have runs, for the next leader.
@@ -49,6 +72,8 @@
             Busy {
                 worker: worker.offer.id.clone(),
                 service: worker.offer.service.clone(),
+                machine: worker.offer.machine.clone(),
+                born_ms: worker.offer.born_ms,
                 silent: worker.failing,
                 lease_ms: u64::try_from(lease.as_millis()).unwrap_or(u64::MAX),
                 tasks: worker.runs.iter().map(task).collect(),
--- a/src/batch/engine/job.rs
+++ b/src/batch/engine/job.rs
@@ -62,8 +62,8 @@
                     if task.done {
                         progress.done.push((round.number, step, index));
                     }
-                    if task.failures > 0 {
-                        let row = (round.number, step, index, task.failures);
+                    if !task.failures.is_empty() {
+                        let row = (round.number, step, index, task.failures.clone());
                         progress.failed.push(row);
                     }
                 }
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -71,6 +71,8 @@
     dirty: Vec<JobKey>,
     /// Workers on which the last leader may have runs and that were not heard yet.
     unheard: Map<Arc<str>, Unheard>,
+    /// When this leader begins to move lasting tasks.
+    moves_from: Instant,
     /// Whether a worker has seen a higher fencing token.
     fenced: bool,
 }
@@ -95,6 +97,7 @@
             orders: Vec::new(),
             dirty: Vec::new(),
             unheard: Map::default(),
+            moves_from: Instant::default(),
             fenced: false,
         }
     }
--- a/src/batch/engine/task.rs
+++ b/src/batch/engine/task.rs
@@ -12,8 +12,8 @@
     pub(super) runs: Vec<RunKey>,
     /// Number of the latest run.
     pub(super) number: u64,
-    /// Runs that failed.
-    pub(super) failures: u32,
+    /// Numbers of the runs that failed.
+    pub(super) failures: Vec<u64>,
     /// Latest saved progress.
     pub(super) saved: Option<Arc<str>>,
     /// No start before this time.
--- a/src/batch/engine/upkeep.rs
+++ b/src/batch/engine/upkeep.rs
@@ -154,6 +154,9 @@
     /// Returns whether a lasting task may be stopped: not too many others of its step are away.
     pub(super) fn may_move(&self, key: RunKey, now: Instant) -> bool {
         let run = &self.runs[key];
+        if now < self.moves_from {
+            return false;
+        }
         let Some(stage) = self.stage(run.job, run.task.occurrence, run.task.step) else {
             return true;
         };
--- a/src/batch/progress.rs
+++ b/src/batch/progress.rs
@@ -11,9 +11,10 @@
     /// Tasks that have ended well, as (occurrence, step, index).
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<(u32, u32, u32)>,
-    /// Tasks that failed, as (occurrence, step, index, failures).
+    /// Tasks that failed, as (occurrence, step, index, numbers of the runs). A worker lists an end
+    /// until it is acknowledged, so a new leader may read one that is stored already.
     #[serde(skip_serializing_if = "Vec::is_empty")]
-    pub failed: Vec<(u32, u32, u32, u32)>,
+    pub failed: Vec<(u32, u32, u32, Vec<u64>)>,
     /// When the job ended, in milliseconds since 1970; 0 before.
     pub ended_ms: u64,
 }
