Resign with a complete list, and maintain machines only once their ends are stored

Change: maintenance waits for stored ends; the tasks of a leader end before it writes its list, and the process waits for that within its grace time.

--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use super::Engine;
+use super::{Engine, Worker};
 use crate::batch::{JobKey, Progress, WorkerKey};
 use crate::clock::Instant;
 
@@ -86,6 +86,14 @@
         worker.acknowledged
     }
 
+    /// Returns whether everything that the ends of a worker changed is stored.
+    pub(super) fn has_stored_ends(&self, worker: &Worker) -> bool {
+        let is_stored = |(_, job, change): &(u64, JobKey, u64)| {
+            self.jobs.get(*job).is_none_or(|job| job.stored >= *change)
+        };
+        worker.unstored.iter().all(is_stored)
+    }
+
     /// Returns whether a look at a worker is due: it has runs, or ends to acknowledge.
     pub fn wants_look(&self, key: WorkerKey) -> bool {
         self.workers.get(key).is_some_and(|w| {
--- a/src/batch/engine/upkeep.rs
+++ b/src/batch/engine/upkeep.rs
@@ -178,14 +178,15 @@
             && (run.percent >= 100 || run.pace < 100)
     }
 
-    /// Returns the machines that are empty and may go down for a wave: number and machine.
+    /// Returns the machines that are empty and may go down for a wave: number and machine. Ends
+    /// that are not stored would be lost with the worker that lists them.
     pub fn upkeep_due(&self) -> Vec<(u64, Arc<str>)> {
         let empty = |machine: &Arc<str>| {
             let mut here = self
                 .workers
                 .values()
                 .filter(|w| w.offer.machine == *machine);
-            here.all(|w| w.runs.is_empty())
+            here.all(|w| w.runs.is_empty() && self.has_stored_ends(w))
         };
         let mut due = Vec::new();
         for progress in &self.waves {
--- a/src/entry/drain.rs
+++ b/src/entry/drain.rs
@@ -7,6 +7,8 @@
     pub(super) accept: Duration,
     /// Further time for requests under way.
     pub(super) finish: Duration,
+    /// Further time in which a leader that meets a slow store may resign.
+    pub(super) resign: Duration,
 }
 
 impl Drain {
@@ -14,7 +16,8 @@
     pub(super) fn within(grace: Duration) -> Self {
         Self {
             accept: grace.mul_f64(0.42),
-            finish: grace.mul_f64(0.4),
+            finish: grace.mul_f64(0.35),
+            resign: grace.mul_f64(0.15),
         }
     }
 }
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -71,8 +71,10 @@
     // Connections see the change and end after the request under way.
     let _ = close.send(true);
     let finished = tokio::time::timeout(drain.finish, close.closed()).await;
-    log::info!(event = "instance-stopped", all_served = finished.is_ok(); "");
-    leading.abort();
+    // The leader leaves its runs to the next one.
+    let resigned = tokio::time::timeout(drain.resign, leading).await;
+    log::info!(event = "instance-stopped", all_served = finished.is_ok(),
+        resigned = resigned.is_ok(); "");
     accepting.await.map_err(|error| eyre!("step=stop: {error}"))
 }
 
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -43,7 +43,7 @@
         version: 0,
         heard: 0,
     };
-    loop {
+    while !seat.shared.is_stopping() {
         if let Err(fault) = seat.follow().await {
             log::debug!(event = "leader-unknown", fault:% = fault; "");
             tokio::time::sleep(RETRY_AFTER).await;
@@ -55,7 +55,7 @@
     /// Reads the row and its changes, and leads when it may.
     async fn follow(&mut self) -> Result<(), Fault> {
         self.read().await?;
-        loop {
+        while !self.shared.is_stopping() {
             if self.leadership.may_take(clock::now()) && self.may_lead() {
                 pause(&self.shared.settings.name, TRY_WITHIN).await;
                 let resigned = self.leader.vacant;
@@ -73,6 +73,7 @@
                 }
             }
         }
+        Ok(())
     }
 
     fn may_lead(&self) -> bool {
@@ -195,11 +196,12 @@
         schedule::spawn(&self.shared, &term, &mut tasks);
         self.renew_until_over(&term).await;
         *self.shared.term.lock().expect("term lock") = None;
+        // Nothing starts any more, so that the list of runs that the next leader gets is complete.
+        tasks.shutdown().await;
         if self.shared.is_stopping() && !term.is_over() {
             super::flush::flush_now(&self.shared, &term).await;
             self.resign(&term).await;
         }
-        tasks.shutdown().await;
         self.leadership.end(clock::now());
     }
 
