Move machines of the spare pool to the queues in their turn of demand

Change: the rate of arriving work, what waits and what lasts, against the usable capacity, decide how many machines a pool borrows; idle ones go to the next queue that lacks capacity, or off. The list of lent machines is handed over.

--- a/src/batch/engine/accept.rs
+++ b/src/batch/engine/accept.rs
@@ -48,6 +48,9 @@
         let key = self.jobs.insert(job);
         self.ids.insert(id.clone(), key);
         self.follow_route(key);
+        if !inherited {
+            self.count_arrival(key, now);
+        }
         self.restore(key, &progress);
         self.complete(key, wall_ms, now);
     }
--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -10,6 +10,8 @@
     /// Not a worker on which the task failed before.
     untried: bool,
     near_data: bool,
+    /// Not a machine that is lent for a short time, for a task that lasts.
+    settled: bool,
     /// No tasks beside it that would disturb it.
     undisturbed: bool,
     /// Smallest share of a resource that stays free.
@@ -70,6 +72,7 @@
         !worker.gone
             && !worker.offer.draining
             && !worker.cordoned
+            && !worker.leaving
             && !worker.failing
             && worker.heard.is_some()
             && worker.shunned_until <= now
@@ -104,6 +107,7 @@
         Fit {
             untried,
             near_data: step.data_rack.as_ref().is_none_or(|rack| worker.has(rack)),
+            settled: !step.lasting || !self.pools.is_borrowed(&worker.offer.machine),
             undisturbed: !worker.runs.iter().any(|run| disturbs(&run)),
             spare: part(rest.processors, capacity.processors)
                 .min(part(rest.memory, capacity.memory)),
--- /dev/null
+++ b/src/batch/engine/demand.rs
@@ -0,0 +1,37 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::clock::Instant;
+
+/// Time over which arriving work is averaged. A burst lasts some seconds, and a machine needs two
+/// of them to join a pool.
+const WINDOW: Duration = Duration::from_millis(800);
+
+/// Work that arrived for one service lately.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Demand {
+    /// When it arrived, and work in thousandths of a processor times milliseconds.
+    arrivals: VecDeque<(Instant, u64)>,
+    sum: u64,
+    /// When the service last wanted more than its pool has.
+    pub(super) wanted: Instant,
+}
+
+impl Demand {
+    pub(super) fn arrive(&mut self, work: u64, now: Instant) {
+        self.arrivals.push_back((now, work));
+        self.sum += work;
+    }
+
+    /// Returns the processors, in thousandths, that keep up with the arriving work.
+    pub(super) fn rate(&mut self, now: Instant) -> u64 {
+        while let Some((at, work)) = self.arrivals.front().copied() {
+            if now.since(at) <= WINDOW {
+                break;
+            }
+            self.arrivals.pop_front();
+            self.sum -= work;
+        }
+        self.sum / u64::try_from(WINDOW.as_millis()).unwrap_or(1)
+    }
+}
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -2,12 +2,14 @@
 mod ack;
 mod advise;
 mod choose;
+mod demand;
 mod end;
 mod inherit;
 mod job;
 mod look;
 mod pace;
 mod place;
+mod pools;
 mod reply;
 mod review;
 mod round;
@@ -29,7 +31,9 @@
 use crate::collections::{Map, Set};
 use crate::jobs::Size;
 
+use demand::Demand;
 use job::Job;
+use pools::Pools;
 use round::Round;
 use run::Run;
 use stage::{Stage, StageKey};
@@ -67,6 +71,9 @@
     /// Data centres that operators have taken out.
     out: Set<Arc<str>>,
     waves: Vec<WaveProgress>,
+    /// Work that arrived lately, by service.
+    demand: Map<Arc<str>, Demand>,
+    pools: Pools,
     orders: Vec<(WorkerKey, Order)>,
     dirty: Vec<JobKey>,
     /// Workers on which the last leader may have runs and that were not heard yet.
@@ -94,6 +101,8 @@
             usage: Map::default(),
             out: Set::default(),
             waves: Vec::new(),
+            demand: Map::default(),
+            pools: Pools::default(),
             orders: Vec::new(),
             dirty: Vec::new(),
             unheard: Map::default(),
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -33,6 +33,8 @@
     pub(super) shunned_until: Instant,
     /// Whether it is being emptied for maintenance.
     pub(super) cordoned: bool,
+    /// Whether it is being emptied because its machine is needed elsewhere.
+    pub(super) leaving: bool,
 }
 
 impl Worker {
@@ -53,6 +55,7 @@
             strikes: Vec::new(),
             shunned_until: Instant::default(),
             cordoned: false,
+            leaving: false,
         }
     }
 
--- a/src/platform/api/machine.rs
+++ b/src/batch/machine.rs
@@ -1,14 +1,16 @@
 use std::sync::Arc;
 
-/// A machine of the fleet as the platform lists it.
+/// A machine of the fleet.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Machine {
     /// Name of the machine.
     pub name: Arc<str>,
     /// Pool that it belongs to, which is the name of a service.
     pub pool: Arc<str>,
-    /// Whether a worker can live there now.
+    /// Whether it can be ordered to move or to go down.
     pub up: bool,
-    /// Identity of the worker that lives there.
-    pub worker: Arc<str>,
+    /// Thousandths of a processor that it has.
+    pub processors: u64,
+    /// Data centre.
+    pub data_centre: Arc<str>,
 }
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -168,6 +168,7 @@
             pending: self.leader.pending.clone(),
             busy: self.leader.busy.clone(),
             maintained: self.leader.maintained.clone(),
+            homes: self.leader.homes.clone(),
         };
         if !self.write(&leader).await? {
             return Ok(false);
@@ -249,6 +250,7 @@
             pending: engine.pending().collect(),
             busy: engine.busy(clock::now()),
             maintained: engine.maintained(),
+            homes: engine.homes(),
             ..self.leader.clone()
         }
     }
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -40,6 +40,7 @@
     engine.set_workers(offers.collect());
     engine.set_waves(desired.waves());
     engine.inherit_waves(&leader.maintained);
+    engine.inherit_homes(&leader.homes);
     if leader.token > 1 {
         engine.inherit(&leader.busy, resigned, begun);
     }
--- a/src/entry/row.rs
+++ b/src/entry/row.rs
@@ -44,6 +44,8 @@
     pub(super) pending: Vec<(Arc<str>, u64)>,
     /// Workers that may have runs.
     pub(super) busy: Vec<Busy>,
+    /// Machines that are lent, with their pools.
+    pub(super) homes: Vec<(Arc<str>, Arc<str>)>,
     /// Machines whose maintenance has begun, by wave.
     pub(super) maintained: Vec<(u64, Vec<Arc<str>>)>,
 }
--- a/src/entry/upkeep.rs
+++ b/src/entry/upkeep.rs
@@ -3,12 +3,15 @@
 
 use super::shared::{STORE_LIMIT, Shared};
 use super::term::Term;
-use crate::clock;
+use crate::clock::{self, Instant};
 use crate::platform::api::{Fleet, Store, Transaction, wave_status};
 
 /// Time between two rounds.
 const ROUND_EVERY: Duration = Duration::from_millis(100);
 
+/// Time between two lists of the machines.
+const LIST_EVERY: Duration = Duration::from_secs(2);
+
 /// Time that an answer about a machine may take.
 const ANSWER_WITHIN: Duration = Duration::from_millis(1_000);
 
@@ -18,8 +21,18 @@
         return;
     };
     let fleet = Fleet::new(address, &shared.settings.name);
+    let mut listed = Instant::default();
     loop {
         tokio::time::sleep(ROUND_EVERY).await;
+        let now = clock::now();
+        if now.since(listed) >= LIST_EVERY && term.may_act() {
+            listed = now;
+            match fleet.list(ANSWER_WITHIN).await {
+                Ok(machines) => term.engine().set_machines(machines),
+                Err(fault) => log::debug!(event = "machines-unlisted", fault:% = fault; ""),
+            }
+        }
+        relocate(&term, &fleet).await;
         let due = term.engine().upkeep_due();
         for (wave, machine) in due {
             if !term.may_order_machines(clock::now()) {
@@ -46,6 +59,36 @@
     }
 }
 
+/// Moves machines to the pools that need them.
+async fn relocate(term: &Term, fleet: &Fleet) {
+    if !term.may_order_machines(clock::now()) {
+        return;
+    }
+    let moves = term.engine().relocations(clock::now());
+    for (machine, pool) in moves {
+        if !term.may_order_machines(clock::now()) {
+            return;
+        }
+        match fleet
+            .relocate(&machine, &pool, term.token, ANSWER_WITHIN)
+            .await
+        {
+            Ok(true) => {
+                log::info!(event = "machine-moved", machine, pool; "");
+                term.engine().relocated(&machine, &pool, clock::now());
+            }
+            Ok(false) => {
+                log::warn!(event = "move-refused", machine, pool; "");
+                term.engine().relocation_refused(&machine, clock::now());
+            }
+            Err(fault) => {
+                log::warn!(event = "move-failed", machine, pool, fault:% = fault; "");
+                term.engine().relocation_refused(&machine, clock::now());
+            }
+        }
+    }
+}
+
 async fn report(shared: &Shared, term: &Term) {
     let reports = term.engine().wave_reports();
     for (wave, complete) in reports {
--- a/src/platform/api/fleet.rs
+++ b/src/platform/api/fleet.rs
@@ -8,7 +8,10 @@
 use serde_json::json;
 
 use super::names::{DUTY_HOLDER, FENCING_TOKEN};
-use super::{Fault, Link, Machine};
+use super::server::Room;
+use super::{Fault, Link};
+use crate::batch::Machine;
+use crate::jobs::Size;
 use crate::platform::http::query;
 
 /// Client of the platform's machines.
@@ -30,7 +33,8 @@
     machine: Arc<str>,
     pool: Arc<str>,
     state: String,
-    id: Option<Arc<str>>,
+    zone: Arc<str>,
+    capacity: Room,
 }
 
 impl Fleet {
@@ -138,7 +142,8 @@
             name: entry.machine,
             pool: entry.pool,
             up: entry.state == "up",
-            worker: entry.id.unwrap_or_default(),
+            processors: Size::from(entry.capacity).processors,
+            data_centre: entry.zone,
         }
     }
 }
