--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -11,6 +11,15 @@
         (!self.dirty.is_empty()).then(|| self.dirty.iter().any(urgent))
     }
 
+    /// Notes that all changes which are not known to be stored must be written.
+    pub fn mark_unstored(&mut self) {
+        for (key, job) in &mut self.jobs {
+            if job.stored < job.changes && !std::mem::replace(&mut job.dirty, true) {
+                self.dirty.push(key);
+            }
+        }
+    }
+
     /// Takes up to `limit` jobs to store: key, id, number of the change and progress.
     pub fn take_unstored(
         &mut self,
--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -56,11 +56,14 @@
     }
 }
 
-/// Stores what there is, once.
+/// Stores all that is not stored, also what a task was storing when it was ended.
 pub(super) async fn flush_now(shared: &Shared, term: &Term) {
+    term.engine().mark_unstored();
     let mut parts: Vec<Part> = part::all().map(Part::new).collect();
-    let writes = parts.iter_mut().map(|part| part.flush(shared, term));
-    futures_util::future::join_all(writes).await;
+    while term.engine().unstored().is_some() && !term.is_over() {
+        let writes = parts.iter_mut().map(|part| part.flush(shared, term));
+        futures_util::future::join_all(writes).await;
+    }
 }
 
 impl Part {
