--- a/src/batch/engine/upkeep.rs
+++ b/src/batch/engine/upkeep.rs
@@ -59,8 +59,9 @@
         let absent = self.tuning.upkeep + RETURN_SLACK;
         self.waves[number].down.retain(|machine, slot| {
             let back = workers.values().any(|w| {
-                let new = w.offer.id != slot.worker && w.heard.is_some();
-                !w.gone && w.offer.machine == *machine && new
+                let younger = w.offer.born_ms > slot.born_ms;
+                let new = younger || (w.offer.born_ms == 0 && w.offer.id != slot.worker);
+                !w.gone && w.offer.machine == *machine && new && w.heard.is_some()
             });
             let age = now.since(slot.since);
             let over = slot.worker.is_empty() && age > absent;
@@ -82,25 +83,25 @@
             if !progress.is_left(machine, now) {
                 continue;
             }
-            let here = self.workers.values().find(|w| w.offer.machine == *machine);
-            let (service, worker) = here.map_or_else(Default::default, |w| {
-                (w.offer.service.clone(), w.offer.id.clone())
-            });
-            if !service.is_empty() && progress.taken(&service) >= most {
+            let here = self
+                .workers
+                .values()
+                .filter(|w| w.offer.machine == *machine);
+            // An entry of an earlier life may still be listed.
+            let here = here.max_by_key(|w| w.offer.born_ms);
+            let slot = Slot {
+                service: here.map(|w| w.offer.service.clone()).unwrap_or_default(),
+                worker: here.map(|w| w.offer.id.clone()).unwrap_or_default(),
+                born_ms: here.map_or(0, |w| w.offer.born_ms),
+                since: now,
+            };
+            let service = &slot.service;
+            if !service.is_empty() && progress.taken(service) >= most {
                 continue;
             }
-            let part = used.get(&service).copied().unwrap_or_default();
+            let part = used.get(service).copied().unwrap_or_default();
             if best.as_ref().is_none_or(|(least, ..)| part < *least) {
-                let since = now;
-                best = Some((
-                    part,
-                    machine.clone(),
-                    Slot {
-                        service,
-                        worker,
-                        since,
-                    },
-                ));
+                best = Some((part, machine.clone(), slot));
             }
         }
         best.map(|(_, machine, slot)| (machine, slot))
@@ -209,6 +210,9 @@
                 .insert(machine.clone(), Slot { since: now, ..slot });
         }
         progress.done.insert(machine.clone());
+        for worker in self.workers.values_mut() {
+            worker.gone |= worker.offer.machine == *machine;
+        }
     }
 
     /// Takes note that the maintenance of a machine cannot begin; it is chosen again later.
--- a/src/batch/engine/wave_progress.rs
+++ b/src/batch/engine/wave_progress.rs
@@ -11,6 +11,8 @@
     pub(super) service: Arc<str>,
     /// Worker that lived there; empty when there was none.
     pub(super) worker: Arc<str>,
+    /// Start of the youngest life on the machine, in milliseconds since 1970.
+    pub(super) born_ms: u64,
     pub(super) since: Instant,
 }
 
--- a/tests/batch/upkeep.rs
+++ b/tests/batch/upkeep.rs
@@ -105,3 +105,26 @@
     assert!(bed.engine.upkeep_due().is_empty());
     assert_eq!(bed.engine.wave_reports(), [(1, true)]);
 }
+
+/// An entry of an earlier life of a machine made it count as back, and one too many went down.
+#[test]
+fn counts_a_machine_as_down_beside_its_earlier_life() {
+    let mut bed = Bed::with_workers(0);
+    for (id, machine, born_ms) in [("a-2", "m-a", 5), ("a-1", "m-a", 3), ("b-1", "m-b", 3)] {
+        let mut life = offer(id, "s");
+        (life.machine, life.born_ms) = (machine.into(), born_ms);
+        bed.add(life);
+    }
+    bed.run(100);
+    let wave = wave(&bed, &["m-a", "m-b"], 1, Duration::from_secs(1));
+    bed.engine.set_waves(vec![wave]);
+    bed.run(100);
+    let (number, machine) = bed.engine.upkeep_due()[0].clone();
+    bed.engine.upkeep_begun(number, &machine, bed.now);
+    // The store lists the earlier life for some time.
+    let mut earlier = offer("a-1", "s");
+    (earlier.machine, earlier.born_ms) = ("m-a".into(), 3);
+    bed.add(earlier);
+    bed.run(500);
+    assert!(bed.engine.upkeep_due().is_empty());
+}
