--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -7,8 +7,9 @@
 /// Run numbers that one leader may use for a task before it meets those of the next leader.
 const NUMBERS_PER_LEADER: u64 = 1_000;
 
-/// Share of the declared time that a task needs at least.
-const OPTIMISM: f64 = 0.8;
+/// Time that the rest of a job needs, in times of the declared one: a step lasts as long as the
+/// longest of its tasks.
+const REST_FACTOR: f64 = 1.15;
 
 /// Order in which stages of one service get room; the smallest comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -18,6 +19,8 @@
     priority: u32,
     /// Jobs that cannot meet their objective any more give way to those that can.
     hopeless: bool,
+    /// Jobs that have begun hold capacity for nothing until they end.
+    fresh: bool,
     /// Milliseconds that are left beyond the remaining work.
     slack_ms: i64,
 }
@@ -59,13 +62,14 @@
             .iter()
             .map(Step::estimate)
             .sum();
-        let rest = i64::try_from(rest.mul_f64(OPTIMISM).as_millis()).unwrap_or(i64::MAX / 4);
+        let rest = i64::try_from(rest.mul_f64(REST_FACTOR).as_millis()).unwrap_or(i64::MAX / 4);
         let left = i64::try_from(start + objective).unwrap_or(i64::MAX / 2)
             - i64::try_from(wall_ms).unwrap_or(i64::MAX / 2);
         Rank {
             briefly: !spec.steps[place.step as usize].lasting,
             priority: job.priority,
             hopeless: left < rest,
+            fresh: !job.is_started(),
             slack_ms: left - rest,
         }
     }
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -13,6 +13,9 @@
 /// Age of a run in times of its estimate from which a copy is worth its cost.
 const COPY_FACTOR: f64 = 2.0;
 
+/// Part of a pool in use above which copies would take room from jobs that wait.
+const COPY_BELOW: f64 = 0.7;
+
 /// Time after which a confirmed stop that no look shows is repeated.
 const STOP_AGAIN: Duration = Duration::from_secs(2);
 
@@ -112,8 +115,13 @@
 
     /// Starts copies of runs that take much longer than declared.
     fn copy_slow(&mut self, now: Instant) {
+        let used = self.used_parts();
         let mut slow = Vec::new();
         for run in self.runs.values() {
+            let service = &self.jobs[run.job].service;
+            if used.get(service).is_some_and(|part| *part > COPY_BELOW) {
+                continue;
+            }
             let Some(step) = self.jobs[run.job]
                 .record
                 .spec
--- a/src/platform/api/intent.rs
+++ b/src/platform/api/intent.rs
@@ -75,13 +75,15 @@
     max_body_bytes: usize,
 }
 
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct WireWave {
     wave: u64,
     machines: Vec<Arc<str>>,
+    #[serde(default)]
     maximum: usize,
     /// Seconds from the request of the wave.
+    #[serde(default)]
     complete_by_s: f64,
 }
 
@@ -94,6 +96,10 @@
 /// assert_eq!(decode_intent("config", b"no JSON"), None);
 /// ```
 pub fn decode_intent(key: &str, content: &[u8]) -> Option<Intent> {
+    // The library also reads a list as the fields of a type, in their order.
+    if !content.trim_ascii_start().starts_with(b"{") {
+        return None;
+    }
     if key == "config" {
         let config = serde_json::from_slice::<WireConfig>(content).ok()?;
         return Some(Intent::Config(Box::new(config.into())));
--- a/src/platform/api/submission.rs
+++ b/src/platform/api/submission.rs
@@ -55,6 +55,10 @@
 /// assert!(coriandernotch::platform::api::decode_submission(b"{}").is_err());
 /// ```
 pub fn decode_submission(body: &[u8]) -> Result<Spec, String> {
+    // The library also reads a list as the fields of a type, in their order.
+    if !body.trim_ascii_start().starts_with(b"{") {
+        return Err("a job is an object".into());
+    }
     let submission: Submission = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     let spec = Spec {
         payload: submission.spec,
--- a/tests/batch/place.rs
+++ b/tests/batch/place.rs
@@ -182,3 +182,48 @@
     bed.run(20);
     assert!(bed.paces.iter().all(|percent| *percent < 100) && !bed.paces.is_empty());
 }
+
+/// Load: more jobs at once than can meet their objective. A queue in order of arrival serves all of
+/// them late; the jobs that can still make it must go first.
+#[test]
+fn jobs_that_cannot_meet_their_objective_give_way() {
+    let mut bed = Bed::with_workers(2);
+    // Each job is 4 tasks of 0.5 s: the pool takes 4 of them a second.
+    for number in 0..16 {
+        let mut job = record(vec![step(4)]);
+        job.arrived_ms = bed.wall_ms();
+        bed.accept(&format!("a{number}"), job);
+    }
+    bed.run(1_200);
+    for number in 0..4 {
+        let mut job = record(vec![step(4)]);
+        job.arrived_ms = bed.wall_ms();
+        bed.accept(&format!("b{number}"), job);
+    }
+    let begun = bed.wall_ms();
+    bed.run(6_000);
+    assert_eq!(bed.ended.len(), 20, "late jobs are served in the end");
+    let objective = 500 * 16 / 10 + 600;
+    let late = |id: &String| bed.ended[&**id].1 > begun + objective;
+    let late: Vec<String> = (0..4).map(|n| format!("b{n}")).filter(late).collect();
+    assert!(late.is_empty(), "{late:?}");
+}
+
+/// Load: a full pool. Copies against slow runs took a tenth of it from jobs that waited.
+#[test]
+fn copies_slow_runs_only_where_there_is_room() {
+    for (others, copies) in [(0, 1), (16, 0)] {
+        let mut bed = Bed::with_workers(2);
+        bed.run_ms = 1_300;
+        let step = coriandernotch::batch::Step {
+            speculative: true,
+            ..step(1)
+        };
+        bed.accept("j", record(vec![step]));
+        for number in 0..others {
+            bed.accept(&format!("o{number}"), record(vec![crate::bed::step(1)]));
+        }
+        bed.run(1_250);
+        assert_eq!(bed.starts_of("j", 0, 0), 1 + copies, "{others} others");
+    }
+}
--- /dev/null
+++ b/tests/entry/standin.rs
@@ -0,0 +1,104 @@
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpListener;
+
+/// One request to a stand-in.
+pub(crate) struct Call {
+    pub(crate) path: String,
+    query: Vec<(String, String)>,
+    pub(crate) expected: Option<String>,
+    pub(crate) body: Value,
+}
+
+impl Call {
+    pub(crate) fn query(&self, name: &str) -> &str {
+        let found = self.query.iter().find(|(known, _)| known == name);
+        found.map_or("", |(_, value)| value)
+    }
+
+    pub(crate) fn number(&self, name: &str) -> u64 {
+        self.query(name).parse().unwrap_or_default()
+    }
+}
+
+/// Serves a stand-in on a free port. `None` as an answer closes the connection.
+pub(crate) async fn serve<F, R>(answer: F) -> SocketAddr
+where
+    F: Fn(Call) -> R + Send + Sync + 'static,
+    R: Future<Output = Option<(u16, Value)>> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let answer = Arc::new(answer);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                let service = service_fn(|request| one(answer.clone(), request));
+                // A connection that is closed without an answer ends with an error.
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+    address
+}
+
+async fn one<F, R>(
+    answer: Arc<F>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, std::io::Error>
+where
+    F: Fn(Call) -> R,
+    R: Future<Output = Option<(u16, Value)>>,
+{
+    let (head, body) = request.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map_err(std::io::Error::other)?
+        .to_bytes();
+    let pairs = head.uri.query().unwrap_or_default().split('&');
+    let pairs = pairs.filter_map(|pair| pair.split_once('='));
+    let call = Call {
+        path: head.uri.path().to_owned(),
+        query: pairs.map(|(k, v)| (k.to_owned(), unescape(v))).collect(),
+        expected: head
+            .headers
+            .get("x-expect-instance")
+            .map(|value| value.to_str().unwrap().to_owned()),
+        body: serde_json::from_slice(&body).unwrap_or_default(),
+    };
+    let Some((status, body)) = answer(call).await else {
+        return Err(std::io::Error::other("closed"));
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = status.try_into().unwrap();
+    Ok(response)
+}
+
+fn unescape(text: &str) -> String {
+    let mut out = Vec::new();
+    let mut bytes = text.bytes();
+    while let Some(byte) = bytes.next() {
+        if byte == b'%' {
+            let digits = [bytes.next().unwrap(), bytes.next().unwrap()];
+            let digits = std::str::from_utf8(&digits).unwrap().to_owned();
+            out.push(u8::from_str_radix(&digits, 16).unwrap());
+        } else {
+            out.push(byte);
+        }
+    }
+    String::from_utf8(out).unwrap()
+}
--- /dev/null
+++ b/tests/entry/worker.rs
@@ -0,0 +1,167 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use crate::standin::{Call, serve};
+
+/// Stand-in of a worker.
+#[derive(Clone)]
+pub(crate) struct Worker {
+    state: Arc<Mutex<State>>,
+    id: String,
+}
+
+struct State {
+    begun: Instant,
+    token: u64,
+    /// Task, run, and when it ends by itself.
+    running: Vec<(String, u64, Option<Instant>)>,
+    ended: Vec<(u64, String, u64, &'static str)>,
+    position: u64,
+    /// Every start that was carried out: task and run.
+    starts: Vec<(String, u64)>,
+    acknowledged: u64,
+}
+
+impl Worker {
+    pub(crate) fn new(id: &str) -> Self {
+        let state = State {
+            begun: Instant::now(),
+            token: 0,
+            running: Vec::new(),
+            ended: Vec::new(),
+            position: 0,
+            starts: Vec::new(),
+            acknowledged: 0,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            id: id.into(),
+        }
+    }
+
+    pub(crate) async fn start(&self) -> SocketAddr {
+        let worker = self.clone();
+        serve(move |call| {
+            let worker = worker.clone();
+            async move { Some(worker.answer(call).await) }
+        })
+        .await
+    }
+
+    /// Returns every start that was carried out: task and run.
+    pub(crate) fn starts(&self) -> Vec<(String, u64)> {
+        self.state.lock().unwrap().starts.clone()
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.state.lock().unwrap().running.len()
+    }
+
+    pub(crate) fn acknowledged(&self) -> u64 {
+        self.state.lock().unwrap().acknowledged
+    }
+
+    async fn answer(&self, call: Call) -> (u16, Value) {
+        if call.expected.as_ref().is_some_and(|id| *id != self.id) {
+            return (421, json!({}));
+        }
+        let token = call.body["fenceToken"].as_u64().unwrap_or_default();
+        {
+            let mut state = self.state.lock().unwrap();
+            if token < state.token {
+                return (409, json!({"clockMs": state.clock(), "reason": "fence"}));
+            }
+            state.token = token;
+        }
+        match call.path.as_str() {
+            "/api/run-start" => self.state.lock().unwrap().start(&call.body),
+            "/api/run-stop" => self.state.lock().unwrap().stop(&call.body),
+            "/api/hold" => self.hold(&call.body).await,
+            _ => (404, json!({})),
+        }
+    }
+
+    async fn hold(&self, body: &Value) -> (u16, Value) {
+        let wait = Duration::from_millis(body["waitMs"].as_u64().unwrap_or_default());
+        let until = Instant::now() + wait;
+        loop {
+            {
+                let mut state = self.state.lock().unwrap();
+                let position = body["ackPosition"].as_u64().unwrap_or_default();
+                state.acknowledged = state.acknowledged.max(position);
+                state.ended.retain(|(n, ..)| *n > position);
+                state.settle();
+                if !state.ended.is_empty() || Instant::now() >= until {
+                    return state.lists();
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+impl State {
+    fn clock(&self) -> u64 {
+        u64::try_from(self.begun.elapsed().as_millis()).unwrap()
+    }
+
+    fn start(&mut self, body: &Value) -> (u16, Value) {
+        let task = body["task"].as_str().unwrap().to_owned();
+        let run = body["run"].as_u64().unwrap();
+        if !self.running.iter().any(|(t, r, _)| *t == task && *r == run) {
+            // The text of these jobs is their run time in milliseconds, or "lasting".
+            let time = body["spec"].as_str().unwrap().parse().ok();
+            let ends = time.map(|ms| Instant::now() + Duration::from_millis(ms));
+            self.running.push((task.clone(), run, ends));
+            self.starts.push((task, run));
+        }
+        (200, json!({"clockMs": self.clock()}))
+    }
+
+    fn stop(&mut self, body: &Value) -> (u16, Value) {
+        let (task, run) = (
+            body["task"].as_str().unwrap(),
+            body["run"].as_u64().unwrap(),
+        );
+        let known = self
+            .running
+            .iter()
+            .position(|(t, r, _)| t == task && *r == run);
+        if let Some(place) = known {
+            let (task, run, _) = self.running.remove(place);
+            self.end(task, run, "stopped");
+        }
+        (200, json!({"clockMs": self.clock()}))
+    }
+
+    fn end(&mut self, task: String, run: u64, how: &'static str) {
+        self.position += 1;
+        self.ended.push((self.position, task, run, how));
+    }
+
+    fn settle(&mut self) {
+        let now = Instant::now();
+        let over = |run: &mut (String, u64, Option<Instant>)| run.2.is_some_and(|at| at <= now);
+        let over: Vec<_> = self.running.extract_if(.., over).collect();
+        for (task, run, _) in over {
+            self.end(task, run, "done");
+        }
+    }
+
+    fn lists(&self) -> (u16, Value) {
+        let running: Vec<Value> = (self.running.iter())
+            .map(|(task, run, _)| json!([task, run, "", self.clock() % 90, 5]))
+            .collect();
+        let ended: Vec<Value> = (self.ended.iter())
+            .map(|(n, task, run, how)| json!([n, task, run, how, ""]))
+            .collect();
+        (
+            200,
+            json!({"clockMs": self.clock(), "born": 7, "running": running, "ended": ended}),
+        )
+    }
+}
