List the runs of a resigning leader in rows of their own; let strong instances lead

Cause: on the grown sites the row of the leader was longer than a row may be, so each renewal was refused and the lead changed every 10 s; then an instance with an eighth of a processor led 350 workers. Change: renewals list only silent workers, a resignation divides the whole list over rows; instances with less of a processor wait longer before they try.

--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -64,8 +64,19 @@
             })
     }
 
-    /// Lists the workers that may have runs, for the next leader.
+    /// Lists the workers with runs that do not answer or are no longer listed, for a next leader
+    /// that comes without notice. It can ask all others.
+    pub fn silent(&self, now: Instant) -> Vec<Busy> {
+        let silent = |worker: &&Worker| worker.failing || worker.gone;
+        self.list(silent, now)
+    }
+
+    /// Lists all workers that have runs, for the next leader.
     pub fn busy(&self, now: Instant) -> Vec<Busy> {
+        self.list(|_| true, now)
+    }
+
+    fn list(&self, wanted: impl Fn(&&Worker) -> bool, now: Instant) -> Vec<Busy> {
         let row = |worker: &Worker| {
             let task = |run: &RunKey| self.runs[*run].task.clone();
             let lease = worker.lease_until.since(now);
@@ -74,13 +85,13 @@
                 service: worker.offer.service.clone(),
                 machine: worker.offer.machine.clone(),
                 born_ms: worker.offer.born_ms,
-                silent: worker.failing,
+                silent: worker.failing || worker.gone,
                 lease_ms: u64::try_from(lease.as_millis()).unwrap_or(u64::MAX),
                 tasks: worker.runs.iter().map(task).collect(),
             }
         };
         let busy = self.workers.values().filter(|w| !w.runs.is_empty());
-        busy.map(row).collect()
+        busy.filter(wanted).map(row).collect()
     }
 
     /// Returns whether the last leader may have a run of a task on a worker that was not heard.
--- a/src/batch/engine/pools.rs
+++ b/src/batch/engine/pools.rs
@@ -21,8 +21,8 @@
 /// Time for which a machine is left alone whose move was refused.
 const REFUSED_FOR: Duration = Duration::from_secs(3);
 
-/// Most machines that one service borrows.
-const MAX_BORROWED: usize = 6;
+/// Fewest machines that one service may borrow, whatever its size.
+const MIN_BORROWABLE: usize = 6;
 
 /// A machine on its way to a pool.
 #[derive(Clone, Debug)]
@@ -142,7 +142,8 @@
         let mut free = self.free_machines(now);
         for (mut lack, service) in shortages {
             let mut borrowed = self.borrowed_by(&service);
-            while lack > 0 && borrowed < MAX_BORROWED {
+            let most = self.borrowable(&service);
+            while lack > 0 && borrowed < most {
                 let place = free.iter().position(|machine| {
                     let known = &self.pools.machines[machine];
                     known.pool != service && !self.out.contains(&known.data_centre)
@@ -170,6 +171,15 @@
         moves
     }
 
+    /// Returns how many machines a service may borrow: two thirds of its own.
+    fn borrowable(&self, service: &Arc<str>) -> usize {
+        let machines = self.pools.machines.values().filter(|m| m.pool == *service);
+        let own = machines
+            .filter(|m| !self.pools.is_borrowed(&m.name))
+            .count();
+        (own * 2 / 3).max(MIN_BORROWABLE)
+    }
+
     fn borrowed_by(&self, service: &Arc<str>) -> usize {
         let trips = self
             .pools
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -4,11 +4,11 @@
 use tokio::task::JoinSet;
 
 use super::load;
-use super::row::{self, LEADERS, Leader, OWNER};
+use super::row::{self, Handover, LEADERS, Leader, OWNER};
 use super::schedule;
 use super::shared::{STORE_LIMIT, Shared, pause};
 use super::term::Term;
-use crate::batch::{Leadership, Standing};
+use crate::batch::{Busy, Leadership, Standing};
 use crate::clock::{self, Instant};
 use crate::platform::api::{Expected, Fault, Feed, Outcome, Row, Transaction};
 
@@ -21,6 +21,12 @@
 /// Pause after a call that failed.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// Least share of a processor, and pause before an instance with it tries to lead.
+const HANDICAPS: [(f64, Duration); 2] = [(0.4, Duration::ZERO), (0.2, Duration::from_millis(150))];
+
+/// Pause of instances with less.
+const MAX_HANDICAP: Duration = Duration::from_millis(500);
+
 /// Longest pause before an instance tries to lead, so that not all try at once.
 const TRY_WITHIN: Duration = Duration::from_millis(120);
 
@@ -57,6 +63,7 @@
         self.read().await?;
         while !self.shared.is_stopping() {
             if self.leadership.may_take(clock::now()) && self.may_lead() {
+                tokio::time::sleep(self.handicap()).await;
                 pause(&self.shared.settings.name, TRY_WITHIN).await;
                 let resigned = self.leader.vacant;
                 if self.take().await? {
@@ -76,6 +83,14 @@
         Ok(())
     }
 
+    /// Returns how long this instance leaves the lead to stronger ones: the leader of a large fleet
+    /// needs more than a small instance has.
+    fn handicap(&self) -> Duration {
+        let share = self.shared.settings.processor_share;
+        let steps = HANDICAPS.iter().find(|(least, _)| share >= *least);
+        steps.map_or(MAX_HANDICAP, |(_, pause)| *pause)
+    }
+
     fn may_lead(&self) -> bool {
         !self.shared.is_stopping() && self.shared.is_fresh(clock::now())
     }
@@ -109,8 +124,8 @@
     }
 
     /// Writes the row on condition that nobody else did. Returns whether it is written.
-    async fn write(&mut self, leader: &Leader) -> Result<bool, Fault> {
-        let transaction = Transaction {
+    async fn write(&mut self, leader: &Leader, runs: &[Busy]) -> Result<bool, Fault> {
+        let mut transaction = Transaction {
             part: String::new(),
             expected: vec![Expected {
                 table: LEADERS,
@@ -120,6 +135,11 @@
             puts: vec![(LEADERS, OWNER.into(), row::encode(leader))],
             deletes: Vec::new(),
         };
+        if leader.vacant {
+            let rows = Handover::divide(leader.token, runs).into_iter();
+            let puts = rows.map(|(key, content)| (LEADERS, key, content));
+            transaction.puts.extend(puts);
+        }
         match self
             .shared
             .store
@@ -158,6 +178,7 @@
 
     /// Tries to become the leader.
     async fn take(&mut self) -> Result<bool, Fault> {
+        let busy = self.inherited().await?;
         let sent = clock::now();
         let leader = Leader {
             holder: self.shared.settings.name.clone(),
@@ -170,14 +191,31 @@
             maintained: self.leader.maintained.clone(),
             homes: self.leader.homes.clone(),
         };
-        if !self.write(&leader).await? {
+        if !self.write(&leader, &[]).await? {
             return Ok(false);
         }
+        self.leader.busy = busy;
         self.leadership.begin(leader.token, sent);
         log::info!(event = "leadership-begun", token = leader.token; "");
         Ok(true)
     }
 
+    /// Returns the runs that the last leader left: all when it resigned, else those on workers that
+    /// did not answer.
+    async fn inherited(&self) -> Result<Vec<Busy>, Fault> {
+        if !self.leader.vacant {
+            return Ok(self.leader.busy.clone());
+        }
+        let store = &self.shared.store;
+        let (rows, _) = store.read(LEADERS, "", "", "", STORE_LIMIT).await?;
+        let handovers = rows.iter().filter(|row| row::is_handover(&row.key));
+        let handovers =
+            handovers.filter_map(|row| row::decode::<Handover>(&row.key, row.content.as_ref()?));
+        let token = self.leader.token;
+        let current = handovers.filter(|handover| handover.token == token);
+        Ok(current.flat_map(|handover| handover.busy).collect())
+    }
+
     /// Leads until another instance does or this one stops.
     async fn reign(&mut self, resigned: bool) {
         let begun = clock::now();
@@ -223,7 +261,7 @@
             }
             let sent = clock::now();
             let leader = self.next(term, false);
-            match self.write(&leader).await {
+            match self.write(&leader, &[]).await {
                 Ok(true) => self.renewed(term, sent),
                 Ok(false) => term.end("another instance leads"),
                 Err(fault) => log::warn!(event = "renewal-failed", fault:% = fault; ""),
@@ -248,7 +286,7 @@
             renewal: self.leader.renewal + 1,
             vacant,
             pending: engine.pending().collect(),
-            busy: engine.busy(clock::now()),
+            busy: engine.silent(clock::now()),
             maintained: engine.maintained(),
             homes: engine.homes(),
             ..self.leader.clone()
@@ -259,7 +297,8 @@
     async fn resign(&mut self, term: &Term) {
         term.end("the instance stops");
         let leader = self.next(term, true);
-        match self.write(&leader).await {
+        let runs = term.engine().busy(clock::now());
+        match self.write(&leader, &runs).await {
             Ok(_) => log::info!(event = "leadership-resigned", token = leader.token; ""),
             Err(fault) => log::warn!(event = "resign-failed", fault:% = fault; ""),
         }
--- a/src/entry/row.rs
+++ b/src/entry/row.rs
@@ -13,6 +13,12 @@
 /// Key of the single row in [`LEADERS`], and of the row of each partition in [`TERMS`].
 pub(super) const OWNER: &str = "owner";
 
+/// Start of the keys of [`Handover`] in [`LEADERS`].
+const HANDOVER: &str = "runs/";
+
+/// Tasks and workers in one [`Handover`]. Each takes up to 200 bytes of the 64 KiB of a row.
+const TASKS_PER_ROW: usize = 200;
+
 /// End of the keys of cancellations in [`JOBS`].
 const CANCEL: &str = ".cancel";
 
@@ -42,7 +48,7 @@
     pub(super) vacant: bool,
     /// Jobs that wait, by queue.
     pub(super) pending: Vec<(Arc<str>, u64)>,
-    /// Workers that may have runs.
+    /// Workers with runs that do not answer.
     pub(super) busy: Vec<Busy>,
     /// Machines that are lent, with their pools.
     pub(super) homes: Vec<(Arc<str>, Arc<str>)>,
@@ -50,6 +56,48 @@
     pub(super) maintained: Vec<(u64, Vec<Arc<str>>)>,
 }
 
+/// Row with a part of the list of runs that a leader leaves when it resigns: the list of a large
+/// fleet is longer than a row may be.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub(super) struct Handover {
+    /// Fencing token of the leader that resigned.
+    pub(super) token: u64,
+    /// Workers that may have runs.
+    pub(super) busy: Vec<Busy>,
+}
+
+impl Handover {
+    /// Divides a list into rows.
+    pub(super) fn divide(token: u64, busy: &[Busy]) -> Vec<(String, Vec<u8>)> {
+        let mut rows = Vec::new();
+        let mut row = Self {
+            token,
+            busy: Vec::new(),
+        };
+        let mut tasks = 0;
+        for worker in busy {
+            row.busy.push(worker.clone());
+            tasks += 1 + worker.tasks.len();
+            if tasks >= TASKS_PER_ROW {
+                rows.push(std::mem::take(&mut row.busy));
+                tasks = 0;
+            }
+        }
+        rows.push(row.busy);
+        let key = |number: usize| format!("{HANDOVER}{number}");
+        let encode = |busy| encode(&Self { token, busy });
+        let rows = rows.into_iter().enumerate();
+        rows.map(|(number, busy)| (key(number), encode(busy)))
+            .collect()
+    }
+}
+
+/// Returns whether a key in [`LEADERS`] is that of a [`Handover`].
+pub(super) fn is_handover(key: &str) -> bool {
+    key.starts_with(HANDOVER)
+}
+
 /// Row that fences the writes to one partition.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -25,6 +25,9 @@
     /// Service that knows which workers may run a step.
     #[serde(default)]
     pub advice: Option<SocketAddr>,
+    /// Share of a processor that the instance has.
+    #[serde(default = "whole_processor")]
+    pub processor_share: f64,
     /// Times that the platform promises or asks for.
     #[serde(default)]
     pub bounds: Bounds,
@@ -55,6 +58,10 @@
     pub grace_s: f64,
 }
 
+fn whole_processor() -> f64 {
+    1.0
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -155,3 +155,18 @@
     assert_eq!(states, [("j".into(), State::Completed)]);
     bed.now = bed.now + Duration::from_millis(1);
 }
+
+/// The list of all runs was longer than a row of the store may be, so a leader could not renew.
+#[test]
+fn lists_only_silent_workers_while_it_leads() {
+    let mut bed = Bed::with_workers(3);
+    bed.accept("j", lasting(3));
+    bed.run(100);
+    assert_eq!(bed.engine.busy(bed.now).len(), 3);
+    assert!(bed.engine.silent(bed.now).is_empty());
+    bed.workers.get_mut("i-1").unwrap().silent = true;
+    bed.run(50);
+    let silent = bed.engine.silent(bed.now);
+    assert_eq!(silent.len(), 1);
+    assert!(silent[0].silent && silent[0].tasks.len() == 1);
+}
