--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -19,9 +19,6 @@
     pub fn inherit(&mut self, busy: &[Busy], resigned: bool, begun: Instant) {
         let longest = begun + ACT_FOR + self.lapse();
         for worker in busy {
-            if self.is_replaced(worker) {
-                continue;
-            }
             let listed = self.worker_ids.contains_key(&worker.worker);
             let exact = resigned || worker.silent || !listed;
             let until = if resigned || worker.silent {
@@ -33,6 +30,8 @@
             };
             let unheard = Unheard {
                 service: worker.service.clone(),
+                machine: worker.machine.clone(),
+                born_ms: worker.born_ms,
                 until,
                 tasks: exact.then(|| worker.tasks.clone()),
             };
@@ -42,6 +41,8 @@
             for worker in self.workers.values() {
                 let unheard = || Unheard {
                     service: worker.offer.service.clone(),
+                    machine: worker.offer.machine.clone(),
+                    born_ms: worker.offer.born_ms,
                     until: longest,
                     tasks: None,
                 };
@@ -50,18 +51,26 @@
                     .or_insert_with(unheard);
             }
         }
+        self.drop_unheard(begun);
         for job in self.jobs.values_mut() {
             job.inherited = true;
         }
         self.moves_from = begun + self.tuning.stop + MOVE_AFTER;
     }
 
-    /// Returns whether a younger worker lives on the machine, so that all runs there have ended.
-    fn is_replaced(&self, busy: &Busy) -> bool {
-        !busy.machine.is_empty()
-            && self.workers.values().any(|worker| {
-                worker.offer.machine == busy.machine && worker.offer.born_ms > busy.born_ms
-            })
+    /// Forgets unheard workers whose runs have ended: their lease has run out, a younger worker
+    /// lives on the machine, or the machine was taken down or to another pool.
+    pub(super) fn drop_unheard(&mut self, now: Instant) {
+        let (workers, machines) = (&self.workers, &self.pools.machines);
+        self.unheard.retain(|_, unheard| {
+            let younger = |worker: &Worker| {
+                worker.offer.machine == unheard.machine && worker.offer.born_ms > unheard.born_ms
+            };
+            let replaced = !unheard.machine.is_empty() && workers.values().any(younger);
+            let machine = machines.get(&unheard.machine);
+            let away = machine.is_some_and(|m| !m.up || m.pool != unheard.service);
+            now < unheard.until && !replaced && !away
+        });
     }
 
     /// Lists the workers with runs that do not answer or are no longer listed, for a next leader
@@ -94,6 +103,19 @@
         busy.filter(wanted).map(row).collect()
     }
 
+    /// Reports workers that a new leader waits for.
+    pub(super) fn report_unheard(&mut self, now: Instant) {
+        if self.unheard.is_empty() || now < self.moves_from || self.unheard_reported {
+            return;
+        }
+        self.unheard_reported = true;
+        for (id, unheard) in &self.unheard {
+            log::warn!(event = "worker-unheard", worker = id, service = unheard.service,
+                exact = unheard.tasks.is_some(), listed = self.worker_ids.contains_key(id),
+                wait_ms = unheard.until.since(now).as_millis(); "");
+        }
+    }
+
     /// Returns whether the last leader may have a run of a task on a worker that was not heard.
     pub(super) fn may_run_unheard(&self, place: StageKey, index: u32, now: Instant) -> bool {
         let job = &self.jobs[place.job];
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -78,6 +78,8 @@
     dirty: Vec<JobKey>,
     /// Workers on which the last leader may have runs and that were not heard yet.
     unheard: Map<Arc<str>, Unheard>,
+    /// Whether the workers that were not heard in time were reported.
+    unheard_reported: bool,
     /// When this leader begins to move lasting tasks.
     moves_from: Instant,
     /// Whether a worker has seen a higher fencing token.
@@ -106,6 +108,7 @@
             orders: Vec::new(),
             dirty: Vec::new(),
             unheard: Map::default(),
+            unheard_reported: false,
             moves_from: Instant::default(),
             fenced: false,
         }
--- a/src/batch/engine/pools.rs
+++ b/src/batch/engine/pools.rs
@@ -34,7 +34,7 @@
 /// Machines that follow the demand.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pools {
-    machines: Map<Arc<str>, Machine>,
+    pub(super) machines: Map<Arc<str>, Machine>,
     /// Pool of each machine that is away from its pool.
     homes: Map<Arc<str>, Arc<str>>,
     trips: Map<Arc<str>, Trip>,
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -40,7 +40,8 @@
         for key in keys {
             self.lose_runs(key, "lease lapsed");
         }
-        self.unheard.retain(|_, unheard| now < unheard.until);
+        self.report_unheard(now);
+        self.drop_unheard(now);
     }
 
     /// Forgets workers that the store no longer lists and that hold nothing.
--- a/src/batch/engine/unheard.rs
+++ b/src/batch/engine/unheard.rs
@@ -7,6 +7,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Unheard {
     pub(super) service: Arc<str>,
+    pub(super) machine: Arc<str>,
+    pub(super) born_ms: u64,
     /// When the leases that the last leader granted have run out.
     pub(super) until: Instant,
     /// Tasks that may run there; `None` when any task of its service may.
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -170,3 +170,26 @@
     assert_eq!(silent.len(), 1);
     assert!(silent[0].silent && silent[0].tasks.len() == 1);
 }
+
+/// A machine that went for maintenance between two leaders blocked its service for 16 s.
+#[test]
+fn does_not_wait_for_a_worker_whose_machine_is_down() {
+    use coriandernotch::batch::Machine;
+    for (up, pool, starts) in [(true, "s", 0), (false, "s", 1), (true, "spare", 1)] {
+        let old = Bed::with_workers(2);
+        let mut bed = succeed(&old, &[("j", lasting(1), running())]);
+        bed.workers.get_mut("i-1").unwrap().silent = true;
+        bed.engine.inherit(&[], false, bed.now);
+        bed.run(500);
+        bed.engine.withdraw("i-1");
+        let machine = Machine {
+            name: "m-i-1".into(),
+            pool: pool.into(),
+            up,
+            ..Machine::default()
+        };
+        bed.engine.set_machines(vec![machine]);
+        bed.run(500);
+        assert_eq!(bed.starts.len(), starts, "up {up}, in {pool}");
+    }
+}
