Count the age of the last renewal by the clock of the store

Cause: after a loss of all processes each one waited 3 s from its own start before it could lead, 3.8 s in the incident inc-1bca. Change: the row of the leader carries the store's clock at its renewal; an instance that starts counts the age from that.

--- a/src/batch/leadership.rs
+++ b/src/batch/leadership.rs
@@ -49,6 +49,22 @@
         (self.token, self.vacant, self.seen) = (token, vacant, now);
     }
 
+    /// Takes note that the last renewal was sent `age` ago by a clock that all instances share.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use coriandernotch::{batch::Leadership, clock::Instant};
+    ///
+    /// let now = Instant::from_start(Duration::from_secs(100));
+    /// let mut leadership = Leadership::default();
+    /// leadership.observe(1, false, now);
+    /// leadership.count_age(Duration::from_secs(4), now);
+    /// assert!(leadership.may_take(now));
+    /// ```
+    pub fn count_age(&mut self, age: Duration, now: Instant) {
+        self.seen = self.seen.min(now - age);
+    }
+
     /// Returns whether this instance may try to lead.
     ///
     /// ```
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -103,9 +103,21 @@
             self.leadership.observe(0, true, clock::now());
         }
         rows.iter().for_each(|row| self.observe(row));
+        self.count_age();
         Ok(())
     }
 
+    /// Counts the age of the last renewal by the clock of the store, so that an instance that has
+    /// just started need not wait once more after all were lost.
+    fn count_age(&mut self) {
+        let now = clock::now();
+        let told = self.shared.store.clock_ms(now);
+        if let Some(told) = told.filter(|_| self.leader.renewed_ms > 0) {
+            let age = Duration::from_millis(told.saturating_sub(self.leader.renewed_ms));
+            self.leadership.count_age(age, now);
+        }
+    }
+
     fn observe(&mut self, row: &Row) {
         if &*row.key != OWNER || row.version <= self.version {
             return;
@@ -185,6 +197,7 @@
             incarnation: self.shared.incarnation,
             token: self.leader.token + 1,
             renewal: 0,
+            renewed_ms: self.shared.store.clock_ms(sent).unwrap_or_default(),
             vacant: false,
             pending: self.leader.pending.clone(),
             busy: self.leader.busy.clone(),
@@ -284,6 +297,7 @@
         let engine = term.engine();
         Leader {
             renewal: self.leader.renewal + 1,
+            renewed_ms: self.shared.store.clock_ms(clock::now()).unwrap_or_default(),
             vacant,
             pending: engine.pending().collect(),
             busy: engine.silent(clock::now()),
--- a/src/entry/row.rs
+++ b/src/entry/row.rs
@@ -44,6 +44,8 @@
     pub(super) token: u64,
     /// Number of the renewal.
     pub(super) renewal: u64,
+    /// Clock of the store when the renewal was sent, in milliseconds; 0 when it was not known.
+    pub(super) renewed_ms: u64,
     /// Whether the leader gave up by itself.
     pub(super) vacant: bool,
     /// Jobs that wait, by queue.
--- a/src/platform/api/store.rs
+++ b/src/platform/api/store.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 
 use super::names::{OPERATOR_TABLE, STATUS_TABLE, WORKER_TABLE};
 use super::{Fault, Feed, Link, Outcome, Row, Transaction, row};
+use crate::clock::{self, Instant};
 use crate::platform::http::query;
 
 /// Time beyond the wait that an answer to a feed may take.
@@ -19,6 +21,8 @@
 /// Client of the platform's store.
 pub struct Store {
     link: Link,
+    /// Clock of the store in milliseconds as it was last told, and when.
+    clock: Mutex<Option<(u64, Instant)>>,
 }
 
 /// Answer about rows.
@@ -28,6 +32,8 @@
     rows: Vec<row::Wire>,
     has_more: bool,
     ver: u64,
+    /// Steady clock of the store.
+    now_ms: u64,
 }
 
 impl Store {
@@ -45,8 +51,16 @@
     /// drop(coriandernotch::platform::api::Store::new(address));
     /// ```
     pub fn new(address: SocketAddr) -> Self {
-        let link = Link::new(address);
-        Self { link }
+        Self {
+            link: Link::new(address),
+            clock: Mutex::default(),
+        }
+    }
+
+    /// Returns the clock of the store at `now` in milliseconds, once an answer has told it.
+    pub fn clock_ms(&self, now: Instant) -> Option<u64> {
+        let (told, at) = (*self.clock.lock().expect("clock lock"))?;
+        Some(told + u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX / 2))
     }
 
     /// Applies a transaction.
@@ -181,6 +195,11 @@
     }
 
     fn decode(&self, step: &'static str, body: &[u8]) -> Result<Rows, Fault> {
-        serde_json::from_slice(body).map_err(|e| self.link.unknown(step, e.to_string()))
+        let rows: Rows =
+            serde_json::from_slice(body).map_err(|e| self.link.unknown(step, e.to_string()))?;
+        if rows.now_ms > 0 {
+            *self.clock.lock().expect("clock lock") = Some((rows.now_ms, clock::now()));
+        }
+        Ok(rows)
     }
 }
