--- /dev/null
+++ b/src/batch/running.rs
@@ -0,0 +1,18 @@
+use std::sync::Arc;
+
+use super::TaskId;
+
+/// A run that is present on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Running {
+    /// Task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub number: u64,
+    /// Latest saved progress; empty when there is none.
+    pub saved: Arc<str>,
+    /// Progress, or for lasting tasks the speed at which it works, in percent.
+    pub percent: u64,
+    /// Tail latency in milliseconds of a task that serves, else processors in use in thousandths.
+    pub load: u64,
+}
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -7,7 +7,7 @@
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 
-use super::commit::Committed;
+use super::committed::Committed;
 use super::part;
 use super::row::{self, JOBS, PROGRESS};
 use super::shared::{STORE_LIMIT, Shared, wall_ms};
--- a/src/entry/commit.rs
+++ b/src/entry/commit.rs
@@ -1,13 +1,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::part;
+use super::committed::Committed;
 use super::row::JOBS;
 use super::shared::{STORE_LIMIT, Shared};
-use crate::collections::Map;
+use super::submission::Submission;
 use crate::platform::api::{Expected, Outcome, Transaction};
 
 /// Most jobs in one transaction.
@@ -19,63 +19,6 @@
 /// Time for which a transaction of unknown outcome is repeated.
 const REPEAT_FOR: Duration = Duration::from_millis(2_600);
 
-/// Result of handing in a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Committed {
-    /// It is stored, now or since an earlier request.
-    Stored,
-    /// It is not stored and will not be.
-    Refused,
-    /// It may be stored later.
-    Unknown,
-}
-
-/// A job to store.
-pub(super) struct Submission {
-    pub(super) key: String,
-    pub(super) content: Vec<u8>,
-    pub(super) done: oneshot::Sender<Committed>,
-}
-
-/// Ways to the tasks that store jobs, one for each partition.
-pub(super) struct Committer(Map<String, mpsc::Sender<Submission>>);
-
-/// Submissions that wait for one partition; more are refused.
-const WAITING: usize = 512;
-
-/// Ends of the ways that the tasks read.
-pub(super) type Receivers = Vec<(String, mpsc::Receiver<Submission>)>;
-
-impl Committer {
-    pub(super) fn new() -> (Self, Receivers) {
-        let mut senders = Map::default();
-        let mut receivers = Vec::new();
-        for part in part::all() {
-            let (sender, receiver) = mpsc::channel(WAITING);
-            senders.insert(part.clone(), sender);
-            receivers.push((part, receiver));
-        }
-        (Self(senders), receivers)
-    }
-
-    /// Stores a job unless it is stored already.
-    pub(super) async fn commit(&self, key: &str, content: Vec<u8>) -> Committed {
-        let (done, result) = oneshot::channel();
-        let submission = Submission {
-            key: key.to_owned(),
-            content,
-            done,
-        };
-        let Some(sender) = self.0.get(&part::of(key)) else {
-            return Committed::Refused;
-        };
-        if sender.try_send(submission).is_err() {
-            return Committed::Refused;
-        }
-        result.await.unwrap_or(Committed::Unknown)
-    }
-}
-
 /// Stores the jobs of one partition, those that wait together in one transaction.
 pub(super) async fn store(
     shared: Arc<Shared>,
--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::fence::Fence;
 use super::part;
-use super::row::{self, Fence, JOBS, OWNER, PROGRESS, TERMS};
+use super::row::{self, JOBS, OWNER, PROGRESS, TERMS};
 use super::shared::{STORE_LIMIT, Shared, wall_ms};
 use super::term::Term;
 use crate::batch::JobKey;
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -8,7 +8,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 
-use super::commit::{self, Committer};
+use super::commit;
+use super::committer::Committer;
 use super::drain::Drain;
 use super::settings::Settings;
 use super::shared::{Shared, wall_ms};
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -3,14 +3,17 @@
 
 use tokio::task::JoinSet;
 
+use super::handover::Handover;
+use super::leader::Leader;
 use super::load;
-use super::row::{self, Handover, LEADERS, Leader, OWNER};
+use super::row::{self, LEADERS};
 use super::schedule;
+use super::seat::Seat;
 use super::shared::{STORE_LIMIT, Shared, pause};
 use super::term::Term;
-use crate::batch::{Busy, Leadership, Standing};
+use crate::batch::{Busy, Standing};
 use crate::clock::{self, Instant};
-use crate::platform::api::{Expected, Fault, Feed, Outcome, Row, Transaction};
+use crate::platform::api::{Fault, Feed};
 
 /// Time between two renewals.
 const RENEW_EVERY: Duration = Duration::from_millis(800);
@@ -30,25 +33,9 @@
 /// Longest pause before an instance tries to lead, so that not all try at once.
 const TRY_WITHIN: Duration = Duration::from_millis(120);
 
-/// The row of the leader as this instance knows it.
-struct Seat {
-    shared: Arc<Shared>,
-    leadership: Leadership,
-    leader: Leader,
-    version: u64,
-    /// Version of the table up to which changes were read.
-    heard: u64,
-}
-
 /// Follows the leader and leads when there is none, until the instance stops.
 pub(super) async fn lead(shared: Arc<Shared>) {
-    let mut seat = Seat {
-        shared,
-        leadership: Leadership::default(),
-        leader: Leader::default(),
-        version: 0,
-        heard: 0,
-    };
+    let mut seat = Seat::new(shared);
     while !seat.shared.is_stopping() {
         if let Err(fault) = seat.follow().await {
             log::debug!(event = "leader-unknown", fault:% = fault; "");
@@ -95,99 +82,6 @@
         !self.shared.is_stopping() && self.shared.is_fresh(clock::now())
     }
 
-    async fn read(&mut self) -> Result<(), Fault> {
-        let store = &self.shared.store;
-        let (rows, version) = store.read(LEADERS, "", "", "", STORE_LIMIT).await?;
-        self.heard = version;
-        if rows.is_empty() {
-            self.leadership.observe(0, true, clock::now());
-        }
-        rows.iter().for_each(|row| self.observe(row));
-        self.count_age();
-        Ok(())
-    }
-
-    /// Counts the age of the last renewal by the clock of the store, so that an instance that has
-    /// just started need not wait once more after all were lost.
-    fn count_age(&mut self) {
-        let now = clock::now();
-        let told = self.shared.store.clock_ms(now);
-        if let Some(told) = told.filter(|_| self.leader.renewed_ms > 0) {
-            let age = Duration::from_millis(told.saturating_sub(self.leader.renewed_ms));
-            self.leadership.count_age(age, now);
-        }
-    }
-
-    fn observe(&mut self, row: &Row) {
-        if &*row.key != OWNER || row.version <= self.version {
-            return;
-        }
-        let Some(content) = &row.content else {
-            return;
-        };
-        self.version = row.version;
-        let Some(leader) = row::decode::<Leader>(&row.key, content) else {
-            return;
-        };
-        self.leadership
-            .observe(leader.token, leader.vacant, clock::now());
-        *self.shared.leader.lock().expect("leader lock") = leader.clone();
-        self.leader = leader;
-    }
-
-    /// Writes the row on condition that nobody else did. Returns whether it is written.
-    async fn write(&mut self, leader: &Leader, runs: &[Busy]) -> Result<bool, Fault> {
-        let mut transaction = Transaction {
-            part: String::new(),
-            expected: vec![Expected {
-                table: LEADERS,
-                key: OWNER.into(),
-                version: self.version,
-            }],
-            puts: vec![(LEADERS, OWNER.into(), row::encode(leader))],
-            deletes: Vec::new(),
-        };
-        if leader.vacant {
-            let rows = Handover::divide(leader.token, runs).into_iter();
-            let puts = rows.map(|(key, content)| (LEADERS, key, content));
-            transaction.puts.extend(puts);
-        }
-        match self
-            .shared
-            .store
-            .transact(&transaction, STORE_LIMIT)
-            .await?
-        {
-            Outcome::Applied(version) => {
-                self.version = version;
-                self.leader = leader.clone();
-                Ok(true)
-            }
-            Outcome::Conflict(rows) => {
-                let own = |leader: &Leader| {
-                    leader.holder == self.shared.settings.name
-                        && leader.incarnation == self.shared.incarnation
-                };
-                // An earlier write of this instance whose answer was lost may be the other one.
-                let found = rows.iter().find(|r| &*r.key == OWNER);
-                let content = found.and_then(|r| Some((r.version, r.content.as_ref()?)));
-                let decoded =
-                    content.and_then(|(v, c)| Some((v, row::decode::<Leader>(OWNER, c)?)));
-                if let Some((version, other)) = decoded
-                    && own(&other)
-                    && other.token == leader.token
-                    && !other.vacant
-                {
-                    self.version = version;
-                    self.leader = other;
-                    return Ok(true);
-                }
-                rows.iter().for_each(|row| self.observe(row));
-                Ok(false)
-            }
-        }
-    }
-
     /// Tries to become the leader.
     async fn take(&mut self) -> Result<bool, Fault> {
         let busy = self.inherited().await?;
@@ -221,7 +115,7 @@
         }
         let store = &self.shared.store;
         let (rows, _) = store.read(LEADERS, "", "", "", STORE_LIMIT).await?;
-        let handovers = rows.iter().filter(|row| row::is_handover(&row.key));
+        let handovers = rows.iter().filter(|row| Handover::is_key(&row.key));
         let handovers =
             handovers.filter_map(|row| row::decode::<Handover>(&row.key, row.content.as_ref()?));
         let token = self.leader.token;
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 
+use super::fence::Fence;
+use super::leader::Leader;
 use super::part;
-use super::row::{self, Fence, JOBS, Leader, OWNER, PROGRESS, TERMS};
+use super::row::{self, JOBS, OWNER, PROGRESS, TERMS};
 use super::shared::{STORE_LIMIT, Shared, wall_ms};
 use super::term::Term;
 use crate::batch::{Engine, Leadership, Progress, Record, Tuning};
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -57,7 +57,7 @@
     };
     let (reply, clock_ms) = executor.start(&launch, deadline, ANSWER_WITHIN).await;
     let now = clock::now();
-    log::debug!(event = "run-started", job = launch.task.job, step = launch.task.step,
+    log::debug!(event = "task-started", job = launch.task.job, step = launch.task.step,
         index = launch.task.index, run = launch.number, reply:? = reply; "");
     term.engine().started(run, &reply, clock_ms, now);
     if reply == Reply::Fenced {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -38,7 +38,7 @@
 
 /// Times that the platform promises or asks for.
 #[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
+#[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
 pub struct Bounds {
     /// Longest lease of a worker, in milliseconds.
     pub lease_ms: u64,
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -4,9 +4,9 @@
 
 use tokio::sync::Notify;
 
-use super::commit::Committer;
+use super::committer::Committer;
 use super::desired::Desired;
-use super::row::Leader;
+use super::leader::Leader;
 use super::settings::Settings;
 use super::term::Term;
 use crate::clock::{self, Instant};
--- a/src/entry/upkeep.rs
+++ b/src/entry/upkeep.rs
@@ -74,7 +74,7 @@
             .await
         {
             Ok(true) => {
-                log::info!(event = "machine-moved", machine, pool; "");
+                log::info!(event = "machine-relocated", machine, pool; "");
                 term.engine().relocated(&machine, &pool, clock::now());
             }
             Ok(false) => {
--- a/src/platform/api/executor.rs
+++ b/src/platform/api/executor.rs
@@ -7,8 +7,11 @@
 use serde::Serialize;
 use serde_json::json;
 
+use super::held::Held;
+use super::hold::Hold;
 use super::names::EXPECT_INSTANCE;
-use super::order::{Held, Hold, Receipt, Start};
+use super::receipt::Receipt;
+use super::start::Start;
 use super::{Answer, Fault, Link, task_name};
 use crate::batch::{Launch, Look, Reply, TaskId};
 
--- a/src/platform/api/order.rs
+++ b/src/platform/api/held.rs
@@ -1,44 +1,10 @@
-use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
+use serde::Deserialize;
+
 use super::task_name;
 use crate::batch::{End, Ended, Look, Running};
 
-/// Start of a run on the wire.
-#[derive(Serialize)]
-#[serde(rename_all = "camelCase")]
-pub(super) struct Start<'a> {
-    pub(super) task: String,
-    pub(super) run: u64,
-    pub(super) spec: &'a str,
-    pub(super) deadline_ms: u64,
-    pub(super) fence_token: u64,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub(super) checkpoint: Option<&'a str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub(super) ticket: Option<&'a str>,
-}
-
-/// Look at a worker, which also renews the lease of its runs.
-#[derive(Serialize)]
-#[serde(rename_all = "camelCase")]
-pub(super) struct Hold {
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub(super) deadline_ms: Option<u64>,
-    pub(super) fence_token: u64,
-    pub(super) ack_position: u64,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub(super) wait_ms: Option<u64>,
-}
-
-/// Answer to an order.
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-pub(super) struct Receipt {
-    pub(super) clock_ms: Option<u64>,
-    pub(super) reason: String,
-}
-
 /// Answer to a look.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
--- a/tests/entry/contract.rs
+++ b/tests/entry/contract.rs
@@ -204,3 +204,21 @@
         assert!(decode_submission(body.as_bytes()).is_err(), "{body}");
     }
 }
+
+/// A deployment that leaves fields out must not keep a process from starting.
+#[test]
+fn settings_keep_defaults_for_what_is_left_out() {
+    let text = r#"{"name": "e", "data-centre": "a", "callers": "127.0.0.1:1",
+        "readiness": "127.0.0.1:2", "store": "127.0.0.1:3", "bounds": {"stop-ms": 400,},}"#;
+    let settings = coriandernotch::entry::Settings::parse(text).unwrap();
+    assert_eq!(
+        (settings.bounds.stop_ms, settings.bounds.lease_ms),
+        (400, 6_000)
+    );
+    let wrong = text.replace("stop-ms", "stop");
+    assert!(
+        coriandernotch::entry::Settings::parse(&wrong)
+            .unwrap_err()
+            .contains("stop")
+    );
+}
