--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -115,7 +115,7 @@
     }
 
     /// Returns the racks of a service, those with most free processors first.
-    pub(super) fn racks_of(&self, place: StageKey, _step: &Step) -> Vec<Arc<str>> {
+    pub(super) fn racks_of(&self, place: StageKey) -> Vec<Arc<str>> {
         let service = &self.jobs[place.job].service;
         let mut free: Vec<(u64, Arc<str>)> = Vec::new();
         let workers = self
--- a/src/batch/engine/look.rs
+++ b/src/batch/engine/look.rs
@@ -2,7 +2,6 @@
 use crate::batch::{Look, Order, RunKey, Running, WorkerKey};
 use crate::clock::Instant;
 use crate::collections::Set;
-use crate::jobs::Size;
 
 impl Engine {
     /// Takes note of what a worker listed in the answer to a look sent at `sent`.
@@ -43,7 +42,7 @@
             }
         }
         self.miss_absent(key, &present, sent);
-        self.pace(key, now);
+        self.pace(key);
     }
 
     fn find_running(&self, worker: WorkerKey, running: &Running) -> Option<RunKey> {
@@ -116,10 +115,6 @@
             lasting: step.lasting,
             saved: (!running.saved.is_empty()).then(|| running.saved.clone()),
         };
-        debug_assert!(
-            run.size != Size::ZERO || step.size == Size::ZERO,
-            "sizes match"
-        );
         self.hold(run);
         if let Some(task) = self.task_mut(job, &running.task) {
             task.number = task.number.max(running.number);
--- a/src/batch/engine/pace.rs
+++ b/src/batch/engine/pace.rs
@@ -1,6 +1,5 @@
 use super::Engine;
 use crate::batch::{Order, RunKey, WorkerKey};
-use crate::clock::Instant;
 
 /// Share of the latency bound of a serving task above which filling tasks are slowed down.
 const HIGH: f64 = 0.85;
@@ -13,7 +12,7 @@
 
 impl Engine {
     /// Slows tasks that fill while a task that serves beside them is near its latency bound.
-    pub(super) fn pace(&mut self, key: WorkerKey, _now: Instant) {
+    pub(super) fn pace(&mut self, key: WorkerKey) {
         let runs = &self.workers[key].runs;
         let present = |run: &&RunKey| self.runs[**run].confirmed.is_some();
         let tails = runs.iter().filter(present).map(|run| &self.runs[*run]);
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -110,7 +110,7 @@
         let saved = stage.tasks.iter().find_map(|task| task.saved.clone());
         let mut racks: Vec<Option<std::sync::Arc<str>>> = Vec::new();
         if step.same_rack {
-            racks.extend(self.racks_of(place, step).into_iter().map(Some));
+            racks.extend(self.racks_of(place).into_iter().map(Some));
         }
         racks.push(None);
         for rack in racks {
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -80,7 +80,7 @@
         }
         Some(Method::Ask) => ask(shared, rest).await,
         Some(Method::Cancel) => cancel(shared, rest).await,
-        Some(Method::Count) => count(shared, &config, route),
+        Some(Method::Count) => count(shared, route),
         None => fail(StatusCode::METHOD_NOT_ALLOWED, "no such call on a queue"),
     }
 }
@@ -182,7 +182,7 @@
     done(Bytes::new())
 }
 
-fn count(shared: &Shared, _config: &Config, route: &Route) -> Answer {
+fn count(shared: &Shared, route: &Route) -> Answer {
     let own = shared.term().map(|term| term.pending());
     let pending = own.unwrap_or_else(|| {
         let leader = shared.leader.lock().expect("leader lock");
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -39,7 +39,6 @@
         committer,
         leader: Mutex::default(),
         term: Mutex::default(),
-        changed: Notify::new(),
         stopping: AtomicBool::new(false),
         stop: Notify::new(),
         settings,
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -30,8 +30,6 @@
     pub(super) leader: Mutex<Leader>,
     /// Leadership of this instance while it leads.
     pub(super) term: Mutex<Option<Arc<Term>>>,
-    /// Woken when operators ask for something new.
-    pub(super) changed: Notify,
     /// Whether the instance is stopping.
     pub(super) stopping: AtomicBool,
     pub(super) stop: Notify,
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -39,7 +39,6 @@
         .lock()
         .expect("desired lock")
         .replace(&rows, sent);
-    shared.changed.notify_waiters();
     if std::mem::replace(failing, false) {
         log::info!(event = "store-regained"; "");
     }
@@ -58,10 +57,6 @@
                 } else {
                     sent
                 });
-                drop(desired);
-                if !rows.is_empty() {
-                    shared.changed.notify_waiters();
-                }
             }
         }
     }
