Log what a new leader knows of the workers of its predecessor

leadership-begun names the predecessor and the time without a renewal; state-loaded counts the workers that may have runs and have yet to answer; worker-answered, worker-listing-changed and run-unwanted tell what a worker lists first, whether the store lists it, and which run is stopped because its task has another one.

--- a/src/batch/engine/accept.rs
+++ b/src/batch/engine/accept.rs
@@ -106,7 +106,7 @@
     pub fn set_workers(&mut self, profiles: Vec<Profile>) {
         let listed: Set<Arc<str>> = profiles.iter().map(|p| p.id.clone()).collect();
         for worker in self.workers.values_mut() {
-            worker.delisted = !listed.contains(&worker.profile.id);
+            worker.set_delisted(!listed.contains(&worker.profile.id));
         }
         profiles.into_iter().for_each(|profile| {
             self.update_worker(profile);
@@ -117,7 +117,7 @@
     pub fn update_worker(&mut self, profile: Profile) -> WorkerKey {
         if let Some(&key) = self.worker_ids.get(&profile.id) {
             let worker = &mut self.workers[key];
-            worker.delisted = false;
+            worker.set_delisted(false);
             worker.profile = profile;
             return key;
         }
@@ -130,7 +130,7 @@
     /// Records that the store no longer lists a worker.
     pub fn mark_delisted(&mut self, id: &str) {
         if let Some(&key) = self.worker_ids.get(id) {
-            self.workers[key].delisted = true;
+            self.workers[key].set_delisted(true);
         }
     }
 
--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -102,6 +102,12 @@
         list
     }
 
+    /// Returns the number of workers that may have runs of the previous leader and have not
+    /// answered this one.
+    pub fn uncontacted_count(&self) -> usize {
+        self.uncontacted.len()
+    }
+
     /// Lists the inherited workers that have not answered this leader.
     fn list_uncontacted(&self, now: Instant) -> impl Iterator<Item = Occupancy> {
         let inherited = self.uncontacted.iter();
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use super::{Engine, Run};
-use crate::batch::{Order, RunKey, Running, Snapshot, WorkerKey};
+use super::{Engine, Run, Worker};
+use crate::batch::{JobKey, Order, RunKey, Running, Snapshot, WorkerKey};
 use crate::clock::Instant;
 use crate::collections::Set;
 
@@ -30,6 +30,9 @@
         }
         let longest_expiry = self.longest_lease_expiry();
         let inherited = self.uncontacted.contains_key(&id);
+        if self.workers[key].answered_at.is_none() {
+            log_first_answer(&self.workers[key], inherited, snapshot);
+        }
         let worker = &mut self.workers[key];
         if inherited {
             // The previous leader may have granted a lease until just now.
@@ -92,6 +95,7 @@
             number: running.number,
         };
         let Some(&job) = self.job_ids.get(&running.task.job) else {
+            self.log_unwanted_run(key, running, None);
             self.orders.push((key, stop));
             return;
         };
@@ -104,6 +108,7 @@
         let Some(step) = step.filter(|s| {
             !known_job.state.is_final() && is_wanted(s.speculative).unwrap_or_default()
         }) else {
+            self.log_unwanted_run(key, running, Some(job));
             self.orders.push((key, stop));
             return;
         };
@@ -136,6 +141,20 @@
         self.mark_started(job);
     }
 
+    /// Logs that a run is stopped because its task needs no further run.
+    fn log_unwanted_run(&self, key: WorkerKey, running: &Running, job: Option<JobKey>) {
+        let task = job.and_then(|job| self.task(job, &running.task));
+        let other = task
+            .and_then(|task| task.runs.first())
+            .map(|run| &self.runs[*run]);
+        let other_worker = other.and_then(|run| self.workers.get(run.worker));
+        let id = &running.task;
+        log::warn!(event = "run-unwanted", job = id.job, step = id.step, index = id.index,
+            run = running.number, worker = self.workers[key].profile.id, known_job = job.is_some(),
+            done = task.is_some_and(|task| task.done), other_run = other.map_or(0, |run| run.number),
+            other_worker = other_worker.map_or("", |worker| &worker.profile.id); "");
+    }
+
     /// Releases runs that were confirmed, or confirmed as stopped, before the poll was sent and are
     /// missing from its answer.
     fn remove_missing_runs(&mut self, key: WorkerKey, present: &Set<RunKey>, sent: Instant) {
@@ -200,3 +219,13 @@
         }
     }
 }
+
+/// Logs what a worker lists in its first answer to this leader, if it lists anything or the
+/// previous leader may have used it.
+fn log_first_answer(worker: &Worker, inherited: bool, snapshot: &Snapshot) {
+    let (running, ended) = (snapshot.running.len(), snapshot.ended.len());
+    if inherited || running + ended > 0 {
+        log::info!(event = "worker-answered", worker = worker.profile.id, inherited,
+            listed = !worker.delisted, running, ended; "");
+    }
+}
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// Records whether the store no longer lists the worker, and logs a change.
+    pub(super) fn set_delisted(&mut self, delisted: bool) {
+        if std::mem::replace(&mut self.delisted, delisted) != delisted {
+            log::info!(event = "worker-listing-changed", worker = self.profile.id,
+                listed = !delisted, runs = self.runs.len(); "");
+        }
+    }
+
     /// Returns the free resources.
     pub(super) fn free_capacity(&self) -> Size {
         self.profile.capacity - self.used
--- a/src/batch/leadership.rs
+++ b/src/batch/leadership.rs
@@ -70,6 +70,11 @@
         self.changed_at = self.changed_at.min(now - age);
     }
 
+    /// Returns when the leader's row last changed, as far as this instance knows.
+    pub fn last_change(&self) -> Instant {
+        self.changed_at
+    }
+
     /// Returns whether this instance may try to become leader.
     ///
     /// ```
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -112,12 +112,15 @@
             maintained: self.leader.maintained.clone(),
             homes: self.leader.homes.clone(),
         };
+        let predecessor = self.leader.holder.clone();
         if !self.write(&leader, &[], STORE_TIMEOUT).await? {
             return Ok(false);
         }
         self.leader.busy = occupancies;
+        let silence = sent.since(self.leadership.last_change());
         self.leadership.begin(leader.token, sent);
-        log::info!(event = "leadership-begun", token = leader.token; "");
+        log::info!(event = "leadership-begun", token = leader.token, predecessor,
+            silence_ms = silence.as_millis(); "");
         Ok(true)
     }
 
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -53,6 +53,7 @@
         engine.inherit(&leader.busy, resigned, begun);
     }
     log::info!(event = "state-loaded", token = leader.token, workers = rows.len(),
+        silent = leader.busy.len(), awaited = engine.uncontacted_count(), resigned,
         took_ms = clock::now().since(begun).as_millis(); "");
     Ok(Some(Term::new(engine, leadership, version)))
 }
