Add failing tests of a takeover after registrations expired

A leader is killed while the store is away and the registration of a worker has expired. Its successor does not know that worker and starts its tasks again; ends on it are not read.

--- /dev/null
+++ b/tests/entry/instance.rs
@@ -0,0 +1,132 @@
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http1::handshake;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpStream;
+
+/// Time within which a test must reach each expected state; it normally takes far less.
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A process of an entry instance, killed when the test ends.
+pub(crate) struct Instance {
+    pub(crate) child: Child,
+    pub(crate) callers: SocketAddr,
+    pub(crate) metrics: SocketAddr,
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        // Fails if the process has already ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
+}
+
+pub(crate) fn start_instance(name: &str, store: SocketAddr) -> Instance {
+    start_with_output(name, store, Stdio::null())
+}
+
+pub(crate) fn start_with_output(name: &str, store: SocketAddr, stdout: Stdio) -> Instance {
+    let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
+    let settings = json!({
+        "name": name,
+        "data-centre": "a",
+        "callers": callers,
+        "readiness": readiness,
+        "metrics": metrics,
+        "store": store,
+        "bounds": {"grace-s": 1.0},
+    });
+    let folder = std::env::temp_dir();
+    let path = folder.join(format!(
+        "coriandernotch-{}-{name}.jsonc",
+        std::process::id()
+    ));
+    let mut file = std::fs::File::create(&path).unwrap();
+    file.write_all(settings.to_string().as_bytes()).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_coriandernotch"))
+        .args(["entry", "--settings"])
+        .arg(&path)
+        .stdout(stdout)
+        .spawn()
+        .unwrap();
+    Instance {
+        child,
+        callers,
+        metrics,
+    }
+}
+
+/// Sends one request and returns the status and body of the response; status 0 if there is none.
+pub(crate) async fn send_request(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &Value,
+) -> (u16, Value) {
+    let answer = async {
+        let stream = TcpStream::connect(to).await.ok()?;
+        let (mut sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(connection);
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "h.example")
+            .header("authorization", "Bearer key-1")
+            .header("x-deadline-ms", "3000")
+            .body(Full::new(bytes::Bytes::from(body.to_string())))
+            .ok()?;
+        let answer = sender.send_request(request).await.ok()?;
+        let status = answer.status().as_u16();
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        Some((status, serde_json::from_slice(&body).unwrap_or_default()))
+    };
+    answer.await.unwrap_or_default()
+}
+
+/// Returns the body of a response as text.
+pub(crate) async fn get_text(to: SocketAddr, path: &str) -> String {
+    let stream = TcpStream::connect(to).await.unwrap();
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await.unwrap();
+    tokio::spawn(connection);
+    let request = Request::builder().uri(path).header("host", "h.example");
+    let request = request.body(Full::new(bytes::Bytes::new())).unwrap();
+    let answer = sender.send_request(request).await.unwrap();
+    let body = answer.into_body().collect().await.unwrap().to_bytes();
+    String::from_utf8(body.to_vec()).unwrap()
+}
+
+/// Repeats a request until `is_done` holds for the response.
+pub(crate) async fn request_until(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &Value,
+    is_done: impl Fn(u16, &Value) -> bool,
+) -> (u16, Value) {
+    let begun = Instant::now();
+    loop {
+        let (status, answer) = send_request(to, method, path, body).await;
+        if is_done(status, &answer) {
+            return (status, answer);
+        }
+        assert!(
+            begun.elapsed() < TIMEOUT,
+            "{method} {path}: {status} {answer}"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,8 +1,11 @@
 //! Tests of entry instances on a stand-in of the platform, and of the clients in `platform::api`.
 
 mod contract;
+mod instance;
 mod mode;
+mod platform;
 mod process;
 mod standin;
 mod store;
+mod takeover;
 mod worker;
--- /dev/null
+++ b/tests/entry/platform.rs
@@ -0,0 +1,51 @@
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+use crate::store::Store;
+use crate::worker::Worker;
+
+/// Path of the first job of a test.
+pub(crate) const ONE: &str = "/q/00000000000000a1";
+/// Path of the second job of a test.
+pub(crate) const TWO: &str = "/q/00000000000000a2";
+
+/// Builds a job of one step. The payload is the run time of its tasks in milliseconds, or a word for
+/// tasks that do not end by themselves.
+pub(crate) fn job(spec: &str, tasks: u64) -> Value {
+    json!({"spec": spec, "steps": [{"count": tasks, "cpu": 500, "memMb": 10, "estimateMs": 100}]})
+}
+
+/// Starts a store with one queue and one worker.
+pub(crate) async fn start_platform() -> (Store, SocketAddr, Worker) {
+    let store = Store::default();
+    let address = store.start().await;
+    let worker = Worker::new("i-1");
+    let worker_address = worker.start().await;
+    store.write(
+        "op",
+        "config",
+        &json!({
+            "version": 3,
+            "routes": [{"name": "q", "host": "h.example", "prefix": "/q/", "service": "s",
+                "maxAttempts": 3, "stretch": 1.6, "targetDurationMs": 600}],
+            "services": [{"name": "s"}],
+            "tenants": [{"name": "w", "apiKeys": ["key-1"], "weight": 1}],
+        }),
+    );
+    register(&store, "i-1", worker_address);
+    // A row of another writer that describes no worker.
+    store.write_raw("servers", "i-2", &[0xff, 0xfe]);
+    (store, address, worker)
+}
+
+/// Registers a worker in the store.
+pub(crate) fn register(store: &Store, id: &str, address: SocketAddr) {
+    store.write(
+        "servers",
+        id,
+        &json!({"service": "s", "address": address.to_string(), "zone": "a",
+            "state": "ready", "machine": format!("m-{id}"), "born": 7,
+            "capacity": {"cpu": 4000, "memMb": 4000, "gpu": 0}}),
+    );
+}
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -71,6 +71,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Deletes a row outside of any partition, as the store does when a registration expires.
+    pub(crate) fn remove(&self, table: &str, key: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.version += 1;
+        let (version, key) = (state.version, (table.into(), String::new(), key.into()));
+        state.rows.remove(&key);
+        state.history.push((version, key, true));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Reads a row of any partition. `None` if there is none.
     pub(crate) fn read(&self, table: &str, key: &str) -> Option<Value> {
         let state = self.state.lock().unwrap();
