Store the workers of a leader for its successor

Cause: a new leader took the list in which workers register for all places where tasks may run. A registration expires while the store is away although the worker runs on, so the list held 15 of 49 workers, and the tasks and ends of the others counted as not there.

Change: the leader records each worker in the table "members", in the transaction of a renewal, and starts nothing on a worker before that is stored. The next leader reads these rows after it has written the leader row, which makes writes of the previous one fail; it polls the recorded workers that are not listed and waits for them like for listed ones. A worker is deleted once it is not listed, has no runs and its ends are stored.

Two tests of the takeover renew through Simulation::renew now, which also stores the members; they check as much as before.

--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -87,7 +87,16 @@
     pub(super) fn may_start(&self, worker: &Worker, now: Instant) -> bool {
         let is_reported_silent =
             worker.silent_report > 0 && worker.silent_report >= self.stored_report;
-        self.is_usable(worker, now) && !worker.relocating && !is_reported_silent
+        self.is_usable(worker, now)
+            && !worker.relocating
+            && !is_reported_silent
+            && self.is_known_to_successor(worker)
+    }
+
+    /// Returns whether the next leader will know a worker although its registration may expire. A
+    /// leadership that does not expire has no successor.
+    fn is_known_to_successor(&self, worker: &Worker) -> bool {
+        self.renewed_at.is_none() || self.members.contains(&worker.profile)
     }
 
     /// Returns whether tasks may be started on a worker, except that its machine may be due to
--- /dev/null
+++ b/src/batch/engine/members.rs
@@ -0,0 +1,126 @@
+use std::sync::Arc;
+
+use super::Engine;
+use crate::batch::{Member, MemberChanges, Profile};
+use crate::collections::{Map, Set};
+
+/// Maximum number of changes that are written with one renewal. A transaction of the store takes
+/// 100 rows, one of which is the leader row.
+const MAX_CHANGES: usize = 90;
+
+/// Workers recorded in the store for the next leader.
+///
+/// The list in which workers register cannot replace them: a registration expires while the store
+/// is away, although the worker runs on.
+#[derive(Debug, Default)]
+pub(super) struct Members {
+    entries: Map<Arc<str>, Entry>,
+    /// Changes that were taken for the next renewal.
+    pending: MemberChanges,
+}
+
+/// A worker whose row exists in the store, or may exist.
+#[derive(Debug)]
+struct Entry {
+    member: Member,
+    /// Whether the row is certainly stored as it is here.
+    stored: bool,
+}
+
+impl Members {
+    /// Returns whether the store certainly holds the row of a worker.
+    pub(super) fn contains(&self, profile: &Profile) -> bool {
+        self.entries
+            .get(&profile.id)
+            .is_some_and(|entry| entry.stored && entry.member.describes(profile))
+    }
+
+    fn restore(&mut self, members: &[Member]) {
+        let stored = members.iter().map(|member| {
+            let entry = Entry {
+                member: member.clone(),
+                stored: true,
+            };
+            (member.worker.clone(), entry)
+        });
+        self.entries.extend(stored);
+    }
+
+    /// Takes the changes by which the store will hold `workers`, and of the others only those in
+    /// `kept`.
+    fn take_changes<'a>(
+        &mut self,
+        workers: impl Iterator<Item = &'a Profile>,
+        kept: impl Fn(&Arc<str>) -> bool,
+    ) -> MemberChanges {
+        let mut changes = MemberChanges::default();
+        let mut wanted: Set<&Arc<str>> = Set::default();
+        for profile in workers {
+            wanted.insert(&profile.id);
+            if !self.contains(profile) && changes.added.len() < MAX_CHANGES {
+                changes.added.push(Member::from(profile));
+            }
+        }
+        let outdated = self.entries.keys();
+        let outdated = outdated.filter(|id| !wanted.contains(id) && !kept(id));
+        changes
+            .removed
+            .extend(outdated.take(MAX_CHANGES - changes.added.len()).cloned());
+        for member in &changes.added {
+            let entry = Entry {
+                member: member.clone(),
+                stored: false,
+            };
+            self.entries.insert(member.worker.clone(), entry);
+        }
+        for id in &changes.removed {
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.stored = false;
+            }
+        }
+        self.pending = changes.clone();
+        changes
+    }
+
+    /// Records that the changes taken last are stored.
+    pub(super) fn confirm(&mut self) {
+        let changes = std::mem::take(&mut self.pending);
+        for member in changes.added {
+            if let Some(entry) = self.entries.get_mut(&member.worker) {
+                entry.stored = true;
+            }
+        }
+        for id in changes.removed {
+            self.entries.remove(&id);
+        }
+    }
+}
+
+impl Engine {
+    /// Takes the members that the previous leader has stored. Those that are not registered are
+    /// polled, but get no starts.
+    pub fn restore_members(&mut self, members: Vec<Member>) {
+        self.members.restore(&members);
+        for member in members {
+            if !self.worker_ids.contains_key(&member.worker) {
+                let key = self.update_worker(member.into());
+                self.workers[key].delisted = true;
+            }
+        }
+    }
+
+    /// Takes the changes of the stored members for the next renewal. They count as stored once
+    /// [`Engine::record_renewal`] is called.
+    pub fn take_member_changes(&mut self) -> MemberChanges {
+        let workers = self.workers.values().map(|worker| &worker.profile);
+        let uncontacted = &self.uncontacted;
+        self.members
+            .take_changes(workers, |id| uncontacted.contains_key(id))
+    }
+
+    /// Returns whether a registered worker is not stored as a member, so that it gets no starts.
+    pub fn has_unstored_members(&self) -> bool {
+        let mut listed = self.workers.values().filter(|worker| !worker.delisted);
+        listed.any(|worker| !self.members.contains(&worker.profile))
+    }
+}
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -14,6 +14,7 @@
 mod job;
 mod load;
 mod maintenance;
+mod members;
 mod need;
 mod occurrence;
 mod overload;
@@ -45,6 +46,7 @@
 use history::History;
 use inherited_worker::InheritedWorker;
 use job::Job;
+use members::Members;
 use occurrence::Occurrence;
 use pools::Pools;
 use run::Run;
@@ -91,6 +93,8 @@
     deferrals: Map<Arc<str>, Deferral>,
     orders: Vec<(WorkerKey, Order)>,
     dirty: Vec<JobKey>,
+    /// Workers that the store holds for the next leader.
+    members: Members,
     /// Workers on which the previous leader may have runs and that have not answered this one yet,
     /// by id.
     uncontacted: Map<Arc<str>, InheritedWorker>,
@@ -131,6 +135,7 @@
             deferrals: Map::default(),
             orders: Vec::new(),
             dirty: Vec::new(),
+            members: Members::default(),
             uncontacted: Map::default(),
             uncontacted_logged: false,
             moves_from: Instant::default(),
@@ -147,9 +152,10 @@
     }
 
     /// Records that a renewal of the leadership succeeded that was sent at `sent` with the latest
-    /// list of silent workers.
+    /// list of silent workers and the latest changes of the members.
     pub fn record_renewal(&mut self, sent: Instant) {
         self.stored_report = self.latest_report;
+        self.members.confirm();
         self.renewed_at = self.renewed_at.max(Some(sent));
     }
 
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -54,9 +54,15 @@
         self.drop_uncontacted(now);
     }
 
-    /// Removes workers that the store no longer lists and that have no runs.
+    /// Removes workers that the store no longer lists and that have neither runs nor ends to store.
+    /// Those that may have runs of the previous leader stay, so that they are polled.
     fn drop_delisted(&mut self) {
-        let is_removable = |w: &super::Worker| w.delisted && w.runs.is_empty();
+        let is_removable = |w: &super::Worker| {
+            w.delisted
+                && w.runs.is_empty()
+                && self.has_stored_ends(w)
+                && !self.uncontacted.contains_key(&w.profile.id)
+        };
         for key in keys_where(&self.workers, is_removable) {
             if let Some(worker) = self.workers.remove(key) {
                 log::info!(event = "worker-removed", worker = worker.profile.id; "");
--- a/src/entry/candidate.rs
+++ b/src/entry/candidate.rs
@@ -1,11 +1,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::handover::Handover;
 use super::leader::Leader;
 use super::row::{self, LEADERS, OWNER_KEY};
 use super::shared::{STORE_TIMEOUT, Shared};
-use crate::batch::{Leadership, Occupancy};
+use crate::batch::Leadership;
 use crate::clock;
 use crate::platform::api::{Fault, Outcome, Precondition, Row, Transaction};
 
@@ -79,29 +78,22 @@
         self.leader = leader;
     }
 
-    /// Writes the leader row, and the runs to hand over if it is vacant, on condition that no other
-    /// instance has written the row. Returns whether it was written.
+    /// Writes the leader row together with `changes` of other rows, on condition that no other
+    /// instance has written the leader row. Returns whether they were written.
     pub(super) async fn write(
         &mut self,
         leader: &Leader,
-        runs: &[Occupancy],
+        changes: Transaction,
         timeout: Duration,
     ) -> Result<bool, Fault> {
-        let mut transaction = Transaction {
-            part: String::new(),
-            expected: vec![Precondition {
-                table: LEADERS,
-                key: OWNER_KEY.into(),
-                version: self.row_version,
-            }],
-            puts: vec![(LEADERS, OWNER_KEY.into(), row::encode(leader))],
-            deletes: Vec::new(),
-        };
-        if leader.vacant {
-            let rows = Handover::divide(leader.token, runs).into_iter();
-            let puts = rows.map(|(key, content)| (LEADERS, key, content));
-            transaction.puts.extend(puts);
-        }
+        let mut transaction = changes;
+        transaction.expected = vec![Precondition {
+            table: LEADERS,
+            key: OWNER_KEY.into(),
+            version: self.row_version,
+        }];
+        let row = (LEADERS, OWNER_KEY.into(), row::encode(leader));
+        transaction.puts.push(row);
         for _ in 0..WRITE_ATTEMPTS {
             let rows = match self.shared.store.transact(&transaction, timeout).await? {
                 Outcome::Applied(version) => {
--- a/src/entry/follow_workers.rs
+++ b/src/entry/follow_workers.rs
@@ -55,7 +55,7 @@
             Feed::Changes(rows, next) => {
                 version = next;
                 rows.iter().for_each(|row| apply_row(term, row));
-                term.placement_wake.notify_one();
+                wake_tasks(term);
                 tokio::time::sleep(BATCH_DELAY).await;
             }
         }
@@ -74,7 +74,15 @@
         .iter()
         .filter_map(|row| decode_registration(&row.key, row.content.as_ref()?));
     term.engine().set_workers(profiles.collect());
+    wake_tasks(term);
+}
+
+/// Wakes the tasks that place work on workers and that store new workers as members.
+fn wake_tasks(term: &Term) {
     term.placement_wake.notify_one();
+    if term.engine().has_unstored_members() {
+        term.renewal_wake.notify_one();
+    }
 }
 
 fn apply_row(term: &Term, row: &Row) {
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -7,13 +7,13 @@
 use super::handover::Handover;
 use super::leader::Leader;
 use super::load;
-use super::row::{self, LEADERS};
+use super::row::{self, LEADERS, MEMBERS};
 use super::schedule;
 use super::shared::{STORE_TIMEOUT, Shared, sleep_jittered};
 use super::term::Term;
-use crate::batch::{Occupancy, Role};
+use crate::batch::{MemberChanges, Occupancy, Role};
 use crate::clock::{self, Instant};
-use crate::platform::api::{Fault, Feed};
+use crate::platform::api::{Fault, Feed, Transaction};
 
 /// Time between two renewals of the leadership.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
@@ -113,7 +113,10 @@
             homes: self.leader.homes.clone(),
         };
         let predecessor = self.leader.holder.clone();
-        if !self.write(&leader, &[], STORE_TIMEOUT).await? {
+        if !self
+            .write(&leader, Transaction::default(), STORE_TIMEOUT)
+            .await?
+        {
             return Ok(false);
         }
         self.leader.busy = occupancies;
@@ -180,9 +183,13 @@
         while !term.has_ended() && !self.shared.is_stopping() {
             let sent = clock::now();
             let leader = self.next_row(term, false);
-            timeout = match self.write(&leader, &[], timeout).await {
+            let changes = member_transaction(&term.engine().take_member_changes());
+            timeout = match self.write(&leader, changes, timeout).await {
                 Ok(true) => {
                     self.record_renewal(term, sent);
+                    if term.engine().has_unstored_members() {
+                        continue;
+                    }
                     RENEWAL_TIMEOUT
                 }
                 Ok(false) => return term.end("another instance leads"),
@@ -199,6 +206,7 @@
             }
             tokio::select! {
                 () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
+                () = term.renewal_wake.notified() => {}
                 () = term.end_signal.notified() => {}
                 () = self.shared.stop.notified() => {}
             }
@@ -232,9 +240,27 @@
         term.end("the instance stops");
         let leader = self.next_row(term, true);
         let runs = term.engine().list_busy_workers(clock::now());
-        match self.write(&leader, &runs, STORE_TIMEOUT).await {
+        let rows = Handover::divide(leader.token, &runs).into_iter();
+        let handover = Transaction {
+            puts: rows.map(|(key, row)| (LEADERS, key, row)).collect(),
+            ..Transaction::default()
+        };
+        match self.write(&leader, handover, STORE_TIMEOUT).await {
             Ok(_) => log::info!(event = "leadership-resigned", token = leader.token; ""),
             Err(fault) => log::warn!(event = "resign-failed", fault:% = fault; ""),
         }
     }
 }
+
+/// Returns the changes of the stored members as changes of rows.
+fn member_transaction(changes: &MemberChanges) -> Transaction {
+    let added = changes.added.iter();
+    let removed = changes.removed.iter();
+    Transaction {
+        puts: added
+            .map(|member| (MEMBERS, member.worker.to_string(), row::encode(member)))
+            .collect(),
+        deletes: removed.map(|id| (MEMBERS, id.to_string())).collect(),
+        ..Transaction::default()
+    }
+}
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -1,11 +1,11 @@
 use std::sync::Arc;
 
-use futures_util::future::{try_join, try_join_all};
+use futures_util::future::{try_join, try_join_all, try_join3};
 
 use super::fence::Fence;
 use super::leader::Leader;
 use super::partition;
-use super::row::{self, JOBS, OWNER_KEY, PROGRESS, TERMS};
+use super::row::{self, JOBS, MEMBERS, OWNER_KEY, PROGRESS, TERMS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use super::term::Term;
 use crate::batch::{Engine, Leadership, Progress, Record, Tuning};
@@ -33,7 +33,9 @@
     engine.set_excluded_data_centres(desired.excluded());
     let loads = partition::all().map(|name| load_partition(shared, name, leader.token));
     let workers = (shared.store).read(Store::WORKERS, "", "", "", STORE_TIMEOUT);
-    let (partitions, (rows, _)) = try_join(try_join_all(loads), workers).await?;
+    let members = (shared.store).read(MEMBERS, "", "", "", STORE_TIMEOUT);
+    let reads = try_join3(try_join_all(loads), workers, members);
+    let (partitions, (rows, _), (members, _)) = reads.await?;
     let mut version = u64::MAX;
     for jobs in partitions {
         let Some(jobs) = jobs else {
@@ -46,6 +48,9 @@
         .iter()
         .filter_map(|row| decode_registration(&row.key, row.content.as_ref()?));
     engine.set_workers(profiles.collect());
+    let members = members.iter();
+    let members = members.filter_map(|row| row::decode(&row.key, row.content.as_ref()?));
+    engine.restore_members(members.collect());
     engine.set_waves(desired.waves());
     engine.restore_maintained(&leader.maintained);
     engine.restore_lent_machines(&leader.homes);
--- a/src/entry/row.rs
+++ b/src/entry/row.rs
@@ -9,6 +9,9 @@
 /// Table of the leader row and of the runs that a leader hands over.
 pub(super) const LEADERS: &str = "leaders";
 
+/// Table of the workers on which the leader starts tasks.
+pub(super) const MEMBERS: &str = "members";
+
 /// Key of the leader row in [`LEADERS`], and of the fence row of each partition in [`TERMS`].
 pub(super) const OWNER_KEY: &str = "owner";
 
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -24,6 +24,8 @@
     pub(super) handles: Mutex<Map<WorkerKey, Handle>>,
     /// Notified when tasks may be placed on workers.
     pub(super) placement_wake: Notify,
+    /// Notified when the leadership must be renewed at once, to store members.
+    pub(super) renewal_wake: Notify,
     /// Notified when there are changes to store.
     pub(super) flush_wake: Notify,
     /// Whether the term has ended; it cannot resume.
@@ -41,6 +43,7 @@
             leadership: Mutex::new(leadership),
             handles: Mutex::default(),
             placement_wake: Notify::new(),
+            renewal_wake: Notify::new(),
             flush_wake: Notify::new(),
             ended: AtomicBool::new(false),
             end_signal: Notify::new(),
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -2,6 +2,7 @@
 
 mod ends;
 mod maintenance;
+mod members;
 mod place;
 mod pools;
 mod simulation;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use coriandernotch::batch::{
-    Config, End, Ended, Engine, Order, Profile, Record, Reply, Route, Running, Snapshot, Spec,
-    Step, TaskId, Tuning, WorkerKey, Workspace,
+    Config, End, Ended, Engine, MemberChanges, Order, Profile, Record, Reply, Route, Running,
+    Snapshot, Spec, Step, TaskId, Tuning, WorkerKey, Workspace,
 };
 use coriandernotch::clock::Instant;
 use coriandernotch::collections::Map;
@@ -151,6 +151,13 @@
             .load_job(&id.into(), record, None, wall, self.now);
     }
 
+    /// Renews the leadership, with the changes of the members, and returns these.
+    pub(crate) fn renew(&mut self) -> MemberChanges {
+        let changes = self.engine.take_member_changes();
+        self.engine.record_renewal(self.now);
+        changes
+    }
+
     /// Advances simulated time in steps of 10 ms.
     pub(crate) fn run(&mut self, ms: u64) {
         for _ in 0..ms / 10 {
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -6,7 +6,7 @@
 use crate::simulation::{START_MS, Simulation, config, lasting, profile, record, step};
 
 /// Creates the simulation of the next leader, with the workers of `old`.
-fn next_leader(
+pub(crate) fn next_leader(
     old: &Simulation,
     jobs: &[(&str, coriandernotch::batch::Record, Progress)],
 ) -> Simulation {
@@ -26,7 +26,7 @@
     sim
 }
 
-fn running_progress() -> Progress {
+pub(crate) fn running_progress() -> Progress {
     Progress {
         state: State::Running,
         ..Progress::default()
@@ -234,14 +234,14 @@
 #[test]
 fn starts_no_job_that_arrives_long_after_the_last_renewal() {
     let mut sim = Simulation::with_workers(2);
-    sim.engine.record_renewal(sim.now);
+    sim.renew();
     sim.accept("before", record(vec![step(1)]));
     sim.run(1_500);
     sim.accept("after", record(vec![step(1)]));
     sim.run(500);
     assert_eq!(sim.starts_of("before", 0, 0), 1);
     assert_eq!(sim.starts_of("after", 0, 0), 0);
-    sim.engine.record_renewal(sim.now);
+    sim.renew();
     sim.run(100);
     assert_eq!(sim.starts_of("after", 0, 0), 1);
 }
@@ -257,7 +257,7 @@
     sim.workers.get_mut("i-0").unwrap().silent = true;
     sim.run(50);
     assert_eq!(sim.engine.list_silent_workers(sim.now).len(), 1);
-    sim.engine.record_renewal(sim.now);
+    sim.renew();
     sim.workers.get_mut("i-0").unwrap().silent = false;
     sim.accept("k", lasting(1));
     sim.run(200);
@@ -265,7 +265,7 @@
     assert!(sim.engine.list_silent_workers(sim.now).is_empty());
     sim.run(200);
     assert_eq!(sim.starts_of("k", 0, 0), 0, "the list is not stored yet");
-    sim.engine.record_renewal(sim.now);
+    sim.renew();
     sim.run(200);
     assert_eq!(sim.starts_of("k", 0, 0), 1);
 }
