Acknowledge an end only when its job is stored

Cause: the leader remembered which change of a job an end must wait for only when the end changed the job. A worker whose registration expired was forgotten with its unstored ends; when it was listed again, the same ends changed nothing and were acknowledged at once, while the state of the job was not stored. Its successor read the older state and ran the task again.

Change: each end waits for all changes of its job up to its processing.

--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -26,10 +26,35 @@
         let Some(&job) = self.job_ids.get(&ended.task.job) else {
             return;
         };
+        self.apply_end(job, worker, ended, wall_ms, now);
+        self.defer_acknowledgement(job, worker, ended.position);
+    }
+
+    /// Keeps an end from being acknowledged until all changes of its job are stored. The end may
+    /// have changed nothing because it, or another run of its task, was processed before.
+    fn defer_acknowledgement(&mut self, job: JobKey, worker: WorkerKey, position: u64) {
+        let Some(job_state) = self.jobs.get(job) else {
+            return;
+        };
+        let change = job_state.change_count;
+        if job_state.stored_changes < change
+            && let Some(worker) = self.workers.get_mut(worker)
+        {
+            worker.unstored_ends.push((position, job, change));
+        }
+    }
+
+    fn apply_end(
+        &mut self,
+        job: JobKey,
+        worker: WorkerKey,
+        ended: &Ended,
+        wall_ms: u64,
+        now: Instant,
+    ) {
         let run = self.find_run(worker, ended);
         let released = run.and_then(|r| self.remove_run(r));
         let lasting = released.as_ref().is_some_and(|r| r.lasting);
-        let change_count = self.jobs[job].change_count;
         let Some(task) = self.task_mut(job, &ended.task) else {
             return;
         };
@@ -48,13 +73,6 @@
         {
             worker.failed_jobs.clear();
         }
-        if let Some(changed_job) = self.jobs.get(job)
-            && changed_job.change_count != change_count
-            && let Some(worker) = self.workers.get_mut(worker)
-        {
-            let entry = (ended.position, job, changed_job.change_count);
-            worker.unstored_ends.push(entry);
-        }
     }
 
     fn find_run(&self, worker: WorkerKey, ended: &Ended) -> Option<RunKey> {
--- a/tests/batch/ends.rs
+++ b/tests/batch/ends.rs
@@ -1,6 +1,6 @@
-use coriandernotch::batch::State;
+use coriandernotch::batch::{End, State, TaskId};
 
-use crate::simulation::{Simulation, lasting, record, step};
+use crate::simulation::{Run, Simulation, lasting, profile, record, step};
 
 /// Guards against losing an end with the leader because it was acknowledged before it was stored.
 #[test]
@@ -17,6 +17,63 @@
     assert_eq!(sim.engine.acknowledged(key), 1);
 }
 
+/// Guards against acknowledging an end that is read a second time, when its worker is listed again,
+/// and that is not stored yet. After a change of leader the task ran again (rule TWICE).
+#[test]
+fn acknowledges_no_unstored_end_of_a_worker_that_is_listed_again() {
+    let mut sim = Simulation::with_workers(1);
+    sim.store_unavailable = true;
+    sim.accept("j", record(vec![step(1)]));
+    sim.run(800);
+    assert_eq!((sim.starts.len(), sim.running()), (1, 0));
+    sim.engine.mark_delisted("i-0");
+    sim.run(50);
+    sim.engine.update_worker(profile("i-0", "s"));
+    sim.run(50);
+    let (key, ..) = sim.engine.worker_addresses()[0].clone();
+    assert_eq!(sim.engine.acknowledged(key), 0);
+    sim.store_unavailable = false;
+    sim.run(20);
+    assert_eq!(sim.engine.acknowledged(key), 1);
+}
+
+/// Guards against the same fault for an end that changes nothing, because its task is done by
+/// another run: the stored state of the job must show that before either end is acknowledged.
+#[test]
+fn acknowledges_a_second_end_of_a_task_only_when_the_job_is_stored() {
+    let mut sim = Simulation::with_workers(2);
+    sim.store_unavailable = true;
+    sim.accept("j", record(vec![step(1)]));
+    sim.run(800);
+    let first = sim.starts[0].0.clone();
+    let task = TaskId {
+        job: "j".into(),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let copy = Run {
+        task,
+        number: 2,
+        ends_at: None,
+        load: 0,
+    };
+    let (_, other) = (sim.workers.iter_mut())
+        .find(|(id, _)| **id != first)
+        .unwrap();
+    other.end(copy, End::Done);
+    sim.run(50);
+    let keys = sim.engine.worker_addresses();
+    let acknowledged = |sim: &mut Simulation| -> u64 {
+        let positions = keys.iter().map(|(key, ..)| sim.engine.acknowledged(*key));
+        positions.sum()
+    };
+    assert_eq!(acknowledged(&mut sim), 0);
+    sim.store_unavailable = false;
+    sim.run(20);
+    assert_eq!(acknowledged(&mut sim), 2);
+}
+
 /// Guards against retrying a job for ever: it must fail after as many attempts as its queue allows.
 #[test]
 fn fails_a_job_after_its_attempts_on_different_workers() {
