Assume a lease for runs that are adopted from any worker

Cause: only a worker that the new leader waited for got the longest lease that its predecessor may have granted. One that registered after the takeover listed its runs, and its lease counted as expired since it began with none.

Change: adopting a run extends the assumed lease of its worker, whoever the worker is.

Before: keeps_the_runs_of_a_worker_that_registers_after_the_takeover failed with one start instead of none. After: it passes.

--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -28,16 +28,11 @@
             worker.born_ms = snapshot.born_ms;
             self.lose_runs(key, "worker restarted");
         }
-        let longest_expiry = self.longest_lease_expiry();
-        let inherited = self.uncontacted.contains_key(&id);
         if self.workers[key].answered_at.is_none() {
+            let inherited = self.uncontacted.contains_key(&id);
             log_first_answer(&self.workers[key], inherited, snapshot);
         }
         let worker = &mut self.workers[key];
-        if inherited {
-            // The previous leader may have granted a lease until just now.
-            worker.lease_until = worker.lease_until.max(now + longest_expiry);
-        }
         worker.born_ms = snapshot.born_ms;
         worker.clock = Some((snapshot.clock_ms, now));
         (worker.answered_at, worker.unreachable) = (Some(now), false);
@@ -138,6 +133,10 @@
         if let Some(task) = self.task_mut(job, &running.task) {
             task.number = task.number.max(running.number);
         }
+        // The previous leader may have granted a lease until just now.
+        let latest_expiry = now + self.longest_lease_expiry();
+        let worker = &mut self.workers[key];
+        worker.lease_until = worker.lease_until.max(latest_expiry);
         self.mark_started(job);
     }
 
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -47,6 +47,24 @@
     assert_eq!(sim.running(), 2);
 }
 
+/// Guards against taking the lease of a worker for expired that registers after the takeover and
+/// lists runs of the previous leader: they were started again at once (rule TWICE).
+#[test]
+fn keeps_the_runs_of_a_worker_that_registers_after_the_takeover() {
+    let mut old = Simulation::with_workers(2);
+    old.accept("j", lasting(1));
+    old.run(100);
+    let id = old.starts[0].0.clone();
+    let worker = old.workers.remove(&id).unwrap();
+    let mut sim = next_leader(&old, &[("j", lasting(1), running_progress())]);
+    sim.engine.inherit(&[], false, sim.now);
+    sim.workers.insert(id.clone(), worker);
+    sim.engine.update_worker(profile(&id, "s"));
+    sim.run(3_000);
+    assert!(sim.starts.is_empty());
+    assert_eq!(sim.running(), 1);
+}
+
 /// Guards against starting a task elsewhere that a crashed leader may have started on a worker that
 /// does not answer its successor.
 #[test]
