Leave machines alone whose workers have not answered a new leader

Seen: a new leader maintained or moved a machine whose worker had not answered it, although lasting tasks of the previous leader may be running there (rule AVAIL).

Cause: a machine counted as empty when this leader knew of no run on it. Orders about machines wait until 4.2 s after the last renewal, which is over when a leader takes over after a long outage of the store, so a worker had 0.1 s to answer.

Change: a machine is neither maintained nor moved while an inherited worker on it has not answered and its lease has not expired, unless the handover lists no tasks for it.

Before: both tests failed; the machine was due 4 s after the takeover, and moved within 8 s.

--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -155,6 +155,15 @@
         }
     }
 
+    /// Returns whether tasks of the previous leader may be running on a machine, because its worker
+    /// has not answered this leader.
+    pub(super) fn may_have_inherited_runs(&self, machine: &Arc<str>) -> bool {
+        self.uncontacted.values().any(|inherited| {
+            let tasks = inherited.tasks.as_ref();
+            inherited.machine == *machine && tasks.is_none_or(|tasks| !tasks.is_empty())
+        })
+    }
+
     /// Returns whether a task may still be running on an inherited worker that has not answered.
     pub(super) fn may_run_on_uncontacted(
         &self,
--- a/src/batch/engine/maintenance.rs
+++ b/src/batch/engine/maintenance.rs
@@ -188,7 +188,8 @@
     }
 
     /// Returns the machines that are empty and may go down now: wave number and machine. A worker
-    /// with unstored ends does not count as empty, since they would be lost with it.
+    /// with unstored ends does not count as empty, since they would be lost with it, and neither
+    /// does one that may have runs of the previous leader.
     pub fn maintenance_due(&self) -> Vec<(u64, Arc<str>)> {
         let is_empty = |machine: &Arc<str>| {
             let mut on_machine = self
@@ -196,6 +197,7 @@
                 .values()
                 .filter(|w| w.profile.machine == *machine);
             on_machine.all(|w| w.runs.is_empty() && self.has_stored_ends(w))
+                && !self.may_have_inherited_runs(machine)
         };
         let mut due = Vec::new();
         for progress in &self.waves {
--- a/src/batch/engine/relocate.rs
+++ b/src/batch/engine/relocate.rs
@@ -226,7 +226,7 @@
     }
 
     /// Lists the machines that can be moved: those that are switched off, and those whose worker
-    /// has no lasting task.
+    /// certainly has no lasting task.
     fn candidates(&self, now: Instant) -> Vec<Candidate> {
         let mut workers: Map<&Arc<str>, (WorkerKey, &Worker)> = Map::default();
         for (key, worker) in &self.workers {
@@ -266,10 +266,11 @@
     }
 
     /// Returns whether a worker has neither runs nor unstored ends that a move would lose; `None`
-    /// if it has a lasting task.
+    /// if it has a lasting task, or may have one of the previous leader.
     fn is_empty(&self, worker: &Worker) -> Option<bool> {
         let mut runs = worker.runs.iter().map(|run| &self.runs[*run]);
-        if runs.any(|run| run.lasting) {
+        let has_lasting_task = runs.any(|run| run.lasting);
+        if has_lasting_task || self.may_have_inherited_runs(&worker.profile.machine) {
             return None;
         }
         Some(worker.runs.is_empty() && self.has_stored_ends(worker))
--- a/tests/batch/maintenance.rs
+++ b/tests/batch/maintenance.rs
@@ -4,6 +4,7 @@
 use coriandernotch::batch::Wave;
 
 use crate::simulation::{Simulation, lasting, profile, record, step};
+use crate::takeover::{next_leader, running_progress};
 
 fn wave(sim: &Simulation, machines: &[&str], maximum: usize, within: Duration) -> Wave {
     Wave {
@@ -135,3 +136,36 @@
     sim.run(500);
     assert!(sim.engine.maintenance_due().is_empty());
 }
+
+/// Guards against taking a machine down whose worker has not answered the new leader yet: it may
+/// run lasting tasks of which no more may be down (rule AVAIL).
+#[test]
+fn maintains_no_machine_whose_worker_has_not_answered_the_new_leader() {
+    for (resigned, is_listed) in [(false, true), (true, true), (true, false)] {
+        let mut old = Simulation::with_workers(2);
+        old.accept("j", lasting(1));
+        old.run(100);
+        let worker = old.starts[0].0.clone();
+        let machine = format!("m-{worker}");
+        let handover = old.engine.list_busy_workers(old.now);
+        if !is_listed {
+            old.workers.remove(&worker);
+        }
+        let mut sim = next_leader(&old, &[("j", lasting(1), running_progress())]);
+        if is_listed {
+            sim.workers.get_mut(&worker).unwrap().silent = true;
+        }
+        sim.engine.inherit(&handover, resigned, sim.now);
+        let wave = wave(&sim, &[&machine], 1, Duration::from_secs(10));
+        sim.engine.set_waves(vec![wave]);
+        sim.run(4_000);
+        let case = format!("resigned {resigned}, listed {is_listed}");
+        assert!(sim.engine.maintenance_due().is_empty(), "{case}");
+        sim.run(14_000);
+        assert_eq!(
+            sim.engine.maintenance_due().len(),
+            1,
+            "{case}: its lease has expired"
+        );
+    }
+}
--- a/tests/batch/pools.rs
+++ b/tests/batch/pools.rs
@@ -193,3 +193,28 @@
     assert!((60..90).contains(&switched_off_tick), "{switched_off_tick}");
     assert!((130..160).contains(&returned_tick), "{returned_tick}");
 }
+
+/// Guards against moving a machine whose worker has not answered the new leader yet, which ends the
+/// tasks that it runs (rule AVAIL).
+#[test]
+fn moves_no_machine_whose_worker_has_not_answered_the_new_leader() {
+    let mut sim = Simulation::new(2, fleet_config());
+    let mut lent = profile("i-0", "s");
+    lent.machine = "x".into();
+    sim.add(lent);
+    sim.add(profile("i-1", "s"));
+    sim.engine
+        .set_machines(vec![machine("x", "s"), machine("m-i-1", "s")]);
+    sim.engine
+        .restore_lent_machines(&[("x".into(), "spare".into())]);
+    sim.engine.inherit(&[], false, sim.now);
+    sim.workers.get_mut("i-0").unwrap().silent = true;
+    for _ in 0..80 {
+        sim.run(100);
+        assert!(sim.engine.plan_moves(sim.now).is_empty());
+    }
+    sim.workers.get_mut("i-0").unwrap().silent = false;
+    sim.run(100);
+    let moves = sim.engine.plan_moves(sim.now);
+    assert_eq!(moves, [("x".into(), "spare".into())]);
+}
