Wait for a worker that was restarted under its id during a takeover

Seen: a new leader started a task again that ran on a worker which had been restarted under the same id shortly before the takeover (rule TWICE).

Cause: an inherited worker counted as replaced, with all its runs, once a newer process was registered on its machine, also when that process is the worker itself. The previous leader polls by id, so it may have started tasks on the new process while its list, and the stored member, still named the old one; during an outage of the store that lasts up to 10 s.

Change: only a worker with another id replaces an inherited one. One with the same id must answer, or its lease must expire.

Before: the new test failed, the task was started elsewhere.

--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -59,15 +59,19 @@
     }
 
     /// Removes inherited workers whose runs have certainly ended: the lease has expired, a newer
-    /// worker process runs on the machine, or the machine was shut down or moved to another pool.
+    /// worker runs on the machine, or the machine was shut down or moved to another pool.
+    ///
+    /// A newer process with the same id does not count: the previous leader may have started tasks
+    /// on it before it read its registration.
     pub(super) fn drop_uncontacted(&mut self, now: Instant) {
         let (workers, machines) = (&self.workers, &self.pools.machines);
-        self.uncontacted.retain(|_, inherited| {
-            let newer_process = |worker: &Worker| {
-                worker.profile.machine == inherited.machine
+        self.uncontacted.retain(|id, inherited| {
+            let is_newer_worker = |worker: &Worker| {
+                worker.profile.id != *id
+                    && worker.profile.machine == inherited.machine
                     && worker.profile.born_ms > inherited.born_ms
             };
-            let replaced = !inherited.machine.is_empty() && workers.values().any(newer_process);
+            let replaced = !inherited.machine.is_empty() && workers.values().any(is_newer_worker);
             let machine = machines.get(&inherited.machine);
             let moved_or_down = machine.is_some_and(|m| !m.up || m.pool != inherited.service);
             now < inherited.lease_until && !replaced && !moved_or_down
--- a/tests/batch/members.rs
+++ b/tests/batch/members.rs
@@ -119,3 +119,23 @@
     let counts: Vec<usize> = (0..4).map(|_| sim.renew().added.len()).collect();
     assert_eq!(counts, [90, 90, 20, 0]);
 }
+
+/// Guards against taking a worker for its own replacement when it registers again after a restart
+/// under the same id: the previous leader may have started tasks on the new process before it read
+/// that registration (rule TWICE).
+#[test]
+fn waits_for_a_member_that_was_restarted_under_the_same_id() {
+    let (old, members, worker) = leader_with_task();
+    let mut sim = successor(&old, members, &worker);
+    sim.workers.get_mut(&worker).unwrap().silent = true;
+    sim.run(500);
+    let mut restarted = profile(&worker, "s");
+    restarted.born_ms += 1;
+    sim.engine.update_worker(restarted);
+    sim.renew();
+    sim.run(3_000);
+    assert!(sim.starts.is_empty());
+    sim.workers.get_mut(&worker).unwrap().silent = false;
+    sim.run(500);
+    assert_eq!((sim.starts.len(), sim.running()), (0, 1));
+}
