Poll idle workers that did not answer the last call

Seen: a worker whose runs were given up while it did not answer was never used again, as long as it stayed registered.

Cause: a worker without runs and without ends to acknowledge was not polled, and only an answer makes it count as reachable again. The simulation polled all workers and so hid this.

Change: a registered worker is also polled while the last call to it got no answer. The simulation polls only the workers that the engine wants polled, as the entry instance does.

Before: the new test failed, the task was not started again within 0.5 s of the first possible answer. After: all 59 tests of tests/batch pass.

--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -106,13 +106,13 @@
         worker.unstored_ends.iter().all(is_stored)
     }
 
-    /// Returns whether a worker must be polled: it has runs, has ends to acknowledge, or has not
-    /// answered this leader yet.
+    /// Returns whether a worker must be polled: it has runs, has ends to acknowledge, has not
+    /// answered this leader yet or did not answer the last call.
     pub fn needs_poll(&self, key: WorkerKey) -> bool {
         self.workers.get(key).is_some_and(|w| {
             !w.runs.is_empty()
                 || w.acknowledged_position < w.last_end_position
-                || (w.answered_at.is_none() && !w.delisted)
+                || ((w.answered_at.is_none() || w.unreachable) && !w.delisted)
                 || self.uncontacted.contains_key(&w.profile.id)
         })
     }
--- a/tests/batch/place.rs
+++ b/tests/batch/place.rs
@@ -353,3 +353,20 @@
     );
     assert!(without < with, "{without} without weights");
 }
+
+/// Guards against never using a worker again whose runs were given up while it did not answer: it
+/// was idle from then on, and idle workers were not polled.
+#[test]
+fn uses_a_worker_that_answers_again() {
+    let mut sim = Simulation::with_workers(1);
+    sim.accept("j", lasting(1));
+    sim.run(100);
+    sim.workers.get_mut("i-0").unwrap().silent = true;
+    sim.run(6_000);
+    assert_eq!(sim.starts.len(), 1);
+    let worker = sim.workers.get_mut("i-0").unwrap();
+    worker.silent = false;
+    worker.running.clear();
+    sim.run(500);
+    assert_eq!(sim.starts.len(), 2);
+}
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -175,7 +175,9 @@
             .map(|(key, id, _)| (key, id))
             .collect();
         for (key, id) in &keys {
-            self.poll(*key, id, wall);
+            if self.engine.needs_poll(*key) {
+                self.poll(*key, id, wall);
+            }
         }
         self.engine.check_runs_and_workers(self.now);
         self.engine.place(self.now, wall);
