Read all ends of a worker before its missing runs count as ended

Seen: tasks that had ended done were started again (rule TWICE), by the leader itself and by a new one.

Cause: a worker lists at most 500 ends in one answer and the others once these are acknowledged, which takes a store that answers. A run that was neither running nor among the listed ends counted as lost, and a worker that a new leader had polled once counted as known.

Change: the answer to a poll tells whether there may be more ends. Until there are none, no run counts as missing, and a new leader treats the worker as one that has not answered.

--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -42,7 +42,10 @@
         worker.clock = Some((snapshot.clock_ms, now));
         (worker.answered_at, worker.unreachable) = (Some(now), false);
         worker.absent_since = None;
-        self.uncontacted.remove(&id);
+        // A task may have ended there without being listed yet.
+        if !snapshot.has_more_ends {
+            self.uncontacted.remove(&id);
+        }
         for ended in &snapshot.ended {
             if ended.position > self.workers[key].last_end_position {
                 self.workers[key].last_end_position = ended.position;
@@ -58,7 +61,10 @@
                 self.adopt_run(key, running, now);
             }
         }
-        self.remove_missing_runs(key, &present, sent);
+        // A run that is not listed as running may have an end that is not listed yet.
+        if !snapshot.has_more_ends {
+            self.remove_missing_runs(key, &present, sent);
+        }
         self.pace_best_effort(key);
     }
 
--- a/src/batch/snapshot.rs
+++ b/src/batch/snapshot.rs
@@ -11,4 +11,6 @@
     pub running: Vec<Running>,
     /// Ends that are not acknowledged, oldest first.
     pub ended: Vec<Ended>,
+    /// Whether there may be more ends, which are listed once these are acknowledged.
+    pub has_more_ends: bool,
 }
--- a/src/platform/api/report.rs
+++ b/src/platform/api/report.rs
@@ -5,6 +5,9 @@
 use super::task_name;
 use crate::batch::{End, Ended, Running, Snapshot};
 
+/// Maximum number of ended runs in one response.
+const MAX_ENDED_ROWS: usize = 500;
+
 /// Response of a worker to a poll.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -50,6 +53,7 @@
                 load: load as u64,
             })
         });
+        let has_more_ends = report.ended.len() >= MAX_ENDED_ROWS;
         let ended = report
             .ended
             .into_iter()
@@ -71,6 +75,7 @@
             born_ms: report.born,
             running: running.collect(),
             ended: ended.collect(),
+            has_more_ends,
         }
     }
 }
--- a/tests/batch/ends.rs
+++ b/tests/batch/ends.rs
@@ -1,6 +1,8 @@
-use coriandernotch::batch::State;
+use coriandernotch::batch::{Record, State, Step};
+use coriandernotch::jobs::Size;
 
 use crate::simulation::{Simulation, lasting, record, step};
+use crate::takeover::{next_leader, running_progress};
 
 /// Guards against losing an end with the leader because it was acknowledged before it was stored.
 #[test]
@@ -132,3 +134,49 @@
     assert!(on_stalled.count() <= 6, "{:?}", sim.starts);
     assert_eq!(sim.ended.len(), 12);
 }
+
+/// Builds a job with more short tasks than a worker lists ends in one answer.
+fn many_short_tasks() -> Record {
+    record(vec![Step {
+        size: Size::new(10, 10, 0),
+        estimate_ms: 10,
+        ..step(700)
+    }])
+}
+
+/// Runs a job of many short tasks on one worker while the store does not answer, so that no end can
+/// be acknowledged.
+fn run_without_store() -> Simulation {
+    let mut sim = Simulation::with_workers(1);
+    sim.run_ms = 10;
+    sim.store_unavailable = true;
+    sim.accept("j", many_short_tasks());
+    sim.run(1_000);
+    sim
+}
+
+/// Guards against running a task again whose end is not listed yet, because a worker lists a limited
+/// number of ends in one answer (rule TWICE).
+#[test]
+fn repeats_no_task_whose_end_is_not_listed_yet() {
+    let mut sim = run_without_store();
+    assert!(sim.workers["i-0"].ended.len() >= 600);
+    sim.store_unavailable = false;
+    sim.run(1_000);
+    assert_eq!(sim.ended["j"].0, State::Completed);
+    assert_eq!(sim.starts.len(), 700);
+}
+
+/// Guards against the same fault in a new leader, which took the first answer for complete.
+#[test]
+fn reads_all_ends_of_a_worker_after_a_takeover() {
+    let old = run_without_store();
+    let (started, ended) = (old.starts.len(), old.workers["i-0"].ended.len());
+    assert!(started >= 600 && ended >= 600);
+    let mut sim = next_leader(&old, &[("j", many_short_tasks(), running_progress())]);
+    sim.run_ms = 10;
+    sim.engine.inherit(&[], false, sim.now);
+    sim.run(2_000);
+    assert_eq!(sim.ended["j"].0, State::Completed);
+    assert_eq!(started + sim.starts.len(), 700);
+}
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -12,6 +12,9 @@
 /// Wall-clock time at which each test begins, in milliseconds since 1970.
 pub(crate) const START_MS: u64 = 1_700_000_000_000;
 
+/// Maximum number of ends in one answer of a worker.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// A run on a simulated worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -237,7 +240,8 @@
             clock_ms: now.as_nanos() / 1_000_000,
             born_ms: 1,
             running: running.collect(),
-            ended: worker.ended.clone(),
+            ended: worker.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            has_more_ends: worker.ended.len() > MAX_LISTED_ENDS,
         };
         self.engine.process_poll(key, &snapshot, now, wall, now);
     }
--- a/tests/entry/contract.rs
+++ b/tests/entry/contract.rs
@@ -188,6 +188,22 @@
     assert!(snapshot.ended.is_empty());
 }
 
+/// Ends that do not fit in one answer must not count as missing; the leader would run their tasks
+/// again.
+#[tokio::test]
+async fn reports_that_a_worker_has_more_ends() {
+    let worker = Worker::new("i-1");
+    let client = WorkerClient::new(worker.start().await, "i-1".into(), 1);
+    worker.add_ends("5c0e7a21d94b36f8.0.0.0", 501);
+    let snapshot = client.poll(None, 0, Duration::ZERO, TIMEOUT).await.unwrap();
+    assert_eq!((snapshot.ended.len(), snapshot.has_more_ends), (500, true));
+    let snapshot = client
+        .poll(None, 500, Duration::ZERO, TIMEOUT)
+        .await
+        .unwrap();
+    assert_eq!((snapshot.ended.len(), snapshot.has_more_ends), (1, false));
+}
+
 /// Rows that another writer left must neither stop an instance nor count as a worker.
 #[test]
 fn skips_invalid_rows() {
--- a/tests/entry/worker.rs
+++ b/tests/entry/worker.rs
@@ -7,6 +7,9 @@
 
 use crate::standin::{Call, serve};
 
+/// Maximum number of ends in one answer.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// Stand-in of a worker.
 #[derive(Clone)]
 pub(crate) struct Worker {
@@ -69,6 +72,12 @@
         self.state.lock().unwrap().acknowledged
     }
 
+    /// Records ends of runs of one task.
+    pub(crate) fn add_ends(&self, task: &str, count: u64) {
+        let mut state = self.state.lock().unwrap();
+        (1..=count).for_each(|run| state.record_end(task.into(), run, "failed"));
+    }
+
     async fn respond(&self, call: Call) -> (u16, Value) {
         if call.expected.as_ref().is_some_and(|id| *id != self.id) {
             return (421, json!({}));
@@ -162,6 +171,7 @@
             .map(|(task, run, _)| json!([task, run, "", self.clock() % 90, 5]))
             .collect();
         let ended: Vec<Value> = (self.ended.iter())
+            .take(MAX_LISTED_ENDS)
             .map(|(n, task, run, outcome)| json!([n, task, run, outcome, ""]))
             .collect();
         (
