Mark the workers in the row of a new leader as possibly running any task

Seen: tasks were started twice when a leader crashed before its first renewal (rule TWICE).

Cause: at a takeover the new leader stored the list of silent workers of the one before unchanged. It then started tasks on such a worker as soon as that answered, and renewed its lease, while the stored list still named the old runs and the old lease as complete. The next leader believed it.

Change: the row of a takeover lists these workers as ones that may run any task, with an unknown lease. The first renewal replaces it.

Before: the new test, with the list stored unchanged, failed: the third leader started both tasks again. After: 62 tests of tests/batch and 18 of tests/entry pass.

--- a/src/batch/occupancy.rs
+++ b/src/batch/occupancy.rs
@@ -26,3 +26,24 @@
     /// answer from the worker.
     pub unknown: bool,
 }
+
+impl Occupancy {
+    /// Returns the entry that a new leader stores when it takes over. Until it renews, it may start
+    /// any task on the worker and renew its lease, so neither the tasks nor the lease hold.
+    ///
+    /// ```
+    /// use coriandernotch::batch::Occupancy;
+    ///
+    /// let entry = Occupancy { worker: "i-1".into(), silent: true, ..Occupancy::default() };
+    /// let outdated = entry.outdated();
+    /// assert!(outdated.unknown && !outdated.silent);
+    /// ```
+    pub fn outdated(&self) -> Self {
+        Self {
+            silent: false,
+            tasks: Vec::new(),
+            unknown: true,
+            ..self.clone()
+        }
+    }
+}
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -108,7 +108,7 @@
             renewed_ms: self.shared.store.clock_ms(sent).unwrap_or_default(),
             vacant: false,
             pending: self.leader.pending.clone(),
-            busy: self.leader.busy.clone(),
+            busy: self.leader.busy.iter().map(Occupancy::outdated).collect(),
             maintained: self.leader.maintained.clone(),
             homes: self.leader.homes.clone(),
         };
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -317,3 +317,36 @@
     third.run(2_000);
     assert!(third.starts.is_empty());
 }
+
+/// Guards against a leader that crashes before its first renewal: the row which it stored when it
+/// took over named the runs on a worker that had not answered the leader before, and this leader
+/// has started tasks there since (rule TWICE).
+#[test]
+fn finds_the_starts_of_a_leader_that_never_renewed() {
+    let mut first = Simulation::with_workers(1);
+    first.accept("j", lasting(1));
+    first.run(100);
+    first.workers.get_mut("i-0").unwrap().silent = true;
+    first.run(3_000);
+    let row = first.engine.list_silent_workers(first.now);
+    first.workers.get_mut("i-0").unwrap().silent = false;
+    let jobs = [
+        ("j", lasting(1), running_progress()),
+        ("k", lasting(1), running_progress()),
+    ];
+    let mut second = next_leader(&first, &jobs);
+    second.engine.inherit(&row, false, second.now);
+    let row: Vec<Occupancy> = row.iter().map(Occupancy::outdated).collect();
+    second.run(1_000);
+    assert_eq!(second.starts_of("k", 0, 0), 1);
+    assert_eq!(second.running(), 2);
+    second.workers.get_mut("i-0").unwrap().silent = true;
+    second.workers.entry("i-1".into()).or_default();
+    let mut third = next_leader(&second, &jobs);
+    third.engine.inherit(&row, false, third.now);
+    third.run(4_000);
+    assert!(third.starts.is_empty(), "{:?}", third.starts);
+    third.workers.get_mut("i-0").unwrap().silent = false;
+    third.run(500);
+    assert_eq!((third.starts.len(), third.running()), (0, 2));
+}
