Start nothing on a process that is newer than the last renewal allows

Suspected from the code, not seen in a run of the instances: two leaders start the same task (rule TWICE).

Cause: workers fence an old leader by the highest token that they have seen, and a restarted process has seen none. A leader without renewals acts for up to 10 s. When a worker restarts meanwhile, the new leader releases its tasks, because the process is gone, and the old one could start them on the new process before the new leader polls it.

Change: a worker gets no starts if its process first answered more than 1.2 s after the last renewal, like jobs that arrived then.

Before: the new test failed, a task was started on the restarted process without a renewal.

--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -91,6 +91,14 @@
             && !worker.relocating
             && !is_reported_silent
             && self.is_known_to_successor(worker)
+            && self.predates_successor(worker)
+    }
+
+    /// Returns whether the process of a worker first answered while no other instance can have led.
+    /// A later one may not know the fencing token of another leader and accept orders of both.
+    fn predates_successor(&self, worker: &Worker) -> bool {
+        let first_answered_at = worker.first_answered_at;
+        first_answered_at.is_some_and(|at| self.was_sole_leader(at))
     }
 
     /// Returns whether the next leader will know a worker although its registration may expire. A
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -26,6 +26,7 @@
             (worker.last_end_position, worker.acknowledged_position) = (0, 0);
             worker.unstored_ends.clear();
             worker.born_ms = snapshot.born_ms;
+            worker.first_answered_at = None;
             self.lose_runs(key, "worker restarted");
         }
         let longest_expiry = self.longest_lease_expiry();
@@ -41,6 +42,7 @@
         worker.born_ms = snapshot.born_ms;
         worker.clock = Some((snapshot.clock_ms, now));
         (worker.answered_at, worker.unreachable) = (Some(now), false);
+        worker.first_answered_at.get_or_insert(now);
         worker.absent_since = None;
         // A task may have ended there without being listed yet.
         if !snapshot.has_more_ends {
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -17,7 +17,8 @@
     pub(super) born_ms: u64,
     /// When the granted leases have expired.
     pub(super) lease_until: Instant,
-    /// When the worker last answered.
+    /// When its current process first answered, and when it last did.
+    pub(super) first_answered_at: Option<Instant>,
     pub(super) answered_at: Option<Instant>,
     /// Whether the last call got no answer.
     pub(super) unreachable: bool,
@@ -51,6 +52,7 @@
             clock: None,
             born_ms: 0,
             lease_until: Instant::default(),
+            first_answered_at: None,
             answered_at: None,
             unreachable: false,
             silent_report: 0,
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -32,6 +32,8 @@
     pub(crate) position: u64,
     /// Whether it does not answer.
     pub(crate) silent: bool,
+    /// Number of times that it was restarted under its id.
+    pub(crate) restarts: u64,
     /// Latest lease granted, in milliseconds of simulated time.
     pub(crate) lease_ms: u64,
     /// Whether all runs make no progress.
@@ -238,7 +240,7 @@
         });
         let snapshot = Snapshot {
             clock_ms: now.as_nanos() / 1_000_000,
-            born_ms: 1,
+            born_ms: 1 + worker.restarts,
             running: running.collect(),
             ended: worker.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
             has_more_ends: worker.ended.len() > MAX_LISTED_ENDS,
@@ -298,6 +300,14 @@
 }
 
 impl Worker {
+    /// Replaces the process, which ends all runs.
+    pub(crate) fn restart(&mut self) {
+        *self = Self {
+            restarts: self.restarts + 1,
+            ..Self::default()
+        };
+    }
+
     pub(crate) fn end(&mut self, run: Run, how: End) {
         self.position += 1;
         self.ended.push(Ended {
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -350,3 +350,21 @@
     third.run(500);
     assert_eq!((third.starts.len(), third.running()), (0, 2));
 }
+
+/// Guards against a leader without renewals that starts tasks on a process which was started after
+/// another instance took over. Such a process does not know the higher fencing token, and the new
+/// leader runs the same tasks elsewhere (rule TWICE).
+#[test]
+fn starts_nothing_on_a_process_that_is_newer_than_the_last_renewal() {
+    let mut sim = Simulation::with_workers(2);
+    sim.renew();
+    sim.accept("j", lasting(2));
+    sim.run(1_500);
+    assert_eq!(sim.starts.len(), 2);
+    sim.workers.get_mut("i-0").unwrap().restart();
+    sim.run(1_000);
+    assert_eq!(sim.starts.len(), 2);
+    sim.renew();
+    sim.run(100);
+    assert_eq!(sim.starts.len(), 3);
+}
