Contact a worker at its current address after a restart

Seen in a test only: a worker that was restarted under its id at another address got no orders; these went to the address of the earlier process for the rest of the term.

Cause: the tasks for a worker were spawned with the address of its first registration, and that of a stored member can be older still.

Change: a worker whose address has changed gets new tasks.

Before: the new test failed, both starts went to the first address. After: it passes, as do the other 18 tests of tests/entry. The stand-in of the second process reports a later start time.

--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -34,7 +34,7 @@
 /// Polls one worker for the state of its runs while the engine needs it, and renews its lease.
 pub(super) async fn poll(term: Arc<Term>, key: WorkerKey, worker: Arc<Worker>, wake: Arc<Notify>) {
     loop {
-        if !term.handles.lock().expect("handle lock").contains_key(&key) {
+        if !term.has_handle(key, &wake) {
             return;
         }
         let is_due = term.may_send_orders() && term.engine().needs_poll(key);
--- a/src/entry/schedule.rs
+++ b/src/entry/schedule.rs
@@ -60,42 +60,45 @@
     }
 }
 
-/// Spawns the tasks for new workers and drops the handles of workers that are gone.
+/// Spawns the tasks for new workers and drops the handles of workers that are gone or have another
+/// address now.
 fn update_worker_tasks(term: &Arc<Term>, worker_tasks: &mut JoinSet<()>) {
     let addresses = term.engine().worker_addresses();
     let mut handles = term.handles.lock().expect("handle lock");
-    handles.retain(|key, _| addresses.iter().any(|(known, ..)| known == key));
+    handles.retain(|key, handle| {
+        let mut current = addresses.iter();
+        current.any(|(known, _, address)| known == key && *address == handle.address)
+    });
     for (key, id, address) in addresses {
         if handles.contains_key(&key) {
             continue;
         }
-        let Ok(address) = address.parse::<SocketAddr>() else {
-            continue;
-        };
-        handles.insert(
-            key,
-            spawn_worker_tasks(term, key, id, address, worker_tasks),
-        );
+        if let Some(handle) = spawn_worker_tasks(term, key, id, address, worker_tasks) {
+            handles.insert(key, handle);
+        }
     }
 }
 
+/// Spawns the tasks of one worker. Returns `None` if its address is invalid.
 fn spawn_worker_tasks(
     term: &Arc<Term>,
     key: WorkerKey,
     id: Arc<str>,
-    address: SocketAddr,
+    address: Arc<str>,
     worker_tasks: &mut JoinSet<()>,
-) -> Handle {
-    log::debug!(event = "worker-added", worker = id, address:% = address; "");
-    let worker = Arc::new(Worker::new(address, id, term.token));
+) -> Option<Handle> {
+    let socket_address: SocketAddr = address.parse().ok()?;
+    log::debug!(event = "worker-added", worker = id, address; "");
+    let worker = Arc::new(Worker::new(socket_address, id, term.token));
     let wake = Arc::new(Notify::new());
     let (sender, receiver) = mpsc::unbounded_channel();
     worker_tasks.spawn(poll::poll(term.clone(), key, worker.clone(), wake.clone()));
     worker_tasks.spawn(orders::send_orders(term.clone(), key, worker, receiver));
-    Handle {
+    Some(Handle {
         orders: sender,
+        address,
         wake,
-    }
+    })
 }
 
 /// Passes the orders of the engine to the tasks of the workers.
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -10,6 +10,8 @@
 /// Connects the scheduler to the tasks of one worker.
 pub(super) struct Handle {
     pub(super) orders: mpsc::UnboundedSender<Order>,
+    /// Address to which the orders are sent.
+    pub(super) address: Arc<str>,
     /// Notified when a poll may be due.
     pub(super) wake: Arc<Notify>,
 }
@@ -54,6 +56,14 @@
         self.engine.lock().expect("engine lock")
     }
 
+    /// Returns whether a worker still has the handle with the given wake-up.
+    pub(super) fn has_handle(&self, key: WorkerKey, wake: &Arc<Notify>) -> bool {
+        let handles = self.handles.lock().expect("handle lock");
+        handles
+            .get(&key)
+            .is_some_and(|handle| Arc::ptr_eq(&handle.wake, wake))
+    }
+
     /// Returns the state of a job that the engine holds; `None` if it must be read from the store.
     pub(super) fn job_state(&self, job: &Arc<str>) -> Option<State> {
         self.engine().state(job)
--- a/tests/entry/process.rs
+++ b/tests/entry/process.rs
@@ -8,7 +8,8 @@
     TIMEOUT, get_text, request_until, send_request, start_instance, start_with_output,
 };
 use crate::mode::Mode;
-use crate::platform::{ONE, TWO, job, start_platform};
+use crate::platform::{ONE, TWO, job, register, start_platform};
+use crate::worker::Worker;
 
 /// A job must survive the loss of the instance that accepted it and led, and run only once.
 #[tokio::test(flavor = "multi_thread")]
@@ -154,3 +155,25 @@
     }
     assert!(text.contains(r#"platform_calls_total{step="transact",status="200"}"#));
 }
+
+/// Guards against sending the orders for a worker to the address of its earlier process.
+#[tokio::test(flavor = "multi_thread")]
+async fn follows_a_worker_to_a_new_address() {
+    let (store, address, first) = start_platform().await;
+    let instance = start_instance("new-address", address);
+    let callers = instance.callers;
+    request_until(callers, "POST", ONE, &job("100", 1), |s, _| s == 200).await;
+    request_until(callers, "GET", ONE, &json!({}), |_, b| {
+        b["state"] == "completed"
+    })
+    .await;
+    let second = Worker::restarted("i-1");
+    register(&store, "i-1", second.start().await);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    request_until(callers, "POST", TWO, &job("100", 1), |s, _| s == 200).await;
+    request_until(callers, "GET", TWO, &json!({}), |_, b| {
+        b["state"] == "completed"
+    })
+    .await;
+    assert_eq!((first.starts().len(), second.starts().len()), (1, 1));
+}
--- a/tests/entry/worker.rs
+++ b/tests/entry/worker.rs
@@ -19,6 +19,8 @@
 
 struct State {
     begun: Instant,
+    /// Start time of the process as it reports it, in milliseconds since 1970.
+    born: u64,
     /// Highest fencing token of the requests.
     token: u64,
     /// Task, run number and the time at which the run ends by itself, if it does.
@@ -37,6 +39,7 @@
     pub(crate) fn new(id: &str) -> Self {
         let state = State {
             begun: Instant::now(),
+            born: 7,
             token: 0,
             running: Vec::new(),
             ended: Vec::new(),
@@ -50,6 +53,13 @@
         }
     }
 
+    /// Creates the stand-in of a later process of a worker.
+    pub(crate) fn restarted(id: &str) -> Self {
+        let worker = Self::new(id);
+        worker.state.lock().unwrap().born += 1;
+        worker
+    }
+
     pub(crate) async fn start(&self) -> SocketAddr {
         let worker = self.clone();
         serve(move |call| {
@@ -176,7 +186,7 @@
             .collect();
         (
             200,
-            json!({"clockMs": self.clock(), "born": 7, "running": running, "ended": ended}),
+            json!({"clockMs": self.clock(), "born": self.born, "running": running, "ended": ended}),
         )
     }
 }
