Keep the runs that a worker lists in the first answer of its process

Seen in a test only: runs of the previous leader were released at once, and their tasks started again (rule TWICE), on a worker that was neither listed nor stored when this leader took over. That happens after a leader of an older version, which stores no workers.

Cause: only inherited workers got a lease time at their first answer. For the others it was zero, so the adopted runs counted as expired before the next poll renewed it.

Change: a process that lists runs in its first answer counts as having a lease that was granted just now.

Before: the new test failed.

--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -31,11 +31,13 @@
         }
         let longest_expiry = self.longest_lease_expiry();
         let inherited = self.uncontacted.contains_key(&id);
-        if self.workers[key].answered_at.is_none() {
+        let is_first_answer = self.workers[key].first_answered_at.is_none();
+        if is_first_answer {
             log_first_answer(&self.workers[key], inherited, snapshot);
         }
+        let has_earlier_runs = is_first_answer && !snapshot.running.is_empty();
         let worker = &mut self.workers[key];
-        if inherited {
+        if inherited || has_earlier_runs {
             // The previous leader may have granted a lease until just now.
             worker.lease_until = worker.lease_until.max(now + longest_expiry);
         }
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -368,3 +368,24 @@
     sim.run(100);
     assert_eq!(sim.starts.len(), 3);
 }
+
+/// Guards against releasing the runs of a worker at its first answer, because this leader has not
+/// renewed their lease yet. The worker was neither listed nor stored when the leader took over, as
+/// after a leader of an older version.
+#[test]
+fn adopts_the_runs_of_a_worker_that_it_did_not_expect() {
+    let mut old = Simulation::with_workers(1);
+    old.accept("j", lasting(1));
+    old.run(100);
+    let mut sim = Simulation::new(2, config());
+    sim.now = old.now;
+    let progress = Some(running_progress());
+    sim.engine
+        .load_job(&"j".into(), lasting(1), progress, START_MS, sim.now);
+    sim.engine.inherit(&[], false, sim.now);
+    sim.workers = old.workers.clone();
+    sim.engine.update_worker(profile("i-0", "s"));
+    sim.run(1_000);
+    assert!(sim.starts.is_empty());
+    assert_eq!(sim.running(), 1);
+}
