--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -221,13 +221,6 @@
         self.uncontacted.remove(&id);
         self.lose_runs(key, "no process at its address");
     }
-
-    /// Records that a worker answers again.
-    pub fn record_answer(&mut self, key: WorkerKey) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.unreachable = false;
-        }
-    }
 }
 
 /// Logs what a worker lists in its first answer to this leader, if it lists anything or the
