--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -26,9 +26,10 @@
             (worker.last_end_position, worker.acknowledged_position) = (0, 0);
             worker.unstored_ends.clear();
             worker.born_ms = snapshot.born_ms;
+            worker.first_answered_at = None;
             self.lose_runs(key, "worker restarted");
         }
-        if self.workers[key].answered_at.is_none() {
+        if self.workers[key].first_answered_at.is_none() {
             let inherited = self.uncontacted.contains_key(&id);
             log_first_answer(&self.workers[key], inherited, snapshot);
         }
@@ -36,8 +37,12 @@
         worker.born_ms = snapshot.born_ms;
         worker.clock = Some((snapshot.clock_ms, now));
         (worker.answered_at, worker.unreachable) = (Some(now), false);
+        worker.first_answered_at.get_or_insert(now);
         worker.absent_since = None;
-        self.uncontacted.remove(&id);
+        // A task may have ended there without being listed yet.
+        if !snapshot.has_more_ends {
+            self.uncontacted.remove(&id);
+        }
         for ended in &snapshot.ended {
             if ended.position > self.workers[key].last_end_position {
                 self.workers[key].last_end_position = ended.position;
@@ -53,7 +58,10 @@
                 self.adopt_run(key, running, now);
             }
         }
-        self.remove_missing_runs(key, &present, sent);
+        // A run that is not listed as running may have an end that is not listed yet.
+        if !snapshot.has_more_ends {
+            self.remove_missing_runs(key, &present, sent);
+        }
         self.pace_best_effort(key);
     }
 
@@ -210,13 +218,6 @@
         self.uncontacted.remove(&id);
         self.lose_runs(key, "no process at its address");
     }
-
-    /// Records that a worker answers again.
-    pub fn record_answer(&mut self, key: WorkerKey) {
-        if let Some(worker) = self.workers.get_mut(key) {
-            worker.unreachable = false;
-        }
-    }
 }
 
 /// Logs what a worker lists in its first answer to this leader, if it lists anything or the
