--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -21,7 +21,6 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        let id = worker.profile.id.clone();
         if worker.born_ms != snapshot.born_ms && worker.answered_at.is_some() {
             (worker.last_end_position, worker.acknowledged_position) = (0, 0);
             worker.unstored_ends.clear();
@@ -29,27 +28,7 @@
             worker.first_answered_at = None;
             self.lose_runs(key, "worker restarted");
         }
-        let longest_expiry = self.longest_lease_expiry();
-        let inherited = self.uncontacted.contains_key(&id);
-        let is_first_answer = self.workers[key].first_answered_at.is_none();
-        if is_first_answer {
-            log_first_answer(&self.workers[key], inherited, snapshot);
-        }
-        let has_earlier_runs = is_first_answer && !snapshot.running.is_empty();
-        let worker = &mut self.workers[key];
-        if inherited || has_earlier_runs {
-            // The previous leader may have granted a lease until just now.
-            worker.lease_until = worker.lease_until.max(now + longest_expiry);
-        }
-        worker.born_ms = snapshot.born_ms;
-        worker.clock = Some((snapshot.clock_ms, now));
-        (worker.answered_at, worker.unreachable) = (Some(now), false);
-        worker.first_answered_at.get_or_insert(now);
-        worker.absent_since = None;
-        // A task may have ended there without being listed yet.
-        if !snapshot.has_more_ends {
-            self.uncontacted.remove(&id);
-        }
+        self.record_answer(key, snapshot, now);
         for ended in &snapshot.ended {
             if ended.position > self.workers[key].last_end_position {
                 self.workers[key].last_end_position = ended.position;
@@ -72,6 +51,32 @@
         self.pace_best_effort(key);
     }
 
+    /// Records that a worker answered, and what the answer tells about its process and its lease.
+    fn record_answer(&mut self, key: WorkerKey, snapshot: &Snapshot, now: Instant) {
+        let longest_expiry = self.longest_lease_expiry();
+        let worker = &mut self.workers[key];
+        let id = worker.profile.id.clone();
+        let inherited = self.uncontacted.contains_key(&id);
+        let is_first_answer = worker.first_answered_at.is_none();
+        if is_first_answer {
+            log_first_answer(worker, inherited, snapshot);
+        }
+        let has_earlier_runs = is_first_answer && !snapshot.running.is_empty();
+        if inherited || has_earlier_runs {
+            // The previous leader may have granted a lease until just now.
+            worker.lease_until = worker.lease_until.max(now + longest_expiry);
+        }
+        worker.born_ms = snapshot.born_ms;
+        worker.clock = Some((snapshot.clock_ms, now));
+        worker.first_answered_at.get_or_insert(now);
+        (worker.answered_at, worker.unreachable) = (Some(now), false);
+        worker.absent_since = None;
+        // While there are more ends, a task may have ended there without being listed yet.
+        if !snapshot.has_more_ends {
+            self.uncontacted.remove(&id);
+        }
+    }
+
     fn find_running(&self, worker: WorkerKey, running: &Running) -> Option<RunKey> {
         let runs = &self.workers.get(worker)?.runs;
         let is_same_run = |run: &&RunKey| {
