Wait for ready instances in the tests of the commands

The test printed only the status.

Cause: a call was sent to an instance that was not ready. The test waited until all instances had joined, but not until they had read the list of targets, which takes up to a second more. An instance refuses all calls until then, and the load balancer sends it none.

Shown by: the test now prints the answer.

Change: the setup of these tests also waits until all instances are ready, as the other tests do. The check is as strict as before: the key must work at once at each instance that receives calls.

--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::process::Stdio;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use coriandernotch::demo::{Bed, Client};
+use coriandernotch::demo::{Bed, Client, Reply};
 use coriandernotch::fleet::Digest;
 use coriandernotch::node::Node;
 use coriandernotch::peer::Member;
@@ -93,15 +94,15 @@
     let file = File::new(name, &fleet());
     let applied = administer(to, &["apply", file.path()]).await;
     assert_eq!(applied.code, 0, "{applied:?}");
-    let joined = |bed: &Bed| {
-        bed.nodes().iter().all(|node| {
-            node.shared().control.read(|s| {
-                let voters = s.revision().map(|r| r.head.voters.len());
-                voters == Some(nodes) && s.pending().is_empty()
-            })
+    let has_joined = |node: &Arc<Node>| {
+        node.shared().control.read(|s| {
+            let voters = s.revision().map(|r| r.head.voters.len());
+            voters == Some(nodes) && s.pending().is_empty()
         })
     };
-    assert!(bed.wait(WAIT, joined).await, "instances did not join");
+    // An instance that has not read the list of targets yet is not ready and refuses all calls.
+    let serve = |bed: &Bed| bed.ready().len() == nodes && bed.nodes().iter().all(has_joined);
+    assert!(bed.wait(WAIT, serve).await, "instances do not serve");
     (bed, to)
 }
 
@@ -109,15 +110,21 @@
     node.shared().member.operators
 }
 
-async fn call(to: SocketAddr, key: &str) -> u16 {
+/// Sends a call and asserts the status of its answer. The body tells the reason of a refusal.
+async fn assert_answer(to: SocketAddr, key: &str, status: u16) {
+    let reply = call(to, key).await;
+    let body = String::from_utf8_lossy(&reply.body);
+    assert_eq!(reply.status.as_u16(), status, "{to}: {body}");
+}
+
+async fn call(to: SocketAddr, key: &str) -> Reply {
     let request = Request::builder()
         .uri("/v1/services/one/x")
         .header("host", "test")
         .header("authorization", format!("Bearer {key}"))
         .body(Full::<Bytes>::default())
         .unwrap();
-    let reply = Client::default().call(to, request).await.unwrap();
-    reply.status.as_u16()
+    Client::default().call(to, request).await.unwrap()
 }
 
 /// Guards against a key that works before it is issued or after it is withdrawn, and against a
@@ -134,7 +141,7 @@
         .unwrap();
     assert_eq!(secret.len(), 64);
     for node in bed.nodes() {
-        assert_eq!(call(node.shared().member.callers, secret).await, 200);
+        assert_answer(node.shared().member.callers, secret, 200).await;
     }
     let again = administer(to, &["key", "issue", "red", "second"]).await;
     assert_eq!(again.code, 2, "{again:?}");
@@ -158,8 +165,8 @@
         assert!(format!("{withdrawn:?}").contains(expected), "{withdrawn:?}");
     }
     for node in bed.nodes() {
-        assert_eq!(call(node.shared().member.callers, secret).await, 401);
-        assert_eq!(call(node.shared().member.callers, "red-key").await, 200);
+        assert_answer(node.shared().member.callers, secret, 401).await;
+        assert_answer(node.shared().member.callers, "red-key", 200).await;
     }
 }
 
