Let runs on the stand-in of a worker show progress while they work

Cause: the stand-in reported its clock modulo 90 ms as the progress of all runs, so a run that worked showed none if two polls were a multiple of 90 ms apart (990 ms in the logs), or if the first poll came at 0. The declared 100 ms give a stall time of 1.5 s, so the leader stopped such a run and started its task again. All runs of a worker have the same value, so they stall together: extra starts come in twos. The leader was right to stop a run without progress; no two runs of a task were present at the same time, no lease expired and no start followed from a resignation.

Change: progress is the part of the run time that has passed; for a run without end it rises by one percent each 100 ms. The checks are as strict as before: no assertion and no bound of the leader changes, and a run that stays at one value is still stopped (shuns_a_worker_on_which_tasks_stall). The new contract test fails with the old formula.

--- a/tests/entry/contract.rs
+++ b/tests/entry/contract.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::mode::Mode;
+use crate::run::Run;
 use crate::store::Store;
 use crate::worker::Worker;
 
@@ -188,6 +189,21 @@
     assert!(snapshot.ended.is_empty());
 }
 
+/// A leader stops a run whose progress does not change for longer than its declared time allows. The
+/// stand-in of a worker reported the same progress every 90 ms, so polls 990 ms apart showed none, and
+/// the task of a run that worked was started again.
+#[tokio::test(start_paused = true)]
+async fn a_run_that_works_progresses_between_polls() {
+    for payload in ["6000", "lasting"] {
+        let run = Run::begin("t", 1, payload);
+        for wait_ms in [250, 450, 990, 1_025, 1_080] {
+            let before = run.percent();
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            assert!(run.percent() > before, "{payload}: {wait_ms} ms");
+        }
+    }
+}
+
 /// Rows that another writer left must neither stop an instance nor count as a worker.
 #[test]
 fn skips_invalid_rows() {
--- a/tests/entry/run.rs
+++ b/tests/entry/run.rs
@@ -5,6 +5,10 @@
 
 use crate::end::End;
 
+/// Time in which the progress of a run that does not end by itself rises by one percent. After 100
+/// percent it begins again at 0.
+const ENDLESS_PERCENT_TIME: Duration = Duration::from_millis(100);
+
 /// A run of a task on the stand-in of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -38,6 +42,15 @@
         self.duration.map(|duration| self.begun + duration)
     }
 
+    /// Returns the progress in percent, which rises for as long as the run works.
+    pub(crate) fn percent(&self) -> u128 {
+        let elapsed = self.begun.elapsed();
+        match self.duration {
+            Some(duration) => elapsed.as_millis() * 100 / duration.as_millis().max(1),
+            None => elapsed.as_millis() / ENDLESS_PERCENT_TIME.as_millis() % 100,
+        }
+    }
+
     pub(crate) fn end(&mut self, position: u64, outcome: &'static str, at: Instant) {
         self.end = Some(End {
             position,
--- a/tests/entry/worker.rs
+++ b/tests/entry/worker.rs
@@ -162,7 +162,7 @@
 
     fn status(&self) -> (u16, Value) {
         let running: Vec<Value> = (self.running())
-            .map(|run| json!([run.task, run.number, "", self.clock() % 90, 5]))
+            .map(|run| json!([run.task, run.number, "", run.percent(), 5]))
             .collect();
         let ended: Vec<Value> = (self.unacknowledged().iter())
             .map(|(run, end)| json!([end.position, run.task, run.number, end.outcome, ""]))
