Reserve the ports of test instances

Seen: 2 of 778 runs of the handover test failed beside other runs with "bind-readiness" or "bind-metrics: Address already in use".

Cause: a test chose a port by binding and releasing it, in the range from which the system takes the ports of outgoing connections. A connection or another test process could take the port before the instance did.

--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -1,5 +1,5 @@
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -10,6 +10,8 @@
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
 
+use crate::port::free_address;
+
 /// Time within which a test must reach each expected state; it normally takes far less.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -28,13 +30,6 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 pub(crate) fn start_instance(name: &str, store: SocketAddr) -> Instance {
     start_with_output(name, store, Stdio::null())
 }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod log;
 mod mode;
 mod platform;
+mod port;
 mod process;
 mod run;
 mod standin;
