Wait for both workers in the takeover tests

Seen: 3 of 150 runs of the takeover tests, 10 at a time beside 4 busy processes, ended after 20 s with "both workers have tasks".

Cause: the job was submitted at once. When one worker had answered the new leader and the other had not, all four tasks were started on the first, and the test waited for two on each.

Change: the test waits until the leader counts both workers as usable. The checks are as strict as before; a limit of two tasks a worker would also spread them, but it would prevent the second start that the test must find.

--- a/tests/entry/handover.rs
+++ b/tests/entry/handover.rs
@@ -4,7 +4,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
-use crate::instance::{Instance, TIMEOUT, get_text, request_until, start_with_output};
+use crate::instance::{Instance, TIMEOUT, request_until, start_with_output, wait_for_metric};
 use crate::log::Log;
 use crate::platform::{job_with_estimate, register, start_platform};
 use crate::run::Run;
@@ -68,19 +68,6 @@
     }
 }
 
-/// Waits until an instance leads.
-async fn wait_for_leadership(instance: &Instance) {
-    let begun = Instant::now();
-    loop {
-        let metrics = get_text(instance.metrics, "/metrics").await;
-        if metrics.contains("instance_leads 1") {
-            return;
-        }
-        assert!(begun.elapsed() < TIMEOUT, "the instance leads:\n{metrics}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// Asserts that each task was started once, and tells runs at the same time from later restarts.
 fn assert_started_once(runs: &[Run]) {
     let mut listing: Vec<String> = runs.iter().map(ToString::to_string).collect();
@@ -118,7 +105,7 @@
     terminate(&mut first).await;
     let (_third_log, third) = start_logged("handover-3", address);
     JOBS[2].wait_for_state(&third, "running").await;
-    wait_for_leadership(&second).await;
+    wait_for_metric(&second, "instance_leads 1").await;
     terminate(&mut second).await;
     for job in &JOBS {
         job.wait_for_state(&third, "completed").await;
--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -104,6 +104,19 @@
     String::from_utf8(body.to_vec()).unwrap()
 }
 
+/// Waits until an instance that answers requests serves a line among its metrics.
+pub(crate) async fn wait_for_metric(instance: &Instance, line: &str) {
+    let begun = Instant::now();
+    loop {
+        let metrics = get_text(instance.metrics, "/metrics").await;
+        if metrics.lines().any(|served| served == line) {
+            return;
+        }
+        assert!(begun.elapsed() < TIMEOUT, "{line} is missing in\n{metrics}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Repeats a request until `is_done` holds for the response.
 pub(crate) async fn request_until(
     to: SocketAddr,
--- a/tests/entry/takeover.rs
+++ b/tests/entry/takeover.rs
@@ -2,7 +2,7 @@
 
 use serde_json::json;
 
-use crate::instance::{Instance, TIMEOUT, request_until, start_instance};
+use crate::instance::{Instance, TIMEOUT, request_until, start_instance, wait_for_metric};
 use crate::mode::Mode;
 use crate::platform::{ONE, TWO, job, register, start_platform};
 use crate::store::Store;
@@ -23,6 +23,9 @@
         let second = Worker::new("i-2");
         register(&store, "i-2", second.start().await);
         let leader = start_instance(&format!("{name}-1"), address);
+        request_until(leader.callers, "GET", "/q/", &json!({}), |s, _| s == 200).await;
+        // Until a worker has answered the leader, all tasks are started on the other one.
+        wait_for_metric(&leader, r#"workers_usable{service="s"} 2"#).await;
         request_until(leader.callers, "POST", ONE, &job(payload, 4), |s, _| {
             s == 200
         })
