--- a/tests/entry/worker.rs
+++ b/tests/entry/worker.rs
@@ -5,6 +5,8 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
+use crate::end::End;
+use crate::run::Run;
 use crate::standin::{Call, serve};
 
 /// Maximum number of ends in one answer.
@@ -23,14 +25,10 @@
     born: u64,
     /// Highest fencing token of the requests.
     token: u64,
-    /// Task, run number and the time at which the run ends by itself, if it does.
-    running: Vec<(String, u64, Option<Instant>)>,
-    /// Position, task, run number and outcome of each unacknowledged end.
-    ended: Vec<(u64, String, u64, &'static str)>,
+    /// All runs that were started here, in the order of their starts.
+    runs: Vec<Run>,
     /// Position of the last end.
     position: u64,
-    /// Task and run number of each start that was carried out.
-    starts: Vec<(String, u64)>,
     /// Position up to which ends are acknowledged.
     acknowledged: u64,
 }
@@ -41,10 +39,8 @@
             begun: Instant::now(),
             born: 7,
             token: 0,
-            running: Vec::new(),
-            ended: Vec::new(),
+            runs: Vec::new(),
             position: 0,
-            starts: Vec::new(),
             acknowledged: 0,
         };
         Self {
@@ -71,11 +67,17 @@
 
     /// Returns task and run number of each start that was carried out.
     pub(crate) fn starts(&self) -> Vec<(String, u64)> {
-        self.state.lock().unwrap().starts.clone()
+        let runs = self.runs();
+        runs.into_iter().map(|run| (run.task, run.number)).collect()
+    }
+
+    /// Returns all runs that were started here.
+    pub(crate) fn runs(&self) -> Vec<Run> {
+        self.state.lock().unwrap().runs.clone()
     }
 
     pub(crate) fn running(&self) -> usize {
-        self.state.lock().unwrap().running.len()
+        self.state.lock().unwrap().running().count()
     }
 
     pub(crate) fn acknowledged(&self) -> u64 {
@@ -85,7 +87,12 @@
     /// Records ends of runs of one task.
     pub(crate) fn add_ends(&self, task: &str, count: u64) {
         let mut state = self.state.lock().unwrap();
-        (1..=count).for_each(|run| state.record_end(task.into(), run, "failed"));
+        for number in 1..=count {
+            state.position += 1;
+            let mut run = Run::begin(task, number, "");
+            run.end(state.position, "failed", Instant::now());
+            state.runs.push(run);
+        }
     }
 
     async fn respond(&self, call: Call) -> (u16, Value) {
@@ -111,14 +118,13 @@
     async fn hold(&self, body: &Value) -> (u16, Value) {
         let wait = Duration::from_millis(body["waitMs"].as_u64().unwrap_or_default());
         let deadline = Instant::now() + wait;
+        let position = body["ackPosition"].as_u64().unwrap_or_default();
+        self.state.lock().unwrap().acknowledge(position);
         loop {
             {
                 let mut state = self.state.lock().unwrap();
-                let position = body["ackPosition"].as_u64().unwrap_or_default();
-                state.acknowledged = state.acknowledged.max(position);
-                state.ended.retain(|(n, ..)| *n > position);
                 state.end_due_runs();
-                if !state.ended.is_empty() || Instant::now() >= deadline {
+                if !state.unacknowledged().is_empty() || Instant::now() >= deadline {
                     return state.status();
                 }
             }
@@ -132,57 +138,69 @@
         u64::try_from(self.begun.elapsed().as_millis()).unwrap()
     }
 
+    fn running(&self) -> impl Iterator<Item = &Run> {
+        self.runs.iter().filter(|run| run.end.is_none())
+    }
+
+    /// Forgets the ends up to `position`. A position from an earlier process of the worker does not
+    /// affect later ends.
+    fn acknowledge(&mut self, position: u64) {
+        self.acknowledged = self.acknowledged.max(position);
+        let ends = self.runs.iter_mut().filter_map(|run| run.end.as_mut());
+        for end in ends.filter(|end| end.position <= position) {
+            end.acknowledged = true;
+        }
+    }
+
+    /// Returns the ended runs whose ends are not acknowledged, in the order of their ends.
+    fn unacknowledged(&self) -> Vec<(&Run, &End)> {
+        let ended = self.runs.iter();
+        let ended = ended.filter_map(|run| Some((run, run.end.as_ref()?)));
+        let unacknowledged = ended.filter(|(_, end)| !end.acknowledged);
+        let mut unacknowledged: Vec<_> = unacknowledged.collect();
+        unacknowledged.sort_by_key(|(_, end)| end.position);
+        unacknowledged
+    }
+
     fn start(&mut self, body: &Value) -> (u16, Value) {
-        let task = body["task"].as_str().unwrap().to_owned();
-        let run = body["run"].as_u64().unwrap();
-        if !self.running.iter().any(|(t, r, _)| *t == task && *r == run) {
-            // The payload of a test job is its run time in milliseconds, or "lasting" for a run
-            // that does not end by itself.
-            let run_ms = body["spec"].as_str().unwrap().parse().ok();
-            let ends = run_ms.map(|ms| Instant::now() + Duration::from_millis(ms));
-            self.running.push((task.clone(), run, ends));
-            self.starts.push((task, run));
+        let task = body["task"].as_str().unwrap();
+        let number = body["run"].as_u64().unwrap();
+        if !self.running().any(|run| run.matches(task, number)) {
+            let payload = body["spec"].as_str().unwrap();
+            self.runs.push(Run::begin(task, number, payload));
         }
         (200, json!({"clockMs": self.clock()}))
     }
 
     fn stop(&mut self, body: &Value) -> (u16, Value) {
-        let (task, run) = (
-            body["task"].as_str().unwrap(),
-            body["run"].as_u64().unwrap(),
-        );
-        let position = self
-            .running
-            .iter()
-            .position(|(t, r, _)| t == task && *r == run);
-        if let Some(position) = position {
-            let (task, run, _) = self.running.remove(position);
-            self.record_end(task, run, "stopped");
+        let task = body["task"].as_str().unwrap();
+        let number = body["run"].as_u64().unwrap();
+        let position = self.position + 1;
+        let mut runs = self.runs.iter_mut();
+        if let Some(run) = runs.find(|run| run.end.is_none() && run.matches(task, number)) {
+            run.end(position, "stopped", Instant::now());
+            self.position = position;
         }
         (200, json!({"clockMs": self.clock()}))
     }
 
-    fn record_end(&mut self, task: String, run: u64, outcome: &'static str) {
-        self.position += 1;
-        self.ended.push((self.position, task, run, outcome));
-    }
-
     fn end_due_runs(&mut self) {
         let now = Instant::now();
-        let is_due = |run: &mut (String, u64, Option<Instant>)| run.2.is_some_and(|at| at <= now);
-        let due: Vec<_> = self.running.extract_if(.., is_due).collect();
-        for (task, run, _) in due {
-            self.record_end(task, run, "done");
+        for run in &mut self.runs {
+            if let Some(due) = run.due().filter(|due| run.end.is_none() && *due <= now) {
+                self.position += 1;
+                run.end(self.position, "done", due);
+            }
         }
     }
 
     fn status(&self) -> (u16, Value) {
-        let running: Vec<Value> = (self.running.iter())
-            .map(|(task, run, _)| json!([task, run, "", self.clock() % 90, 5]))
+        let running: Vec<Value> = (self.running())
+            .map(|run| json!([run.task, run.number, "", run.percent(), 5]))
             .collect();
-        let ended: Vec<Value> = (self.ended.iter())
+        let ended: Vec<Value> = (self.unacknowledged().iter())
             .take(MAX_LISTED_ENDS)
-            .map(|(n, task, run, outcome)| json!([n, task, run, outcome, ""]))
+            .map(|(run, end)| json!([end.position, run.task, run.number, end.outcome, ""]))
             .collect();
         (
             200,
