Take the ports of test instances below the ephemeral range

A test binds port 0, closes the socket and passes the port to an entry process. Another test that runs at the same time can get the port in between: in one run of the 28 tests in tests/entry an instance ended with "step=bind-metrics: Address already in use". The ports now come from a counter in 10000 to 29999, from which the system gives no ports to other sockets; each is tried before it is used.

--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -1,6 +1,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use http_body_util::{BodyExt, Full};
@@ -13,6 +14,10 @@
 /// Time within which a test must reach each expected state; it normally takes far less.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// First port of the instances, and number of ports.
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u32 = 20_000;
+
 /// A process of an entry instance, killed when the test ends.
 pub(crate) struct Instance {
     pub(crate) child: Child,
@@ -28,11 +33,17 @@
     }
 }
 
+/// Returns an address on which nothing listens. Its port lies below the range from which the system
+/// takes ports for other sockets, so that none of them takes it before the instance does.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) + std::process::id() * 64;
+        let port = FIRST_PORT + u16::try_from(number % PORTS).unwrap();
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 pub(crate) fn start_instance(name: &str, store: SocketAddr) -> Instance {
