Take only a process that answered for the replacement of a worker

A new leader released the tasks of a worker that had not answered yet when the store listed a later process on its machine.

The later process must have answered, and its start time is the one that it reports in its answer.

Before: treats_only_a_process_that_answered_as_a_replacement failed (a task was started a second time).

--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -59,13 +59,15 @@
     }
 
     /// Removes inherited workers whose runs have certainly ended: the lease has expired, a newer
-    /// worker process runs on the machine, or the machine was shut down or moved to another pool.
+    /// worker process has answered on the machine, or the machine was shut down or moved to another
+    /// pool. A newer process that is only listed may not exist.
     pub(super) fn drop_uncontacted(&mut self, now: Instant) {
         let (workers, machines) = (&self.workers, &self.pools.machines);
         self.uncontacted.retain(|_, inherited| {
             let newer_process = |worker: &Worker| {
                 worker.profile.machine == inherited.machine
-                    && worker.profile.born_ms > inherited.born_ms
+                    && worker.answered_at.is_some()
+                    && worker.born_ms > inherited.born_ms
             };
             let replaced = !inherited.machine.is_empty() && workers.values().any(newer_process);
             let machine = machines.get(&inherited.machine);
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -118,6 +118,31 @@
     }
 }
 
+/// Guards against taking an entry for the replacement of a worker although no process answers for it.
+/// Another writer had left it, and the tasks of the worker were started a second time.
+#[test]
+fn treats_only_a_process_that_answered_as_a_replacement() {
+    let mut old = Simulation::with_workers(3);
+    old.accept("j", lasting(2));
+    old.run(100);
+    let mut sim = next_leader(&old, &[("j", lasting(2), running_progress())]);
+    let mut bogus = profile("bogus", "t");
+    let worker = old.starts[0].0.clone();
+    bogus.machine = format!("m-{worker}").into();
+    bogus.born_ms = u64::MAX;
+    sim.add(bogus);
+    for id in ["bogus", &worker] {
+        sim.workers.get_mut(id).unwrap().silent = true;
+    }
+    sim.engine.inherit(&[], false, sim.now);
+    sim.run(1_000);
+    assert!(sim.starts.is_empty());
+    sim.workers.get_mut(&worker).unwrap().silent = false;
+    sim.run(1_000);
+    assert!(sim.starts.is_empty());
+    assert_eq!(sim.running(), 2);
+}
+
 /// Guards against counting a failure twice that is stored and still listed by its worker, which
 /// failed the job.
 #[test]
