Accept only possible values in the registrations of workers

Another writer can leave an entry in the list of workers. Three kinds of values got past the decoder and disturbed the leader:

- A capacity near 2^64.
The sum over the workers of a service overflowed while the engine was locked (racks_by_free_processors, usable_processors).
A debug build panicked; after that every use of the engine failed, and the instance answered no caller.
A release build wraps the sum instead.
- A service or machine name that fills a row.
The leader stores the names of each worker with its renewals, and that row was larger than the store takes.
The store refused every renewal, so no instance stayed the leader.
- An array with the fields in their order, and port 0, which were taken for a worker.

The decoder now takes objects only, names of at most 200 bytes, at most 100 labels, amounts of at most 2^40, a start time before the year 10000 and a port from 1. Deep nesting was already refused by the depth limit of serde_json, and skipped without recursion in fields that are not read.

The stand-in of the store now enforces the limits of a row and of a transaction. Tests of the contract compare a Result in place of an Option.

--- a/src/entry/follow_workers.rs
+++ b/src/entry/follow_workers.rs
@@ -1,9 +1,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::listing::Listing;
 use super::shared::{STORE_TIMEOUT, Shared};
 use super::term::Term;
-use crate::platform::api::{Fault, Feed, Row, Store, decode_registration};
+use crate::platform::api::{Fault, Feed, Row, Store};
 
 /// Time for which one call of the change feed waits for changes.
 const FEED_WAIT: Duration = Duration::from_secs(2);
@@ -21,8 +22,9 @@
 /// Passes the list of workers to the engine while this instance leads.
 pub(super) async fn follow_workers(shared: Arc<Shared>, term: Arc<Term>) {
     let mut failed = false;
+    let mut listing = Listing::default();
     loop {
-        if let Err(fault) = follow(&shared, &term, failed).await {
+        if let Err(fault) = follow(&shared, &term, &mut listing, failed).await {
             log::debug!(event = "workers-feed-failed", fault:% = fault; "");
             tokio::time::sleep(RETRY_DELAY).await;
             failed = true;
@@ -32,18 +34,23 @@
     }
 }
 
-async fn follow(shared: &Shared, term: &Term, after_failure: bool) -> Result<(), Fault> {
+async fn follow(
+    shared: &Shared,
+    term: &Term,
+    listing: &mut Listing,
+    after_failure: bool,
+) -> Result<(), Fault> {
     let (rows, mut version) = read(shared).await?;
     if after_failure {
         // Entries of workers may have expired while the store was unreachable. Workers write them
         // again within a short time, so none is removed before the second read.
-        rows.iter().for_each(|row| apply_row(term, row));
+        rows.iter().for_each(|row| apply_row(term, listing, row));
         tokio::time::sleep(REREAD_DELAY).await;
         let (rows, reread_version) = read(shared).await?;
         version = reread_version;
-        replace_workers(term, &rows);
+        replace_workers(term, listing, &rows);
     } else {
-        replace_workers(term, &rows);
+        replace_workers(term, listing, &rows);
     }
     loop {
         match shared
@@ -54,7 +61,7 @@
             Feed::Gone => return Ok(()),
             Feed::Changes(rows, next) => {
                 version = next;
-                rows.iter().for_each(|row| apply_row(term, row));
+                rows.iter().for_each(|row| apply_row(term, listing, row));
                 wake_tasks(term);
                 tokio::time::sleep(BATCH_DELAY).await;
             }
@@ -69,11 +76,9 @@
         .await
 }
 
-fn replace_workers(term: &Term, rows: &[Row]) {
-    let profiles = rows
-        .iter()
-        .filter_map(|row| decode_registration(&row.key, row.content.as_ref()?));
-    term.engine().set_workers(profiles.collect());
+fn replace_workers(term: &Term, listing: &mut Listing, rows: &[Row]) {
+    let profiles = rows.iter().filter_map(|row| listing.decode(row)).collect();
+    term.engine().set_workers(profiles);
     wake_tasks(term);
 }
 
@@ -85,12 +90,8 @@
     }
 }
 
-fn apply_row(term: &Term, row: &Row) {
-    let profile = row
-        .content
-        .as_ref()
-        .and_then(|c| decode_registration(&row.key, c));
-    match profile {
+fn apply_row(term: &Term, listing: &mut Listing, row: &Row) {
+    match listing.decode(row) {
         Some(profile) => {
             term.engine().update_worker(profile);
         }
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -46,7 +46,7 @@
     }
     let profiles = rows
         .iter()
-        .filter_map(|row| decode_registration(&row.key, row.content.as_ref()?));
+        .filter_map(|row| decode_registration(&row.key, row.content.as_ref()?).ok());
     engine.set_workers(profiles.collect());
     let members = members.iter();
     let members = members.filter_map(|row| row::decode(&row.key, row.content.as_ref()?));
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -24,6 +24,7 @@
 mod instance;
 mod lead;
 mod leader;
+mod listing;
 mod load;
 mod maintenance;
 mod orders;
--- a/src/platform/api/mod.rs
+++ b/src/platform/api/mod.rs
@@ -5,6 +5,7 @@
 
 mod adviser;
 mod call;
+mod defect;
 mod fault;
 mod feed;
 mod fleet;
@@ -28,6 +29,7 @@
 mod worker;
 
 pub use adviser::Adviser;
+pub use defect::Defect;
 pub use fault::Fault;
 pub use feed::Feed;
 pub use fleet::Fleet;
--- a/src/platform/api/registration.rs
+++ b/src/platform/api/registration.rs
@@ -1,10 +1,25 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::Deserialize;
 
+use super::Defect;
 use crate::batch::Profile;
 use crate::jobs::Size;
 
+/// Longest name in a registration, in bytes; the store has the same limit for keys. A leader stores
+/// the names of all workers with its renewals, and the store takes only rows of limited size.
+const MAX_NAME_BYTES: usize = 200;
+
+/// Largest number of labels of a worker.
+const MAX_LABELS: usize = 100;
+
+/// Largest amount of a resource. The sum over a million workers fits into 64 bits.
+const MAX_AMOUNT: u64 = 1 << 40;
+
+/// Latest start time of a worker in milliseconds since 1970, the end of the year 9999.
+const MAX_BORN_MS: u64 = 253_402_300_799_999;
+
 /// Amount of resources in the format of the platform.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
@@ -38,24 +53,41 @@
     born: u64,
 }
 
-/// Decodes the registration of a worker. Returns `None` if the row has other content, which another
-/// writer may have left there.
+/// Decodes the registration of a worker.
+///
+/// # Errors
+///
+/// Another writer may have left other content in the row; the [`Defect`] says what is wrong.
 ///
 /// ```
+/// use coriandernotch::platform::api::{Defect, decode_registration};
+///
 /// let text = br#"{"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready"}"#;
-/// let profile = coriandernotch::platform::api::decode_registration("i-1", text).unwrap();
-/// assert_eq!(&*profile.id, "i-1");
-/// assert!(coriandernotch::platform::api::decode_registration("i-1", b"{}").is_none());
+/// assert_eq!(&*decode_registration("i-1", text).unwrap().id, "i-1");
+/// assert_eq!(decode_registration("i-1", b"[]"), Err(Defect::NotObject));
 /// ```
-pub fn decode_registration(id: &str, content: &[u8]) -> Option<Profile> {
-    let registration: Registration = serde_json::from_slice(content).ok()?;
+pub fn decode_registration(id: &str, content: &[u8]) -> Result<Profile, Defect> {
+    // Rejects arrays, which serde would otherwise decode into a struct by the order of its fields.
+    if !content.trim_ascii_start().starts_with(b"{") {
+        return Err(Defect::NotObject);
+    }
+    let registration: Registration =
+        serde_json::from_slice(content).map_err(|error| Defect::Unreadable {
+            line: error.line(),
+            column: error.column(),
+        })?;
+    registration.check_names()?;
+    registration.check_numbers()?;
     let draining = match registration.state.as_str() {
         "ready" => false,
         "draining" => true,
-        _ => return None,
+        _ => return Err(Defect::State),
     };
-    registration.address.parse::<std::net::SocketAddr>().ok()?;
-    Some(Profile {
+    let address = registration.address.parse::<SocketAddr>();
+    if !address.is_ok_and(|address| address.port() > 0) {
+        return Err(Defect::Address);
+    }
+    Ok(Profile {
         id: id.into(),
         born_ms: registration.born,
         service: registration.service,
@@ -67,3 +99,33 @@
         labels: registration.labels,
     })
 }
+
+impl Registration {
+    fn check_names(&self) -> Result<(), Defect> {
+        let names = [
+            ("service", &self.service),
+            ("zone", &self.zone),
+            ("machine", &self.machine),
+        ];
+        let labels = self.labels.iter().map(|label| ("labels", label));
+        let mut names = names.into_iter().chain(labels);
+        if let Some((field, _)) = names.find(|(_, name)| name.len() > MAX_NAME_BYTES) {
+            return Err(Defect::TooLong { field });
+        }
+        if self.labels.len() > MAX_LABELS {
+            return Err(Defect::TooLong { field: "labels" });
+        }
+        Ok(())
+    }
+
+    fn check_numbers(&self) -> Result<(), Defect> {
+        let Resources { cpu, mem_mb, gpu } = self.capacity;
+        if [cpu, mem_mb, gpu].iter().any(|amount| *amount > MAX_AMOUNT) {
+            return Err(Defect::TooLarge { field: "capacity" });
+        }
+        if self.born > MAX_BORN_MS {
+            return Err(Defect::TooLarge { field: "born" });
+        }
+        Ok(())
+    }
+}
--- a/tests/entry/contract.rs
+++ b/tests/entry/contract.rs
@@ -192,7 +192,7 @@
 #[test]
 fn skips_invalid_rows() {
     let valid = json!({"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready"});
-    assert!(decode_registration("i", valid.to_string().as_bytes()).is_some());
+    assert!(decode_registration("i", valid.to_string().as_bytes()).is_ok());
     for (field, value) in [
         ("service", json!(7)),
         ("address", json!("nowhere")),
@@ -204,11 +204,11 @@
         let mut broken = valid.clone();
         broken[field] = value;
         assert!(
-            decode_registration("i", broken.to_string().as_bytes()).is_none(),
+            decode_registration("i", broken.to_string().as_bytes()).is_err(),
             "{field}"
         );
     }
-    assert!(decode_registration("i", &[0xff, 0x00]).is_none());
+    assert!(decode_registration("i", &[0xff, 0x00]).is_err());
     assert_eq!(decode_intent("other/1", b"{}"), None);
     assert_eq!(decode_intent("wave/1", b"[]"), None);
     let evacuation = decode_intent("evacuate/z", b"{}");
--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -1,5 +1,7 @@
+use std::fs::File;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -23,6 +25,7 @@
     pub(crate) child: Child,
     pub(crate) callers: SocketAddr,
     pub(crate) metrics: SocketAddr,
+    pub(crate) store: SocketAddr,
 }
 
 impl Drop for Instance {
@@ -51,6 +54,23 @@
 }
 
 pub(crate) fn start_with_output(name: &str, store: SocketAddr, stdout: Stdio) -> Instance {
+    start_with_outputs(name, store, stdout, Stdio::inherit())
+}
+
+/// Starts an instance that writes standard output and standard error to files, and returns their
+/// paths.
+pub(crate) fn start_with_files(name: &str, store: SocketAddr) -> (Instance, [PathBuf; 2]) {
+    let paths = ["out", "err"].map(|suffix| {
+        let file = format!("coriandernotch-{}-{name}.{suffix}", std::process::id());
+        std::env::temp_dir().join(file)
+    });
+    let [stdout, stderr] = paths
+        .each_ref()
+        .map(|path| File::create(path).unwrap().into());
+    (start_with_outputs(name, store, stdout, stderr), paths)
+}
+
+fn start_with_outputs(name: &str, store: SocketAddr, stdout: Stdio, stderr: Stdio) -> Instance {
     let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
     let settings = json!({
         "name": name,
@@ -66,18 +86,20 @@
         "coriandernotch-{}-{name}.jsonc",
         std::process::id()
     ));
-    let mut file = std::fs::File::create(&path).unwrap();
+    let mut file = File::create(&path).unwrap();
     file.write_all(settings.to_string().as_bytes()).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_coriandernotch"))
         .args(["entry", "--settings"])
         .arg(&path)
         .stdout(stdout)
+        .stderr(stderr)
         .spawn()
         .unwrap();
     Instance {
         child,
         callers,
         metrics,
+        store,
     }
 }
 
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -3,6 +3,7 @@
 mod contract;
 mod instance;
 mod mode;
+mod odd_entries;
 mod platform;
 mod process;
 mod standin;
--- a/tests/entry/platform.rs
+++ b/tests/entry/platform.rs
@@ -45,7 +45,7 @@
         "servers",
         id,
         &json!({"service": "s", "address": address.to_string(), "zone": "a",
-            "state": "ready", "machine": format!("m-{id}"), "born": 7,
+            "state": "ready", "machine": format!("m-{id}"), "born": 7, "labels": ["k", "rack-1"],
             "capacity": {"cpu": 4000, "memMb": 4000, "gpu": 0}}),
     );
 }
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -12,6 +12,13 @@
 use crate::mode::Mode;
 use crate::standin::{Call, serve};
 
+/// Largest content of a row, in bytes.
+pub(crate) const MAX_ROW_BYTES: usize = 65_536;
+
+/// Largest number of rows in a transaction, and its largest size in bytes.
+const MAX_TRANSACTION_ROWS: usize = 100;
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
+
 /// Table, partition and key of a row.
 type Key = (String, String, String);
 
@@ -61,6 +68,7 @@
     }
 
     pub(crate) fn write_raw(&self, table: &str, key: &str, value: &[u8]) {
+        assert!(value.len() <= MAX_ROW_BYTES, "the store takes no such row");
         let mut state = self.state.lock().unwrap();
         state.version += 1;
         state.put(
@@ -129,6 +137,9 @@
     }
 
     fn transact(&self, call: &Call) -> (u16, Value) {
+        if !is_within_limits(&call.body) {
+            return (400, json!({}));
+        }
         let mut state = self.state.lock().unwrap();
         let string =
             |value: &Value, name: &str| value[name].as_str().unwrap_or_default().to_owned();
@@ -231,3 +242,14 @@
 fn row(key: &Key, (value, version): &(String, u64)) -> Value {
     json!({"table": key.0, "part": key.1, "key": key.2, "value": value, "ver": version})
 }
+
+/// Returns whether the store takes a transaction of this size.
+fn is_within_limits(transaction: &Value) -> bool {
+    let lists = ["expectedRev", "puts", "deletes"].map(|name| transaction[name].as_array());
+    let rows: usize = lists.into_iter().flatten().map(Vec::len).sum();
+    let puts = transaction["puts"].as_array().into_iter().flatten();
+    let mut values = puts.filter_map(|put| put["value"].as_str());
+    rows <= MAX_TRANSACTION_ROWS
+        && transaction.to_string().len() <= MAX_TRANSACTION_BYTES
+        && values.all(|value| value.len() <= MAX_ROW_BYTES.div_ceil(3) * 4)
+}
