Let no bogus entry hide the worker of a machine

Moves and maintenance took the listed process with the latest start for the one on a machine. An entry of another writer with a later `born` hid the real worker: its machine counted as empty and was moved while a lasting task ran there, and a maintained machine counted as down until its return timed out. Processes that have answered now come before those that have not.

Before: keeps_a_machine_in_use_despite_a_bogus_entry and counts_a_machine_as_back_despite_a_bogus_entry failed. After: all 58 tests of tests/batch pass.

--- a/src/batch/engine/maintenance.rs
+++ b/src/batch/engine/maintenance.rs
@@ -92,7 +92,7 @@
                 .values()
                 .filter(|w| w.profile.machine == *machine);
             // The store may still list an earlier process on the machine.
-            let on_machine = on_machine.max_by_key(|w| w.profile.born_ms);
+            let on_machine = on_machine.max_by_key(|w| w.recency());
             let maintenance = Maintenance {
                 service: on_machine
                     .map(|w| w.profile.service.clone())
--- a/src/batch/engine/relocate.rs
+++ b/src/batch/engine/relocate.rs
@@ -231,8 +231,7 @@
         let mut workers: Map<&Arc<str>, (WorkerKey, &Worker)> = Map::default();
         for (key, worker) in &self.workers {
             let machine = &worker.profile.machine;
-            let is_newer =
-                |(_, known): &(WorkerKey, &Worker)| worker.profile.born_ms > known.profile.born_ms;
+            let is_newer = |(_, known): &(WorkerKey, &Worker)| worker.recency() > known.recency();
             if workers.get(machine).is_none_or(is_newer) {
                 workers.insert(machine, (key, worker));
             }
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -74,6 +74,13 @@
         }
     }
 
+    /// Returns the key by which the current process on a machine is the largest of those listed for
+    /// it. A later start counts only among processes that have answered: an entry alone may come
+    /// from another writer.
+    pub(super) fn recency(&self) -> (bool, u64) {
+        (self.answered_at.is_some(), self.profile.born_ms)
+    }
+
     /// Returns the free resources.
     pub(super) fn free_capacity(&self) -> Size {
         self.profile.capacity - self.used
--- a/tests/batch/maintenance.rs
+++ b/tests/batch/maintenance.rs
@@ -135,3 +135,19 @@
     sim.run(500);
     assert!(sim.engine.maintenance_due().is_empty());
 }
+
+/// Guards against waiting for a process that started later than one which another writer has listed
+/// for the machine: the wave went on only after the time in which a worker must return.
+#[test]
+fn counts_a_machine_as_back_despite_a_bogus_entry() {
+    let mut sim = Simulation::with_workers(1);
+    let mut bogus = profile("bogus", "s");
+    (bogus.machine, bogus.born_ms) = ("m-i-0".into(), u64::MAX);
+    sim.add(bogus);
+    sim.workers.get_mut("bogus").unwrap().silent = true;
+    let wave = wave(&sim, &["m-i-0"], 1, Duration::from_secs(10));
+    sim.engine.set_waves(vec![wave]);
+    assert_eq!(carry_out_maintenance(&mut sim, 2).len(), 1);
+    sim.run(1_000);
+    assert_eq!(sim.engine.wave_reports(), [(1, true)]);
+}
--- a/tests/batch/pools.rs
+++ b/tests/batch/pools.rs
@@ -4,7 +4,7 @@
 use coriandernotch::batch::{Config, Machine, State};
 use coriandernotch::clock::Instant;
 
-use crate::simulation::{Simulation, config, profile, record, route, step};
+use crate::simulation::{Simulation, config, lasting, profile, record, route, step};
 
 /// Duration of a move in these tests.
 const MOVE_TIME: Duration = Duration::from_millis(1_500);
@@ -141,6 +141,30 @@
     assert_eq!(moves.first(), Some(&("x".into(), "spare".into())));
 }
 
+/// Guards against moving a machine whose worker has a lasting task, because another writer left an
+/// entry with a later start for the same machine.
+#[test]
+fn keeps_a_machine_in_use_despite_a_bogus_entry() {
+    let mut sim = Simulation::new(2, fleet_config());
+    sim.add(profile("i-0", "s"));
+    sim.add(profile("i-1", "s"));
+    let machines = vec![machine("m-i-0", "s"), machine("m-i-1", "s")];
+    sim.engine.set_machines(machines);
+    sim.engine
+        .restore_lent_machines(&[("m-i-1".into(), "spare".into())]);
+    sim.accept("j", lasting(2));
+    sim.run(100);
+    assert_eq!(sim.running(), 2);
+    let mut bogus = profile("bogus", "s");
+    (bogus.machine, bogus.born_ms) = ("m-i-1".into(), u64::MAX);
+    sim.add(bogus);
+    sim.workers.get_mut("bogus").unwrap().silent = true;
+    for _ in 0..80 {
+        sim.run(100);
+        assert_eq!(sim.engine.plan_moves(sim.now), []);
+    }
+}
+
 /// Load test with the same turns but no spare machines. The machines of the queue that had just had
 /// its turn stood idle during the next one. Baseline: fixed pools.
 #[test]
