Leave out registrations that no request can reach

An entry whose key has a control character, or whose address is a broadcast, multicast or unspecified one, was taken for a worker. Requests to it were never sent, so it neither answered nor counted as gone. After the loss of a leader its successor waited for such an entry until all leases could have expired (14 s left after 2.4 s) before it started a task of any job of that service. No leader can have started a task there, so these entries now name no worker.

Before: takes_over_while_odd_entries_arrive failed with "the new leader waits for an odd entry"; takes_no_odd_entry_for_a_worker listed the four addresses. After: the 12 tests of odd entries pass.

--- a/src/platform/api/defect.rs
+++ b/src/platform/api/defect.rs
@@ -1,6 +1,9 @@
 /// Reason why the entry of a worker names no worker.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Defect {
+    /// The key has a character that no request can carry.
+    #[error("unusable key")]
+    Key,
     /// The content is not an object.
     #[error("not an object")]
     NotObject,
@@ -15,7 +18,7 @@
     /// The state is neither ready nor draining.
     #[error("unknown state")]
     State,
-    /// The address is not a numeric IP address with a port from 1 to 65535.
+    /// The address is not the numeric IP address of one host with a port from 1 to 65535.
     #[error("no address and port")]
     Address,
     /// A text is too long.
--- a/src/platform/api/registration.rs
+++ b/src/platform/api/registration.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -67,6 +67,11 @@
 /// assert_eq!(decode_registration("i-1", b"[]"), Err(Defect::NotObject));
 /// ```
 pub fn decode_registration(id: &str, content: &[u8]) -> Result<Profile, Defect> {
+    // Each request to a worker carries its id. A new leader would wait for an answer until the leases
+    // of the previous leader have expired.
+    if id.chars().any(char::is_control) {
+        return Err(Defect::Key);
+    }
     // Rejects arrays, which serde would otherwise decode into a struct by the order of its fields.
     if !content.trim_ascii_start().starts_with(b"{") {
         return Err(Defect::NotObject);
@@ -84,7 +89,7 @@
         _ => return Err(Defect::State),
     };
     let address = registration.address.parse::<SocketAddr>();
-    if !address.is_ok_and(|address| address.port() > 0) {
+    if !address.is_ok_and(is_address_of_host) {
         return Err(Defect::Address);
     }
     Ok(Profile {
@@ -100,6 +105,14 @@
     })
 }
 
+fn is_address_of_host(address: SocketAddr) -> bool {
+    let ip = address.ip();
+    address.port() > 0
+        && !ip.is_unspecified()
+        && !ip.is_multicast()
+        && ip != IpAddr::V4(Ipv4Addr::BROADCAST)
+}
+
 impl Registration {
     fn check_names(&self) -> Result<(), Defect> {
         let names = [
