Ignore rows of partitions that have the keys of other rows

The change feed covers all partitions of a table, while workers register, and operators and leaders write, outside of any partition. A row of another writer in a partition took the place of the row with the same key: a worker counted as gone, a configuration replaced the one of the operators, and a leader row kept a follower from becoming the leader.

Before: ignores_rows_of_other_partitions failed at the row of a worker, with that mended at the configuration (404 for a known queue), and with that mended at the successor. After: it passes.

--- a/src/entry/candidate.rs
+++ b/src/entry/candidate.rs
@@ -57,9 +57,11 @@
         }
     }
 
-    /// Records a changed row.
+    /// Records a changed row. The leader row is outside of any partition; the feed covers the whole
+    /// table.
     pub(super) fn observe(&mut self, row: &Row) {
-        if &*row.key != OWNER_KEY || row.version <= self.row_version {
+        let is_leader_row = row.part.is_empty() && &*row.key == OWNER_KEY;
+        if !is_leader_row || row.version <= self.row_version {
             return;
         }
         let Some(content) = &row.content else {
--- a/src/entry/desired.rs
+++ b/src/entry/desired.rs
@@ -29,6 +29,10 @@
 
     /// Applies a changed row.
     pub(super) fn apply(&mut self, row: &Row, now: Instant) {
+        // Operators write outside of any partition; the feed covers the whole table.
+        if !row.part.is_empty() {
+            return;
+        }
         let Some(content) = &row.content else {
             self.waves.remove(&row.key);
             if let Some(Intent::Out(data_centre)) = decode_intent(&row.key, b"{}") {
--- a/src/entry/follow_workers.rs
+++ b/src/entry/follow_workers.rs
@@ -91,6 +91,10 @@
 }
 
 fn apply_row(term: &Term, listing: &mut Listing, row: &Row) {
+    // Workers register outside of any partition; the feed covers the whole table.
+    if !row.part.is_empty() {
+        return;
+    }
     match listing.decode(row) {
         Some(profile) => {
             term.engine().update_worker(profile);
--- a/tests/entry/odd_entries.rs
+++ b/tests/entry/odd_entries.rs
@@ -442,6 +442,29 @@
     scene.assert_undisturbed();
 }
 
+/// Guards against rows of a partition that have the keys of workers, of the configuration and of the
+/// leader. Only rows outside of any partition are these.
+#[tokio::test(flavor = "multi_thread")]
+async fn ignores_rows_of_other_partitions() {
+    let mut scene = Scene::start("odd-partition", &[]).await;
+    scene.run_job("no row").await;
+    let (successor, outputs) = start_with_files("odd-partition-2", scene.instance.store);
+    let no_routes = br#"{"version": 9}"#;
+    for (table, key, content) in [("servers", "i-1", &b"7"[..]), ("op", "config", no_routes)] {
+        scene.store.write_in_partition(table, "other", key, content);
+        scene.wait_for_feed().await;
+        scene.run_job(table).await;
+    }
+    scene.assert_undisturbed();
+    scene.instance.child.kill().unwrap();
+    let other_leader = br#"{"holder": "nobody", "token": 900, "renewal": 1}"#;
+    let store = &scene.store;
+    store.write_in_partition("leaders", "other", "owner", other_leader);
+    (scene.instance, scene.outputs) = (successor, outputs);
+    scene.run_job("at the successor").await;
+    scene.assert_undisturbed();
+}
+
 /// Guards against a capacity that is too large in the entry of a worker that answers: sums over the
 /// workers of a service overflowed.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -68,13 +68,15 @@
     }
 
     pub(crate) fn write_raw(&self, table: &str, key: &str, value: &[u8]) {
+        self.write_in_partition(table, "", key, value);
+    }
+
+    pub(crate) fn write_in_partition(&self, table: &str, part: &str, key: &str, value: &[u8]) {
         assert!(value.len() <= MAX_ROW_BYTES, "the store takes no such row");
         let mut state = self.state.lock().unwrap();
         state.version += 1;
-        state.put(
-            (table.into(), String::new(), key.into()),
-            STANDARD.encode(value),
-        );
+        let key = (table.into(), part.into(), key.into());
+        state.put(key, STANDARD.encode(value));
         drop(state);
         self.changed.notify_waiters();
     }
