Refuse jobs with impossibly large numbers

A caller can submit a job whose numbers no real job has. It was stored, and its numbers overflowed when a leader loaded it, so each leader in turn failed with the engine locked:

- 2,000 steps in a chain with an estimate of 1e300 ms: "overflow when adding durations" in Spec::critical_path, in every build.
- A large estimate or amount of processors: the product in Job::declared_work overflowed, a panic in debug builds.
- 4,294,967,295 tasks: an allocation of 481 GB, which ended the process.

A job is now valid only with at most 100,000 tasks and estimates of at most 2^40 ms; other jobs get status 400, and stored ones are left out (job-invalid). Work is computed as a floating-point number and bounded; due times and slack saturate.

Before: leads_on_with_odd_jobs failed at its first job. Each job tried alone: three panics as above, then the failed allocation; the fifth was not reached. After: all 59 tests of tests/batch pass.

--- a/src/batch/engine/job.rs
+++ b/src/batch/engine/job.rs
@@ -5,6 +5,10 @@
 use crate::batch::{Progress, Record, State};
 use crate::clock::Instant;
 
+/// Largest work of a job that is counted, in thousandths of a processor times milliseconds. The sum
+/// over a million jobs fits into 64 bits.
+const MAX_WORK: u64 = 1 << 44;
+
 /// A job in progress.
 #[derive(Clone, Debug)]
 pub(super) struct Job {
@@ -46,12 +50,11 @@
     }
 
     /// Returns the declared work of all tasks except lasting ones, in thousandths of a processor
-    /// times milliseconds.
+    /// times milliseconds, at most [`MAX_WORK`].
     pub(super) fn declared_work(&self) -> u64 {
         let steps = self.record.spec.steps.iter().filter(|step| !step.lasting);
-        steps
-            .map(|s| u64::from(s.count) * s.reserved().processors * s.estimate_ms)
-            .sum()
+        let work = steps.map(|step| step.task_work() * f64::from(step.count));
+        (work.sum::<f64>() as u64).min(MAX_WORK)
     }
 
     /// Returns the progress to store.
--- a/src/batch/engine/overload.rs
+++ b/src/batch/engine/overload.rs
@@ -117,9 +117,7 @@
             .iter()
             .flat_map(|occurrence| &occurrence.stages);
         let steps = stages.zip(self.record.spec.steps.iter().cycle());
-        let work = steps.map(|(stage, step)| {
-            stage.unfinished as u64 * step.reserved().processors * step.estimate_ms
-        });
-        work.sum::<u64>() as f64
+        let work = steps.map(|(stage, step)| step.task_work() * stage.unfinished as f64);
+        work.sum()
     }
 }
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -90,7 +90,7 @@
             .sum();
         let remaining_ms = i64::try_from(remaining.mul_f64(REMAINING_TIME_FACTOR).as_millis())
             .unwrap_or(i64::MAX / 4);
-        let left_ms = i64::try_from(start_ms + objective_ms).unwrap_or(i64::MAX / 2)
+        let left_ms = i64::try_from(start_ms.saturating_add(objective_ms)).unwrap_or(i64::MAX / 2)
             - i64::try_from(wall_ms).unwrap_or(i64::MAX / 2);
         let lasting = spec.steps[stage_key.step as usize].lasting;
         Rank {
@@ -100,7 +100,7 @@
             unachievable: left_ms < remaining_ms,
             deferred,
             not_started: !job.is_started(),
-            slack_ms: left_ms - remaining_ms,
+            slack_ms: left_ms.saturating_sub(remaining_ms),
         }
     }
 
--- a/src/batch/spec.rs
+++ b/src/batch/spec.rs
@@ -5,6 +5,14 @@
 
 use super::Step;
 
+/// Largest number of tasks of one occurrence. The progress of more does not fit into a row of the
+/// store.
+const MAX_TASKS: u64 = 100_000;
+
+/// Longest declared run time of a task in milliseconds, about 35 years. The sum over all steps fits
+/// into a [`Duration`] many times.
+const MAX_ESTIMATE_MS: u64 = 1 << 40;
+
 /// A job as described by its caller.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
@@ -45,7 +53,8 @@
     /// Returns the due time of an occurrence in milliseconds since 1970, or `None` for a job
     /// without scheduled occurrences.
     pub fn due_ms(&self, occurrence: u32) -> Option<u64> {
-        (self.occurrences > 0).then(|| self.first_ms + u64::from(occurrence) * self.interval_ms)
+        let delay_ms = u64::from(occurrence).saturating_mul(self.interval_ms);
+        (self.occurrences > 0).then(|| self.first_ms.saturating_add(delay_ms))
     }
 
     /// Returns the number of occurrences, which is at least 1.
@@ -53,12 +62,15 @@
         self.occurrences.max(1)
     }
 
-    /// Returns whether there are steps, each step has tasks, and each depends only on earlier
-    /// steps.
+    /// Returns whether there are steps, each step has tasks, each depends only on earlier steps, and
+    /// neither the number of tasks nor a declared time is impossibly large.
     pub fn is_valid(&self) -> bool {
         let is_sound = |(position, step): (usize, &Step)| {
-            step.count > 0 && step.after.iter().all(|s| (*s as usize) < position)
+            step.count > 0
+                && step.estimate_ms <= MAX_ESTIMATE_MS
+                && step.after.iter().all(|s| (*s as usize) < position)
         };
-        !self.steps.is_empty() && self.steps.iter().enumerate().all(is_sound)
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        !self.steps.is_empty() && tasks <= MAX_TASKS && self.steps.iter().enumerate().all(is_sound)
     }
 }
--- a/src/platform/api/submission.rs
+++ b/src/platform/api/submission.rs
@@ -70,7 +70,10 @@
     if spec.is_valid() {
         Ok(spec)
     } else {
-        Err("a step has no tasks, or is after a step that is not earlier".into())
+        Err(
+            "a step has no tasks or is after a step that is not earlier, or a number is too large"
+                .into(),
+        )
     }
 }
 
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -3,6 +3,7 @@
 mod ends;
 mod maintenance;
 mod members;
+mod odd_jobs;
 mod place;
 mod pools;
 mod simulation;
