Refuse answers of workers with impossibly large numbers

A leader adds the time of a lease to the clock of a worker, and numbers the next run of a task after the runs that a worker lists. A clock or run number near 2^64 overflowed there, with the engine locked: a panic in debug builds, a deadline in the past or run number 0 in release builds. An answer with a number above 2^53 now counts as unreadable, and such a clock in the answer to an order is not used.

Before: refuses_answers_with_impossible_numbers failed at the clock.

--- a/src/platform/api/report.rs
+++ b/src/platform/api/report.rs
@@ -5,6 +5,10 @@
 use super::task_name;
 use crate::batch::{End, Ended, Running, Snapshot};
 
+/// Largest accepted clock, run number or position. As milliseconds it is 285,000 years, and the
+/// leader can add to it without an overflow.
+pub(super) const MAX_NUMBER: u64 = 1 << 53;
+
 /// Response of a worker to a poll.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -31,6 +35,19 @@
     Plain(String, u64, Arc<str>, f64),
 }
 
+impl Report {
+    /// Returns whether no number is impossibly large.
+    pub(super) fn is_possible(&self) -> bool {
+        let running = self.running.iter().map(|row| match row {
+            RunningRow::Loaded(_, number, ..) | RunningRow::Plain(_, number, ..) => *number,
+        });
+        let ended = self.ended.iter();
+        let ended = ended.flat_map(|(position, _, number, ..)| [*position, *number]);
+        let mut numbers = running.chain(ended).chain([self.clock_ms]);
+        numbers.all(|number| number <= MAX_NUMBER)
+    }
+}
+
 impl From<Report> for Snapshot {
     fn from(report: Report) -> Self {
         let running = report.running.into_iter().filter_map(|row| {
--- a/src/platform/api/worker.rs
+++ b/src/platform/api/worker.rs
@@ -9,7 +9,7 @@
 use super::names::EXPECT_INSTANCE;
 use super::poll::Poll;
 use super::receipt::Receipt;
-use super::report::Report;
+use super::report::{MAX_NUMBER, Report};
 use super::start::Start;
 use super::{Fault, Link, Response, task_name};
 use crate::batch::{Launch, Reply, Snapshot, TaskId};
@@ -144,9 +144,11 @@
         };
         let response = self.post(step, "/api/hold", &body, wait + timeout).await?;
         match response.status {
-            200 => serde_json::from_slice::<Report>(&response.body)
-                .map(Snapshot::from)
-                .map_err(|e| self.link.unknown(step, e.to_string())),
+            200 => match serde_json::from_slice::<Report>(&response.body) {
+                Ok(report) if report.is_possible() => Ok(report.into()),
+                Ok(_) => Err(self.link.unknown(step, "a number is too large".into())),
+                Err(error) => Err(self.link.unknown(step, error.to_string())),
+            },
             status => Err(self.link.refused(step, status)),
         }
     }
@@ -159,7 +161,12 @@
         timeout: Duration,
     ) -> Result<(u16, Receipt), Fault> {
         let response = self.post(step, path, body, timeout).await?;
-        let receipt = serde_json::from_slice(&response.body).unwrap_or_default();
+        let receipt = serde_json::from_slice::<Receipt>(&response.body).unwrap_or_default();
+        let clock_ms = receipt.clock_ms.filter(|clock| *clock <= MAX_NUMBER);
+        let receipt = Receipt {
+            clock_ms,
+            ..receipt
+        };
         Ok((response.status, receipt))
     }
 
--- a/tests/entry/contract.rs
+++ b/tests/entry/contract.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::mode::Mode;
+use crate::standin::serve;
 use crate::store::Store;
 use crate::worker::Worker;
 
@@ -188,6 +189,33 @@
     assert!(snapshot.ended.is_empty());
 }
 
+/// Guards against numbers in the answers of a worker that overflow sums of the leader: its clock and
+/// the number of the next run.
+#[tokio::test]
+async fn refuses_answers_with_impossible_numbers() {
+    let task = "00000000000000a1.0.0.0";
+    let valid = json!({"clockMs": 5, "running": [[task, 3, "", 5, 5]],
+        "ended": [[1, task, 2, "done", ""]]});
+    for (place, is_valid) in [
+        ("", true),
+        ("/clockMs", false),
+        ("/running/0/1", false),
+        ("/ended/0/0", false),
+        ("/ended/0/2", false),
+    ] {
+        let mut answer = valid.clone();
+        if !is_valid {
+            *answer.pointer_mut(place).unwrap() = json!(u64::MAX);
+        }
+        let address = serve(move |_| std::future::ready(Some((200, answer.clone())))).await;
+        let client = WorkerClient::new(address, "i-1".into(), 1);
+        let snapshot = client.poll(None, 0, Duration::ZERO, TIMEOUT).await;
+        assert_eq!(snapshot.is_ok(), is_valid, "{place}");
+        let (_, clock_ms) = client.start(&launch(3), 1_000, TIMEOUT).await;
+        assert_eq!(clock_ms.is_some(), place != "/clockMs", "{place}");
+    }
+}
+
 /// Rows that another writer left must neither stop an instance nor count as a worker.
 #[test]
 fn skips_invalid_rows() {
