--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -59,7 +59,8 @@
     }
 
     /// Removes inherited workers whose runs have certainly ended: the lease has expired, a newer
-    /// worker runs on the machine, or the machine was shut down or moved to another pool.
+    /// worker has answered on the machine, or the machine was shut down or moved to another pool. A
+    /// newer process that is only listed may not exist.
     ///
     /// A newer process with the same id does not count: the previous leader may have started tasks
     /// on it before it read its registration.
@@ -69,7 +70,8 @@
             let is_newer_worker = |worker: &Worker| {
                 worker.profile.id != *id
                     && worker.profile.machine == inherited.machine
-                    && worker.profile.born_ms > inherited.born_ms
+                    && worker.answered_at.is_some()
+                    && worker.born_ms > inherited.born_ms
             };
             let replaced = !inherited.machine.is_empty() && workers.values().any(is_newer_worker);
             let machine = machines.get(&inherited.machine);
--- a/tests/entry/contract.rs
+++ b/tests/entry/contract.rs
@@ -9,6 +9,7 @@
 
 use crate::mode::Mode;
 use crate::run::Run;
+use crate::standin::serve;
 use crate::store::Store;
 use crate::worker::Worker;
 
@@ -228,11 +229,38 @@
     }
 }
 
+/// Guards against numbers in the answers of a worker that overflow sums of the leader: its clock and
+/// the number of the next run.
+#[tokio::test]
+async fn refuses_answers_with_impossible_numbers() {
+    let task = "00000000000000a1.0.0.0";
+    let valid = json!({"clockMs": 5, "running": [[task, 3, "", 5, 5]],
+        "ended": [[1, task, 2, "done", ""]]});
+    for (place, is_valid) in [
+        ("", true),
+        ("/clockMs", false),
+        ("/running/0/1", false),
+        ("/ended/0/0", false),
+        ("/ended/0/2", false),
+    ] {
+        let mut answer = valid.clone();
+        if !is_valid {
+            *answer.pointer_mut(place).unwrap() = json!(u64::MAX);
+        }
+        let address = serve(move |_| std::future::ready(Some((200, answer.clone())))).await;
+        let client = WorkerClient::new(address, "i-1".into(), 1);
+        let snapshot = client.poll(None, 0, Duration::ZERO, TIMEOUT).await;
+        assert_eq!(snapshot.is_ok(), is_valid, "{place}");
+        let (_, clock_ms) = client.start(&launch(3), 1_000, TIMEOUT).await;
+        assert_eq!(clock_ms.is_some(), place != "/clockMs", "{place}");
+    }
+}
+
 /// Rows that another writer left must neither stop an instance nor count as a worker.
 #[test]
 fn skips_invalid_rows() {
     let valid = json!({"service": "s", "address": "10.0.0.1:80", "zone": "z", "state": "ready"});
-    assert!(decode_registration("i", valid.to_string().as_bytes()).is_some());
+    assert!(decode_registration("i", valid.to_string().as_bytes()).is_ok());
     for (field, value) in [
         ("service", json!(7)),
         ("address", json!("nowhere")),
@@ -244,11 +272,11 @@
         let mut broken = valid.clone();
         broken[field] = value;
         assert!(
-            decode_registration("i", broken.to_string().as_bytes()).is_none(),
+            decode_registration("i", broken.to_string().as_bytes()).is_err(),
             "{field}"
         );
     }
-    assert!(decode_registration("i", &[0xff, 0x00]).is_none());
+    assert!(decode_registration("i", &[0xff, 0x00]).is_err());
     assert_eq!(decode_intent("other/1", b"{}"), None);
     assert_eq!(decode_intent("wave/1", b"[]"), None);
     let evacuation = decode_intent("evacuate/z", b"{}");
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod instance;
 mod log;
 mod mode;
+mod odd_entries;
 mod platform;
 mod port;
 mod process;
