Name unknown fields of a file that is no settings and no fleet document

Cause: `check` told the kind of a file by its known fields. Where there were none, or as many of one kind as of the other, it reported the whole file only, without the fields that nobody knows.

Change: such a file also gets a line for each field at the top that neither kind has, with its place and the closest known name.

Seen before: `{"unknown_field": 1}` printed one line, `1:1: document: value {...}`. After: a second line, `1:2: unknown_field: value "unknown_field": accepted one of the fields name, ...`; still exit 2. check_names_unknown_fields_of_a_file_of_no_kind failed before and passes; tests document, document_fuzz and document_reference pass.

--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -69,6 +69,8 @@
                     .to_owned()
             };
             faults.refuse(&tree, tree.root(), accepted);
+            let shapes = [settings::shape(), fleet::shape()];
+            document::refuse_unknown_fields(&tree, &shapes, &mut faults);
             faults.finish(&tree)
         }
     }
--- a/src/document/conform.rs
+++ b/src/document/conform.rs
@@ -6,6 +6,7 @@
 use super::close::closest;
 use super::faults::Faults;
 use super::field::{Field, Presence};
+use super::member::Member;
 use super::node_id::NodeId;
 use super::problem::Problem;
 use super::shape::Shape;
@@ -87,11 +88,7 @@
     for member in tree.members(id) {
         match shape.field(&member.name) {
             Some(field) => check(tree, member.value, &field.accepts, faults),
-            None => faults.push(member.start, || {
-                let name = &*member.name;
-                let value = super::tree::shorten(&format!("{name:?}"));
-                (tree.path_to(id, name), value, suggest(shape, name))
-            }),
+            None => refuse_unknown(tree, id, member, &[shape], faults),
         }
     }
     let missing = |field: &&Field| {
@@ -105,10 +102,39 @@
     }
 }
 
-fn suggest(shape: &Shape, name: &str) -> String {
-    let names = || shape.fields.iter().map(|field| field.name);
-    let list = names().collect::<Vec<_>>().join(", ");
-    match closest(name, names()) {
+/// Records the fields of the outermost object that no shape accepts.
+pub(crate) fn refuse_unknown_fields(tree: &Tree, shapes: &[&Shape], faults: &mut Faults) {
+    let id = tree.root();
+    for member in tree.members(id) {
+        if shapes.iter().all(|s| s.field(&member.name).is_none()) {
+            refuse_unknown(tree, id, member, shapes, faults);
+        }
+    }
+}
+
+fn refuse_unknown(
+    tree: &Tree,
+    id: NodeId,
+    member: &Member,
+    shapes: &[&Shape],
+    faults: &mut Faults,
+) {
+    faults.push(member.start, || {
+        let name = &*member.name;
+        let value = super::tree::shorten(&format!("{name:?}"));
+        (tree.path_to(id, name), value, suggest(shapes, name))
+    });
+}
+
+fn suggest(shapes: &[&Shape], name: &str) -> String {
+    let mut names = Vec::new();
+    for field in shapes.iter().flat_map(|shape| shape.fields) {
+        if !names.contains(&field.name) {
+            names.push(field.name);
+        }
+    }
+    let list = names.join(", ");
+    match closest(name, names) {
         Some(close) => format!("{close:?} (closest) or another of the fields {list}"),
         None => format!("one of the fields {list}"),
     }
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -24,7 +24,7 @@
 mod value;
 
 pub(crate) use close::closest;
-pub(crate) use conform::{conform, convert};
+pub(crate) use conform::{conform, convert, refuse_unknown_fields};
 pub use decode::decode;
 pub(crate) use faults::Faults;
 pub use field::{Field, Presence};
--- a/tests/document.rs
+++ b/tests/document.rs
@@ -410,6 +410,41 @@
     assert_eq!(String::from_utf8(out).unwrap().lines().count(), 2);
 }
 
+/// Guards against a file of neither kind whose unknown fields are not named.
+#[test]
+fn check_names_unknown_fields_of_a_file_of_no_kind() {
+    let cases: &[(&str, &[&str])] = &[
+        ("{}", &[]),
+        (r#"{"name": "x"}"#, &[]),
+        (r#"{"log": "info", "workspaces": []}"#, &[]),
+        (
+            r#"{"unknown_field": 1}"#,
+            &[r#":1:2: unknown_field: value "unknown_field": accepted one of the fields name, "#],
+        ),
+        (
+            r#"{"name": "x", "polls": [], "log": "info", "workspaces": [], "colour": 2}"#,
+            &[
+                r#":1:15: polls: value "polls": accepted "pools" (closest) or another"#,
+                r#":1:61: colour: value "colour": accepted one of the fields name, "#,
+            ],
+        ),
+    ];
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("no-kind.jsonc");
+    for (text, expected) in cases {
+        std::fs::write(&path, text).unwrap();
+        let mut out = Vec::new();
+        assert_eq!(cli::check_to(&path, &mut out), ExitCode::from(2), "{text}");
+        let out = String::from_utf8(out).unwrap();
+        let mut lines = out.lines();
+        let first = lines.next().unwrap();
+        assert!(first.contains(":1:1: document: "), "{text}: {out}");
+        assert_eq!(lines.clone().count(), expected.len(), "{text}: {out}");
+        for (line, part) in lines.zip(*expected) {
+            assert!(line.contains(part), "{text}: {out}");
+        }
+    }
+}
+
 /// Guards against a difference that is missed, or named by an index that moves.
 #[test]
 fn differences_are_named() {
