--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -17,6 +17,7 @@
 mod summary;
 mod tally;
 mod ticket;
+mod timeline;
 mod watch;
 mod work;
 
@@ -28,3 +29,4 @@
 pub use run::run;
 pub use summary::Summary;
 pub use tally::Tally;
+pub use timeline::Timeline;
--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -14,7 +14,7 @@
 use super::submitter::Submitter;
 use super::ticket::Ticket;
 use super::watch::Watch;
-use super::{Bed, Plan, Rule, Summary, Tally};
+use super::{Bed, Plan, Rule, Summary, Tally, Timeline};
 use crate::config::Outcome;
 use crate::fleet::{Document, Service};
 use crate::jobs::Record;
@@ -76,14 +76,8 @@
         tally.clone(),
         stop.clone(),
     ));
-    let events = play(
-        &bed,
-        &watch,
-        &tally,
-        &paces,
-        Duration::from_secs(plan.seconds),
-    )
-    .await?;
+    let timeline = Timeline::of(Duration::from_secs(plan.seconds));
+    let events = play(&bed, &watch, &tally, &paces, &timeline).await?;
     stop.store(true, Ordering::Release);
     while load.join_next().await.is_some() {}
     bed.wait(JOBS_TIMEOUT, |bed| {
--- a/src/demo/script.rs
+++ b/src/demo/script.rs
@@ -5,7 +5,7 @@
 use eyre::{Report, eyre};
 
 use super::watch::Watch;
-use super::{Bed, Rule, Tally};
+use super::{Bed, Rule, Tally, Timeline};
 use crate::clock::{self, Instant};
 use crate::config::Outcome;
 use crate::fleet::{Direction, Document, Plan};
@@ -20,9 +20,6 @@
 /// Time for the first reboot and the first move; both take about 4 s.
 const WAVE_BOUND: Duration = Duration::from_secs(15);
 
-/// Time for all instances to read the list.
-const LIST_BOUND: Duration = Duration::from_secs(2);
-
 /// What happened in a run, and when.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Events {
@@ -44,17 +41,17 @@
     pub(super) replaced: Option<Arc<str>>,
 }
 
-/// Makes the events of a run of `length`.
+/// Makes the events of a run.
 pub(super) async fn play(
     bed: &Arc<Bed>,
     watch: &Watch,
     tally: &Arc<Tally>,
     paces: &[Arc<AtomicU32>],
-    length: Duration,
+    timeline: &Timeline,
 ) -> Result<Events, Report> {
     let mut events = Events::default();
     let mut document = bed.document.clone();
-    tokio::time::sleep(length.mul_f64(0.05)).await;
+    tokio::time::sleep(timeline.warm_up).await;
 
     let workspace = document
         .workspaces
@@ -78,16 +75,16 @@
     let name = document.data_centres[1].name.clone();
     document.data_centres[1].state = Direction::Out;
     let out = change(bed, tally, &document, &mut events).await?;
-    tokio::time::sleep(length.mul_f64(0.25)).await;
+    tokio::time::sleep(timeline.data_centre_out).await;
     document.data_centres[1].state = Direction::In;
     let back = clock::now();
     change(bed, tally, &document, &mut events).await?;
     events.out = Some((name, out, Some(back)));
 
-    spike(paces, length.mul_f64(0.05)).await;
+    spike(paces, timeline.spike).await;
 
     leave(bed, &bed.document.pools[0].instances[0], &mut events);
-    tokio::time::sleep(length.mul_f64(0.05).max(LIST_BOUND)).await;
+    tokio::time::sleep(timeline.leaving).await;
 
     let down = clock::now();
     bed.store.faults().set_outage(true);
@@ -97,16 +94,16 @@
     if let Some(target) = bed.targets.get(silent) {
         target.set_mode(Mode::Leaving);
     }
-    tokio::time::sleep(length.mul_f64(0.20)).await;
+    tokio::time::sleep(timeline.outage).await;
     bed.store.faults().set_outage(false);
     events.outage = Some((down, clock::now()));
-    tokio::time::sleep(length.mul_f64(0.05)).await;
+    tokio::time::sleep(timeline.recovery).await;
 
     let first = bed.nodes()[0].clone();
     events.replaced = Some(first.shared().member.name.clone());
     bed.stop_node(&first).await;
     bed.start_node().await?;
-    tokio::time::sleep(length.mul_f64(0.10)).await;
+    tokio::time::sleep(timeline.wind_down).await;
     events.reboots = bed.store.machines().rebooted().len();
     events.moves = watch.moves();
     Ok(events)
