Stretch the steps of a short demonstration to what its checks need

Starts in a data centre that is out are checked from 4 s on, and a quarter of 12 s is 3 s, so the rule `data-centre` had no checks. Below 10 s the rule `leaving` had the same fault.

Users expect that every length that the option accepts checks all rules, so the run is not refused.

Change: a data centre is out for at least 5 s, and the load goes on for at least 5 s after the last target began to leave. From 20 s on all steps are as before.

Before: exit 1, 0 checks of `data-centre`.

--- a/src/demo/plan.rs
+++ b/src/demo/plan.rs
@@ -3,7 +3,7 @@
 /// What the demonstration is to do.
 #[derive(Clone, Debug)]
 pub struct Plan {
-    /// Length of the load in seconds.
+    /// Length of the script in seconds; its steps last longer where the checks of a rule need it.
     pub seconds: u64,
     /// Seed of the load.
     pub seed: u64,
--- a/src/demo/timeline.rs
+++ b/src/demo/timeline.rs
@@ -1,5 +1,10 @@
 use std::time::Duration;
 
+use super::script::BOUND;
+
+/// Load after [`BOUND`] in which a rule is checked.
+const CHECKED: Duration = Duration::from_secs(1);
+
 /// Time for all instances to read the list.
 const LIST_BOUND: Duration = Duration::from_secs(2);
 
@@ -25,6 +30,9 @@
 impl Timeline {
     /// Divides a run of `length` among the steps.
     ///
+    /// Starts in a data centre that is out, and on a target that leaves, are checked from
+    /// `BOUND` on. These steps last longer in a short run, since a rule without checks fails the run.
+    ///
     /// ```
     /// use std::time::Duration;
     /// use coriandernotch::demo::Timeline;
@@ -33,14 +41,18 @@
     /// assert_eq!(timeline.data_centre_out, Duration::from_secs(10));
     /// ```
     pub fn of(length: Duration) -> Self {
+        let outage = length.mul_f64(0.20);
+        let recovery = length.mul_f64(0.05);
         Self {
             warm_up: length.mul_f64(0.05),
-            data_centre_out: length.mul_f64(0.25),
+            data_centre_out: length.mul_f64(0.25).max(BOUND + CHECKED),
             spike: length.mul_f64(0.05),
             leaving: length.mul_f64(0.05).max(LIST_BOUND),
-            outage: length.mul_f64(0.20),
-            recovery: length.mul_f64(0.05),
-            wind_down: length.mul_f64(0.10),
+            outage,
+            recovery,
+            wind_down: length
+                .mul_f64(0.10)
+                .max((BOUND + CHECKED).saturating_sub(outage + recovery)),
         }
     }
 }
