Log an outage of the store once for the jobs of callers

Cause: each request about jobs that the store refused wrote a line `jobs-unreadable`, many a second while the store was away.

Change: `jobs::Store` watches the calls of the table. The first refusal writes `jobs-unreadable`; the first answer after a second without refusals writes `jobs-readable` with their number and the time from the first to the last. Refused calls of the store are counted, also those that were tried again.

Seen before: 30 refused requests wrote 30 lines.

--- a/src/front/callers/jobs/cancel.rs
+++ b/src/front/callers/jobs/cancel.rs
@@ -51,13 +51,13 @@
             Write::put(&row.key, Condition::Version(row.version), &record.to_json()),
             Write::put(&Record::change_key(queue, id), Condition::Any, "{}"),
         ];
-        match handler.intake.write(writes).await {
+        match handler.store.write(writes).await {
             Ok(()) => handler.hub.notify(queue),
             // What the row says next settles it.
             Err(Error::Conflict { .. }) => {}
             Err(Error::Unknown { .. }) => lost = true,
             Err(Error::Unavailable { .. }) if lost => break,
-            Err(error) => return Err(super::handler::unreadable(&error)),
+            Err(Error::Unavailable { .. }) => return Err(super::handler::unreadable()),
         }
     }
     Err(Reply::unknown(
--- a/src/front/callers/jobs/handler.rs
+++ b/src/front/callers/jobs/handler.rs
@@ -6,8 +6,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 
 use super::caller::Caller;
-use super::intake::Intake;
 use super::path::Path;
+use super::store::Store;
 use super::view::View;
 use super::{cancel, read, submit};
 use crate::admit::Refusal;
@@ -16,13 +16,12 @@
 use crate::front::callers::reply::Reply;
 use crate::front::callers::request::{OUTCOME, check_head, read_key};
 use crate::peer::Hub;
-use crate::platform::{Error, Row, Table};
+use crate::platform::{Row, Table};
 
 /// What the requests about jobs share.
 pub struct Handler {
-    pub(super) table: Arc<dyn Table>,
+    pub(super) store: Store,
     pub(super) hub: Arc<Hub>,
-    pub(super) intake: Intake,
     sequence: AtomicU64,
 }
 
@@ -30,8 +29,7 @@
     /// Makes a handler over the rows of `table`. It needs a runtime, for the task that writes.
     pub fn start(table: Arc<dyn Table>, hub: Arc<Hub>) -> Arc<Self> {
         Arc::new(Self {
-            intake: Intake::start(table.clone(), hub.clone()),
-            table,
+            store: Store::start(table, hub.clone()),
             hub,
             sequence: AtomicU64::new(0),
         })
@@ -136,7 +134,6 @@
 }
 
 /// Answer while the table cannot be read; nothing was changed.
-pub(super) fn unreadable(error: &Error) -> Reply {
-    log::warn!(event = "jobs-unreadable", error:% = error; "");
+pub(super) fn unreadable() -> Reply {
     Refusal::StoreUnavailable.into()
 }
--- a/src/front/callers/jobs/mod.rs
+++ b/src/front/callers/jobs/mod.rs
@@ -6,10 +6,13 @@
 mod cancel;
 mod handler;
 mod intake;
+mod outage;
 mod path;
 mod read;
+mod store;
 mod submission;
 mod submit;
 mod view;
 
 pub use handler::Handler;
+pub use outage::Outage;
--- a/src/front/callers/jobs/read.rs
+++ b/src/front/callers/jobs/read.rs
@@ -44,10 +44,10 @@
         id => Record::key(queue, id),
     };
     let rows = handler
-        .table
+        .store
         .scan(Record::prefix(queue).into(), after.into(), limit)
         .await
-        .map_err(|e| unreadable(&e))?;
+        .map_err(|_| unreadable())?;
     let id_of = |row: &Row| Some(format!("{queue}.{}", row.key.rsplit_once('/')?.1));
     let next = rows.last().filter(|_| rows.len() == limit).and_then(id_of);
     let views = rows.iter().filter_map(|row| View::read(queue, row));
@@ -64,8 +64,8 @@
     queue: &str,
     id: &str,
 ) -> Result<(Row, Record), Reply> {
-    let row = handler.table.read(Record::key(queue, id).into()).await;
-    let row = row.map_err(|e| unreadable(&e))?;
+    let row = handler.store.read(Record::key(queue, id).into()).await;
+    let row = row.map_err(|_| unreadable())?;
     row.and_then(|row| {
         let record: Record = serde_json::from_str(&row.value).ok()?;
         (record.workspace == caller.workspace).then_some((row, record))
--- a/src/front/callers/jobs/submit.rs
+++ b/src/front/callers/jobs/submit.rs
@@ -64,7 +64,7 @@
     ];
     let mut lost = false;
     for _ in 0..TRIES {
-        match handler.intake.write(writes.clone()).await {
+        match handler.store.write(writes.clone()).await {
             Ok(()) => {
                 handler.hub.notify(queue);
                 let row = Row {
@@ -77,9 +77,9 @@
             Err(Error::Unknown { .. }) => lost = true,
             Err(Error::Conflict { .. }) => {}
             Err(Error::Unavailable { .. }) if lost => continue,
-            Err(error) => return Err(unreadable(&error)),
+            Err(Error::Unavailable { .. }) => return Err(unreadable()),
         }
-        match handler.table.read(key.as_str().into()).await {
+        match handler.store.read(key.as_str().into()).await {
             Ok(Some(row)) => {
                 handler.hub.notify(queue);
                 return settle(queue, &row, &record, lost);
