--- a/src/front/callers/note.rs
+++ b/src/front/callers/note.rs
@@ -1,5 +1,5 @@
+use super::port::Port;
 use super::reply::Reply;
-use super::serve::Port;
 use crate::call::Order;
 use crate::clock;
 use crate::event::{Event, Refusal, rule};
--- a/src/front/callers/serve.rs
+++ b/src/front/callers/serve.rs
@@ -16,55 +16,13 @@
 use super::bound::Bound;
 use super::exchange::exchange;
 use super::jobs::Handler as Jobs;
-use super::meter::Meters;
+use super::port::Port;
 use super::stream::Stream;
 use super::tracked::Tracked;
-use super::{Connections, Limits};
-use crate::call::Dispatcher;
-use crate::claim;
 
 /// Streams of one HTTP/2 connection.
 const MAX_STREAMS: u32 = 256;
 
-/// What the connections of the callers' port share.
-pub struct Port {
-    pub(super) dispatcher: Arc<Dispatcher>,
-    pub(super) claims: Arc<claim::Manager>,
-    pub(super) connections: Arc<Connections>,
-    pub(super) meters: Meters,
-    pub(super) limits: Limits,
-    jobs: Option<Arc<Jobs>>,
-}
-
-impl Port {
-    /// Makes a port that dispatches through `dispatcher` and, if given, takes jobs.
-    pub fn new(
-        dispatcher: Arc<Dispatcher>,
-        claims: Arc<claim::Manager>,
-        limits: Limits,
-        jobs: Option<Arc<Jobs>>,
-    ) -> Arc<Self> {
-        Arc::new(Self {
-            jobs,
-            dispatcher,
-            claims,
-            connections: Arc::default(),
-            meters: Meters::default(),
-            limits,
-        })
-    }
-
-    /// Returns the claims of calls with an idempotency key.
-    pub fn claims(&self) -> &Arc<claim::Manager> {
-        &self.claims
-    }
-
-    /// Returns the idle connections to targets.
-    pub fn connections(&self) -> &Connections {
-        &self.connections
-    }
-}
-
 /// Accepts callers until `stop` becomes true, then lets open requests end.
 pub async fn serve(port: Arc<Port>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
     let slots = Arc::new(Semaphore::new(port.limits.connections));
