--- a/src/claim/attempt.rs
+++ b/src/claim/attempt.rs
@@ -1,4 +1,6 @@
-use super::manager::Manager;
+use std::sync::Mutex;
+
+use super::orphans::Orphans;
 use super::{ClaimRequest, Ticket, Timestamp, Verdict};
 
 /// Attempt to claim a request.
@@ -6,7 +8,7 @@
 /// When it is dropped without success while one of its writes may still take effect, the claim is
 /// recorded as an orphan, to be released later.
 pub(super) struct Attempt<'a> {
-    manager: &'a Manager,
+    orphans: &'a Mutex<Orphans>,
     ask: &'a ClaimRequest,
     operation: u64,
     now: Timestamp,
@@ -16,13 +18,13 @@
 
 impl<'a> Attempt<'a> {
     pub(super) fn new(
-        manager: &'a Manager,
+        orphans: &'a Mutex<Orphans>,
         ask: &'a ClaimRequest,
         operation: u64,
         now: Timestamp,
     ) -> Self {
         Self {
-            manager,
+            orphans,
             ask,
             operation,
             now,
@@ -63,8 +65,8 @@
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
         if self.in_flight || self.may_take_effect {
-            self.manager
-                .abandon(self.operation, self.ask.row_key.clone(), self.now);
+            let mut orphans = self.orphans.lock().expect("orphans lock");
+            orphans.add(self.operation, self.ask.row_key.clone(), self.now);
         }
     }
 }
--- a/src/claim/manager.rs
+++ b/src/claim/manager.rs
@@ -81,7 +81,7 @@
     pub async fn claim(&self, ask: &ClaimRequest, now: Timestamp) -> Verdict {
         let operation = self.next_operation.fetch_add(1, Ordering::Relaxed);
         let text = self.claim_json(operation, ask.digest, State::Started, now);
-        let mut attempt = Attempt::new(self, ask, operation, now);
+        let mut attempt = Attempt::new(&self.orphans, ask, operation, now);
         let mut condition = Condition::Absent;
         let mut reason =
             String::from("the claim was not settled after repeated conflicts or lost answers");
@@ -205,11 +205,6 @@
         is_released
     }
 
-    /// Records a claim whose request will not be sent but whose row may still be written.
-    pub(super) fn abandon(&self, operation: u64, row_key: Arc<str>, now: Timestamp) {
-        self.orphans().add(operation, row_key, now);
-    }
-
     pub(super) async fn read(&self, row_key: &str) -> Result<Option<Row>, Error> {
         let _permit = self.read_permits.acquire().await;
         self.table.read(row_key.into()).await
