--- a/src/front/callers/hold.rs
+++ b/src/front/callers/hold.rs
@@ -4,7 +4,7 @@
 use hyper::Response;
 
 use super::body::Body;
-use super::kept::keep;
+use super::kept::Kept;
 use crate::claim::{Manager, Ticket, Timestamp};
 
 /// Claim of a call that is under way.
@@ -28,10 +28,18 @@
 
     /// Stores the answer for repeats once it has ended.
     pub(super) fn keep(mut self, response: Response<Body>) -> Response<Body> {
-        match self.ticket.take() {
-            Some(ticket) => keep(&self.manager, ticket, response),
-            None => response,
-        }
+        let Some(ticket) = self.ticket.take() else {
+            return response;
+        };
+        let (parts, body) = response.into_parts();
+        let body = match body {
+            Body::Target(answer) => {
+                let kept = Kept::new(self.manager.clone(), ticket, &parts, *answer);
+                Body::Kept(Box::new(kept))
+            }
+            other => other,
+        };
+        Response::from_parts(parts, body)
     }
 }
 
--- a/src/front/callers/kept.rs
+++ b/src/front/callers/kept.rs
@@ -4,12 +4,12 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::{Bytes, BytesMut};
+use hyper::StatusCode;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Response, StatusCode};
+use hyper::http::response;
 
 use super::answer::{Answer, Fault};
-use super::body::Body;
 use super::request::OUTCOME;
 use crate::claim::{MAX_BODY, Manager, Ticket, Timestamp};
 
@@ -37,34 +37,6 @@
     }
 }
 
-/// Wraps the body of an answer so that it is stored when it has ended whole.
-pub(super) fn keep(
-    manager: &Arc<Manager>,
-    ticket: Ticket,
-    response: Response<Body>,
-) -> Response<Body> {
-    let (parts, body) = response.into_parts();
-    let Body::Target(answer) = body else {
-        return Response::from_parts(parts, body);
-    };
-    let headers = read_headers(&parts.headers);
-    let rest = Some(Rest {
-        manager: manager.clone(),
-        ticket,
-        status: parts.status,
-        headers,
-    });
-    let mut kept = Kept {
-        answer: *answer,
-        copy: BytesMut::new(),
-        rest,
-    };
-    if kept.is_end_stream() {
-        kept.end();
-    }
-    Response::from_parts(parts, Body::Kept(Box::new(kept)))
-}
-
 /// Copies headers, with bytes beyond ASCII as Latin-1.
 fn read_headers(headers: &HeaderMap) -> Vec<(String, String)> {
     let text = |value: &HeaderValue| value.as_bytes().iter().map(|b| char::from(*b)).collect();
@@ -76,6 +48,30 @@
 }
 
 impl Kept {
+    /// Wraps an answer so that it is stored when it has ended whole.
+    pub(super) fn new(
+        manager: Arc<Manager>,
+        ticket: Ticket,
+        head: &response::Parts,
+        answer: Answer,
+    ) -> Self {
+        let rest = Rest {
+            manager,
+            ticket,
+            status: head.status,
+            headers: read_headers(&head.headers),
+        };
+        let mut kept = Self {
+            answer,
+            copy: BytesMut::new(),
+            rest: Some(rest),
+        };
+        if kept.is_end_stream() {
+            kept.end();
+        }
+        kept
+    }
+
     fn end(&mut self) {
         let Some(Rest {
             manager,
