--- a/src/demo/audit.rs
+++ b/src/demo/audit.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::bound::BOUND;
 use super::jobs::{self, check_jobs};
 use super::journal::Entry;
-use super::script::{BOUND, Events};
+use super::script::Events;
 use super::watch::Watch;
 use super::{Bed, Rule, Tally};
 use crate::clock::Instant;
--- a/src/demo/jobs.rs
+++ b/src/demo/jobs.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::script::{BOUND, Events};
+use super::bound::BOUND;
+use super::script::Events;
 use super::ticket::Ticket;
 use super::work::Work;
 use super::{Bed, Rule, Tally};
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -3,6 +3,7 @@
 
 mod audit;
 mod bed;
+mod bound;
 mod caller;
 mod client;
 mod jobs;
--- a/src/demo/script.rs
+++ b/src/demo/script.rs
@@ -4,6 +4,7 @@
 
 use eyre::{Report, eyre};
 
+use super::bound::BOUND;
 use super::watch::Watch;
 use super::{Bed, Rule, Tally, Timeline};
 use crate::clock::{self, Instant};
@@ -14,9 +15,6 @@
 use crate::pools::Assignment;
 use crate::standin::target::Mode;
 
-/// Time within which a change must be in force everywhere.
-pub(super) const BOUND: Duration = Duration::from_secs(4);
-
 /// Time for the first reboot and the first move; both take about 4 s.
 const WAVE_BOUND: Duration = Duration::from_secs(15);
 
--- a/src/demo/timeline.rs
+++ b/src/demo/timeline.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::script::BOUND;
+use super::bound::BOUND;
 
 /// Load after [`BOUND`] in which a rule is checked.
 const CHECKED: Duration = Duration::from_secs(1);
