Move the lease row of a queue to a file of its own

`node::work::queue` imports the holder, whose files imported the lease row and its term from queue and the most rows of a batch from store. Both are now in files that import none of them.

--- a/src/node/work.rs
+++ b/src/node/work.rs
@@ -13,6 +13,7 @@
 mod gate;
 mod handle;
 mod holder;
+mod lease;
 mod lifecycle;
 mod load;
 mod queue;
--- a/src/node/work/batch.rs
+++ b/src/node/work/batch.rs
@@ -19,3 +19,8 @@
     /// Whether a response was lost, so that the transaction may have taken effect.
     pub(super) uncertain: bool,
 }
+
+impl Batch {
+    /// Most job rows, and most change rows, in one transaction or scan.
+    pub(super) const MAX_ROWS: usize = 64;
+}
--- a/src/node/work/holder.rs
+++ b/src/node/work/holder.rs
@@ -11,6 +11,7 @@
 use super::event::Event;
 use super::gate::Gate;
 use super::handle::Handle;
+use super::lease;
 use super::{LEASE_GRACE, MAX_LEASE};
 use crate::clock::Instant;
 use crate::collections::Map;
@@ -132,7 +133,7 @@
     /// Opens the gate until the end of the lease that was renewed by the write sent at `sent`.
     pub(super) fn open_gate(&self, sent: Instant) {
         if let Some(token) = self.shard.token(sent) {
-            self.gate.open(token, sent + super::queue::LEASE_TERM);
+            self.gate.open(token, sent + lease::TERM);
         }
     }
 
@@ -149,7 +150,7 @@
         self.add_unscheduled(now);
         if self.pending.is_none() {
             self.read_changes(now).await;
-            let has_room = self.dirty.len() < super::store::MAX_ROWS;
+            let has_room = self.dirty.len() < Batch::MAX_ROWS;
             if has_room && self.gate.is_open(now) && self.gate.shared.is_ready(now) {
                 self.decide_starts(now);
             }
--- a/src/node/work/queue.rs
+++ b/src/node/work/queue.rs
@@ -4,19 +4,16 @@
 use tokio::sync::mpsc;
 
 use super::holder::Holder;
+use super::lease;
 use super::load::load;
 use crate::clock::{self, Instant};
 use crate::fleet::Digest;
-use crate::jobs::{Owner, Ownership};
+use crate::jobs::Ownership;
 use crate::node::Shared;
 use crate::peer::CANDIDATES;
-use crate::platform::{Condition, Error, Write};
 
-/// Term of the lease of a queue. A takeover takes this and one [`CHECK_INTERVAL`]; a holder renews
-/// every second.
-pub(super) const LEASE_TERM: Duration = Duration::from_secs(3);
-
-/// Time between two reads of the lease by instances that do not hold it.
+/// Time between two reads of the lease by instances that do not hold it. A takeover takes this and
+/// one [`lease::TERM`].
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Delay per rank among the candidates, so that the first candidate takes a free queue.
@@ -31,7 +28,7 @@
 
 /// Watches the lease of a queue, takes it when it is free, and serves it while it is held.
 pub(super) async fn run(shared: Arc<Shared>, name: Arc<str>) {
-    let mut shard = Ownership::new(holder_id(&shared), LEASE_TERM, Duration::ZERO);
+    let mut shard = Ownership::new(holder_id(&shared), lease::TERM, Duration::ZERO);
     let mut free_since: Option<Instant> = None;
     loop {
         if shared.pause(CHECK_INTERVAL).await || !is_configured(&shared, &name) {
@@ -42,10 +39,10 @@
             free_since = None;
             continue;
         }
-        let Ok((row, version)) = read_lease(&shared, &name).await else {
+        let Ok((row, version)) = lease::read(&shared, &name).await else {
             // During an outage of the store the holder cannot renew either, so the full term counts
             // from the end of the outage.
-            shard = Ownership::new(holder_id(&shared), LEASE_TERM, Duration::ZERO);
+            shard = Ownership::new(holder_id(&shared), lease::TERM, Duration::ZERO);
             free_since = None;
             continue;
         };
@@ -60,7 +57,7 @@
             continue;
         }
         free_since = None;
-        let Some(version) = write_lease(&shared, &name, proposed, version).await else {
+        let Some(version) = lease::write(&shared, &name, proposed, version).await else {
             continue;
         };
         shard.write_succeeded(proposed, now);
@@ -77,7 +74,7 @@
             }
         }
         log::info!(event = "queue-left", queue = name; "");
-        shard = Ownership::new(holder_id(&shared), LEASE_TERM, Duration::ZERO);
+        shard = Ownership::new(holder_id(&shared), lease::TERM, Duration::ZERO);
     }
 }
 
@@ -142,40 +139,3 @@
     let digits = digest.to_string();
     u64::from_str_radix(&digits[..16], 16).map_or(1, |n| n.max(1))
 }
-
-pub(super) fn lease_key(name: &str) -> Arc<str> {
-    format!("shards/{name}").into()
-}
-
-/// Reads the lease of a queue and the version of its row, 0 when there is none.
-pub(super) async fn read_lease(shared: &Shared, name: &str) -> Result<(Owner, u64), Error> {
-    let row = shared.platform.table.read(lease_key(name)).await?;
-    Ok(row.map_or((Owner::default(), 0), |row| {
-        let tenure = serde_json::from_str(&row.value).unwrap_or_default();
-        (tenure, row.version)
-    }))
-}
-
-pub(super) fn make_lease_write(name: &str, tenure: &Owner, version: u64) -> Write {
-    let condition = match version {
-        0 => Condition::Absent,
-        version => Condition::Version(version),
-    };
-    let value = serde_json::to_string(tenure).expect("a lease row has only numbers");
-    Write::put(&lease_key(name), condition, &value)
-}
-
-/// Writes the lease and returns the new version of the row, if this instance now holds it.
-async fn write_lease(shared: &Shared, name: &str, proposed: Owner, version: u64) -> Option<u64> {
-    let write = make_lease_write(name, &proposed, version);
-    match shared.platform.table.transact(vec![write]).await {
-        Ok(versions) => versions.first().copied(),
-        // After a lost response the row is read back; if the write takes effect only later, the
-        // next read of the lease shows it.
-        Err(Error::Unknown { .. }) => {
-            let (row, version) = read_lease(shared, name).await.ok()?;
-            (row == proposed).then_some(version)
-        }
-        Err(_) => None,
-    }
-}
--- a/src/node/work/store.rs
+++ b/src/node/work/store.rs
@@ -5,7 +5,7 @@
 use super::command::Command;
 use super::entry::Phase;
 use super::holder::Holder;
-use super::queue::{lease_key, make_lease_write, read_lease};
+use super::lease;
 use super::request::Request;
 use crate::clock::{self, Instant};
 use crate::jobs::{Record, State, unix_time_ms};
@@ -17,9 +17,6 @@
 /// Time between two reads of the change rows when no signal announces a change.
 const SCAN_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Most job rows, and most change rows, in one transaction or scan.
-pub(super) const MAX_ROWS: usize = 64;
-
 /// Time between two transactions of a queue, per queue of the fleet. Limits the whole fleet to 200
 /// transactions a second of the several hundred that the table service can process.
 const INTERVAL_PER_QUEUE: Duration = Duration::from_millis(5);
@@ -39,7 +36,7 @@
         (self.may_have_changes, self.scanned_at) = (false, now);
         let table = self.gate.shared.platform.table.clone();
         let prefix = Record::change_prefix(&self.gate.queue);
-        let Ok(rows) = table.scan(prefix.into(), "".into(), MAX_ROWS).await else {
+        let Ok(rows) = table.scan(prefix.into(), "".into(), Batch::MAX_ROWS).await else {
             return;
         };
         let id = |key: &str| key.rsplit_once('/').map(|(_, id)| Arc::<str>::from(id));
@@ -49,7 +46,7 @@
         let known = |change: &(Arc<str>, u64)| self.handled_changes.contains(change);
         let unread: Vec<_> = unread.filter(|change| !known(change)).collect();
         // After a full page there may be more rows.
-        self.may_have_changes = rows.len() == MAX_ROWS;
+        self.may_have_changes = rows.len() == Batch::MAX_ROWS;
         let reads = unread
             .iter()
             .map(|(id, _)| table.read(Record::key(&self.gate.queue, id).into()));
@@ -102,7 +99,7 @@
         let table = self.gate.shared.platform.table.clone();
         match table.transact(batch.writes.clone()).await {
             Ok(versions) => self.apply_commit(&batch, &versions, sent),
-            Err(Error::Conflict { key }) if key == lease_key(&self.gate.queue) => {
+            Err(Error::Conflict { key }) if key == lease::key(&self.gate.queue) => {
                 self.resolve(batch).await;
             }
             Err(Error::Conflict { key }) => {
@@ -122,7 +119,7 @@
     /// Reads the lease row to find out whether a transaction took effect, and sends it again if
     /// not.
     async fn resolve(&mut self, batch: Batch) {
-        let Ok((row, version)) = read_lease(&self.gate.shared, &self.gate.queue).await else {
+        let Ok((row, version)) = lease::read(&self.gate.shared, &self.gate.queue).await else {
             self.pending = Some(Batch {
                 uncertain: true,
                 ..batch
@@ -148,9 +145,9 @@
         // If the lease lapsed in an outage, the same holder acquires it again with a new token.
         let tenure = self.shard.renew(now).or_else(|| self.shard.acquire(now))?;
         let queue = self.gate.queue.clone();
-        let mut writes = vec![make_lease_write(&queue, &tenure, self.version)];
+        let mut writes = vec![lease::make_write(&queue, &tenure, self.version)];
         let mut jobs = Vec::new();
-        while jobs.len() < MAX_ROWS {
+        while jobs.len() < Batch::MAX_ROWS {
             let Some(id) = self.dirty.pop_front() else {
                 break;
             };
@@ -164,14 +161,14 @@
             jobs.push(id);
         }
         let mut changes = Vec::new();
-        for (id, version) in self.handled_changes.iter().take(MAX_ROWS) {
+        for (id, version) in self.handled_changes.iter().take(Batch::MAX_ROWS) {
             let key = Record::change_key(&queue, id);
             writes.push(Write::delete(&key, Condition::Version(*version)));
             changes.push(id.clone());
         }
         let cutoff_ms = unix_time_ms().saturating_sub(RETENTION_MS);
         let expired = self.ended.iter().take_while(|(at, ..)| *at < cutoff_ms);
-        for (_, id, version) in expired.take(MAX_ROWS) {
+        for (_, id, version) in expired.take(Batch::MAX_ROWS) {
             let condition = Condition::Version(*version);
             writes.push(Write::delete(&Record::key(&queue, id), condition));
         }
@@ -282,7 +279,7 @@
             .resign(clock::now())
             .filter(|_| self.pending.is_none())
         {
-            let write = make_lease_write(&self.gate.queue, &tenure, self.version);
+            let write = lease::make_write(&self.gate.queue, &tenure, self.version);
             let table = self.gate.shared.platform.table.clone();
             if let Err(error) = table.transact(vec![write]).await {
                 log::warn!(event = "resign-failed", queue = self.gate.queue, error:% = error; "");
