Give the requests about jobs a context instead of their handler

The files cancel, read and submit imported the handler, which imports them, for what they share and for the making of answers. These are now in context, id and answer.

--- a/src/front/callers/jobs/cancel.rs
+++ b/src/front/callers/jobs/cancel.rs
@@ -1,9 +1,9 @@
 use hyper::{Response, StatusCode};
 use serde_json::json;
 
-use super::Handler;
+use super::answer::{respond, unreadable};
 use super::caller::Caller;
-use super::handler::respond;
+use super::context::Context;
 use super::read::find;
 use crate::front::callers::body::Body;
 use crate::front::callers::reply::Reply;
@@ -18,14 +18,14 @@
 /// The holder writes the row before it sends a start, so a waiting job whose row could be changed
 /// has not run since.
 pub(super) async fn cancel(
-    handler: &Handler,
+    context: &Context,
     caller: &Caller,
     queue: &str,
     id: &str,
 ) -> Result<Response<Body>, Reply> {
     let mut lost = false;
     for _ in 0..TRIES {
-        let (row, mut record) = find(handler, caller, queue, id).await?;
+        let (row, mut record) = find(context, caller, queue, id).await?;
         let answer = |status, result: &str, record: &Record| {
             let id = format!("{queue}.{id}");
             let state = record.state;
@@ -51,13 +51,13 @@
             Write::put(&row.key, Condition::Version(row.version), &record.to_json()),
             Write::put(&Record::change_key(queue, id), Condition::Any, "{}"),
         ];
-        match handler.store.write(writes).await {
-            Ok(()) => handler.hub.notify(queue),
+        match context.store.write(writes).await {
+            Ok(()) => context.hub.notify(queue),
             // What the row says next settles it.
             Err(Error::Conflict { .. }) => {}
             Err(Error::Unknown { .. }) => lost = true,
             Err(Error::Unavailable { .. }) if lost => break,
-            Err(Error::Unavailable { .. }) => return Err(super::handler::unreadable()),
+            Err(Error::Unavailable { .. }) => return Err(unreadable()),
         }
     }
     Err(Reply::unknown(
--- a/src/front/callers/jobs/handler.rs
+++ b/src/front/callers/jobs/handler.rs
@@ -1,37 +1,31 @@
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 
 use super::caller::Caller;
+use super::cancel::cancel;
+use super::context::Context;
 use super::path::Path;
-use super::store::Store;
-use super::view::View;
-use super::{cancel, read, submit};
+use super::read::{get, list};
+use super::submit::submit;
 use crate::admit::Refusal;
-use crate::fleet::Digest;
 use crate::front::callers::body::Body;
 use crate::front::callers::reply::Reply;
-use crate::front::callers::request::{OUTCOME, check_head, read_key};
+use crate::front::callers::request::{check_head, read_key};
 use crate::peer::Hub;
-use crate::platform::{Row, Table};
+use crate::platform::Table;
 
-/// What the requests about jobs share.
+/// Answers the requests about jobs.
 pub struct Handler {
-    pub(super) store: Store,
-    pub(super) hub: Arc<Hub>,
-    sequence: AtomicU64,
+    context: Context,
 }
 
 impl Handler {
     /// Makes a handler over the rows of `table`. It needs a runtime, for the task that writes.
     pub fn start(table: Arc<dyn Table>, hub: Arc<Hub>) -> Arc<Self> {
         Arc::new(Self {
-            store: Store::start(table, hub.clone()),
-            hub,
-            sequence: AtomicU64::new(0),
+            context: Context::start(table, hub),
         })
     }
 
@@ -61,7 +55,7 @@
         match (request.method(), path) {
             (&Method::POST, Path::Queue { queue, .. }) => {
                 caller.check_queue(&queue)?;
-                submit::submit(self, &caller, &queue, request).await
+                submit(&self.context, &caller, &queue, request).await
             }
             (
                 &Method::GET,
@@ -72,11 +66,13 @@
                 },
             ) => {
                 caller.check_queue(&queue)?;
-                read::list(self, &caller, &queue, &after, limit).await
+                list(&self.context, &caller, &queue, &after, limit).await
+            }
+            (&Method::GET, Path::Job { queue, id }) => {
+                get(&self.context, &caller, &queue, &id).await
             }
-            (&Method::GET, Path::Job { queue, id }) => read::get(self, &caller, &queue, &id).await,
             (&Method::DELETE, Path::Job { queue, id }) => {
-                cancel::cancel(self, &caller, &queue, &id).await
+                cancel(&self.context, &caller, &queue, &id).await
             }
             _ => Err(Reply::not_run(
                 StatusCode::METHOD_NOT_ALLOWED,
@@ -87,7 +83,7 @@
 
     /// Finds the workspace of the key that came with a request.
     fn enter(&self, request: &Request<Incoming>) -> Result<Caller, Reply> {
-        let dispatcher = self.hub.control().dispatcher();
+        let dispatcher = self.context.hub.control().dispatcher();
         let missing = Reply::not_run(StatusCode::UNAUTHORIZED, "missing key");
         let key = read_key(request.headers()).ok_or(missing)?;
         if !dispatcher.is_fresh(crate::clock::now()) {
@@ -96,44 +92,4 @@
         let wrong = Reply::not_run(StatusCode::UNAUTHORIZED, "unknown or withdrawn key");
         Caller::find(dispatcher.enforced(), &key).ok_or(wrong)
     }
-
-    /// Makes an id that no other submission gets.
-    pub(super) fn new_id(&self) -> String {
-        let own = self.hub.control().own();
-        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
-        short(&format!("{} {} {sequence}", own.name, own.incarnation))
-    }
-}
-
-/// Makes an id of 32 hexadecimal digits.
-pub(super) fn short(text: &str) -> String {
-    let mut digits = Digest::of(text.as_bytes()).to_string();
-    digits.truncate(32);
-    digits
-}
-
-/// Makes the answer about one job.
-pub(super) fn show(status: StatusCode, queue: &str, row: &Row) -> Result<Response<Body>, Reply> {
-    let broken = Reply::unknown(StatusCode::INTERNAL_SERVER_ERROR, "row is malformed");
-    let view = View::read(queue, row).ok_or(broken)?;
-    Ok(respond(status, &view))
-}
-
-/// Makes an answer in JSON.
-pub(super) fn respond<T: serde::Serialize>(status: StatusCode, value: &T) -> Response<Body> {
-    let text = serde_json::to_string(value).expect("views have only string keys");
-    let mut response = Response::new(Body::text(text));
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    headers.insert(OUTCOME, HeaderValue::from_static("answered"));
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
-    }
-    response
-}
-
-/// Answer while the table cannot be read; nothing was changed.
-pub(super) fn unreadable() -> Reply {
-    Refusal::StoreUnavailable.into()
 }
--- a/src/front/callers/jobs/mod.rs
+++ b/src/front/callers/jobs/mod.rs
@@ -2,9 +2,12 @@
 //!
 //! The id that callers see is `{queue}.{id}`, so that it names the row without an index.
 
+mod answer;
 mod caller;
 mod cancel;
+mod context;
 mod handler;
+mod id;
 mod intake;
 mod outage;
 mod path;
--- a/src/front/callers/jobs/read.rs
+++ b/src/front/callers/jobs/read.rs
@@ -1,9 +1,9 @@
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
-use super::Handler;
+use super::answer::{respond, show, unreadable};
 use super::caller::Caller;
-use super::handler::{respond, show, unreadable};
+use super::context::Context;
 use super::view::View;
 use crate::front::callers::body::Body;
 use crate::front::callers::reply::Reply;
@@ -21,19 +21,19 @@
 
 /// Answers with one job.
 pub(super) async fn get(
-    handler: &Handler,
+    context: &Context,
     caller: &Caller,
     queue: &str,
     id: &str,
 ) -> Result<Response<Body>, Reply> {
-    let (row, _) = find(handler, caller, queue, id).await?;
+    let (row, _) = find(context, caller, queue, id).await?;
     show(StatusCode::OK, queue, &row)
 }
 
 /// Answers with the caller's jobs in a queue. A page may be shorter than asked for, or empty,
 /// when rows of other workspaces lie between.
 pub(super) async fn list(
-    handler: &Handler,
+    context: &Context,
     caller: &Caller,
     queue: &str,
     after: &str,
@@ -43,7 +43,7 @@
         "" => String::new(),
         id => Record::key(queue, id),
     };
-    let rows = handler
+    let rows = context
         .store
         .scan(Record::prefix(queue).into(), after.into(), limit)
         .await
@@ -59,12 +59,12 @@
 
 /// Reads a job of the caller; jobs of other workspaces look like unknown ones.
 pub(super) async fn find(
-    handler: &Handler,
+    context: &Context,
     caller: &Caller,
     queue: &str,
     id: &str,
 ) -> Result<(Row, Record), Reply> {
-    let row = handler.store.read(Record::key(queue, id).into()).await;
+    let row = context.store.read(Record::key(queue, id).into()).await;
     let row = row.map_err(|_| unreadable())?;
     row.and_then(|row| {
         let record: Record = serde_json::from_str(&row.value).ok()?;
--- a/src/front/callers/jobs/submit.rs
+++ b/src/front/callers/jobs/submit.rs
@@ -5,9 +5,10 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
-use super::Handler;
+use super::answer::{show, unreadable};
 use super::caller::Caller;
-use super::handler::{short, show, unreadable};
+use super::context::Context;
+use super::id::derive;
 use super::submission::Submission;
 use crate::fleet::Digest;
 use crate::front::callers::body::Body;
@@ -24,7 +25,7 @@
 
 /// Accepts a job: its row is in the table before the answer.
 pub(super) async fn submit(
-    handler: &Handler,
+    context: &Context,
     caller: &Caller,
     queue: &str,
     request: Request<Incoming>,
@@ -32,8 +33,8 @@
     let bad = |reason| Reply::not_run(StatusCode::BAD_REQUEST, reason);
     let id = match read_idempotency(request.headers())? {
         // The id follows from workspace and key, so the insert itself settles a repeat.
-        Some(key) => short(&format!("{}\n{key}", caller.workspace)),
-        None => handler.new_id(),
+        Some(key) => derive(&format!("{}\n{key}", caller.workspace)),
+        None => context.new_id(),
     };
     let body = read_body(request).await?;
     let submission = Submission::read(&body).map_err(bad)?;
@@ -64,9 +65,9 @@
     ];
     let mut lost = false;
     for _ in 0..TRIES {
-        match handler.store.write(writes.clone()).await {
+        match context.store.write(writes.clone()).await {
             Ok(()) => {
-                handler.hub.notify(queue);
+                context.hub.notify(queue);
                 let row = Row {
                     key: key.into(),
                     version: 1,
@@ -79,9 +80,9 @@
             Err(Error::Unavailable { .. }) if lost => continue,
             Err(Error::Unavailable { .. }) => return Err(unreadable()),
         }
-        match handler.store.read(key.as_str().into()).await {
+        match context.store.read(key.as_str().into()).await {
             Ok(Some(row)) => {
-                handler.hub.notify(queue);
+                context.hub.notify(queue);
                 return settle(queue, &row, &record, lost);
             }
             // The first try may still take effect; another one with the same id does no harm.
