--- a/src/measure/world.rs
+++ b/src/measure/world.rs
@@ -1,3 +1,7 @@
+mod advance;
+mod condition;
+mod throughput;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -126,88 +130,6 @@
         }
     }
 
-    /// Moves all runs on by one step.
-    fn advance(&mut self, second: u64, now: Instant) {
-        let mut ended: Vec<(Task, WorkerId, Outcome)> = Vec::new();
-        self.held.fill(Size::ZERO);
-        self.companion = Size::ZERO;
-        let (mut inside, mut total) = (0.0, 0.0);
-        for (index, tasks) in (0..).zip(&mut self.tasks) {
-            let id = WorkerId(index);
-            let worker = self.scheduler.placement().worker(id);
-            let load = tasks.iter().fold(Size::ZERO, |a, t| a + t.arrival.used);
-            // Beyond its capacity a worker slows all its runs down, by sharing or by swapping.
-            let part = |have: u64, want: u64| have as f64 / want.max(have).max(1) as f64;
-            let factor = part(worker.capacity.processors, load.processors)
-                .min(part(worker.capacity.memory, load.memory));
-            let faulty = id == FAULTY.0 && second >= FAULTY.1;
-            let is_out = self.out == Some(worker.data_centre);
-            tasks.retain_mut(|task| {
-                let done = match task.ending {
-                    Some((outcome, at)) => (now >= at).then_some(outcome),
-                    None if !task.confirmed => {
-                        task.confirmed = true;
-                        self.scheduler.confirm_start(task.job, task.run);
-                        if task.arrival.spec.urgent && task.run == 1 {
-                            let submitted = self.scheduler.job(task.job).map(|j| j.submitted);
-                            let waited = now.since(submitted.unwrap_or(now));
-                            self.tally.urgent.push(waited);
-                        }
-                        None
-                    }
-                    None if faulty => Some(Outcome::Failed),
-                    None => {
-                        let progress = factor * task.speed;
-                        task.left -= progress * STEP.as_secs_f64();
-                        let used = task.arrival.used;
-                        let held = &mut self.held[task.arrival.spec.workspace.index()];
-                        let slow = |n: u64| (n as f64 * progress) as u64;
-                        let real =
-                            Size::new(slow(used.processors), slow(used.memory), used.accelerators);
-                        let charged = self.scheduler.fairness().charged_size(real);
-                        *held = *held + charged;
-                        self.companion = self.companion + (real - charged);
-                        total += real.processors as f64;
-                        if !is_out {
-                            inside += real.processors as f64;
-                        }
-                        if now >= task.next_sample {
-                            task.next_sample = now + SAMPLE;
-                            let age = now.since(task.started);
-                            self.reports
-                                .push_back((now + LAG, task.job, task.run, used, age));
-                        }
-                        let bad = task.arrival.bad && now.since(task.started).as_secs() >= 1;
-                        if bad {
-                            Some(Outcome::Failed)
-                        } else {
-                            (task.left <= 0.0).then_some(Outcome::Succeeded)
-                        }
-                    }
-                };
-                if let Some(outcome) = done {
-                    self.tally.wasted += u32::from(faulty && outcome == Outcome::Failed);
-                    ended.push((*task, id, outcome));
-                }
-                done.is_none()
-            });
-        }
-        let step = STEP.as_secs_f64();
-        let open = self.scheduler.placement().open_capacity().processors as f64;
-        if (OUT..BACK + SETTLE).contains(&second) {
-            self.tally.change_raw[0] += inside * step;
-            self.tally.change_raw[1] += open * step;
-        }
-        if self.wanted_processors() > open {
-            self.tally.busy[0] += total * step;
-            self.tally.busy[1] += open * step;
-            self.tally.reserved += self.scheduler.placement().reserved().processors as f64 * step;
-        }
-        for (task, _, outcome) in ended {
-            self.end(&task, outcome, now);
-        }
-    }
-
     fn end(&mut self, task: &Task, outcome: Outcome, now: Instant) {
         if let Some((_, left)) = self.jobs.get_mut(&task.job) {
             *left = match outcome {
