--- a/src/call/dispatcher.rs
+++ b/src/call/dispatcher.rs
@@ -1,17 +1,17 @@
 mod admit;
+mod authorize;
 mod dispatch;
+mod targets;
 mod waiter;
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
 use tokio::sync::Notify;
 
-use super::{Load, Order, Upstream};
-use crate::admit::Refusal;
+use super::{Load, Upstream};
 use crate::clock::Instant;
 use crate::collections::Map;
 use crate::event::Log;
@@ -19,7 +19,6 @@
 use crate::limit::{Ledger, Permit};
 use crate::platform::Instance;
 use crate::pools::Roster;
-use crate::route::Targets;
 
 /// Longest run of a call until the first fleet document sets it.
 const DEFAULT_LONGEST_RUN: Duration = Duration::from_secs(30);
@@ -118,65 +117,6 @@
         now.as_nanos() <= self.fresh_until.load(Ordering::Acquire)
     }
 
-    /// Replaces the platform's list of instances and updates the targets from it.
-    pub fn set_instances(self: &Arc<Self>, list: Arc<[Instance]>, now: Instant) {
-        *self.instances.write().expect("instances lock") = Some(list);
-        if let Some(current) = self.enforced().first() {
-            self.update_targets(current, now);
-        }
-        self.dispatch_waiting(now);
-    }
-
-    /// Returns whether the platform's list of instances was read at least once.
-    pub fn has_instances(&self) -> bool {
-        self.instances.read().expect("instances lock").is_some()
-    }
-
-    /// Replaces the pools and phases of the instances and updates the targets from them.
-    pub fn set_roster(self: &Arc<Self>, roster: Arc<Roster>, now: Instant) {
-        let version = roster.version();
-        *self.roster.write().expect("roster lock") = roster;
-        if let Some(current) = self.enforced().first() {
-            self.update_targets(current, now);
-        }
-        self.assigned.store(version, Ordering::Release);
-        self.dispatch_waiting(now);
-    }
-
-    /// Returns the pools and phases in force.
-    pub fn roster(&self) -> Arc<Roster> {
-        self.roster.read().expect("roster lock").clone()
-    }
-
-    /// Updates the targets of each service from the platform's list and the pools of the instances.
-    ///
-    /// The pool in the fleet document counts only until the instance has an assignment in the
-    /// roster. An instance that is draining or moving to another pool is not a target.
-    fn update_targets(&self, current: &Snapshot, now: Instant) {
-        let Some(list) = self.instances.read().expect("instances lock").clone() else {
-            return;
-        };
-        let _guard = self.sync_lock.lock().expect("synchronisation lock");
-        let roster = self.roster();
-        let pool_of = |instance: &Instance| match roster.get(&instance.name) {
-            Some(membership) => current
-                .pool_id(&membership.pool)
-                .filter(|_| membership.takes_calls()),
-            None => current.pool_of(&instance.name),
-        };
-        for (id, service) in current.services() {
-            let pool = current.service_pool(id);
-            let in_pool: Vec<&Instance> = list
-                .iter()
-                .filter(|i| pool.is_some() && pool_of(i) == pool)
-                .collect();
-            let upstream = self.upstream_or_new(id, service.slots);
-            lock(&upstream)
-                .targets
-                .set_instances(&in_pool, current, now);
-        }
-    }
-
     /// Replaces the running calls that peers reported, summed over all peers.
     pub fn set_peer_load(self: &Arc<Self>, load: &Load, now: Instant) {
         for (id, upstream) in self.upstreams() {
@@ -193,16 +133,6 @@
         self.dispatch_waiting(now);
     }
 
-    /// Runs `read` on the targets of a service; returns `None` for an unknown service.
-    pub fn with_targets<T>(
-        &self,
-        service: ServiceId,
-        read: impl FnOnce(&Targets) -> T,
-    ) -> Option<T> {
-        self.upstream(service)
-            .map(|upstream| read(&lock(&upstream).targets))
-    }
-
     /// Runs `act` on the permit ledger.
     pub fn with_ledger<T>(&self, act: impl FnOnce(&mut Ledger) -> T) -> T {
         act(&mut self.ledger.lock().expect("ledger lock"))
@@ -213,14 +143,6 @@
         &self.permit_wanted
     }
 
-    /// Returns whether any service has a target at the address.
-    pub fn has_target(&self, address: SocketAddr) -> bool {
-        let known = |targets: &Targets| targets.iter().any(|(_, t)| t.address == address);
-        self.upstreams()
-            .iter()
-            .any(|(_, upstream)| known(&lock(upstream).targets))
-    }
-
     /// Returns the running calls that this entry instance dispatched.
     pub fn running_load(&self) -> Load {
         // Read before the calls are counted, so that every call granted under an older version of
@@ -241,12 +163,6 @@
         load
     }
 
-    /// Returns the version of the roster that calls are granted under; no older one is used any
-    /// more.
-    pub fn roster_version(&self) -> u64 {
-        self.assigned.load(Ordering::Acquire)
-    }
-
     /// Returns the number of waiting calls per workspace, summed over all services.
     pub fn waiting_by_workspace(&self) -> Map<WorkspaceId, u32> {
         let mut demand = Map::default();
@@ -306,17 +222,3 @@
 pub(super) fn lock(upstream: &Mutex<Upstream>) -> MutexGuard<'_, Upstream> {
     upstream.lock().expect("upstream lock")
 }
-
-/// Checks that every enforced version accepts the key and lets its workspace call the service.
-fn authorize(order: &Order, enforced: &[Arc<Snapshot>]) -> Result<(), Refusal> {
-    let allowed = !enforced.is_empty()
-        && enforced.iter().all(|s| {
-            s.authenticate(&order.key) == Some(order.workspace)
-                && s.may_call(order.workspace, order.service)
-        });
-    if allowed {
-        Ok(())
-    } else {
-        Err(Refusal::Withdrawn)
-    }
-}
--- a/src/call/dispatcher/admit.rs
+++ b/src/call/dispatcher/admit.rs
@@ -3,8 +3,9 @@
 
 use tokio::sync::oneshot;
 
+use super::authorize::authorize;
 use super::waiter::Waiter;
-use super::{Dispatcher, authorize, lock};
+use super::{Dispatcher, lock};
 use crate::admit::{Refusal, Ticket, Waiting};
 use crate::call::upstream::{Call, Responder};
 use crate::call::{Grant, Order, Upstream};
--- a/src/call/dispatcher/dispatch.rs
+++ b/src/call/dispatcher/dispatch.rs
@@ -2,7 +2,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use super::{Dispatcher, authorize, lock};
+use super::authorize::authorize;
+use super::{Dispatcher, lock};
 use crate::admit::Refusal;
 use crate::call::{Completion, Grant};
 use crate::clock::Instant;
