--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -17,8 +17,13 @@
 
 mod client;
 mod connection;
+mod failure;
+mod listing;
+mod machines;
+mod objects;
 mod percent;
 mod pool;
+mod table;
 
 pub use client::Client;
 pub(super) use connection::Connection;
--- a/src/platform/http/client.rs
+++ b/src/platform/http/client.rs
@@ -10,11 +10,9 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::connection::Connection;
-use super::percent;
+use super::failure::Failure;
 use super::pool::Pool;
-use crate::platform::{
-    Answer, Command, Error, Instance, Listing, Machines, Objects, Row, Table, Write,
-};
+use crate::platform::Error;
 
 /// Longest duration of a call; a later response counts as lost, so that callers can act within a
 /// second.
@@ -32,14 +30,6 @@
     pool: Pool,
 }
 
-/// Failure of an exchange on one connection.
-enum Failure {
-    /// No byte of the request was sent.
-    Unsent(String),
-    /// The request was sent, at least in part.
-    Sent(String),
-}
-
 impl Client {
     /// Creates a client, which connects on the first call.
     ///
@@ -92,7 +82,7 @@
     }
 
     /// Sends a request, at most twice, and returns the status and body of its response.
-    async fn call(
+    pub(super) async fn call(
         &self,
         step: &'static str,
         method: Method,
@@ -177,7 +167,7 @@
         }
     }
 
-    fn unavailable(&self, step: &'static str, reason: String) -> Error {
+    pub(super) fn unavailable(&self, step: &'static str, reason: String) -> Error {
         Error::Unavailable {
             step,
             peer: self.peer.clone(),
@@ -185,7 +175,7 @@
         }
     }
 
-    fn unknown(&self, step: &'static str, reason: String) -> Error {
+    pub(super) fn unknown(&self, step: &'static str, reason: String) -> Error {
         Error::Unknown {
             step,
             peer: self.peer.clone(),
@@ -194,18 +184,26 @@
     }
 
     /// Decodes the response of a call without side effects.
-    fn decode<T: DeserializeOwned>(&self, step: &'static str, body: &[u8]) -> Result<T, Error> {
+    pub(super) fn decode<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        body: &[u8],
+    ) -> Result<T, Error> {
         serde_json::from_slice(body).map_err(|e| self.unavailable(step, e.to_string()))
     }
 
     /// Reads the resource at `path`; returns `None` if it does not exist.
-    async fn fetch(&self, step: &'static str, path: &str) -> Result<Option<Bytes>, Error> {
+    pub(super) async fn fetch(
+        &self,
+        step: &'static str,
+        path: &str,
+    ) -> Result<Option<Bytes>, Error> {
         let (status, body) = self.call(step, Method::GET, path, Bytes::new()).await?;
         Ok(status.is_success().then_some(body))
     }
 
     /// Reads a JSON list from a path that always exists.
-    async fn fetch_list<T: DeserializeOwned>(
+    pub(super) async fn fetch_list<T: DeserializeOwned>(
         &self,
         step: &'static str,
         path: &str,
@@ -216,105 +214,3 @@
         }
     }
 }
-
-impl Table for Client {
-    fn transact(&self, writes: Vec<Write>) -> Answer<'_, Vec<u64>> {
-        Box::pin(async move {
-            let step = "transact";
-            let body =
-                serde_json::to_vec(&writes).map_err(|e| self.unavailable(step, e.to_string()))?;
-            let (status, body) = self
-                .call(step, Method::POST, "/table/transact", body.into())
-                .await?;
-            if status == StatusCode::CONFLICT {
-                // Only a key of this transaction proves that the table service sent the conflict.
-                let key = writes.iter().find(|write| write.key.as_bytes() == &*body);
-                return Err(match key {
-                    Some(write) => Error::Conflict {
-                        key: write.key.clone(),
-                    },
-                    None => self.unknown(step, "conflict names another key".into()),
-                });
-            }
-            match serde_json::from_slice::<Vec<u64>>(&body) {
-                Ok(versions) if versions.len() == writes.len() => Ok(versions),
-                Ok(versions) => {
-                    let reason = format!("{} versions for {} writes", versions.len(), writes.len());
-                    Err(self.unknown(step, reason))
-                }
-                Err(error) => Err(self.unknown(step, error.to_string())),
-            }
-        })
-    }
-
-    fn read(&self, key: Arc<str>) -> Answer<'_, Option<Row>> {
-        Box::pin(async move {
-            let path = format!("/table/rows/{}", percent::encode_path(&key));
-            match self.fetch("read", &path).await? {
-                Some(body) => self.decode("read", &body).map(Some),
-                None => Ok(None),
-            }
-        })
-    }
-
-    fn scan(&self, prefix: Arc<str>, after: Arc<str>, limit: usize) -> Answer<'_, Vec<Row>> {
-        Box::pin(async move {
-            let (prefix, after) = (
-                percent::encode_query(&prefix),
-                percent::encode_query(&after),
-            );
-            let path = format!("/table/scan?prefix={prefix}&after={after}&limit={limit}");
-            self.fetch_list("scan", &path).await
-        })
-    }
-}
-
-impl Objects for Client {
-    fn put(&self, name: Arc<str>, content: Bytes) -> Answer<'_, ()> {
-        Box::pin(async move {
-            let path = format!("/objects/{}", percent::encode_path(&name));
-            let step = "put-object";
-            match self.call(step, Method::PUT, &path, content).await? {
-                (StatusCode::CONFLICT, _) => Err(self.unknown(step, "status 409".into())),
-                _ => Ok(()),
-            }
-        })
-    }
-
-    fn get(&self, name: Arc<str>) -> Answer<'_, Option<Bytes>> {
-        Box::pin(async move {
-            let path = format!("/objects/{}", percent::encode_path(&name));
-            self.fetch("get-object", &path).await
-        })
-    }
-}
-
-impl Listing for Client {
-    fn instances(&self) -> Answer<'_, Vec<Instance>> {
-        Box::pin(async move { self.fetch_list("list", "/instances").await })
-    }
-}
-
-impl Machines for Client {
-    fn order(&self, command: Command) -> Answer<'_, ()> {
-        Box::pin(async move {
-            let step = "order";
-            let body =
-                serde_json::to_vec(&command).map_err(|e| self.unavailable(step, e.to_string()))?;
-            let response = self
-                .call(step, Method::POST, "/instances/orders", body.into())
-                .await?;
-            match response {
-                (StatusCode::CONFLICT, body) if *body == *command.instance.as_bytes() => {
-                    Err(Error::Conflict {
-                        key: command.instance,
-                    })
-                }
-                (StatusCode::CONFLICT, _) => {
-                    Err(self.unknown(step, "conflict names another instance".into()))
-                }
-                _ => Ok(()),
-            }
-        })
-    }
-}
