--- a/src/node/work.rs
+++ b/src/node/work.rs
@@ -16,8 +16,10 @@
 mod lease;
 mod lifecycle;
 mod load;
+mod permits;
 mod queue;
 mod reconcile;
+mod renewal;
 mod report;
 mod request;
 mod resources;
@@ -65,3 +67,8 @@
         drop(task.await);
     }
 }
+
+/// Returns a duration in the unit of the protocol of workers.
+fn millis(lease: Duration) -> u64 {
+    u64::try_from(lease.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/node/work/client.rs
+++ b/src/node/work/client.rs
@@ -11,10 +11,9 @@
 use super::event::Event;
 use super::execution::{Execution, Phase};
 use super::gate::Gate;
-use super::report::{Report, Status};
 use super::request::Request;
 use super::resources::Resources;
-use super::{LEASE_GRACE, MAX_LEASE};
+use super::{LEASE_GRACE, MAX_LEASE, millis};
 use crate::clock;
 use crate::collections::Map;
 use crate::limit::Permit;
@@ -25,11 +24,6 @@
 /// Delay between two attempts to prepare a worker.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Time for which a start whose connection broke may still reach a worker that responds but does
-/// not have the run. A running worker reads requests that its operating system has received within
-/// milliseconds.
-const LATE_START_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Client of one worker; its task owns the connection.
 pub(super) struct Client {
     pub(super) name: Arc<str>,
@@ -182,122 +176,8 @@
         self.runs.insert(run, tracked);
     }
 
-    /// Renews all runs and reads their reports.
-    async fn round(&mut self) -> Result<(), Failure> {
-        let runs: Vec<Arc<str>> = self.runs.keys().cloned().collect();
-        let mut result = Ok(());
-        for run in runs {
-            // A worker that does not respond would cost a timeout for each run.
-            if result.is_ok() {
-                result = self.renew(&run).await;
-            }
-        }
-        if result.is_ok() {
-            result = self.read_reports().await;
-        }
-        // Checked last, so that a run whose end was just reported does not count as lapsed and the
-        // job does not run again.
-        let runs: Vec<Arc<str>> = self.runs.keys().cloned().collect();
-        runs.iter().for_each(|run| self.check_lapse(run));
-        result
-    }
-
-    async fn read_reports(&mut self) -> Result<(), Failure> {
-        let (status, body) = self
-            .connection
-            .call(Method::GET, "/jobs", String::new())
-            .await?;
-        let reports: Vec<Report> = match serde_json::from_slice(&body) {
-            Ok(reports) if status == StatusCode::OK => reports,
-            _ => return Err(Failure::Lost),
-        };
-        for report in reports {
-            if report.shard != self.gate.queue || !self.runs.contains_key(&report.id) {
-                continue;
-            }
-            if report.status != Status::Running {
-                self.runs.remove(&report.id);
-            }
-            self.emit(Event::Report(report));
-        }
-        Ok(())
-    }
-
-    /// Renews or stops one run.
-    async fn renew(&mut self, run: &Arc<str>) -> Result<(), Failure> {
-        let Some(tracked) = self.runs.get(run) else {
-            return Ok(());
-        };
-        let now = clock::now();
-        let renewal = |permit| self.gate.may_renew(permit, now);
-        let lease = tracked.permit.and_then(renewal);
-        let (action, body) = match (tracked.stop_requested, lease) {
-            (true, _) => ("stop", json!({})),
-            (false, Some(lease)) => ("renew", json!({"lease-ms": millis(lease)})),
-            (false, None) => return Ok(()),
-        };
-        let status = self.post(run, action, body).await?;
-        let now = clock::now();
-        let Some(tracked) = self.runs.get_mut(run) else {
-            return Ok(());
-        };
-        match status {
-            StatusCode::NO_CONTENT => {
-                let unconfirmed = matches!(tracked.phase, Phase::Unconfirmed(_));
-                let until = now + lease.unwrap_or(MAX_LEASE) + LEASE_GRACE;
-                tracked.phase = Phase::Confirmed(until);
-                if unconfirmed {
-                    self.emit(Event::Started(run.clone()));
-                }
-            }
-            StatusCode::NOT_FOUND => match &mut tracked.phase {
-                Phase::Unconfirmed(denied)
-                    if denied.is_none_or(|d| now.since(d) < LATE_START_TIMEOUT) =>
-                {
-                    denied.get_or_insert(now);
-                }
-                _ => self.remove(run),
-            },
-            StatusCode::CONFLICT => self.emit(Event::Superseded),
-            _ => {}
-        }
-        Ok(())
-    }
-
-    async fn post(
-        &mut self,
-        run: &str,
-        action: &str,
-        mut body: serde_json::Value,
-    ) -> Result<StatusCode, Failure> {
-        body["token"] = self.gate.token().into();
-        let path = format!("/jobs/{run}/{action}");
-        let response = self
-            .connection
-            .call(Method::POST, &path, body.to_string())
-            .await;
-        response.map(|(status, _)| status)
-    }
-
-    fn check_lapse(&mut self, run: &Arc<str>) {
-        let lapsed =
-            |entry: &Execution| matches!(entry.phase, Phase::Confirmed(end) if clock::now() > end);
-        if self.runs.get(run).is_some_and(lapsed) {
-            self.remove(run);
-        }
-    }
-
-    fn remove(&mut self, run: &Arc<str>) {
-        self.runs.remove(run);
-        self.emit(Event::Gone(run.clone()));
-    }
-
-    fn emit(&self, event: Event) {
+    pub(super) fn emit(&self, event: Event) {
         // The receiver is gone when the task of the queue ends first, as at shutdown.
         drop(self.events.send((self.name.clone(), event)));
     }
 }
-
-fn millis(lease: Duration) -> u64 {
-    u64::try_from(lease.as_millis()).unwrap_or(u64::MAX)
-}
