--- /dev/null
+++ b/tests/operators/main.rs
@@ -0,0 +1,7 @@
+//! The operators' port of entry instances in one process, with a stand-in platform.
+
+mod bed;
+mod changes;
+mod console;
+mod events;
+mod roles;
