--- /dev/null
+++ b/tests/node/main.rs
@@ -0,0 +1,7 @@
+//! Tests of entry instances that run in one process, on loopback, against simulated platform
+//! services and targets.
+
+mod bed;
+mod calls;
+mod idempotency;
+mod instances;
