--- a/tests/config_model/mod.rs
+++ b/tests/config/model/mod.rs
@@ -1,91 +1,21 @@
 //! Model of a fleet: the decision types under test with a simulated store and network, advanced in
 //! single steps.
 
-use std::sync::Arc;
+mod attempt;
+mod check;
+mod delayed;
+mod node;
+mod step;
+
 use std::time::Duration;
 
 use coriandernotch::clock::Instant;
 use coriandernotch::config::*;
 
-/// One event. A node number wraps around; an attempt number selects one of the two newest attempts,
-/// 0 being the newest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum Step {
-    /// This many milliseconds pass.
-    Tick(u16),
-    /// The node reads the head.
-    Read(u8),
-    /// The node reads the head, but the reply is kept until `DeliverDelayed`.
-    DelayRead(u8),
-    /// The first node pulls from the second.
-    Pull(u8, u8),
-    /// The first node pulls from the second, but the reply is kept until `DeliverDelayed`.
-    DelayPull(u8, u8),
-    /// One of the delayed replies arrives.
-    DeliverDelayed(u8),
-    /// The node starts an attempt to change the document.
-    Propose(u8),
-    /// The node starts an attempt to add running voters and to remove ended ones.
-    ProposeVoters(u8),
-    /// The proposal of the attempt reaches the node and the reply reaches the committer.
-    Prepare(u8, u8),
-    /// The proposal of the attempt reaches the node, but the reply is lost.
-    PrepareLost(u8, u8),
-    /// The committer sends the write of the attempt if it has a quorum.
-    SendWrite(u8),
-    /// The write takes effect if its condition holds; this may occur late and repeatedly.
-    ApplyWrite(u8),
-    /// The node learns that the attempt was accepted.
-    Commit(u8, u8),
-    /// The attempt is aborted unless its write was sent, and the node learns of it.
-    Abort(u8, u8),
-    /// The node fences an overdue proposal.
-    Fence(u8),
-    /// The first node fetches what it lacks from the second.
-    Fetch(u8, u8),
-    /// The process of the node ends.
-    Crash(u8),
-    /// The node starts a new process if it has none.
-    Restart(u8),
-    /// The process of the node is paused.
-    Pause(u8),
-    /// The process of the node continues, with a new incarnation if its vote was lost.
-    Resume(u8),
-    /// The node retires and informs the peers in the bit mask.
-    Retire(u8, u8),
-    /// The node loses or regains access to the store.
-    ToggleStore(u8),
-    /// The link between two nodes fails or is restored.
-    ToggleLink(u8, u8),
-}
-
-/// An entry instance and its process.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Node {
-    pub(crate) state: State,
-    pub(crate) running: bool,
-    /// Time at which the process was paused, if it is.
-    pub(crate) paused: Option<Instant>,
-    pub(crate) store_reachable: bool,
-    voter: Voter,
-}
-
-/// A commit attempt and how far it got.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Attempt {
-    commit: Commit,
-    committer: Voter,
-    aborted: bool,
-    write_sent: bool,
-    accepted: bool,
-}
-
-/// A delayed reply: receiving node, time of the request and content.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Delayed {
-    Read(usize, Instant, Revision),
-    Pull(usize, Instant, Affirmation),
-}
+use attempt::Attempt;
+use delayed::Delayed;
+pub(crate) use node::Node;
+pub(crate) use step::Step;
 
 /// State of the model.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -381,87 +311,4 @@
             _ => {}
         }
     }
-
-    /// Checks the rule `config` on each instance that would admit work now: it enforces every
-    /// version that was accepted more than [`FRESHNESS`] ago, or has a later one in force.
-    pub(crate) fn check(&mut self) -> Result<(), String> {
-        for node in self
-            .nodes
-            .iter()
-            .filter(|node| node.running && node.paused.is_none())
-        {
-            if !node.state.is_fresh(self.now) {
-                continue;
-            }
-            self.admissions += 1;
-            let in_force = node
-                .state
-                .in_force()
-                .ok_or("admits work without a version in force")?
-                .head
-                .version;
-            for (at, operation, version) in &self.accepted {
-                let enforces = in_force >= *version
-                    || node
-                        .state
-                        .enforced()
-                        .any(|v| v.head.operation == *operation);
-                let lag = self.now.since(*at);
-                if !enforces {
-                    self.longest_lag = self.longest_lag.max(lag);
-                    if lag > FRESHNESS {
-                        let voter = &node.voter;
-                        return Err(format!(
-                            "{voter:?} ignores version {version} {lag:?} after its acceptance"
-                        ));
-                    }
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// Ends all faults, runs a few rounds on every instance and checks that all agree.
-    pub(crate) fn recover(&mut self) -> Result<(), String> {
-        self.disconnected.clear();
-        self.delayed.clear();
-        let count = u8::try_from(self.nodes.len()).unwrap();
-        for n in 0..count {
-            self.nodes[n as usize].store_reachable = true;
-            self.step(Step::Resume(n));
-            self.step(Step::Restart(n));
-        }
-        for _ in 0..4 {
-            self.step(Step::Tick(1000));
-            for n in 0..count {
-                self.step(Step::Fence(n));
-                self.step(Step::Read(n));
-            }
-            for (n, peer) in (0..count).flat_map(|n| (0..count).map(move |peer| (n, peer))) {
-                self.step(Step::Pull(n, peer));
-                self.step(Step::Fetch(n, peer));
-            }
-            // Documents that no instance has are read from the object store.
-            for node in &mut self.nodes {
-                for attempt in &self.attempts {
-                    let content: &Arc<str> = &attempt.commit.prepare().version.content;
-                    node.state.on_content(self.now, content);
-                }
-                node.state.on_content(self.now, &"{}".into());
-            }
-        }
-        for node in &self.nodes {
-            let state = &node.state;
-            if state.revision().as_ref() != Some(&self.row) || !state.is_fresh(self.now) {
-                return Err(format!("{:?} does not recover: {state:?}", node.voter));
-            }
-            if !state.pending().is_empty() {
-                return Err(format!(
-                    "{:?} still has a pending proposal: {state:?}",
-                    node.voter
-                ));
-            }
-        }
-        Ok(())
-    }
 }
