--- a/tests/dispatch/fixture.rs
+++ b/tests/dispatch/fixture.rs
@@ -15,6 +15,8 @@
 
 pub(crate) const SLOTS: u32 = 2;
 pub(crate) const LONGEST_RUN: Duration = Duration::from_secs(30);
+pub(crate) const NOTHING_HELD: (usize, usize, u32, u32) = (0, 0, 0, 0);
+pub(crate) const LONG_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Deviations of one version from the default fleet document.
 #[derive(Clone, Copy, Default)]
--- a/tests/dispatch/interleavings.rs
+++ b/tests/dispatch/interleavings.rs
@@ -4,11 +4,12 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use crate::fixture::{Admission, Fixture, LONGEST_RUN, Overrides, SLOTS, poll};
 use coriandernotch::call::{Completion, Grant};
 use coriandernotch::route::Verdict;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
+use crate::fixture::{Admission, Fixture, LONGEST_RUN, Overrides, SLOTS, poll};
+
 /// Step of an interleaving. An index selects a waiting call or a grant, modulo their number.
 #[derive(Clone, Copy, Debug)]
 enum Step {
