--- a/src/jobs/id.rs
+++ b/src/jobs/id.rs
@@ -1,23 +1,10 @@
 use serde::{Deserialize, Serialize};
 use slotmap::{DefaultKey, Key, KeyData};
 
-macro_rules! define_ids {
-    ($($(#[$doc:meta])* $name:ident),+ $(,)?) => {$(
-        $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-        #[serde(transparent)]
-        pub struct $name(pub u32);
+use crate::arena_id::arena_ids;
 
-        impl $name {
-            /// Returns the index of this id in its arena.
-            pub fn index(self) -> usize {
-                self.0 as usize
-            }
-        }
-    )+};
-}
-
-define_ids! {
+arena_ids! {
+    "jobs":
     /// Id of a worker.
     WorkerId,
     /// Id of a rack: workers that share a switch and a power supply.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod admit;
+mod arena_id;
 pub mod batch;
 pub mod call;
 pub mod claim;
