--- a/src/document/field.rs
+++ b/src/document/field.rs
@@ -13,6 +13,21 @@
     pub about: &'static str,
 }
 
+/// Describes a field.
+pub(crate) const fn field(
+    name: &'static str,
+    accepts: Type,
+    presence: Presence,
+    about: &'static str,
+) -> Field {
+    Field {
+        name,
+        accepts,
+        presence,
+        about,
+    }
+}
+
 /// Whether a field may be left out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Presence {
--- a/src/document/mod.rs
+++ b/src/document/mod.rs
@@ -27,6 +27,7 @@
 pub(crate) use conform::{conform, convert, refuse_unknown_fields};
 pub use decode::decode;
 pub(crate) use faults::Faults;
+pub(crate) use field::field;
 pub use field::{Field, Presence};
 pub use kind::Kind;
 pub(crate) use load::load;
--- a/src/fleet/shape.rs
+++ b/src/fleet/shape.rs
@@ -1,24 +1,10 @@
 //! Fields of the fleet document, from which the reference in `docs/settings.md` is generated.
 
-use crate::document::{Field, Presence, Shape, Type};
+use crate::document::{Presence, Shape, Type, field};
 
 use Presence::{Default, Required};
 use Type::{Boolean, Choice, Digest, Integer, List, Name, Object};
 
-const fn field(
-    name: &'static str,
-    accepts: Type,
-    presence: Presence,
-    about: &'static str,
-) -> Field {
-    Field {
-        name,
-        accepts,
-        presence,
-        about,
-    }
-}
-
 /// Lists may have about ten times as many entries as the design load of 17 data centres, 45 pools,
 /// 150 workspaces and 2,300 workers, so that growth is accepted and the output of a faulty
 /// generator is rejected.
--- a/src/settings/shape.rs
+++ b/src/settings/shape.rs
@@ -1,24 +1,10 @@
 //! Fields of the settings, the source of the reference in `docs/settings.md`.
 
-use crate::document::{Field, Presence, Shape, Type};
+use crate::document::{Presence, Shape, Type, field};
 
 use Presence::{Default, Optional, Required};
 use Type::{Address, Choice, Digest, Integer, List, Listen, Name, Object};
 
-const fn field(
-    name: &'static str,
-    accepts: Type,
-    presence: Presence,
-    about: &'static str,
-) -> Field {
-    Field {
-        name,
-        accepts,
-        presence,
-        about,
-    }
-}
-
 pub(super) static SETTINGS: Shape = Shape {
     name: "settings file",
     fields: &[
