--- a/src/standin.rs
+++ b/src/standin.rs
@@ -16,6 +16,7 @@
 pub mod platform;
 mod reply;
 mod request;
+mod serve;
 mod store;
 pub mod target;
 pub mod worker;
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -32,18 +32,10 @@
 /// # });
 /// ```
 pub async fn serve(listener: TcpListener, handle: Handle) {
-    let mut connections = tokio::task::JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    connections.spawn(connection(stream, handle.clone()));
-                }
-                Err(error) => log::warn!("standin=platform step=accept error={error:?}"),
-            },
-            Some(_) = connections.join_next() => {}
-        }
-    }
+    super::serve::serve(listener, "platform", |stream| {
+        connection(stream, handle.clone())
+    })
+    .await;
 }
 
 async fn connection(stream: TcpStream, handle: Handle) {
--- a/src/standin/target/server.rs
+++ b/src/standin/target/server.rs
@@ -9,13 +9,13 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
-use tokio::task::JoinSet;
 
 use super::ledger::Ledger;
 use super::reply::{self, Body};
 use super::{Ending, Mode, Overflow, REQUEST_ID, Run, SLOTS, WORKSPACE};
 use crate::clock;
 use crate::standin::http::{Hangup, body};
+use crate::standin::serve::serve;
 
 /// Largest request body in bytes.
 const MAX_BODY: usize = 64 << 20;
@@ -190,20 +190,9 @@
         listener: TcpListener,
     ) -> impl Future<Output = ()> + Send + 'static {
         let target = self.clone();
-        async move {
-            let mut connections = JoinSet::new();
-            loop {
-                tokio::select! {
-                    accepted = listener.accept() => match accepted {
-                        Ok((stream, _)) => {
-                            connections.spawn(connection(target.clone(), stream));
-                        }
-                        Err(error) => log::warn!("standin=target step=accept error={error:?}"),
-                    },
-                    Some(_) = connections.join_next() => {}
-                }
-            }
-        }
+        serve(listener, "target", move |stream| {
+            connection(target.clone(), stream)
+        })
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Result<Response<Body>, Hangup> {
--- a/src/standin/worker/server.rs
+++ b/src/standin/worker/server.rs
@@ -10,11 +10,11 @@
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinSet;
 
 use super::{Command, Machine, Need, Refusal};
 use crate::clock;
 use crate::standin::http::{Hangup, answer, body, json, unescape};
+use crate::standin::serve::serve;
 
 /// Largest request body in bytes.
 const MAX_BODY: usize = 1 << 20;
@@ -65,20 +65,9 @@
         listener: TcpListener,
     ) -> impl Future<Output = ()> + Send + 'static {
         let worker = self.clone();
-        async move {
-            let mut connections = JoinSet::new();
-            loop {
-                tokio::select! {
-                    accepted = listener.accept() => match accepted {
-                        Ok((stream, _)) => {
-                            connections.spawn(connection(worker.clone(), stream));
-                        }
-                        Err(error) => log::warn!("standin=worker step=accept error={error:?}"),
-                    },
-                    Some(_) = connections.join_next() => {}
-                }
-            }
-        }
+        serve(listener, "worker", move |stream| {
+            connection(worker.clone(), stream)
+        })
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Hangup> {
