--- a/src/pools/draft.rs
+++ b/src/pools/draft.rs
@@ -67,9 +67,7 @@
         }
         Ok(Change {
             operation,
-            probe_key: writes
-                .first()
-                .map_or_else(|| "".into(), |w: &Write| w.key.clone()),
+            probe_key: first_key(&writes),
             writes,
             instances: draft.instances,
             pools: draft.pools,
@@ -157,9 +155,7 @@
         let writes: Vec<Write> = self.pools().map(|(_, pool)| write(pool)).collect();
         Ok(Change {
             operation,
-            probe_key: writes
-                .first()
-                .map_or_else(|| "".into(), |w: &Write| w.key.clone()),
+            probe_key: first_key(&writes),
             writes,
             instances: Vec::new(),
             pools: self.pools().map(|(id, _)| id).collect(),
@@ -211,3 +207,10 @@
         value: Some(value),
     }
 }
+
+/// Returns the key of the first row, or an empty one when nothing is written.
+fn first_key(writes: &[Write]) -> Arc<str> {
+    writes
+        .first()
+        .map_or_else(|| "".into(), |write| write.key.clone())
+}
