--- a/src/node/shared.rs
+++ b/src/node/shared.rs
@@ -127,6 +127,11 @@
         })
     }
 
+    /// Returns the list of instances that the platform returned last.
+    pub(super) fn instances(&self) -> Arc<[Instance]> {
+        self.instances.lock().expect("instances lock").clone()
+    }
+
     /// Returns the event log of this instance.
     pub fn events(&self) -> &Log {
         self.control.dispatcher().events()
--- a/src/node/work/lifecycle.rs
+++ b/src/node/work/lifecycle.rs
@@ -46,13 +46,7 @@
     }
 
     fn add_worker(&mut self, name: &Arc<str>, size: Size, now: Instant) {
-        let instances = self
-            .gate
-            .shared
-            .instances
-            .lock()
-            .expect("instances lock")
-            .clone();
+        let instances = self.gate.shared.instances();
         let Some(instance) = instances.iter().find(|i| i.name == *name) else {
             return;
         };
--- a/src/node/work/reconcile.rs
+++ b/src/node/work/reconcile.rs
@@ -63,13 +63,7 @@
         let Some(pool) = queue.and_then(|q| current.pool_id(&current.queue(q)?.pool)) else {
             return;
         };
-        let instances = self
-            .gate
-            .shared
-            .instances
-            .lock()
-            .expect("instances lock")
-            .clone();
+        let instances = self.gate.shared.instances();
         for instance in instances
             .iter()
             .filter(|i| current.pool_of(&i.name) == Some(pool))
