--- a/tests/manage/cluster.rs
+++ b/tests/manage/cluster.rs
@@ -100,6 +100,14 @@
         self.apply().await;
     }
 
+    /// Waits until an instance drains.
+    pub(super) async fn wait_for_drain(&self) {
+        self.wait("a drain", |c| {
+            c.rows().iter().any(|(_, row)| row.phase == Phase::Draining)
+        })
+        .await;
+    }
+
     /// Waits until `done` returns true, and checks the budgets all the while.
     pub(super) async fn wait(&self, what: &str, mut done: impl FnMut(&Self) -> bool) {
         let happened = self.bed.wait(WAIT, |_| {
--- a/tests/manage/waves.rs
+++ b/tests/manage/waves.rs
@@ -67,11 +67,7 @@
     let mut cluster = Cluster::start(3).await;
     let callers = cluster.start_callers();
     cluster.add_plan().await;
-    cluster
-        .wait("a drain", |c| {
-            c.rows().iter().any(|(_, row)| row.phase == Phase::Draining)
-        })
-        .await;
+    cluster.wait_for_drain().await;
     let holder = cluster.bed.store.row("managers/pools").unwrap();
     let nodes = cluster.bed.nodes();
     let manager = nodes.iter().find(|n| {
@@ -103,11 +99,7 @@
     let mut cluster = Cluster::start(2).await;
     let callers = cluster.start_callers();
     cluster.add_plan().await;
-    cluster
-        .wait("a drain", |c| {
-            c.rows().iter().any(|(_, row)| row.phase == Phase::Draining)
-        })
-        .await;
+    cluster.wait_for_drain().await;
     cluster.bed.store.faults().set_outage(true);
     let before = cluster.rebooted();
     tokio::time::sleep(Duration::from_millis(1500)).await;
