--- a/tests/jobs_outage.rs
+++ b/tests/jobs_outage.rs
@@ -18,7 +18,7 @@
 /// Limit of the wait for the instance to become ready.
 const TIMEOUT: Duration = Duration::from_secs(40);
 
-/// Requests in each of two outages.
+/// Refused requests in each of the two outages.
 const REQUESTS: usize = 30;
 
 /// Key-value pairs of the log lines about jobs, in the order in which they were written.
@@ -123,7 +123,7 @@
             panic!("outage {outage}: {} lines, {lines:#?}", lines.len());
         };
         assert!(begun.contains("event=jobs-unreadable error="), "{begun}");
-        let refused = format!("event=jobs-readable refused={} ", REQUESTS);
+        let refused = format!("event=jobs-readable refused={REQUESTS} ");
         assert!(over.starts_with(&refused), "{over}");
         assert!(over.contains("after_ms="), "{over}");
     }
