--- a/src/claim.rs
+++ b/src/claim.rs
@@ -5,11 +5,11 @@
 //! request. A repeated request finds the row, and gets the stored answer or a verdict that
 //! says why it does not run. `docs/notes/idempotency.md` gives the reasons and the cost.
 
-mod ask;
 mod attempt;
 mod batch;
 mod body;
 mod bucket;
+mod claim_request;
 mod decision;
 mod failure;
 mod manager;
@@ -26,8 +26,8 @@
 mod upkeep;
 mod verdict;
 
-pub use ask::ClaimRequest;
 pub use bucket::Bucket;
+pub use claim_request::ClaimRequest;
 pub use decision::Decision;
 pub use manager::Manager;
 pub use owner::Owner;
--- a/src/claim/attempt.rs
+++ b/src/claim/attempt.rs
@@ -9,7 +9,7 @@
 /// recorded as an orphan, to be released later.
 pub(super) struct Attempt<'a> {
     orphans: &'a Mutex<Orphans>,
-    ask: &'a ClaimRequest,
+    request: &'a ClaimRequest,
     operation: u64,
     now: Timestamp,
     in_flight: bool,
@@ -19,13 +19,13 @@
 impl<'a> Attempt<'a> {
     pub(super) fn new(
         orphans: &'a Mutex<Orphans>,
-        ask: &'a ClaimRequest,
+        request: &'a ClaimRequest,
         operation: u64,
         now: Timestamp,
     ) -> Self {
         Self {
             orphans,
-            ask,
+            request,
             operation,
             now,
             in_flight: false,
@@ -54,10 +54,10 @@
         self.in_flight = false;
         self.may_take_effect = false;
         Verdict::First(Ticket {
-            row_key: self.ask.row_key.clone(),
+            row_key: self.request.row_key.clone(),
             version,
             operation: self.operation,
-            digest: self.ask.digest,
+            digest: self.request.digest,
         })
     }
 }
@@ -66,7 +66,7 @@
     fn drop(&mut self) {
         if self.in_flight || self.may_take_effect {
             let mut orphans = self.orphans.lock().expect("orphans lock");
-            orphans.add(self.operation, self.ask.row_key.clone(), self.now);
+            orphans.add(self.operation, self.request.row_key.clone(), self.now);
         }
     }
 }
--- a/src/claim/decision.rs
+++ b/src/claim/decision.rs
@@ -31,7 +31,7 @@
     /// ```
     pub fn of(
         claim: &Claim,
-        ask: &ClaimRequest,
+        request: &ClaimRequest,
         operation: u64,
         owner: &Owner,
         abandoned: bool,
@@ -48,7 +48,7 @@
         match &claim.state {
             State::Released => Decision::Replace,
             State::Started if abandoned && claim.owner == *owner => Decision::Replace,
-            _ if claim.digest != ask.digest => Decision::Reject(Verdict::Mismatch),
+            _ if claim.digest != request.digest => Decision::Reject(Verdict::Mismatch),
             State::Done(reply) => Decision::Reject(Verdict::Replay(reply.clone())),
             State::Unkept(status) => Decision::Reject(Verdict::Unkept(*status)),
             State::Started if same_instance && claim.owner.incarnation != owner.incarnation => {
--- a/src/claim/manager.rs
+++ b/src/claim/manager.rs
@@ -78,10 +78,10 @@
     /// dropped at any time: a claim that takes effect afterwards is released later.
     ///
     /// The example of [`Manager::start`] shows a first and a repeated request.
-    pub async fn claim(&self, ask: &ClaimRequest, now: Timestamp) -> Verdict {
+    pub async fn claim(&self, request: &ClaimRequest, now: Timestamp) -> Verdict {
         let operation = self.next_operation.fetch_add(1, Ordering::Relaxed);
-        let text = self.claim_json(operation, ask.digest, State::Started, now);
-        let mut attempt = Attempt::new(&self.orphans, ask, operation, now);
+        let text = self.claim_json(operation, request.digest, State::Started, now);
+        let mut attempt = Attempt::new(&self.orphans, request, operation, now);
         let mut condition = Condition::Absent;
         let mut reason =
             String::from("the claim was not settled after repeated conflicts or lost answers");
@@ -89,7 +89,7 @@
             attempt.mark_sent();
             match self
                 .queue
-                .submit(Write::put(&ask.row_key, condition, &text))
+                .submit(Write::put(&request.row_key, condition, &text))
                 .await
             {
                 Ok(version) => return attempt.succeed(version),
@@ -101,7 +101,7 @@
                     break;
                 }
             }
-            let row = match self.read(&ask.row_key).await {
+            let row = match self.read(&request.row_key).await {
                 Ok(Some(row)) => row,
                 Ok(None) => {
                     condition = Condition::Absent;
@@ -117,7 +117,7 @@
                 break;
             };
             let abandoned = claim.owner == self.owner && self.orphans().contains(claim.operation);
-            match Decision::of(&claim, ask, operation, &self.owner, abandoned, now) {
+            match Decision::of(&claim, request, operation, &self.owner, abandoned, now) {
                 Decision::Claimed => return attempt.succeed(row.version),
                 Decision::Replace => condition = Condition::Version(row.version),
                 Decision::Reject(verdict) => return verdict,
--- a/src/front/callers/accept.rs
+++ b/src/front/callers/accept.rs
@@ -7,7 +7,7 @@
 use hyper::{Request, StatusCode, Version};
 
 use super::cause::Cause;
-use super::claimed::read_ask;
+use super::claimed::read_claim_request;
 use super::guard::Guard;
 use super::port::Port;
 use super::reply::Reply;
@@ -28,7 +28,7 @@
     pub(super) cause: Arc<OnceLock<Cause>>,
     pub(super) start: Instant,
     /// Claim to be made before the call runs.
-    pub(super) ask: Option<ClaimRequest>,
+    pub(super) claim_request: Option<ClaimRequest>,
     /// True once the target may have got a byte.
     pub(super) sent: Arc<AtomicBool>,
 }
@@ -77,7 +77,7 @@
     let wanted = read_deadline(&parts.headers)?;
     let left = wanted.unwrap_or(Duration::from_millis(settings.timeout_ms.into()));
     let workspace_name = current.workspace(workspace).map_or("", |t| &*t.name);
-    let ask = read_ask(&parts, workspace_name, body.size_hint().exact())?;
+    let claim_request = read_claim_request(&parts, workspace_name, body.size_hint().exact())?;
     set_host(&mut parts);
     parts.uri = uri;
     parts.version = Version::HTTP_11;
@@ -96,7 +96,7 @@
         current,
         cause,
         start,
-        ask,
+        claim_request,
         sent: Arc::default(),
     })
 }
--- a/src/front/callers/claimed.rs
+++ b/src/front/callers/claimed.rs
@@ -18,7 +18,7 @@
 const MAX_KEY: usize = 255;
 
 /// Reads the claim that a call has to make, if any. Idempotent methods need none.
-pub(super) fn read_ask(
+pub(super) fn read_claim_request(
     parts: &Parts,
     workspace: &str,
     length: Option<u64>,
@@ -50,10 +50,10 @@
 /// Claims a call; the answer of an earlier run comes back as an error.
 pub(super) async fn claim(
     manager: &Manager,
-    ask: &ClaimRequest,
+    claim_request: &ClaimRequest,
 ) -> Result<Ticket, Box<Response<Body>>> {
     let unknown = |reason| Reply::unknown(StatusCode::CONFLICT, reason);
-    let refusal = match manager.claim(ask, Timestamp::now()).await {
+    let refusal = match manager.claim(claim_request, Timestamp::now()).await {
         Verdict::First(ticket) => return Ok(ticket),
         Verdict::Replay(reply) => return Err(Box::new(replay(reply))),
         Verdict::Unkept(_) => unknown("ran before, answer too large to be kept"),
--- a/src/front/callers/exchange.rs
+++ b/src/front/callers/exchange.rs
@@ -31,10 +31,10 @@
     start: Instant,
 ) -> Result<Response<Body>, Reply> {
     let call = accept(port, request, start).inspect_err(|reply| note(port, reply, None))?;
-    let Some(ask) = call.ask.clone() else {
+    let Some(claim_request) = call.claim_request.clone() else {
         return dispatch(port, call).await;
     };
-    let ticket = match claim(&port.claims, &ask).await {
+    let ticket = match claim(&port.claims, &claim_request).await {
         Ok(ticket) => ticket,
         Err(response) => return Ok(*response),
     };
--- a/src/front/callers/jobs/answer.rs
+++ b/src/front/callers/jobs/answer.rs
@@ -29,7 +29,7 @@
     response
 }
 
-/// Answer while the table cannot be read; nothing was changed.
-pub(super) fn unreadable() -> Reply {
+/// Makes the answer for a call that the table refused, so that nothing was changed.
+pub(super) fn store_unavailable() -> Reply {
     Refusal::StoreUnavailable.into()
 }
--- a/src/front/callers/jobs/cancel.rs
+++ b/src/front/callers/jobs/cancel.rs
@@ -1,7 +1,7 @@
 use hyper::{Response, StatusCode};
 use serde_json::json;
 
-use super::answer::{respond, unreadable};
+use super::answer::{respond, store_unavailable};
 use super::caller::Caller;
 use super::context::Context;
 use super::read::find;
@@ -57,7 +57,7 @@
             Err(Error::Conflict { .. }) => {}
             Err(Error::Unknown { .. }) => lost = true,
             Err(Error::Unavailable { .. }) if lost => break,
-            Err(Error::Unavailable { .. }) => return Err(unreadable()),
+            Err(Error::Unavailable { .. }) => return Err(store_unavailable()),
         }
     }
     Err(Reply::unknown(
--- a/src/front/callers/jobs/read.rs
+++ b/src/front/callers/jobs/read.rs
@@ -1,7 +1,7 @@
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
-use super::answer::{respond, show, unreadable};
+use super::answer::{respond, show, store_unavailable};
 use super::caller::Caller;
 use super::context::Context;
 use super::view::View;
@@ -47,7 +47,7 @@
         .store
         .scan(Record::prefix(queue).into(), after.into(), limit)
         .await
-        .map_err(|_| unreadable())?;
+        .map_err(|_| store_unavailable())?;
     let id_of = |row: &Row| Some(format!("{queue}.{}", row.key.rsplit_once('/')?.1));
     let next = rows.last().filter(|_| rows.len() == limit).and_then(id_of);
     let views = rows.iter().filter_map(|row| View::read(queue, row));
@@ -65,7 +65,7 @@
     id: &str,
 ) -> Result<(Row, Record), Reply> {
     let row = context.store.read(Record::key(queue, id).into()).await;
-    let row = row.map_err(|_| unreadable())?;
+    let row = row.map_err(|_| store_unavailable())?;
     row.and_then(|row| {
         let record: Record = serde_json::from_str(&row.value).ok()?;
         (record.workspace == caller.workspace).then_some((row, record))
--- a/src/front/callers/jobs/submit.rs
+++ b/src/front/callers/jobs/submit.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
-use super::answer::{show, unreadable};
+use super::answer::{show, store_unavailable};
 use super::caller::Caller;
 use super::context::Context;
 use super::id::derive;
@@ -78,7 +78,7 @@
             Err(Error::Unknown { .. }) => lost = true,
             Err(Error::Conflict { .. }) => {}
             Err(Error::Unavailable { .. }) if lost => continue,
-            Err(Error::Unavailable { .. }) => return Err(unreadable()),
+            Err(Error::Unavailable { .. }) => return Err(store_unavailable()),
         }
         match context.store.read(key.as_str().into()).await {
             Ok(Some(row)) => {
