--- a/src/claim/attempt.rs
+++ b/src/claim/attempt.rs
@@ -1,4 +1,6 @@
-use super::manager::Manager;
+use std::sync::Mutex;
+
+use super::orphans::Orphans;
 use super::{ClaimRequest, Ticket, Timestamp, Verdict};
 
 /// Attempt to claim a request.
@@ -6,8 +8,8 @@
 /// When it is dropped without success while one of its writes may still take effect, the claim is
 /// recorded as an orphan, to be released later.
 pub(super) struct Attempt<'a> {
-    manager: &'a Manager,
-    ask: &'a ClaimRequest,
+    orphans: &'a Mutex<Orphans>,
+    request: &'a ClaimRequest,
     operation: u64,
     now: Timestamp,
     in_flight: bool,
@@ -16,14 +18,14 @@
 
 impl<'a> Attempt<'a> {
     pub(super) fn new(
-        manager: &'a Manager,
-        ask: &'a ClaimRequest,
+        orphans: &'a Mutex<Orphans>,
+        request: &'a ClaimRequest,
         operation: u64,
         now: Timestamp,
     ) -> Self {
         Self {
-            manager,
-            ask,
+            orphans,
+            request,
             operation,
             now,
             in_flight: false,
@@ -52,10 +54,10 @@
         self.in_flight = false;
         self.may_take_effect = false;
         Verdict::First(Ticket {
-            row_key: self.ask.row_key.clone(),
+            row_key: self.request.row_key.clone(),
             version,
             operation: self.operation,
-            digest: self.ask.digest,
+            digest: self.request.digest,
         })
     }
 }
@@ -63,8 +65,8 @@
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
         if self.in_flight || self.may_take_effect {
-            self.manager
-                .abandon(self.operation, self.ask.row_key.clone(), self.now);
+            let mut orphans = self.orphans.lock().expect("orphans lock");
+            orphans.add(self.operation, self.request.row_key.clone(), self.now);
         }
     }
 }
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -3,6 +3,7 @@
 
 mod audit;
 mod bed;
+mod bound;
 mod caller;
 mod client;
 mod jobs;
@@ -17,6 +18,7 @@
 mod summary;
 mod tally;
 mod ticket;
+mod timeline;
 mod watch;
 mod work;
 
@@ -28,3 +30,4 @@
 pub use run::run;
 pub use summary::Summary;
 pub use tally::Tally;
+pub use timeline::Timeline;
