Move the decisions about the leader row and the fence rows out of the calls

Whether a conflict is one with an own earlier write was decided between the calls of the store, so a test without a store could not use it. Leader and Fence move to src/batch, next to the new Writer, which decides for src/entry/flush.rs. After such a conflict the fence row is no longer read twice; nothing else changes in what is sent.

--- /dev/null
+++ b/src/batch/leader.rs
@@ -0,0 +1,81 @@
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Engine, Occupancy};
+use crate::clock::Instant;
+
+/// The leader row: the current leader and what its successor needs to know.
+///
+/// ```
+/// use coriandernotch::batch::Leader;
+///
+/// let first = Leader::default().successor(&"a".into(), 5, 0);
+/// let second = first.successor(&"b".into(), 7, 0);
+/// assert_eq!((first.token, second.token), (1, 2));
+/// assert!(!second.is_same_term(&first));
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Leader {
+    /// Name of the leading instance.
+    pub holder: Arc<str>,
+    /// Start time of its process in milliseconds since 1970, which distinguishes processes with the
+    /// same name.
+    pub incarnation: u64,
+    /// Fencing token of the leader, which increases with each change of leadership.
+    pub token: u64,
+    /// Number of renewals in this term.
+    pub renewal: u64,
+    /// Clock of the store when the renewal was sent, in milliseconds; 0 if unknown.
+    pub renewed_ms: u64,
+    /// Whether the leader has resigned.
+    pub vacant: bool,
+    /// Number of waiting jobs of each queue.
+    pub pending: Vec<(Arc<str>, u64)>,
+    /// Workers that may have runs and do not answer.
+    pub busy: Vec<Occupancy>,
+    /// Machines lent to other pools, with their home pools.
+    pub homes: Vec<(Arc<str>, Arc<str>)>,
+    /// Machines whose maintenance has begun, by wave.
+    pub maintained: Vec<(u64, Vec<Arc<str>>)>,
+}
+
+impl Leader {
+    /// Returns the row by which the instance `holder` takes over from this leader.
+    #[must_use]
+    pub fn successor(&self, holder: &Arc<str>, incarnation: u64, renewed_ms: u64) -> Self {
+        Self {
+            holder: holder.clone(),
+            incarnation,
+            token: self.token + 1,
+            renewal: 0,
+            renewed_ms,
+            vacant: false,
+            ..self.clone()
+        }
+    }
+
+    /// Returns the row for the next renewal of this leader.
+    #[must_use]
+    pub fn renewed(&self, engine: &mut Engine, renewed_ms: u64, now: Instant) -> Self {
+        Self {
+            renewal: self.renewal + 1,
+            renewed_ms,
+            pending: engine.unstarted_jobs().collect(),
+            busy: engine.list_silent_workers(now),
+            maintained: engine.maintained(),
+            homes: engine.lent_machines(),
+            ..self.clone()
+        }
+    }
+
+    /// Returns whether `found` was written in the term of this row, which the same process leads.
+    /// Then a conflict with `found` is one with an earlier write whose response was lost.
+    pub fn is_same_term(&self, found: &Self) -> bool {
+        found.holder == self.holder
+            && found.incarnation == self.incarnation
+            && found.token == self.token
+            && !found.vacant
+    }
+}
--- a/src/entry/candidate.rs
+++ b/src/entry/candidate.rs
@@ -1,10 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::leader::Leader;
 use super::row::{self, LEADERS, OWNER_KEY};
 use super::shared::{STORE_TIMEOUT, Shared};
-use crate::batch::Leadership;
+use crate::batch::{Leader, Leadership};
 use crate::clock;
 use crate::platform::api::{Fault, Outcome, Precondition, Row, Transaction};
 
@@ -103,7 +102,7 @@
                 }
                 Outcome::Conflict(rows) => rows,
             };
-            let Some(version) = self.own_version(&rows, leader.token) else {
+            let Some(version) = own_version(&rows, leader) else {
                 rows.iter().for_each(|row| self.observe(row));
                 return Ok(false);
             };
@@ -113,15 +112,11 @@
         }
         Ok(false)
     }
+}
 
-    /// Returns the version of the leader row if this instance wrote it in the same term.
-    fn own_version(&self, rows: &[Row], token: u64) -> Option<u64> {
-        let row = rows.iter().find(|row| &*row.key == OWNER_KEY)?;
-        let found = row::decode::<Leader>(OWNER_KEY, row.content.as_ref()?)?;
-        let own = found.holder == self.shared.settings.name
-            && found.incarnation == self.shared.incarnation
-            && found.token == token
-            && !found.vacant;
-        own.then_some(row.version)
-    }
+/// Returns the version of the leader row if it was written in the term of `leader`.
+fn own_version(rows: &[Row], leader: &Leader) -> Option<u64> {
+    let row = rows.iter().find(|row| &*row.key == OWNER_KEY)?;
+    let found = row::decode::<Leader>(OWNER_KEY, row.content.as_ref()?)?;
+    leader.is_same_term(&found).then_some(row.version)
 }
--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -1,12 +1,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::fence::Fence;
 use super::partition;
 use super::row::{self, JOBS, OWNER_KEY, PROGRESS, TERMS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use super::term::Term;
-use crate::batch::JobKey;
+use crate::batch::{Fence, JobKey, Resolution, Writer};
 use crate::platform::api::{Fault, Outcome, Precondition, Transaction};
 
 /// Maximum number of jobs in one transaction.
@@ -27,10 +26,7 @@
 /// One partition as the leader writes it.
 struct Partition {
     name: String,
-    /// Version of the fence row of the partition; 0 before it is read.
-    fence_version: u64,
-    /// Number of the last write in the fence row.
-    last_write: u64,
+    writer: Writer,
 }
 
 /// Changes of jobs that one transaction stores, with the number of each change.
@@ -41,7 +37,7 @@
 
 /// Stores changes of jobs while this instance leads.
 pub(super) async fn flush(shared: Arc<Shared>, term: Arc<Term>) {
-    let mut partitions: Vec<Partition> = partition::all().map(Partition::new).collect();
+    let mut partitions: Vec<Partition> = all_partitions(&term);
     loop {
         let urgent = term.engine().has_changes_to_store();
         match urgent {
@@ -64,7 +60,7 @@
 /// in progress when the flush task was aborted.
 pub(super) async fn flush_now(shared: &Shared, term: &Term) {
     term.engine().queue_unconfirmed_changes();
-    let mut partitions: Vec<Partition> = partition::all().map(Partition::new).collect();
+    let mut partitions: Vec<Partition> = all_partitions(&term);
     while term.engine().has_changes_to_store().is_some() && !term.has_ended() {
         let flushes = partitions
             .iter_mut()
@@ -73,22 +69,20 @@
     }
 }
 
-impl Partition {
-    fn new(name: String) -> Self {
-        Self {
-            name,
-            fence_version: 0,
-            last_write: 0,
-        }
-    }
+fn all_partitions(term: &Term) -> Vec<Partition> {
+    let writer = Writer::new(term.token);
+    let names = partition::all();
+    names.map(|name| Partition { name, writer }).collect()
+}
 
+impl Partition {
     /// Retries the changes of this partition until they are stored or the leadership ends.
     async fn flush(&mut self, shared: &Shared, term: &Term) {
         let Some(mut changes) = self.take_changes(term) else {
             return;
         };
         while !term.has_ended() {
-            match self.send(shared, term, &mut changes.transaction).await {
+            match self.send(shared, &mut changes.transaction).await {
                 Ok(true) => {
                     let mut engine = term.engine();
                     for (job, change) in changes.jobs {
@@ -136,64 +130,59 @@
     async fn send(
         &mut self,
         shared: &Shared,
-        term: &Term,
         transaction: &mut Transaction,
     ) -> Result<bool, Fault> {
-        if self.fence_version == 0 {
-            let Some(fence) = self.read_fence(shared).await? else {
+        if !self.writer.knows_fence() {
+            let Some((version, fence)) = self.read_fence(shared).await? else {
                 return Ok(false);
             };
-            if fence.token != term.token {
+            if !self.writer.observe(version, fence) {
                 return Ok(false);
             }
-            self.last_write = fence.write;
         }
-        let fence = Fence {
-            token: term.token,
-            write: self.last_write + 1,
-        };
+        loop {
+            self.set_fence(transaction);
+            match shared.store.transact(transaction, STORE_TIMEOUT).await? {
+                Outcome::Applied(version) => {
+                    self.writer.record_applied(version);
+                    return Ok(true);
+                }
+                Outcome::Conflict(_) => {
+                    let Some((version, fence)) = self.read_fence(shared).await? else {
+                        return Ok(false);
+                    };
+                    match self.writer.resolve_conflict(version, fence) {
+                        Resolution::Stored => return Ok(true),
+                        Resolution::Superseded => return Ok(false),
+                        Resolution::Resend => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// Adds the fence row and the condition on it to a transaction.
+    fn set_fence(&self, transaction: &mut Transaction) {
         transaction.expected = vec![Precondition {
             table: TERMS,
             key: OWNER_KEY.into(),
-            version: self.fence_version,
+            version: self.writer.version(),
         }];
+        let fence = row::encode(&self.writer.next_fence());
         transaction.puts.retain(|(table, ..)| *table != TERMS);
-        transaction
-            .puts
-            .push((TERMS, OWNER_KEY.into(), row::encode(&fence)));
-        match shared.store.transact(transaction, STORE_TIMEOUT).await? {
-            Outcome::Applied(version) => {
-                (self.fence_version, self.last_write) = (version, fence.write);
-                Ok(true)
-            }
-            Outcome::Conflict(_) => {
-                // The conflict may be with an earlier attempt of this leader, whose response was
-                // lost.
-                let Some(stored) = self.read_fence(shared).await? else {
-                    return Ok(false);
-                };
-                let is_own = stored.token == term.token;
-                let applied = is_own && stored.write == fence.write;
-                self.last_write = stored.write;
-                if is_own && !applied {
-                    self.fence_version = 0;
-                    return Box::pin(self.send(shared, term, transaction)).await;
-                }
-                Ok(applied)
-            }
-        }
+        transaction.puts.push((TERMS, OWNER_KEY.into(), fence));
     }
 
-    /// Reads the fence row of the partition and remembers its version.
-    async fn read_fence(&mut self, shared: &Shared) -> Result<Option<Fence>, Fault> {
+    /// Reads the version and content of the fence row of the partition.
+    async fn read_fence(&self, shared: &Shared) -> Result<Option<(u64, Fence)>, Fault> {
         let (rows, _) = shared
             .store
             .read(TERMS, &self.name, "", "", STORE_TIMEOUT)
             .await?;
-        let Some(row) = rows.iter().find(|r| &*r.key == OWNER_KEY) else {
-            return Ok(None);
-        };
-        self.fence_version = row.version;
-        Ok(row.content.as_ref().and_then(|c| row::decode(OWNER_KEY, c)))
+        let row = rows.iter().find(|r| &*r.key == OWNER_KEY);
+        Ok(row.and_then(|row| {
+            let fence = row::decode(OWNER_KEY, row.content.as_ref()?)?;
+            Some((row.version, fence))
+        }))
     }
 }
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -5,13 +5,12 @@
 
 use super::candidate::Candidate;
 use super::handover::Handover;
-use super::leader::Leader;
 use super::load;
 use super::row::{self, LEADERS, MEMBERS};
 use super::schedule;
 use super::shared::{STORE_TIMEOUT, Shared, sleep_jittered};
 use super::term::Term;
-use crate::batch::{MemberChanges, Occupancy, Role};
+use crate::batch::{Leader, MemberChanges, Occupancy, Role};
 use crate::clock::{self, Instant};
 use crate::platform::api::{Fault, Feed, Transaction};
 
@@ -100,18 +99,9 @@
     async fn try_become_leader(&mut self) -> Result<bool, Fault> {
         let occupancies = self.inherited_workers().await?;
         let sent = clock::now();
-        let leader = Leader {
-            holder: self.shared.settings.name.clone(),
-            incarnation: self.shared.incarnation,
-            token: self.leader.token + 1,
-            renewal: 0,
-            renewed_ms: self.shared.store.clock_ms(sent).unwrap_or_default(),
-            vacant: false,
-            pending: self.leader.pending.clone(),
-            busy: self.leader.busy.clone(),
-            maintained: self.leader.maintained.clone(),
-            homes: self.leader.homes.clone(),
-        };
+        let sent_ms = self.shared.store.clock_ms(sent).unwrap_or_default();
+        let (name, incarnation) = (&self.shared.settings.name, self.shared.incarnation);
+        let leader = self.leader.successor(name, incarnation, sent_ms);
         let predecessor = self.leader.holder.clone();
         if !self
             .write(&leader, Transaction::default(), STORE_TIMEOUT)
@@ -182,7 +172,7 @@
         let mut timeout = STORE_TIMEOUT;
         while !term.has_ended() && !self.shared.is_stopping() {
             let sent = clock::now();
-            let leader = self.next_row(term, false);
+            let leader = self.next_row(term);
             let changes = member_transaction(&term.engine().take_member_changes());
             timeout = match self.write(&leader, changes, timeout).await {
                 Ok(true) => {
@@ -219,26 +209,21 @@
         term.engine().record_renewal(sent);
     }
 
-    /// Returns the leader row for the next renewal or, with `vacant`, for the resignation.
-    fn next_row(&self, term: &Term, vacant: bool) -> Leader {
-        let mut engine = term.engine();
-        Leader {
-            renewal: self.leader.renewal + 1,
-            renewed_ms: self.shared.store.clock_ms(clock::now()).unwrap_or_default(),
-            vacant,
-            pending: engine.unstarted_jobs().collect(),
-            busy: engine.list_silent_workers(clock::now()),
-            maintained: engine.maintained(),
-            homes: engine.lent_machines(),
-            ..self.leader.clone()
-        }
+    /// Returns the leader row for the next renewal.
+    fn next_row(&self, term: &Term) -> Leader {
+        let now = clock::now();
+        let now_ms = self.shared.store.clock_ms(now).unwrap_or_default();
+        self.leader.renewed(&mut term.engine(), now_ms, now)
     }
 
     /// Gives up the leadership, so that another instance can take over without waiting for its
     /// expiry.
     async fn resign(&mut self, term: &Term) {
         term.end("the instance stops");
-        let leader = self.next_row(term, true);
+        let leader = Leader {
+            vacant: true,
+            ..self.next_row(term)
+        };
         let runs = term.engine().list_busy_workers(clock::now());
         let rows = Handover::divide(leader.token, &runs).into_iter();
         let handover = Transaction {
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -2,13 +2,11 @@
 
 use futures_util::future::{try_join, try_join_all, try_join3};
 
-use super::fence::Fence;
-use super::leader::Leader;
 use super::partition;
 use super::row::{self, JOBS, MEMBERS, OWNER_KEY, PROGRESS, TERMS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use super::term::Term;
-use crate::batch::{Engine, Leadership, Progress, Record, Tuning};
+use crate::batch::{Engine, Fence, Leader, Leadership, Progress, Record, Tuning};
 use crate::clock::{self, Instant};
 use crate::collections::Map;
 use crate::platform::api::{
@@ -88,9 +86,9 @@
     let stored = content
         .and_then(|c| row::decode::<Fence>(OWNER_KEY, c))
         .unwrap_or_default();
-    if stored.token > token {
+    let Some(raised) = stored.raised(token) else {
         return Ok(false);
-    }
+    };
     let transaction = Transaction {
         part: partition.to_owned(),
         expected: vec![Precondition {
@@ -98,14 +96,7 @@
             key: OWNER_KEY.into(),
             version,
         }],
-        puts: vec![(
-            TERMS,
-            OWNER_KEY.into(),
-            row::encode(&Fence {
-                token,
-                write: stored.write + 1,
-            }),
-        )],
+        puts: vec![(TERMS, OWNER_KEY.into(), row::encode(&raised))],
         deletes: Vec::new(),
     };
     match shared.store.transact(&transaction, STORE_TIMEOUT).await? {
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -6,9 +6,9 @@
 
 use super::committer::Committer;
 use super::desired::Desired;
-use super::leader::Leader;
 use super::settings::Settings;
 use super::term::Term;
+use crate::batch::Leader;
 use crate::clock::{self, Instant};
 use crate::platform::api::Store;
 
