Do not take a restarted process for the successor of itself

Cause: a new leader waits for a worker until a newer process runs on its machine. A process that started again under the id that it had counted as one, but the previous leader may not notice such a restart: it sends starts to the same id and address, and they run on the new process.

Change: only a process with another id replaces one; the leader before had stored it before it could start anything there.

--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -63,9 +63,12 @@
     pub(super) fn drop_uncontacted(&mut self, now: Instant) {
         let sole_leader_until = self.sole_leader_until(now);
         let (workers, machines) = (&self.workers, &self.pools.machines);
-        self.uncontacted.retain(|_, inherited| {
+        self.uncontacted.retain(|id, inherited| {
+            // The previous leader may not have noticed that a process with the same id replaced the
+            // old one, and started tasks there.
             let newer_process = |worker: &Worker| {
-                worker.profile.machine == inherited.machine
+                worker.profile.id != *id
+                    && worker.profile.machine == inherited.machine
                     && worker.profile.born_ms > inherited.born_ms
             };
             let replaced = !inherited.machine.is_empty() && workers.values().any(newer_process);
--- a/tests/takeover_model/regressions.rs
+++ b/tests/takeover_model/regressions.rs
@@ -12,3 +12,10 @@
     check(0);
     check(439);
 }
+
+/// Guards against taking a process for replaced by one that has its id: the previous leader had not
+/// noticed the restart and had started a task on the new process.
+#[test]
+fn a_process_with_the_same_id_does_not_replace_its_predecessor() {
+    check(125);
+}
