Grant no lease to a worker that the stored row calls silent

Cause: the row of a leader tells when the lease of a silent worker has expired, as of that row. If the worker answered again while the leader could not renew, the leader granted further leases for up to 10 s, and its successor, which did not reach the worker, took the lease as expired too early.

Change: such a worker gets no lease until a row without it is stored; it is polled as usual. A worker that answers is no longer listed as silent merely because the store does not list it: the successor knows it as a member. Otherwise it would lose its lease now.

--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -123,6 +123,12 @@
         answered_at.map_or(Duration::MAX, |at| now.since(at))
     }
 
+    /// Returns whether a worker answered the last call.
+    pub fn answers(&self, key: WorkerKey) -> bool {
+        let worker = self.workers.get(key);
+        worker.is_some_and(|w| w.answered_at.is_some() && !w.unreachable)
+    }
+
     /// Returns whether a worker lists an end whose effects are not stored yet.
     pub fn has_unstored_ends(&self, key: WorkerKey) -> bool {
         self.workers
@@ -131,11 +137,14 @@
     }
 
     /// Grants a lease from `now` and returns its deadline on the worker's clock. Returns `None`
-    /// while that clock is unknown, or while the worker does not answer: its runs are given up when
-    /// the leases granted before have expired.
+    /// while that clock is unknown, or while the worker does not answer or the stored list shows it
+    /// as silent: its runs are given up when the leases granted before have expired.
     pub fn grant_lease(&mut self, key: WorkerKey, now: Instant) -> Option<u64> {
         let expiry = now + self.lease_expiry();
         let lease_ms = u64::try_from(self.lease().as_millis()).unwrap_or(u64::MAX / 2);
+        if self.is_reported_silent(self.workers.get(key)?) {
+            return None;
+        }
         let worker = self.workers.get_mut(key).filter(|w| !w.unreachable)?;
         let clock_ms = worker.clock_ms(now)?;
         worker.lease_until = worker.lease_until.max(expiry);
--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -85,11 +85,9 @@
 
     /// Returns whether tasks may be started on a worker.
     pub(super) fn may_start(&self, worker: &Worker, now: Instant) -> bool {
-        let is_reported_silent =
-            worker.silent_report > 0 && worker.silent_report >= self.stored_report;
         self.is_usable(worker, now)
             && !worker.relocating
-            && !is_reported_silent
+            && !self.is_reported_silent(worker)
             && self.is_known_to_successor(worker)
     }
 
--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -81,11 +81,15 @@
     /// Lists the workers with runs that do not answer or are no longer in the store, for a
     /// successor in case this leader crashes. The successor can poll all others.
     ///
-    /// The successor treats the list of tasks on such a worker as complete, so nothing is started
-    /// there until a renewal without that worker has succeeded.
+    /// The successor treats the list of tasks on such a worker as complete and its lease as the last
+    /// one, so nothing is started there and no lease is granted until a renewal without that worker
+    /// has succeeded. A worker that answers is therefore not listed merely because the store no
+    /// longer lists it: the successor knows it as a member.
     pub fn list_silent_workers(&mut self, now: Instant) -> Vec<Occupancy> {
         self.latest_report += 1;
-        let silent = |worker: &Worker| worker.unreachable || worker.delisted;
+        let silent = |worker: &Worker| {
+            worker.unreachable || (worker.delisted && !self.members.contains(&worker.profile))
+        };
         let mut list = self.list_workers(|worker| silent(worker), now);
         // The successor already assumes that any task may run on a worker that the store lists.
         let must_be_listed =
@@ -99,6 +103,11 @@
         list
     }
 
+    /// Returns whether the stored list of silent workers contains a worker, or may contain it.
+    pub(super) fn is_reported_silent(&self, worker: &Worker) -> bool {
+        worker.silent_report > 0 && worker.silent_report >= self.stored_report
+    }
+
     /// Lists all workers that have runs, for the next leader.
     pub fn list_busy_workers(&self, now: Instant) -> Vec<Occupancy> {
         let mut list = self.list_workers(|_| true, now);
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -50,10 +50,10 @@
             let mut engine = term.engine();
             let deadline = engine.grant_lease(key, sent);
             let wait = match deadline {
-                None => Duration::ZERO,
-                Some(_) if engine.has_starting_task(key) => SETTLING_WAIT,
-                Some(_) if engine.has_latency_conflict(key) => CONTENDED_WAIT,
-                Some(_) => POLL_WAIT,
+                None if !engine.answers(key) => Duration::ZERO,
+                _ if engine.has_starting_task(key) => SETTLING_WAIT,
+                _ if engine.has_latency_conflict(key) => CONTENDED_WAIT,
+                _ => POLL_WAIT,
             };
             (deadline, engine.acknowledged(key), wait)
         };
--- a/tests/takeover_model/regressions.rs
+++ b/tests/takeover_model/regressions.rs
@@ -19,3 +19,10 @@
 fn a_process_with_the_same_id_does_not_replace_its_predecessor() {
     check(125);
 }
+
+/// Guards against leases granted to a worker that the stored row calls silent: the next leader took
+/// them as expired by the time in that row.
+#[test]
+fn a_worker_that_is_stored_as_silent_gets_no_lease() {
+    check(377);
+}
