Do not give up runs of a restarted worker while another instance may lead

Cause: a leader without the store found that a worker had restarted and started its tasks again. A newer leader had read the end of one and acknowledged it before the restart.

Change: a leader that may not be the only one treats a restarted process like a missing one, whose runs are given up after the next renewal.

--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -22,7 +22,13 @@
             return;
         };
         let id = worker.profile.id.clone();
-        if worker.born_ms != snapshot.born_ms && worker.answered_at.is_some() {
+        let restarted = worker.born_ms != snapshot.born_ms && worker.answered_at.is_some();
+        if restarted && self.sole_leader_until(now) < now {
+            // A newer leader may have read the ends of the old process.
+            return self.record_missing_process(key, now);
+        }
+        let worker = &mut self.workers[key];
+        if restarted {
             (worker.last_end_position, worker.acknowledged_position) = (0, 0);
             worker.unstored_ends.clear();
             worker.born_ms = snapshot.born_ms;
--- a/tests/takeover_model/regressions.rs
+++ b/tests/takeover_model/regressions.rs
@@ -26,3 +26,10 @@
 fn a_worker_that_is_stored_as_silent_gets_no_lease() {
     check(377);
 }
+
+/// Guards against a leader without the store that starts the tasks of a restarted worker again: a
+/// newer leader had read their ends before.
+#[test]
+fn a_leader_without_the_store_does_not_give_up_restarted_workers() {
+    check(2076);
+}
