Check a start on a worker that the next leader cannot know in the model

Without the condition that a worker is stored as a member, the 300 random scripts and the interrupted jobs all pass; this script fails then, with two runs at the same time.

The linter's findings in the model and in flush.rs are corrected.

--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -37,7 +37,7 @@
 
 /// Stores changes of jobs while this instance leads.
 pub(super) async fn flush(shared: Arc<Shared>, term: Arc<Term>) {
-    let mut partitions: Vec<Partition> = all_partitions(&term);
+    let mut partitions = all_partitions(&term);
     loop {
         let urgent = term.engine().has_changes_to_store();
         match urgent {
@@ -60,7 +60,7 @@
 /// in progress when the flush task was aborted.
 pub(super) async fn flush_now(shared: &Shared, term: &Term) {
     term.engine().queue_unconfirmed_changes();
-    let mut partitions: Vec<Partition> = all_partitions(&term);
+    let mut partitions = all_partitions(term);
     while term.engine().has_changes_to_store().is_some() && !term.has_ended() {
         let flushes = partitions
             .iter_mut()
--- a/tests/takeover_model/main.rs
+++ b/tests/takeover_model/main.rs
@@ -21,6 +21,7 @@
 mod key;
 mod load;
 mod loading;
+mod new_worker;
 mod outage;
 mod platform;
 mod process;
--- /dev/null
+++ b/tests/takeover_model/new_worker.rs
@@ -0,0 +1,47 @@
+use std::time::Duration;
+
+use crate::action::{Action, Target};
+use crate::fault::Fault;
+use crate::job::Job;
+use crate::scenario::Scenario;
+use crate::world::World;
+
+const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Guards against a start on a worker that the next leader cannot know: the leader reads its
+/// registration but cannot store it as a member, and the registration expires before the takeover.
+#[test]
+fn nothing_starts_on_a_worker_that_is_not_stored() {
+    let unlist = |worker, lasts| Action::ExpireRegistration { worker, lasts };
+    let replace = Action::RestartWorker {
+        worker: 0,
+        down: ms(100),
+        keeps_id: false,
+    };
+    let lose_writes = Action::DisturbStore {
+        target: Target::Leader,
+        fault: Fault::Silent,
+        percent: 100,
+        spares_reads: true,
+        lasts: ms(9_000),
+    };
+    let job = Job {
+        at: ms(6_080),
+        tasks: 1,
+        steps: 1,
+        run_time: ms(8_000),
+    };
+    let scenario = Scenario {
+        jobs: vec![job],
+        actions: vec![
+            (ms(10), unlist(1, ms(7_500))),
+            (ms(6_000), replace),
+            (ms(6_050), lose_writes),
+            (ms(6_900), unlist(0, ms(10_000))),
+        ],
+        ..Scenario::quiet(1)
+    };
+    assert_eq!(World::new(scenario).run().err(), None);
+}
--- a/tests/takeover_model/schedule.rs
+++ b/tests/takeover_model/schedule.rs
@@ -11,6 +11,7 @@
 use crate::handle::Handle;
 use crate::purpose::Purpose;
 use crate::request::Request;
+use crate::store_call::StoreCall;
 use crate::table::Table;
 use crate::timer::Timer;
 use crate::worker_answer::WorkerAnswer;
@@ -209,14 +210,14 @@
         self.call(instance, key, request, POLL_TIMEOUT);
     }
 
-    pub(crate) fn handle_worker_reply(&mut self, call: WorkerCall, answer: WorkerAnswer) {
+    pub(crate) fn handle_worker_reply(&mut self, call: &WorkerCall, answer: &WorkerAnswer) {
         let instance = call.process.instance;
         match call.request.clone() {
-            WorkerRequest::Poll { .. } => self.finish_poll(&call, &answer),
+            WorkerRequest::Poll { .. } => self.finish_poll(call, answer),
             WorkerRequest::Start { run, .. } => {
                 let reply = answer.start_outcome();
                 let clock_ms = match answer {
-                    WorkerAnswer::Started(_, clock_ms) => Some(clock_ms),
+                    WorkerAnswer::Started(_, clock_ms) => Some(*clock_ms),
                     _ => None,
                 };
                 let now = self.now;
@@ -236,13 +237,13 @@
                 task,
                 number,
                 attempt,
-            } => self.finish_stop(call, &answer, task, number, attempt),
+            } => self.finish_stop(call, answer, task, number, attempt),
         }
     }
 
     fn finish_stop(
         &mut self,
-        call: WorkerCall,
+        call: &WorkerCall,
         answer: &WorkerAnswer,
         task: coriandernotch::batch::TaskId,
         number: u64,
@@ -361,18 +362,14 @@
     }
 
     /// Passes the answer of the store to the task that waits for it.
-    pub(crate) fn handle_store_reply(
-        &mut self,
-        call: crate::store_call::StoreCall,
-        answer: Answer,
-    ) {
+    pub(crate) fn handle_store_reply(&mut self, call: &StoreCall, answer: Answer) {
         let instance = call.process.instance;
         match call.purpose.clone() {
             Purpose::Follow => self.finish_follow(instance, answer),
             Purpose::ReadHandover => self.finish_handover(instance, answer),
-            Purpose::TakeOver(leader, _) => self.finish_take_over(&call, leader, &answer),
-            Purpose::Renew(leader, _) => self.finish_renewal(&call, leader, &answer),
-            Purpose::Resign(leader, _) => self.finish_resignation(&call, &leader, &answer),
+            Purpose::TakeOver(leader, _) => self.finish_take_over(call, leader, &answer),
+            Purpose::Renew(leader, _) => self.finish_renewal(call, leader, &answer),
+            Purpose::Resign(leader, _) => self.finish_resignation(call, &leader, &answer),
             Purpose::FollowJobs(part) => self.finish_jobs(instance, part, answer),
             Purpose::FollowWorkers => self.finish_workers(instance, answer),
             Purpose::ReadFence(_)
--- a/tests/takeover_model/world.rs
+++ b/tests/takeover_model/world.rs
@@ -199,14 +199,14 @@
             }
             Event::StoreReply(call, answer) => {
                 if self.is_current(call.process) {
-                    self.handle_store_reply(call, answer);
+                    self.handle_store_reply(&call, answer);
                 }
             }
             Event::WorkerArrival(call, answered) => self.deliver(call, answered),
             Event::PollAnswer { worker, poll } => self.answer_poll(worker, poll),
             Event::WorkerReply(call, answer) => {
                 if self.is_current(call.process) {
-                    self.handle_worker_reply(call, answer);
+                    self.handle_worker_reply(&call, &answer);
                 }
             }
             Event::Timer(process, timer) => {
