--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -7,10 +7,6 @@
 /// Range of run numbers that one leader may use for a task; the next leader continues above it.
 const RUN_NUMBERS_PER_LEADER: u64 = 1_000;
 
-/// Time after the last renewal from which another instance may be about to lead; it may 1.8 s after
-/// that renewal.
-const SOLE_LEADER_FOR: Duration = Duration::from_millis(1_200);
-
 /// Ratio of the expected to the declared remaining time of a job. It is above 1 because a step
 /// lasts as long as the longest of its tasks.
 const REMAINING_TIME_FACTOR: f64 = 1.15;
@@ -76,12 +72,6 @@
         self.was_sole_leader(self.jobs[key].known_since)
     }
 
-    /// Returns whether no other instance can have led at a time.
-    pub(super) fn was_sole_leader(&self, at: Instant) -> bool {
-        self.renewed_at
-            .is_none_or(|renewed_at| at <= renewed_at + SOLE_LEADER_FOR)
-    }
-
     fn rank(&self, stage_key: StageKey, deferred: bool, wall_ms: u64) -> Rank {
         let job = &self.jobs[stage_key.job];
         let spec = &job.record.spec;
