--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -21,7 +21,13 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        if worker.born_ms != snapshot.born_ms && worker.answered_at.is_some() {
+        let restarted = worker.born_ms != snapshot.born_ms && worker.answered_at.is_some();
+        if restarted && self.sole_leader_until(now) < now {
+            // A newer leader may have read the ends of the old process.
+            return self.record_missing_process(key, now);
+        }
+        let worker = &mut self.workers[key];
+        if restarted {
             (worker.last_end_position, worker.acknowledged_position) = (0, 0);
             worker.unstored_ends.clear();
             worker.born_ms = snapshot.born_ms;
@@ -216,10 +222,10 @@
         };
         worker.unreachable = true;
         let absent_since = *worker.absent_since.get_or_insert(now);
-        if now.since(absent_since) < CONFIRM_ABSENT_AFTER {
+        let id = worker.profile.id.clone();
+        if self.sole_leader_until(now).since(absent_since) < CONFIRM_ABSENT_AFTER {
             return;
         }
-        let id = worker.profile.id.clone();
         self.uncontacted.remove(&id);
         self.lose_runs(key, "no process at its address");
     }
--- a/src/front/callers/jobs/read.rs
+++ b/src/front/callers/jobs/read.rs
@@ -1,9 +1,9 @@
 use hyper::{Response, StatusCode};
 use serde::Serialize;
 
-use super::Handler;
+use super::answer::{respond, show, store_unavailable};
 use super::caller::Caller;
-use super::handler::{respond, show, unreadable};
+use super::context::Context;
 use super::view::View;
 use crate::front::callers::body::Body;
 use crate::front::callers::reply::Reply;
@@ -21,19 +21,19 @@
 
 /// Answers with one job.
 pub(super) async fn get(
-    handler: &Handler,
+    context: &Context,
     caller: &Caller,
     queue: &str,
     id: &str,
 ) -> Result<Response<Body>, Reply> {
-    let (row, _) = find(handler, caller, queue, id).await?;
+    let (row, _) = find(context, caller, queue, id).await?;
     show(StatusCode::OK, queue, &row)
 }
 
 /// Answers with the caller's jobs in a queue. A page may be shorter than asked for, or empty,
 /// when rows of other workspaces lie between.
 pub(super) async fn list(
-    handler: &Handler,
+    context: &Context,
     caller: &Caller,
     queue: &str,
     after: &str,
@@ -43,11 +43,11 @@
         "" => String::new(),
         id => Record::key(queue, id),
     };
-    let rows = handler
-        .table
+    let rows = context
+        .store
         .scan(Record::prefix(queue).into(), after.into(), limit)
         .await
-        .map_err(|e| unreadable(&e))?;
+        .map_err(|_| store_unavailable())?;
     let id_of = |row: &Row| Some(format!("{queue}.{}", row.key.rsplit_once('/')?.1));
     let next = rows.last().filter(|_| rows.len() == limit).and_then(id_of);
     let views = rows.iter().filter_map(|row| View::read(queue, row));
@@ -59,13 +59,13 @@
 
 /// Reads a job of the caller; jobs of other workspaces look like unknown ones.
 pub(super) async fn find(
-    handler: &Handler,
+    context: &Context,
     caller: &Caller,
     queue: &str,
     id: &str,
 ) -> Result<(Row, Record), Reply> {
-    let row = handler.table.read(Record::key(queue, id).into()).await;
-    let row = row.map_err(|e| unreadable(&e))?;
+    let row = context.store.read(Record::key(queue, id).into()).await;
+    let row = row.map_err(|_| store_unavailable())?;
     row.and_then(|row| {
         let record: Record = serde_json::from_str(&row.value).ok()?;
         (record.workspace == caller.workspace).then_some((row, record))
