--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -19,11 +19,11 @@
     pub fn inherit(&mut self, occupancies: &[Occupancy], resigned: bool, begun: Instant) {
         let latest_expiry = begun + LEADER_ACTIVE_FOR + self.longest_lease_expiry();
         for worker in occupancies {
-            let listed = self.worker_ids.contains_key(&worker.worker);
-            let complete = resigned || worker.silent || !listed;
+            let can_be_polled = self.worker_ids.contains_key(&worker.worker);
+            let complete = resigned || worker.silent || !can_be_polled;
             let lease_until = if resigned || worker.silent {
                 begun + Duration::from_millis(worker.lease_ms)
-            } else if listed {
+            } else if can_be_polled {
                 latest_expiry
             } else {
                 begun + self.longest_lease_expiry()
@@ -165,8 +165,9 @@
         }
         self.uncontacted_logged = true;
         for (id, inherited) in &self.uncontacted {
+            let worker = self.worker_ids.get(id).map(|key| &self.workers[*key]);
             log::warn!(event = "worker-not-answering", worker = id, service = inherited.service,
-                exact = inherited.tasks.is_some(), listed = self.worker_ids.contains_key(id),
+                exact = inherited.tasks.is_some(), listed = worker.is_some_and(|w| !w.delisted),
                 wait_ms = inherited.lease_until.since(now).as_millis(); "");
         }
     }
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -1,6 +1,7 @@
 //! Scheduling of jobs with simulated workers and simulated time.
 
 mod ends;
+mod handover;
 mod maintenance;
 mod members;
 mod odd_jobs;
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod log;
 mod mode;
 mod odd_entries;
+mod odd_entry;
 mod platform;
 mod port;
 mod process;
