Assume the longest lease of a worker that was restarted

Cause: a worker that restarts under its id begins a new clock. A poll or start on its way carries a deadline on the clock of the old process, far in the future of the new one, which shortens it only to the longest lease: 6 s from its arrival instead of 4.2 s from its sending.

Change: when a leader sees the restart, it assumes the longest lease from then on.

--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -26,8 +26,12 @@
             // A newer leader may have read the ends of the old process.
             return self.record_missing_process(key, now);
         }
+        let longest_expiry = self.longest_lease_expiry();
         let worker = &mut self.workers[key];
         if restarted {
+            // Calls on their way grant leases by the clock of the old process, which the new one
+            // shortens to the longest lease.
+            worker.lease_until = worker.lease_until.max(now + longest_expiry);
             (worker.last_end_position, worker.acknowledged_position) = (0, 0);
             worker.unstored_ends.clear();
             worker.born_ms = snapshot.born_ms;
--- a/tests/takeover_model/regressions.rs
+++ b/tests/takeover_model/regressions.rs
@@ -33,3 +33,10 @@
 fn a_leader_without_the_store_does_not_give_up_restarted_workers() {
     check(2076);
 }
+
+/// Guards against taking the runs of a restarted worker as ended too early: a poll of the old
+/// process reached the new one, which shortened its deadline only to the longest lease.
+#[test]
+fn a_restarted_worker_may_hold_the_longest_lease() {
+    check(4820);
+}
