Place tasks as soon as new members are stored

A worker may get tasks once it is stored as a member, but placement was only due at its next round, up to 100 ms later. A renewal wakes it now.

--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -207,6 +207,8 @@
         self.leadership.renew(sent);
         *term.leadership.lock().expect("leadership lock") = self.leadership;
         term.engine().record_renewal(sent);
+        // Members that are stored now may get tasks.
+        term.placement_wake.notify_one();
     }
 
     /// Returns the leader row for the next renewal.
