Start tasks only on workers that have answered within a lease

In a test, a start on an idle worker that was frozen after its last answer had an unknown outcome; its task started elsewhere only when the lease had expired, 4.8 s after the job was submitted instead of 0.1 s.

Cause: workers without runs are not polled, and a start order did not depend on the age of the last answer. The process may have ended, or a newer one may have taken its place that does not know the fencing token of a newer leader.

Change: a start order for a worker that has not answered for the duration of a lease waits for the answer to a poll, which is sent at once. If there is none, the order is not sent, and the task starts elsewhere. An order for a process that first answered after another instance may have taken over is not sent either. Workers that answer get their starts one poll later; no other calls are added.

Before: launches_nothing_on_a_worker_that_has_not_answered_for_a_lease could not be asked, and starts_nothing_on_an_idle_worker_that_does_not_answer failed twice after 4.8 s. After: both pass, with all tests of tests/batch, tests/entry and tests/takeover_model. The calls added were not counted.

--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -123,6 +123,14 @@
         answered_at.map_or(Duration::MAX, |at| now.since(at))
     }
 
+    /// Returns whether a worker must answer a poll before tasks are started on it. After its last
+    /// answer a whole lease has passed, so its process may not answer any more or may have been
+    /// replaced.
+    pub fn must_answer_before_start(&self, key: WorkerKey, now: Instant) -> bool {
+        let reachable = self.workers.get(key).is_some_and(|w| !w.unreachable);
+        reachable && self.time_since_answer(key, now) > self.lease()
+    }
+
     /// Returns whether a worker answered the last call.
     pub fn answers(&self, key: WorkerKey) -> bool {
         let worker = self.workers.get(key);
--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -94,7 +94,7 @@
 
     /// Returns whether the process of a worker first answered while no other instance can have led.
     /// A later one may not know the fencing token of another leader and accept orders of both.
-    fn predates_successor(&self, worker: &Worker) -> bool {
+    pub(super) fn predates_successor(&self, worker: &Worker) -> bool {
         let first_answered_at = worker.first_answered_at;
         first_answered_at.is_some_and(|at| self.was_sole_leader(at))
     }
--- a/src/batch/engine/reply.rs
+++ b/src/batch/engine/reply.rs
@@ -16,10 +16,14 @@
 impl Engine {
     /// Returns the content of the start order of a run, or `None` if the run is no longer wanted or
     /// its worker does not answer.
-    pub fn launch(&self, key: RunKey) -> Option<Launch> {
+    pub fn launch(&self, key: RunKey, now: Instant) -> Option<Launch> {
         let run = self.runs.get(key)?;
         let worker = self.workers.get(run.worker)?;
-        if run.stopping_since.is_some() || worker.unreachable {
+        if run.stopping_since.is_some()
+            || worker.unreachable
+            || !self.predates_successor(worker)
+            || self.must_answer_before_start(run.worker, now)
+        {
             return None;
         }
         let job = self.jobs.get(run.job)?;
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::term::Term;
@@ -11,6 +12,9 @@
 /// Time that the response to an order may take.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time for which a start order waits for an answer of its worker.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Number of attempts to stop a run; after them the engine decides again.
 const STOP_ATTEMPTS: usize = 3;
 
@@ -22,11 +26,15 @@
     term: Arc<Term>,
     key: WorkerKey,
     worker: Arc<Worker>,
+    answer_wake: Arc<Notify>,
     mut orders: UnboundedReceiver<Order>,
 ) {
     while let Some(order) = orders.recv().await {
         match order {
-            Order::Start(run) => start_run(&term, key, &worker, run).await,
+            Order::Start(run) => {
+                await_answer(&term, key, &answer_wake).await;
+                start_run(&term, key, &worker, run).await;
+            }
             Order::Stop { task, number } => stop_run(&term, key, &worker, &task, number).await,
             Order::Pace {
                 task,
@@ -44,11 +52,23 @@
     }
 }
 
+/// Waits for the answer of a worker to a poll, if tasks may not be started on it before.
+async fn await_answer(term: &Term, key: WorkerKey, answer_wake: &Notify) {
+    let timeout = tokio::time::sleep(ANSWER_TIMEOUT);
+    tokio::pin!(timeout);
+    while term.may_send_orders() && term.engine().must_answer_before_start(key, clock::now()) {
+        tokio::select! {
+            () = answer_wake.notified() => {}
+            () = &mut timeout => return,
+        }
+    }
+}
+
 async fn start_run(term: &Term, key: WorkerKey, worker: &Worker, run: RunKey) {
     let (launch, deadline) = {
         let mut engine = term.engine();
         let now = clock::now();
-        let launch = engine.launch(run).filter(|_| term.may_send_orders());
+        let launch = engine.launch(run, now).filter(|_| term.may_send_orders());
         let deadline = launch
             .is_some()
             .then(|| engine.grant_lease(key, now))
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -32,7 +32,13 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// Polls one worker for the state of its runs while the engine needs it, and renews its lease.
-pub(super) async fn poll(term: Arc<Term>, key: WorkerKey, worker: Arc<Worker>, wake: Arc<Notify>) {
+pub(super) async fn poll(
+    term: Arc<Term>,
+    key: WorkerKey,
+    worker: Arc<Worker>,
+    wake: Arc<Notify>,
+    answer_wake: Arc<Notify>,
+) {
     loop {
         if !term.has_handle(key, &wake) {
             return;
@@ -51,6 +57,7 @@
             let deadline = engine.grant_lease(key, sent);
             let wait = match deadline {
                 None if !engine.answers(key) => Duration::ZERO,
+                _ if engine.must_answer_before_start(key, sent) => Duration::ZERO,
                 _ if engine.has_starting_task(key) => SETTLING_WAIT,
                 _ if engine.has_latency_conflict(key) => CONTENDED_WAIT,
                 _ => POLL_WAIT,
@@ -75,6 +82,7 @@
                 RETRY_DELAY
             }
         };
+        answer_wake.notify_one();
         term.placement_wake.notify_one();
         tokio::time::sleep(pause).await;
     }
--- a/src/entry/schedule.rs
+++ b/src/entry/schedule.rs
@@ -91,9 +91,22 @@
     log::debug!(event = "worker-added", worker = id, address; "");
     let worker = Arc::new(Worker::new(socket_address, id, term.token));
     let wake = Arc::new(Notify::new());
+    let answer_wake = Arc::new(Notify::new());
     let (sender, receiver) = mpsc::unbounded_channel();
-    worker_tasks.spawn(poll::poll(term.clone(), key, worker.clone(), wake.clone()));
-    worker_tasks.spawn(orders::send_orders(term.clone(), key, worker, receiver));
+    worker_tasks.spawn(poll::poll(
+        term.clone(),
+        key,
+        worker.clone(),
+        wake.clone(),
+        answer_wake.clone(),
+    ));
+    worker_tasks.spawn(orders::send_orders(
+        term.clone(),
+        key,
+        worker,
+        answer_wake,
+        receiver,
+    ));
     Some(Handle {
         orders: sender,
         address,
--- a/tests/batch/restart.rs
+++ b/tests/batch/restart.rs
@@ -51,7 +51,7 @@
     let (mut sim, key) = with_replaced_process();
     sim.accept("j", record(vec![step(1)]));
     let run = place(&mut sim)[0];
-    let launch = sim.engine.launch(run).unwrap();
+    let launch = sim.engine.launch(run, sim.now).unwrap();
     sim.engine.grant_lease(key, sim.now).unwrap();
     answer(&mut sim, key, Vec::new());
     sim.now = sim.now + Duration::from_millis(10);
@@ -70,6 +70,23 @@
     assert!(place(&mut sim).is_empty());
 }
 
+/// Guards against starting tasks on a worker that may have ended or been replaced since it was last
+/// heard. Idle workers are not polled, and starts on workers last heard 23 s before were seen.
+#[test]
+fn launches_nothing_on_a_worker_that_has_not_answered_for_a_lease() {
+    let (mut sim, key) = with_replaced_process();
+    sim.now = sim.now + Duration::from_secs(5);
+    sim.renew();
+    sim.accept("j", record(vec![step(1)]));
+    let run = place(&mut sim)[0];
+    assert!(sim.engine.needs_poll(key));
+    assert!(sim.engine.must_answer_before_start(key, sim.now));
+    assert_eq!(sim.engine.launch(run, sim.now), None);
+    answer(&mut sim, key, Vec::new());
+    assert!(!sim.engine.must_answer_before_start(key, sim.now));
+    assert!(sim.engine.launch(run, sim.now).is_some());
+}
+
 /// Guards against keeping runs that ended with the old process of a worker. Their tasks would wait
 /// for the lease to expire.
 #[test]
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -187,13 +187,11 @@
         self.engine.check_runs_and_workers(self.now);
         self.engine.place(self.now, wall);
         for (key, order) in self.engine.take_orders() {
-            let id = keys
-                .iter()
-                .find(|(known, _)| *known == key)
-                .unwrap()
-                .1
-                .clone();
-            self.execute(key, &id, order);
+            let (_, id) = keys.iter().find(|(known, _)| *known == key).unwrap();
+            if self.engine.must_answer_before_start(key, self.now) {
+                self.poll(key, id, wall);
+            }
+            self.execute(key, id, order);
         }
         if !self.store_unavailable {
             for (job, id, change, progress) in self.engine.take_unstored(usize::MAX, |_| true) {
@@ -252,7 +250,7 @@
         let worker = self.workers.get_mut(id).unwrap();
         match order {
             Order::Start(run) => {
-                let launch = self.engine.launch(run);
+                let launch = self.engine.launch(run, self.now);
                 let deadline = self.engine.grant_lease(key, self.now);
                 let (Some(launch), Some(lease)) = (launch, deadline) else {
                     return self.engine.record_start_not_sent(run, self.now);
--- a/tests/entry/process.rs
+++ b/tests/entry/process.rs
@@ -2,7 +2,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::instance::{
     TIMEOUT, get_text, request_until, send_request, start_instance, start_with_output,
@@ -11,6 +11,15 @@
 use crate::platform::{ONE, TWO, job, register, start_platform};
 use crate::worker::Worker;
 
+/// Time without calls to a worker that is longer than any lease.
+const IDLE_TIME: Duration = Duration::from_secs(7);
+
+/// Builds a job of one step whose tasks leave no room for a second one on a worker.
+fn wide_job(tasks: u64) -> Value {
+    let step = json!({"count": tasks, "cpu": 3_000, "memMb": 10, "estimateMs": 100});
+    json!({"spec": "100", "steps": [step]})
+}
+
 /// A job must survive the loss of the instance that accepted it and led, and run only once.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_survives_the_loss_of_its_leader() {
@@ -156,6 +165,35 @@
     assert!(text.contains(r#"platform_calls_total{step="transact",status="200"}"#));
 }
 
+/// Guards against starting tasks on an idle worker that does not answer any more. The outcome of
+/// such a start is unknown, so its task waited until the lease of the worker had expired.
+#[tokio::test(flavor = "multi_thread")]
+async fn starts_nothing_on_an_idle_worker_that_does_not_answer() {
+    let (store, address, first) = start_platform().await;
+    let second = Worker::new("i-2");
+    register(&store, "i-2", second.start().await);
+    let instance = start_instance("idle", address);
+    let callers = instance.callers;
+    let both = wide_job(2);
+    request_until(callers, "POST", ONE, &both, |s, _| s == 200).await;
+    request_until(callers, "GET", ONE, &json!({}), |_, b| {
+        b["state"] == "completed"
+    })
+    .await;
+    assert_eq!((first.starts().len(), second.starts().len()), (1, 1));
+    tokio::time::sleep(IDLE_TIME).await;
+    first.freeze();
+    let submitted = Instant::now();
+    request_until(callers, "POST", TWO, &both, |s, _| s == 200).await;
+    request_until(callers, "GET", TWO, &json!({}), |_, b| {
+        b["state"] == "completed"
+    })
+    .await;
+    let took = submitted.elapsed();
+    assert!(took < Duration::from_secs(3), "{took:?}");
+    assert_eq!((first.starts().len(), second.starts().len()), (1, 3));
+}
+
 /// Guards against sending the orders for a worker to the address of its earlier process.
 #[tokio::test(flavor = "multi_thread")]
 async fn follows_a_worker_to_a_new_address() {
--- a/tests/entry/worker.rs
+++ b/tests/entry/worker.rs
@@ -31,6 +31,8 @@
     position: u64,
     /// Position up to which ends are acknowledged.
     acknowledged: u64,
+    /// Whether it carries out no call and answers none.
+    frozen: bool,
 }
 
 impl Worker {
@@ -42,6 +44,7 @@
             runs: Vec::new(),
             position: 0,
             acknowledged: 0,
+            frozen: false,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -95,7 +98,15 @@
         }
     }
 
+    /// Stops carrying out calls and answering them.
+    pub(crate) fn freeze(&self) {
+        self.state.lock().unwrap().frozen = true;
+    }
+
     async fn respond(&self, call: Call) -> (u16, Value) {
+        if self.state.lock().unwrap().frozen {
+            return std::future::pending().await;
+        }
         if call.expected.as_ref().is_some_and(|id| *id != self.id) {
             return (421, json!({}));
         }
--- a/tests/takeover_model/schedule.rs
+++ b/tests/takeover_model/schedule.rs
@@ -36,6 +36,9 @@
 const STORE_PAUSE: Duration = Duration::from_millis(50);
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Time until it is considered again whether a worker has answered, which a start order awaits.
+const ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Number of attempts to stop a run, and the delay between two of them.
 const STOP_ATTEMPTS: u32 = 3;
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -139,9 +142,16 @@
             handle.is_sending = false;
             return;
         };
+        if may_send
+            && matches!(order, Order::Start(_))
+            && term.engine.must_answer_before_start(key, now)
+        {
+            handle.orders.push_front(order);
+            return self.set_timer(instance, ANSWER_CHECK_INTERVAL, Timer::Order(key));
+        }
         let request = match order {
             Order::Start(run) => {
-                let launch = term.engine.launch(run).filter(|_| may_send);
+                let launch = term.engine.launch(run, now).filter(|_| may_send);
                 let deadline = launch.is_some().then(|| term.engine.grant_lease(key, now));
                 match (launch, deadline.flatten()) {
                     (Some(launch), Some(deadline_ms)) => Some(WorkerRequest::Start {
