Use one generator of pseudo-random numbers

The simulation of plans, the measurement of jobs and the demonstration each had a generator of their own, two of them the same. `random::Random` replaces them.

--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -7,9 +7,9 @@
 use hyper::Request;
 
 use super::journal::{Entry, Journal};
-use super::random::Random;
 use super::{Bed, Client};
 use crate::clock;
+use crate::random::Random;
 
 /// Think time of a caller between two calls.
 const THINK: Duration = Duration::from_millis(40);
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -9,7 +9,6 @@
 mod jobs;
 mod journal;
 mod plan;
-mod random;
 mod report;
 mod rule;
 mod run;
--- a/src/demo/submitter.rs
+++ b/src/demo/submitter.rs
@@ -9,10 +9,10 @@
 use hyper::Request;
 use serde_json::{Value, json};
 
-use super::random::Random;
 use super::ticket::Ticket;
 use super::{Bed, Client};
 use crate::clock;
+use crate::random::Random;
 
 /// Longest wait between two submissions of one workspace to one queue.
 const THINK_MS: u64 = 400;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod plans;
 pub mod platform;
 pub mod pools;
+pub mod random;
 pub mod route;
 pub mod settings;
 pub mod standin;
--- a/src/measure/demand.rs
+++ b/src/measure/demand.rs
@@ -1,7 +1,7 @@
 use super::layout::Layout;
-use super::random::Random;
 use crate::fleet::WorkspaceId;
 use crate::jobs::{KindId, Size, Spec};
+use crate::random::Random;
 
 /// Kinds of job per workspace.
 const KINDS: u32 = 4;
@@ -96,7 +96,7 @@
             }
         }
         for _ in 0..self.random.poisson(self.layout.urgent_rate * step) {
-            let workspace = self.random.number() % u64::from(self.layout.workspaces);
+            let workspace = self.random.below(u64::from(self.layout.workspaces));
             arrivals.push(self.draw(u32::try_from(workspace).unwrap_or(0), true));
         }
         arrivals
@@ -104,7 +104,7 @@
 
     fn draw(&mut self, workspace: u32, urgent: bool) -> Arrival {
         let random = &mut self.random;
-        let kind = u32::try_from(random.number() % u64::from(KINDS)).unwrap_or(0);
+        let kind = u32::try_from(random.below(u64::from(KINDS))).unwrap_or(0);
         let Kind { used, factor, work } = self.kinds[(workspace * KINDS + kind) as usize];
         let scale = |size: Size, by: f64| {
             Size::new(
@@ -113,7 +113,7 @@
                 size.accelerators,
             )
         };
-        let used = scale(used, random.between(0.9, 1.1));
+        let used = scale(used, random.uniform(0.9, 1.1));
         let declared = scale(used, factor);
         let spec = Spec {
             workspace: WorkspaceId(workspace),
@@ -124,7 +124,7 @@
                 u64::MAX,
             )),
             urgent,
-            checkpoints: random.unit() < 0.9,
+            checkpoints: random.fraction() < 0.9,
         };
         Arrival {
             spec,
@@ -132,32 +132,28 @@
             work: if urgent {
                 5.0
             } else {
-                work * random.between(0.5, 1.5)
+                work * random.uniform(0.5, 1.5)
             },
-            bad: !urgent && random.unit() < 0.005,
+            bad: !urgent && random.fraction() < 0.005,
         }
     }
 }
 
 impl Kind {
     fn draw(layout: &Layout, accelerated: bool, random: &mut Random) -> Self {
-        let accelerators = if accelerated {
-            1 << (random.number() % 4)
-        } else {
-            0
-        };
+        let accelerators = if accelerated { 1 << random.below(4) } else { 0 };
         let processors = if accelerated {
             2_000 * accelerators
         } else {
             // 0.5 to 4 processors, an eighth of the smallest worker.
-            (500.0 * 8.0_f64.powf(random.unit())) as u64
+            (500.0 * 8.0_f64.powf(random.fraction())) as u64
         };
         let per_processor = layout.worker.memory as f64 / layout.worker.processors as f64;
-        let memory = processors as f64 * per_processor * random.between(0.3, 0.9);
+        let memory = processors as f64 * per_processor * random.uniform(0.3, 0.9);
         Self {
             used: Size::new(processors, memory as u64, accelerators),
-            factor: 10.0_f64.powf(random.between(-1.0, 1.0)),
-            work: random.between(10.0, 40.0),
+            factor: 10.0_f64.powf(random.uniform(-1.0, 1.0)),
+            work: random.uniform(10.0, 40.0),
         }
     }
 }
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -4,7 +4,6 @@
 mod demand;
 mod deviation;
 mod layout;
-mod random;
 mod report;
 mod row;
 mod run;
--- a/src/plans/simulation.rs
+++ b/src/plans/simulation.rs
@@ -4,7 +4,6 @@
 //! pool at a time, keeps a separate buffer for each pool, and moves every instance through the
 //! spare pool in list order.
 
-mod random;
 mod report;
 mod resizing;
 mod rollout;
@@ -12,7 +11,6 @@
 
 use std::time::Duration;
 
-pub use random::Random;
 pub use report::Report;
 pub use shape::Shape;
 
--- a/src/plans/simulation/resizing.rs
+++ b/src/plans/simulation/resizing.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::Random;
 use crate::clock::{self, Instant};
 use crate::fleet::{Document, PoolId, Registry};
 use crate::pools::{Action, InstanceId, Move, Phase, Planner, State, Step};
+use crate::random::Random;
 
 const SIMULATED_DAYS: u32 = 180;
 
--- a/src/plans/simulation/rollout.rs
+++ b/src/plans/simulation/rollout.rs
@@ -4,11 +4,12 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use super::{Random, START_UNIX_TIME, mean};
+use super::{START_UNIX_TIME, mean};
 use crate::clock::{self, Instant};
 use crate::fleet::{self, Document, PoolId, Registry};
 use crate::plans::{Blocker, Calendar, Plan, Window};
 use crate::pools::{Action, InstanceId, Phase, State, Step};
+use crate::random::Random;
 
 /// Interval between turns of the manager while no instance ends a drain or reboot.
 const TURN_INTERVAL: Duration = Duration::from_secs(60);
--- a/src/plans/simulation/shape.rs
+++ b/src/plans/simulation/shape.rs
@@ -1,9 +1,9 @@
 use std::sync::Arc;
 
-use super::Random;
 use crate::collections::Map;
 use crate::fleet::{Budget, DataCentre, Direction, Document, Pool};
 use crate::platform::{Instance, State};
+use crate::random::Random;
 
 /// Instances per rack.
 const INSTANCES_PER_RACK: usize = 4;
