Do not take best-effort tasks that were slowed down for stalled

Seen while reading: a best-effort task that the leader slows down to a halt, because a serving task on its worker is above its latency bound, makes no progress and was stopped as stalled after 1.5 s. Each such stop counted as a failure of the worker, so that three jobs excluded it from starts for 6 s.

Change: only runs at full speed count as stalled, as lasting tasks did already, and a change of the speed begins the time anew in which a run must make progress.

Before: does_not_take_slowed_down_tasks_for_stalled failed, 3 of 4 runs were stopped and their worker excluded. After: it passes, with all tests of tests/batch.

--- a/src/batch/engine/pace.rs
+++ b/src/batch/engine/pace.rs
@@ -1,5 +1,6 @@
 use super::Engine;
-use crate::batch::{Order, RunKey, WorkerKey};
+use crate::batch::{RunKey, WorkerKey};
+use crate::clock::Instant;
 
 /// Fraction of the latency bound of a serving task above which best-effort tasks are slowed down.
 const SLOW_DOWN_ABOVE: f64 = 0.85;
@@ -13,7 +14,7 @@
 impl Engine {
     /// Slows down best-effort tasks on a worker while a serving task there is close to its latency
     /// bound.
-    pub(super) fn pace_best_effort(&mut self, key: WorkerKey) {
+    pub(super) fn pace_best_effort(&mut self, key: WorkerKey, now: Instant) {
         let runs = &self.workers[key].runs;
         let is_confirmed = |run: &&RunKey| self.runs[**run].confirmed_at.is_some();
         let serving = runs.iter().filter(is_confirmed).map(|run| &self.runs[*run]);
@@ -41,15 +42,9 @@
                 continue;
             }
             run.pace_percent = pace_percent;
-            let (task, number) = (run.task.clone(), run.number);
-            self.orders.push((
-                key,
-                Order::Pace {
-                    task,
-                    number,
-                    percent: pace_percent,
-                },
-            ));
+            // At its new speed it gets the whole time in which it must make progress.
+            run.progressed_at = now;
+            self.orders.push((key, run.pace_order()));
         }
     }
 
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -61,7 +61,7 @@
         if !snapshot.has_more_ends {
             self.remove_missing_runs(key, &present, sent);
         }
-        self.pace_best_effort(key);
+        self.pace_best_effort(key, now);
     }
 
     /// Records that a worker answered, and what the answer tells about its process.
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -90,13 +90,12 @@
             let has_recent_answer =
                 answered_at.is_some_and(|at| now.since(at) < Duration::from_secs(1));
             let is_stalled = if run.lasting {
-                run.percent < 100
-                    && run.pace_percent == 100
-                    && now.since(run.progressed_at) > self.tuning.notice
+                run.percent < 100 && now.since(run.progressed_at) > self.tuning.notice
             } else {
                 now.since(run.progressed_at) > stall_time
             };
-            if is_running && has_recent_answer && is_stalled {
+            let at_full_speed = run.pace_percent == 100;
+            if is_running && has_recent_answer && at_full_speed && is_stalled {
                 stalled.push(key);
             }
         }
--- a/src/batch/engine/run.rs
+++ b/src/batch/engine/run.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use crate::batch::{JobKey, TaskId, WorkerKey};
+use crate::batch::{JobKey, Order, TaskId, WorkerKey};
 use crate::clock::Instant;
 use crate::jobs::Size;
 
@@ -39,3 +39,14 @@
     pub(super) lasting: bool,
     pub(super) saved: Option<Arc<str>>,
 }
+
+impl Run {
+    /// Returns the order to work at the current speed of the run.
+    pub(super) fn pace_order(&self) -> Order {
+        Order::Pace {
+            task: self.task.clone(),
+            number: self.number,
+            percent: self.pace_percent,
+        }
+    }
+}
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -5,6 +5,7 @@
 mod maintenance;
 mod members;
 mod odd_jobs;
+mod pace;
 mod place;
 mod pools;
 mod restart;
