Restore the speed of best-effort tasks of the previous leader

Seen while reading: a new leader takes over the runs of the previous one as runs at full speed. A best-effort task that had been slowed down got no order to speed up and stayed slow until it ended.

Change: a best-effort run that is taken over is ordered to full speed, and slowed down again if a serving task beside it is close to its latency bound.

Before: restores_the_speed_of_tasks_of_the_previous_leader failed, no order was sent. After: it passes, with all tests of tests/batch.

--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -155,6 +155,10 @@
             lasting: step.lasting,
             saved: (!running.saved.is_empty()).then(|| running.saved.clone()),
         };
+        if run.filling {
+            // The previous leader may have slowed it down.
+            self.orders.push((key, run.pace_order()));
+        }
         self.add_run(run);
         if let Some(task) = self.task_mut(job, &running.task) {
             task.number = task.number.max(running.number);
--- a/tests/batch/pace.rs
+++ b/tests/batch/pace.rs
@@ -51,3 +51,27 @@
     sim.run(1_000);
     assert_eq!((sim.starts.len(), sim.running()), (4, 4));
 }
+
+/// Guards against leaving a best-effort task slow for good that the previous leader slowed down.
+#[test]
+fn restores_the_speed_of_tasks_of_the_previous_leader() {
+    let mut old = Simulation::with_workers(1);
+    let mut job = lasting(1);
+    job.spec.steps[0].filling = true;
+    job.spec.steps.push(serving().spec.steps[0].clone());
+    old.accept("j", job.clone());
+    old.run(100);
+    set_latency(&mut old, HIGH_LATENCY_MS);
+    old.run(50);
+    assert!(old.paces.iter().any(|percent| *percent < 100));
+    let mut sim = Simulation::new(2, crate::simulation::config());
+    sim.now = old.now;
+    sim.accept("j", job);
+    sim.workers = old.workers.clone();
+    sim.engine
+        .update_worker(crate::simulation::profile("i-0", "s"));
+    set_latency(&mut sim, LOW_LATENCY_MS);
+    sim.run(500);
+    assert_eq!(sim.starts.len(), 0);
+    assert_eq!(sim.paces.last(), Some(&100));
+}
