Limit the numbers of a stored configuration

Seen while reading: a route with a `stretch` of 1e300 ends the process of the leader, "cannot convert float seconds to Duration". The configuration is stored, so each new leader ends in the same way.

Change: stretch and times of routes are limited where they are decoded.

Before: leads_on_with_odd_configurations panicked in apply_route. After: it passes for six odd configurations.

--- a/src/platform/api/intent.rs
+++ b/src/platform/api/intent.rs
@@ -8,6 +8,11 @@
 use crate::clock::Instant;
 use crate::collections::Map;
 
+/// Limits of the numbers of a configuration, so that products with the times of any job fit into a
+/// duration.
+const MAX_STRETCH: f64 = 1e4;
+const MAX_TIME: Duration = Duration::from_millis(1 << 40);
+
 /// State that operators request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Intent {
@@ -148,7 +153,7 @@
 
 impl From<WireRoute> for Route {
     fn from(wire: WireRoute) -> Self {
-        let millis = Duration::from_millis;
+        let millis = |number| Duration::from_millis(number).min(MAX_TIME);
         let advice = wire.advice.map(|advice| Advice {
             decide: millis(advice.decide_ms),
             each: millis(advice.each_ms),
@@ -161,7 +166,7 @@
             service: wire.service,
             priority: wire.priority,
             max_attempts: wire.max_attempts,
-            stretch: wire.stretch,
+            stretch: wire.stretch.min(MAX_STRETCH),
             allowance: millis(wire.target_duration_ms),
             open: wire.public,
             advice,
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -4,6 +4,7 @@
 mod handover;
 mod maintenance;
 mod members;
+mod odd_config;
 mod odd_jobs;
 mod pace;
 mod place;
