Acknowledge ends only to the process that listed them

The worker restarts under its id while it is idle, gets a start within the lease, and the polls are lost until the run has ended.

Cause: each poll repeated the last acknowledged position, also to a worker that listed no ends. A new process numbers its ends from the beginning, so it forgot those up to the position of the old one before they were read. The run was then missing.

Change: a poll carries a position only if the poll before it was answered and listed ends; otherwise it carries 0. After a failed poll an end is therefore listed once more before it is acknowledged.

Tests: the three tests that asked the engine for the position after the end had been acknowledged now check the highest position that the simulated worker was sent. That is at least as strict, because it covers every poll.

Before: acknowledges_no_unread_end_of_the_new_process failed with 2 starts instead of 1. After: it passes, with tests/batch (75), tests/entry (35) and tests/takeover_model (12).

--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -77,7 +77,10 @@
     }
 
     /// Returns the position up to which the ends of a worker may be acknowledged, because their
-    /// effects are stored.
+    /// effects are stored; 0 unless its latest answer listed ends.
+    ///
+    /// Another process may have started under the id of the worker since then. It numbers its ends
+    /// from the beginning, and would forget those up to the position before they are read.
     pub fn acknowledged(&mut self, key: WorkerKey) -> u64 {
         let Some(worker) = self.workers.get_mut(key) else {
             return 0;
@@ -93,7 +96,11 @@
             .iter()
             .map(|(position, ..)| position - 1);
         worker.acknowledged_position = unacknowledged.min().unwrap_or(worker.last_end_position);
-        worker.acknowledged_position
+        if worker.lists_ends {
+            worker.acknowledged_position
+        } else {
+            0
+        }
     }
 
     /// Returns whether all effects of the ends listed by a worker are stored.
@@ -111,6 +118,7 @@
     pub fn needs_poll(&self, key: WorkerKey) -> bool {
         self.workers.get(key).is_some_and(|w| {
             !w.runs.is_empty()
+                || w.lists_ends
                 || w.acknowledged_position < w.last_end_position
                 || ((w.answered_at.is_none() || w.unreachable) && !w.delisted)
                 || self.uncontacted.contains_key(&w.profile.id)
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -77,6 +77,7 @@
         worker.first_answered_at.get_or_insert(now);
         (worker.answered_at, worker.unreachable) = (Some(now), false);
         worker.absent_since = None;
+        worker.lists_ends = !snapshot.ended.is_empty();
         // While there are more ends, a task may have ended there without being listed yet.
         if !snapshot.has_more_ends {
             self.uncontacted.remove(&id);
@@ -216,7 +217,7 @@
     /// Records that a call to a worker got no answer.
     pub fn record_no_answer(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.unreachable = true;
+            worker.set_unreachable();
         }
     }
 
@@ -227,7 +228,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        worker.unreachable = true;
+        worker.set_unreachable();
         let absent_since = *worker.absent_since.get_or_insert(now);
         let id = worker.profile.id.clone();
         if self.sole_leader_until(now).since(absent_since) < CONFIRM_ABSENT_AFTER {
--- a/src/batch/engine/reply.rs
+++ b/src/batch/engine/reply.rs
@@ -53,7 +53,10 @@
         };
         let (job, worker, task) = (run.job, run.worker, run.task.clone());
         if let Some(worker) = self.workers.get_mut(worker) {
-            worker.unreachable = matches!(reply, Reply::Unsent | Reply::Unknown | Reply::Replaced);
+            match reply {
+                Reply::Unsent | Reply::Unknown | Reply::Replaced => worker.set_unreachable(),
+                _ => worker.unreachable = false,
+            }
             if let Some(clock) = clock_ms {
                 worker.clock = Some((clock, now));
             }
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -33,6 +33,9 @@
     pub(super) last_end_position: u64,
     pub(super) unstored_ends: Vec<(u64, JobKey, u64)>,
     pub(super) acknowledged_position: u64,
+    /// Whether the latest poll was answered and listed ends. Otherwise the next call may reach another
+    /// process, whose ends have other positions.
+    pub(super) lists_ends: bool,
     /// Different jobs that failed on it in a row.
     pub(super) failed_jobs: Vec<JobKey>,
     /// Time before which it gets no starts.
@@ -61,6 +64,7 @@
             last_end_position: 0,
             unstored_ends: Vec::new(),
             acknowledged_position: 0,
+            lists_ends: false,
             failed_jobs: Vec::new(),
             shunned_until: Instant::default(),
             cordoned: false,
@@ -76,6 +80,12 @@
         }
     }
 
+    /// Records that a call got no answer.
+    pub(super) fn set_unreachable(&mut self) {
+        self.unreachable = true;
+        self.lists_ends = false;
+    }
+
     /// Returns the key by which the current process on a machine is the largest of those listed for
     /// it. A later start counts only among processes that have answered: an entry alone may come
     /// from another writer.
--- a/tests/batch/ends.rs
+++ b/tests/batch/ends.rs
@@ -12,11 +12,10 @@
     sim.run(100);
     sim.store_unavailable = true;
     sim.run(1_000);
-    let (key, ..) = sim.engine.worker_addresses()[0].clone();
-    assert_eq!(sim.engine.acknowledged(key), 0);
+    assert_eq!(sim.workers["i-0"].acknowledged, 0);
     sim.store_unavailable = false;
     sim.run(20);
-    assert_eq!(sim.engine.acknowledged(key), 1);
+    assert_eq!(sim.workers["i-0"].acknowledged, 1);
 }
 
 /// Guards against acknowledging an end that is read a second time, when its worker is listed again,
@@ -32,11 +31,10 @@
     sim.run(50);
     sim.engine.update_worker(profile("i-0", "s"));
     sim.run(50);
-    let (key, ..) = sim.engine.worker_addresses()[0].clone();
-    assert_eq!(sim.engine.acknowledged(key), 0);
+    assert_eq!(sim.workers["i-0"].acknowledged, 0);
     sim.store_unavailable = false;
     sim.run(20);
-    assert_eq!(sim.engine.acknowledged(key), 1);
+    assert_eq!(sim.workers["i-0"].acknowledged, 1);
 }
 
 /// Guards against the same fault for an end that changes nothing, because its task is done by
@@ -58,15 +56,14 @@
     let (_, other) = workers.find(|(id, _)| **id != first).unwrap();
     other.end(copy, End::Done);
     sim.run(700);
-    let keys = sim.engine.worker_addresses();
-    let acknowledged = |sim: &mut Simulation| -> u64 {
-        let positions = keys.iter().map(|(key, ..)| sim.engine.acknowledged(*key));
-        positions.sum()
+    let acknowledged = |sim: &Simulation| -> u64 {
+        let workers = sim.workers.values();
+        workers.map(|worker| worker.acknowledged).sum()
     };
-    assert_eq!(acknowledged(&mut sim), 0);
+    assert_eq!(acknowledged(&sim), 0);
     sim.store_unavailable = false;
     sim.run(20);
-    assert_eq!(acknowledged(&mut sim), 3);
+    assert_eq!(acknowledged(&sim), 3);
 }
 
 /// Guards against retrying a job for ever: it must fail after as many attempts as its queue allows.
--- a/tests/batch/restart.rs
+++ b/tests/batch/restart.rs
@@ -101,3 +101,23 @@
     answer(&mut sim, key, Vec::new());
     assert_eq!(place(&mut sim).len(), 1);
 }
+
+/// Guards against acknowledging ends of the new process of a worker by the position of the old one.
+/// They were forgotten unread, and their tasks ran again (rule TWICE).
+#[test]
+fn acknowledges_no_unread_end_of_the_new_process() {
+    let mut sim = Simulation::with_workers(1);
+    sim.accept("j", record(vec![step(1)]));
+    sim.run(1_000);
+    assert!(sim.ended.contains_key("j"));
+    sim.workers.get_mut("i-0").unwrap().restart();
+    sim.accept("k", record(vec![step(1)]));
+    sim.run(10);
+    assert_eq!(sim.starts_of("k", 0, 0), 1);
+    sim.workers.get_mut("i-0").unwrap().silent = true;
+    sim.run(600);
+    sim.workers.get_mut("i-0").unwrap().silent = false;
+    sim.run(1_000);
+    assert_eq!(sim.starts_of("k", 0, 0), 1);
+    assert!(sim.ended.contains_key("k"));
+}
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -30,6 +30,8 @@
     pub(crate) running: Vec<Run>,
     pub(crate) ended: Vec<Ended>,
     pub(crate) position: u64,
+    /// Highest position up to which ends were acknowledged.
+    pub(crate) acknowledged: u64,
     /// Whether it does not answer.
     pub(crate) silent: bool,
     /// Number of times that it was restarted under its id.
@@ -218,6 +220,7 @@
             worker.end(run, how);
         }
         let acknowledged = self.engine.acknowledged(key);
+        worker.acknowledged = worker.acknowledged.max(acknowledged);
         worker.ended.retain(|ended| ended.position > acknowledged);
         let lease = self.engine.grant_lease(key, now);
         worker.lease_ms = worker.lease_ms.max(lease.unwrap_or_default());
