Assume the longest lease of a process that may be new

The worker restarts under its id while it is idle, gets a start within the lease, and then answers no call.

Cause: the deadline in an order is a time on the clock of the process that answered last. The clock of a new process is behind, so it shortens the lease only to the longest one. The leader assumed that only once it had noticed the restart, which takes an answer.

Change: leases granted while the latest answer listed neither runs nor ends count as the longest ones until a later poll is answered. Workers that are polled all the time keep the usual time.

Cost: when an idle worker falls silent right after a start, its task starts elsewhere after up to 6.5 s instead of 4.6 s.

--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -155,6 +155,9 @@
     /// Grants a lease from `now` and returns its deadline on the worker's clock. Returns `None`
     /// while that clock is unknown, or while the worker does not answer or the stored list shows it
     /// as silent: its runs are given up when the leases granted before have expired.
+    ///
+    /// A worker that listed nothing was not polled since, so a process with another clock may have
+    /// taken its place. That process shortens the lease only to the longest one.
     pub fn grant_lease(&mut self, key: WorkerKey, now: Instant) -> Option<u64> {
         let expiry = now + self.lease_expiry();
         let lease_ms = u64::try_from(self.lease().as_millis()).unwrap_or(u64::MAX / 2);
@@ -164,6 +167,16 @@
         let worker = self.workers.get_mut(key).filter(|w| !w.unreachable)?;
         let clock_ms = worker.clock_ms(now)?;
         worker.lease_until = worker.lease_until.max(expiry);
+        if !worker.lists_runs && !worker.lists_ends {
+            worker.unverified_grant = Some(now);
+        }
         Some(clock_ms + lease_ms)
     }
+
+    /// Returns when all leases granted to a worker have expired.
+    pub(super) fn last_lease_expiry(&self, worker: &Worker) -> Instant {
+        let unverified = worker.unverified_grant;
+        let longest = unverified.map(|at| at + self.longest_lease_expiry());
+        worker.lease_until.max(longest.unwrap_or_default())
+    }
 }
--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -149,7 +149,7 @@
                 machine: worker.profile.machine.clone(),
                 born_ms: worker.profile.born_ms,
                 silent: worker.unreachable || worker.delisted,
-                lease_ms: remaining_ms(worker.lease_until, now),
+                lease_ms: remaining_ms(self.last_lease_expiry(worker), now),
                 tasks: worker.runs.iter().map(task).collect(),
                 unknown: false,
             }
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -41,6 +41,8 @@
             log::warn!(event = "worker-restarted", worker = worker.profile.id,
                 runs = worker.runs.len(), listed = snapshot.running.len(); "");
         }
+        // Earlier leases were granted by the clock of this process, or its start was noticed above.
+        worker.unverified_grant.take_if(|at| *at <= sent);
         self.record_answer(key, snapshot, now);
         for ended in &snapshot.ended {
             if ended.position > self.workers[key].last_end_position {
@@ -78,6 +80,7 @@
         (worker.answered_at, worker.unreachable) = (Some(now), false);
         worker.absent_since = None;
         worker.lists_ends = !snapshot.ended.is_empty();
+        worker.lists_runs = !snapshot.running.is_empty();
         // While there are more ends, a task may have ended there without being listed yet.
         if !snapshot.has_more_ends {
             self.uncontacted.remove(&id);
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -46,7 +46,9 @@
     fn drop_expired(&mut self, now: Instant) {
         let sole_leader_until = self.sole_leader_until(now);
         let has_expired = |w: &super::Worker| {
-            !w.runs.is_empty() && w.answered_at.is_some() && w.lease_until < sole_leader_until
+            !w.runs.is_empty()
+                && w.answered_at.is_some()
+                && self.last_lease_expiry(w) < sole_leader_until
         };
         for key in keys_where(&self.workers, has_expired) {
             self.lose_runs(key, "lease lapsed");
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -15,8 +15,11 @@
     /// Start time of the process whose ends were read, in milliseconds since 1970; 0 before the
     /// first poll.
     pub(super) born_ms: u64,
-    /// When the granted leases have expired.
+    /// When the granted leases have expired, unless [`Worker::unverified_grant`] is set.
     pub(super) lease_until: Instant,
+    /// When a lease was last granted to a process that may be another one than the latest answer
+    /// came from.
+    pub(super) unverified_grant: Option<Instant>,
     /// When its current process first answered, and when it last did.
     pub(super) first_answered_at: Option<Instant>,
     pub(super) answered_at: Option<Instant>,
@@ -36,6 +39,9 @@
     /// Whether the latest poll was answered and listed ends. Otherwise the next call may reach another
     /// process, whose ends have other positions.
     pub(super) lists_ends: bool,
+    /// Whether the latest answer to a poll listed runs. Otherwise the worker may not have been
+    /// polled since.
+    pub(super) lists_runs: bool,
     /// Different jobs that failed on it in a row.
     pub(super) failed_jobs: Vec<JobKey>,
     /// Time before which it gets no starts.
@@ -55,6 +61,7 @@
             clock: None,
             born_ms: 0,
             lease_until: Instant::default(),
+            unverified_grant: None,
             first_answered_at: None,
             answered_at: None,
             unreachable: false,
@@ -65,6 +72,7 @@
             unstored_ends: Vec::new(),
             acknowledged_position: 0,
             lists_ends: false,
+            lists_runs: false,
             failed_jobs: Vec::new(),
             shunned_until: Instant::default(),
             cordoned: false,
--- a/tests/batch/restart.rs
+++ b/tests/batch/restart.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
-use coriandernotch::batch::{Order, Reply, RunKey, Running, Snapshot, WorkerKey};
+use coriandernotch::batch::{Order, Reply, RunKey, Running, Snapshot, Tuning, WorkerKey};
 
-use crate::simulation::{Simulation, record, step};
+use crate::simulation::{Simulation, profile, record, step};
 
 /// Start time of the second process of the worker in these tests, in milliseconds since 1970.
 const SECOND_BORN_MS: u64 = 2;
@@ -102,6 +102,49 @@
     assert_eq!(place(&mut sim).len(), 1);
 }
 
+/// Returns the time until the task of a run starts on another worker while its own worker does not
+/// answer.
+fn time_until_restart(sim: &mut Simulation, key: WorkerKey) -> Duration {
+    let begun = sim.now;
+    sim.add(profile("other", "s"));
+    while place(sim).is_empty() {
+        sim.now = sim.now + Duration::from_millis(100);
+        sim.engine.record_no_answer(key);
+        sim.engine.check_runs_and_workers(sim.now);
+        answer_other(sim);
+        sim.renew();
+    }
+    sim.now.since(begun)
+}
+
+/// Processes an answer of the worker `other`.
+fn answer_other(sim: &mut Simulation) {
+    let addresses = sim.engine.worker_addresses();
+    let other = addresses.iter().find(|(_, id, _)| &**id == "other");
+    answer(sim, other.unwrap().0, Vec::new());
+}
+
+/// Guards against taking the lease of a run as expired too early. The order was granted by the
+/// clock of the old process of its worker, so the new one held the longest lease and the task
+/// started a second time beside it (rule TWICE).
+#[test]
+fn assumes_the_longest_lease_of_a_process_that_may_be_new() {
+    let longest = Tuning::default().lease;
+    for reply in [Reply::Started, Reply::Unknown] {
+        let (mut sim, key) = with_replaced_process();
+        sim.accept("j", record(vec![step(1)]));
+        let run = place(&mut sim)[0];
+        sim.engine.launch(run, sim.now).unwrap();
+        sim.engine.grant_lease(key, sim.now).unwrap();
+        sim.engine.record_start_outcome(run, &reply, None, sim.now);
+        let restarted_after = time_until_restart(&mut sim, key);
+        assert!(
+            restarted_after > longest.mul_f64(1.02),
+            "{restarted_after:?}"
+        );
+    }
+}
+
 /// Guards against acknowledging ends of the new process of a worker by the position of the old one.
 /// They were forgotten unread, and their tasks ran again (rule TWICE).
 #[test]
