Split the review of runs into short functions

stop_stalled and copy_slow_runs looked up the step of a run in the same way and decided in one long loop.

--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -2,8 +2,8 @@
 
 use slotmap::{Key, SlotMap};
 
-use super::{Engine, StageKey};
-use crate::batch::{RunKey, WorkerKey};
+use super::{Engine, Run, StageKey};
+use crate::batch::{JobKey, RunKey, Step, TaskId, WorkerKey};
 use crate::clock::Instant;
 
 /// Time without progress after which a task counts as stalled, as a multiple of its estimate.
@@ -12,6 +12,9 @@
 /// Shortest time without progress after which a task counts as stalled.
 const MIN_STALL_TIME: Duration = Duration::from_millis(1_500);
 
+/// Age of the latest answer of a worker from which nothing follows about its runs.
+const MAX_ANSWER_AGE: Duration = Duration::from_secs(1);
+
 /// Age of a run, as a multiple of its estimate, from which a copy of it may be started.
 const COPY_AGE_FACTOR: f64 = 2.0;
 
@@ -76,31 +79,11 @@
 
     /// Stops runs that make no progress, so that their tasks restart elsewhere.
     fn stop_stalled(&mut self, now: Instant) {
-        let mut stalled: Vec<RunKey> = Vec::new();
-        for (key, run) in &self.runs {
-            let Some(step) = self.jobs[run.job]
-                .record
-                .spec
-                .steps
-                .get(run.task.step as usize)
-            else {
-                continue;
-            };
-            let stall_time = step.estimate().mul_f64(STALL_FACTOR).max(MIN_STALL_TIME);
-            let is_running = run.confirmed_at.is_some() && run.stopping_since.is_none();
-            let answered_at = self.workers.get(run.worker).and_then(|w| w.answered_at);
-            let has_recent_answer =
-                answered_at.is_some_and(|at| now.since(at) < Duration::from_secs(1));
-            let is_stalled = if run.lasting {
-                run.percent < 100 && now.since(run.progressed_at) > self.tuning.notice
-            } else {
-                now.since(run.progressed_at) > stall_time
-            };
-            let at_full_speed = run.pace_percent == 100;
-            if is_running && has_recent_answer && at_full_speed && is_stalled {
-                stalled.push(key);
-            }
-        }
+        let stalled = self
+            .runs
+            .iter()
+            .filter(|(_, run)| self.is_stalled(run, now));
+        let stalled: Vec<RunKey> = stalled.map(|(key, _)| key).collect();
         for key in stalled {
             let run = &self.runs[key];
             let (job, task, worker) = (run.job, run.task.clone(), run.worker);
@@ -114,10 +97,35 @@
         }
     }
 
+    /// Returns whether a run works at full speed on a worker that answers, and makes no progress.
+    fn is_stalled(&self, run: &Run, now: Instant) -> bool {
+        let Some(step) = self.step_of(run) else {
+            return false;
+        };
+        if run.confirmed_at.is_none() || run.stopping_since.is_some() || run.pace_percent < 100 {
+            return false;
+        }
+        if self.time_since_answer(run.worker, now) >= MAX_ANSWER_AGE {
+            return false;
+        }
+        let unchanged_for = now.since(run.progressed_at);
+        if run.lasting {
+            run.percent < 100 && unchanged_for > self.tuning.notice
+        } else {
+            unchanged_for > step.estimate().mul_f64(STALL_FACTOR).max(MIN_STALL_TIME)
+        }
+    }
+
+    /// Returns the step of a run, or `None` if its job has no such step.
+    fn step_of(&self, run: &Run) -> Option<&Step> {
+        let steps = &self.jobs[run.job].record.spec.steps;
+        steps.get(run.task.step as usize)
+    }
+
     /// Repeats stop orders that a worker did not carry out.
     fn repeat_stops(&mut self, now: Instant) {
         let repeat_before = now - (REPEAT_STOP_AFTER + self.tuning.stop);
-        let is_overdue = |run: &super::Run| run.stopping_since.is_some_and(|at| at < repeat_before);
+        let is_overdue = |run: &Run| run.stopping_since.is_some_and(|at| at < repeat_before);
         for key in keys_where(&self.runs, is_overdue) {
             self.runs[key].stopping_since = None;
             self.stop_run(key, now);
@@ -127,7 +135,7 @@
     /// Returns whether a run is slow compared with the other tasks of its step. Age alone does not
     /// show it: declared times can be far too short, and then all tasks of a step take longer than
     /// declared.
-    fn is_straggler(&self, run: &super::Run, age: Duration) -> bool {
+    fn is_straggler(&self, run: &Run, age: Duration) -> bool {
         let stage = self.stage(run.job, run.task.occurrence, run.task.step);
         stage.is_some_and(|stage| match stage.tasks.len() {
             1 => age > SINGLE_TASK_SLOW_AFTER,
@@ -147,52 +155,55 @@
     /// Starts copies of runs that take much longer than declared, or whose worker does not answer.
     fn copy_slow_runs(&mut self, now: Instant) {
         let used_fractions = self.used_fractions();
-        let mut slow = Vec::new();
-        for run in self.runs.values() {
-            let service = &self.jobs[run.job].service;
+        let needs_copy = |run: &&Run| {
             let silent = self.is_silent(run.worker, now);
-            if !silent
-                && used_fractions
-                    .get(service)
-                    .is_some_and(|fraction| *fraction > MAX_USED_FOR_COPIES)
-            {
-                continue;
-            }
-            let Some(step) = self.jobs[run.job]
-                .record
-                .spec
-                .steps
-                .get(run.task.step as usize)
-            else {
-                continue;
-            };
-            if !step.speculative || step.gang || step.lasting || run.stopping_since.is_some() {
-                continue;
-            }
-            let age = now.since(run.decided_at);
-            let is_only_run = self
-                .task(run.job, &run.task)
-                .is_some_and(|t| !t.done && t.runs.len() == 1);
-            let is_slow = age > step.estimate().mul_f64(COPY_AGE_FACTOR);
-            if is_only_run && (silent || (is_slow && self.is_straggler(run, age))) {
-                slow.push((run.job, run.task.clone(), run.worker, step.clone()));
-            }
+            let used_fraction = used_fractions.get(&self.jobs[run.job].service);
+            let has_room = used_fraction.is_none_or(|fraction| *fraction <= MAX_USED_FOR_COPIES);
+            (silent || has_room) && self.may_be_copied(run) && (silent || self.is_slow(run, now))
+        };
+        let slow = self.runs.values().filter(needs_copy);
+        let slow = slow.map(|run| (run.job, run.task.clone(), run.worker));
+        let slow: Vec<(JobKey, TaskId, WorkerKey)> = slow.collect();
+        for (job, task, worker) in slow {
+            self.copy_run(job, &task, worker, now);
         }
-        for (job, task, worker, step) in slow {
-            let stage_key = StageKey {
-                job,
-                occurrence: task.occurrence,
-                step: task.step,
-            };
-            if let Some(task) = self.task_mut(job, &task)
-                && !task.avoided_workers.contains(&worker)
-            {
-                task.avoided_workers.push(worker);
-            }
-            let chosen = self.choose(stage_key, task.index, &step, None, now);
-            if let Some(other) = chosen.filter(|other| *other != worker) {
-                self.start_run(stage_key, task.index, &step, other, None, now);
-            }
+    }
+
+    /// Returns whether a second run of the task of a run may be started.
+    fn may_be_copied(&self, run: &Run) -> bool {
+        let is_only_run = |task: &super::Task| !task.done && task.runs.len() == 1;
+        run.stopping_since.is_none()
+            && self
+                .step_of(run)
+                .is_some_and(|step| step.speculative && !step.gang && !step.lasting)
+            && self.task(run.job, &run.task).is_some_and(is_only_run)
+    }
+
+    /// Returns whether a run takes much longer than declared and than other tasks of its step.
+    fn is_slow(&self, run: &Run, now: Instant) -> bool {
+        let age = now.since(run.decided_at);
+        let step = self.step_of(run);
+        step.is_some_and(|step| age > step.estimate().mul_f64(COPY_AGE_FACTOR))
+            && self.is_straggler(run, age)
+    }
+
+    /// Starts a second run of a task on another worker than the given one.
+    fn copy_run(&mut self, job: JobKey, task: &TaskId, worker: WorkerKey, now: Instant) {
+        let stage_key = StageKey {
+            job,
+            occurrence: task.occurrence,
+            step: task.step,
+        };
+        let index = task.index;
+        if let Some(task) = self.task_mut(job, task)
+            && !task.avoided_workers.contains(&worker)
+        {
+            task.avoided_workers.push(worker);
+        }
+        let step = self.jobs[job].record.spec.steps[stage_key.step as usize].clone();
+        let chosen = self.choose(stage_key, index, &step, None, now);
+        if let Some(other) = chosen.filter(|other| *other != worker) {
+            self.start_run(stage_key, index, &step, other, None, now);
         }
     }
 
