Ignore late answers from the old address of a restarted worker

A late refusal at the old address and one refused connection at the new one released the runs of a new process that had answered in between.

Cause: a poll in flight when a worker registers with another address is processed after the polls of the new address have begun, and counted for the process that answers there.

Change: an answer with another start time is ignored if its poll was sent before the first answer of the present process, and a refusal if the worker has answered since its call was sent.

Left: a poll of the old address that times out still marks the worker as not answering until the next answer, which costs starts but breaks no rule.

Before: ignores_a_late_answer_of_the_old_process (56 instead of 0) and ignores_a_late_refusal_at_the_old_address failed. After: both pass, with tests/batch (78), tests/entry (35) and tests/takeover_model (12).

--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -22,9 +22,13 @@
             return;
         };
         let restarted = worker.born_ms != snapshot.born_ms && worker.answered_at.is_some();
+        if restarted && worker.first_answered_at.is_some_and(|at| sent < at) {
+            // An earlier process has answered, and its answer arrives late.
+            return;
+        }
         if restarted && self.sole_leader_until(now) < now {
             // A newer leader may have read the ends of the old process.
-            return self.record_missing_process(key, now);
+            return self.record_missing_process(key, sent, now);
         }
         let longest_expiry = self.longest_lease_expiry();
         let worker = &mut self.workers[key];
@@ -224,13 +228,19 @@
         }
     }
 
-    /// Records that the process of a worker is missing: nothing listens at its address, or a newer
-    /// process does. Its runs have ended with it, so there is no need to wait for the lease to
-    /// expire.
-    pub fn record_missing_process(&mut self, key: WorkerKey, now: Instant) {
+    /// Records that a call sent at `sent` found the process of a worker missing: nothing listens at
+    /// its address, or a newer process does. Its runs have ended with it, so there is no need to wait
+    /// for the lease to expire.
+    ///
+    /// A process that has answered since then is at another address, and the call went to that of
+    /// its predecessor.
+    pub fn record_missing_process(&mut self, key: WorkerKey, sent: Instant, now: Instant) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
+        if worker.answered_at.is_some_and(|at| sent < at) {
+            return;
+        }
         worker.set_unreachable();
         let absent_since = *worker.absent_since.get_or_insert(now);
         let id = worker.profile.id.clone();
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -6,7 +6,7 @@
 use super::shared::unix_time_ms;
 use super::term::Term;
 use crate::batch::WorkerKey;
-use crate::clock;
+use crate::clock::{self, Instant};
 use crate::platform::api::{Fault, Worker};
 
 /// Time for which a worker may hold back its response to a poll until a run ends.
@@ -78,7 +78,7 @@
                 }
             }
             Err(fault) => {
-                handle_fault(&term, key, &fault);
+                handle_fault(&term, key, &fault, sent);
                 RETRY_DELAY
             }
         };
@@ -88,13 +88,15 @@
     }
 }
 
-fn handle_fault(term: &Term, key: WorkerKey, fault: &Fault) {
+/// Processes the failure of a poll sent at `sent`.
+fn handle_fault(term: &Term, key: WorkerKey, fault: &Fault, sent: Instant) {
     log::debug!(event = "poll-failed", fault:% = fault; "");
     match fault {
         Fault::Refused { status: 409, .. } => term.end("a worker knows a newer leader"),
         // Another process answers at the address, or none does.
         Fault::Refused { status: 421, .. } | Fault::Absent { .. } => {
-            term.engine().record_missing_process(key, clock::now());
+            let mut engine = term.engine();
+            engine.record_missing_process(key, sent, clock::now());
         }
         Fault::Refused { .. } | Fault::Unsent { .. } | Fault::Unknown { .. } => {
             term.engine().record_no_answer(key);
--- a/tests/batch/ends.rs
+++ b/tests/batch/ends.rs
@@ -156,11 +156,11 @@
     sim.workers.get_mut(&worker).unwrap().silent = true;
     let addresses = sim.engine.worker_addresses();
     let key = addresses.iter().find(|(_, id, _)| *id == worker).unwrap().0;
-    sim.engine.record_missing_process(key, sim.now);
+    sim.engine.record_missing_process(key, sim.now, sim.now);
     sim.run(100);
     assert_eq!(sim.starts.len(), 1, "one failed connection is not proof");
     sim.run(100);
-    sim.engine.record_missing_process(key, sim.now);
+    sim.engine.record_missing_process(key, sim.now, sim.now);
     sim.run(50);
     assert_eq!(sim.starts.len(), 2);
     assert_ne!(sim.starts[1].0, worker);
--- a/tests/batch/restart.rs
+++ b/tests/batch/restart.rs
@@ -1,6 +1,8 @@
 use std::time::Duration;
 
-use coriandernotch::batch::{Order, Reply, RunKey, Running, Snapshot, Tuning, WorkerKey};
+use coriandernotch::batch::{
+    End, Ended, Order, Reply, RunKey, Running, Snapshot, Tuning, WorkerKey,
+};
 
 use crate::simulation::{Simulation, profile, record, step};
 
@@ -164,3 +166,62 @@
     assert_eq!(sim.starts_of("k", 0, 0), 1);
     assert!(sim.ended.contains_key("k"));
 }
+
+/// Guards against taking an answer of the old process, which arrives late from its address, for one
+/// of the new process: the positions of its ends were acknowledged to the new one, which forgot an
+/// end that was not stored (rule TWICE after a change of leader).
+#[test]
+fn ignores_a_late_answer_of_the_old_process() {
+    let (mut sim, key) = with_replaced_process();
+    sim.accept("j", record(vec![step(1)]));
+    let run = place(&mut sim)[0];
+    let launch = sim.engine.launch(run, sim.now).unwrap();
+    let end = |position| Ended {
+        position,
+        task: launch.task.clone(),
+        number: launch.number,
+        how: End::Done,
+        saved: "".into(),
+    };
+    let sent = sim.now;
+    sim.now = sim.now + Duration::from_millis(10);
+    let snapshot = |born_ms, position| Snapshot {
+        clock_ms: 1_000,
+        born_ms,
+        running: Vec::new(),
+        ended: vec![end(position)],
+        has_more_ends: false,
+    };
+    let wall = sim.wall_ms();
+    let new = snapshot(SECOND_BORN_MS, 1);
+    sim.engine.process_poll(key, &new, sim.now, wall, sim.now);
+    assert_eq!(sim.engine.acknowledged(key), 0, "the end is not stored");
+    sim.now = sim.now + Duration::from_millis(10);
+    let old = snapshot(1, 57);
+    sim.engine.process_poll(key, &old, sent, wall, sim.now);
+    assert_eq!(sim.engine.acknowledged(key), 0);
+}
+
+/// Guards against counting a refusal at the address of the old process, which arrives late, as the
+/// first of two that show that the new process is gone. Its runs were released after one failed
+/// connection.
+#[test]
+fn ignores_a_late_refusal_at_the_old_address() {
+    let (mut sim, key) = with_replaced_process();
+    sim.accept("j", record(vec![step(1)]));
+    let run = place(&mut sim)[0];
+    let sent = sim.now;
+    sim.now = sim.now + Duration::from_millis(10);
+    answer(&mut sim, key, Vec::new());
+    sim.engine
+        .record_start_outcome(run, &Reply::Started, None, sim.now);
+    sim.now = sim.now + Duration::from_millis(10);
+    sim.engine.record_missing_process(key, sent, sim.now);
+    sim.now = sim.now + Duration::from_millis(200);
+    sim.renew();
+    sim.engine.record_missing_process(key, sim.now, sim.now);
+    sim.add(profile("other", "s"));
+    answer_other(&mut sim);
+    sim.renew();
+    assert!(place(&mut sim).is_empty());
+}
--- a/tests/takeover_model/schedule.rs
+++ b/tests/takeover_model/schedule.rs
@@ -300,7 +300,7 @@
             }
             WorkerAnswer::Fenced => return self.end_term(instance),
             WorkerAnswer::Missing => {
-                engine.record_missing_process(key, now);
+                engine.record_missing_process(key, call.sent, now);
                 RETRY_DELAY
             }
             _ => {
