--- a/tests/batch/restart.rs
+++ b/tests/batch/restart.rs
@@ -1,8 +1,10 @@
 use std::time::Duration;
 
-use coriandernotch::batch::{Order, Reply, RunKey, Running, Snapshot, Tuning, WorkerKey};
+use coriandernotch::batch::{
+    End, Ended, Order, Profile, Reply, RunKey, Running, Snapshot, Tuning, WorkerKey,
+};
 
-use crate::simulation::{Simulation, profile, record, step};
+use crate::simulation::{Simulation, lasting, profile, record, step};
 
 /// Start time of the second process of the worker in these tests, in milliseconds since 1970.
 const SECOND_BORN_MS: u64 = 2;
@@ -164,3 +166,91 @@
     assert_eq!(sim.starts_of("k", 0, 0), 1);
     assert!(sim.ended.contains_key("k"));
 }
+
+/// Guards against taking an answer of the old process, which arrives late from its address, for one
+/// of the new process: the positions of its ends were acknowledged to the new one, which forgot an
+/// end that was not stored (rule TWICE after a change of leader).
+#[test]
+fn ignores_a_late_answer_of_the_old_process() {
+    let (mut sim, key) = with_replaced_process();
+    sim.accept("j", record(vec![step(1)]));
+    let run = place(&mut sim)[0];
+    let launch = sim.engine.launch(run, sim.now).unwrap();
+    let end = |position| Ended {
+        position,
+        task: launch.task.clone(),
+        number: launch.number,
+        how: End::Done,
+        saved: "".into(),
+    };
+    let sent = sim.now;
+    sim.now = sim.now + Duration::from_millis(10);
+    let snapshot = |born_ms, position| Snapshot {
+        clock_ms: 1_000,
+        born_ms,
+        running: Vec::new(),
+        ended: vec![end(position)],
+        has_more_ends: false,
+    };
+    let wall = sim.wall_ms();
+    let new = snapshot(SECOND_BORN_MS, 1);
+    sim.engine.process_poll(key, &new, sim.now, wall, sim.now);
+    assert_eq!(sim.engine.acknowledged(key), 0, "the end is not stored");
+    sim.now = sim.now + Duration::from_millis(10);
+    let old = snapshot(1, 57);
+    sim.engine.process_poll(key, &old, sent, wall, sim.now);
+    assert_eq!(sim.engine.acknowledged(key), 0);
+}
+
+/// Guards against counting a refusal at the address of the old process, which arrives late, as the
+/// first of two that show that the new process is gone. Its runs were released after one failed
+/// connection.
+#[test]
+fn ignores_a_late_refusal_at_the_old_address() {
+    let (mut sim, key) = with_replaced_process();
+    sim.accept("j", record(vec![step(1)]));
+    let run = place(&mut sim)[0];
+    let sent = sim.now;
+    sim.now = sim.now + Duration::from_millis(10);
+    answer(&mut sim, key, Vec::new());
+    sim.engine
+        .record_start_outcome(run, &Reply::Started, None, sim.now);
+    sim.now = sim.now + Duration::from_millis(10);
+    sim.engine.record_missing_process(key, sent, sim.now);
+    sim.now = sim.now + Duration::from_millis(200);
+    sim.renew();
+    sim.engine.record_missing_process(key, sim.now, sim.now);
+    sim.add(profile("other", "s"));
+    answer_other(&mut sim);
+    sim.renew();
+    assert!(place(&mut sim).is_empty());
+}
+
+/// Guards against releasing the runs of a process because none listens at another address. An older
+/// registration that is stored late names that of an earlier process, and the tasks started again
+/// beside their runs (rule TWICE).
+#[test]
+fn keeps_runs_when_an_address_that_never_answered_is_refused() {
+    let mut sim = Simulation::with_workers(2);
+    sim.accept("j", lasting(1));
+    sim.run(100);
+    let id = sim.starts[0].0.clone();
+    let addresses = sim.engine.worker_addresses();
+    let (key, ..) = *addresses.iter().find(|(_, other, _)| *other == id).unwrap();
+    let older = Profile {
+        born_ms: 0,
+        address: "127.0.0.1:2".into(),
+        ..profile(&id, "s")
+    };
+    sim.engine.update_worker(older);
+    sim.workers.get_mut(&id).unwrap().silent = true;
+    for _ in 0..5 {
+        sim.engine.record_missing_process(key, sim.now, sim.now);
+        sim.run(200);
+    }
+    assert_eq!(sim.starts.len(), 1);
+    sim.engine.update_worker(profile(&id, "s"));
+    sim.workers.get_mut(&id).unwrap().silent = false;
+    sim.run(5_000);
+    assert_eq!((sim.starts.len(), sim.running()), (1, 1));
+}
