Limit the occurrences of a scheduled job that begin at once

Seen: a job with 4,294,967,295 occurrences that are all due ends the process of the leader: with 6 GB of address space, `memory allocation of 88 bytes failed`. The job is stored, so each new leader ends in the same way.

Change: the next occurrence of a job begins while fewer than 1,000 of its tasks are unfinished.

Test: leads_on_with_odd_jobs has such a job. Its other jobs now arrive when they are accepted instead of at the start of the simulation; else they are late, and tie with the overdue occurrences.

Before: the test ran out of memory. After: it passes.

--- a/src/batch/engine/accept.rs
+++ b/src/batch/engine/accept.rs
@@ -10,6 +10,10 @@
 /// from the last renewal, and a poll that was answered a second before.
 const LEASE_FRACTION: f64 = 0.7;
 
+/// Unfinished tasks of a scheduled job at which its next occurrence waits. Billions of occurrences
+/// can be due at once; each takes memory and time in every scheduling round.
+const MAX_UNFINISHED_TASKS: usize = 1_000;
+
 impl Engine {
     /// Loads a stored job. A job that is known already, or has ended, stays unchanged: what was
     /// read of it may be older than what this engine has stored since.
@@ -210,15 +214,9 @@
         self.mark_ready_stages(key);
     }
 
-    /// Begins the occurrences that are due.
+    /// Begins the occurrences that are due, as far as their jobs may have further unfinished tasks.
     pub(super) fn begin_due_occurrences(&mut self, wall_ms: u64) {
-        let is_due = |job: &Job| {
-            let spec = &job.record.spec;
-            job.next_occurrence < spec.occurrence_count()
-                && spec
-                    .due_ms(job.next_occurrence)
-                    .is_some_and(|at| at <= wall_ms)
-        };
+        let is_due = |job: &Job| job.is_occurrence_due(wall_ms);
         let keys: Vec<JobKey> = self
             .jobs
             .iter()
@@ -227,10 +225,12 @@
             .collect();
         self.submissions.remove_old(wall_ms);
         for key in keys {
-            while is_due(&self.jobs[key]) {
-                let job = &mut self.jobs[key];
-                job.occurrences
-                    .push(Occurrence::new(job.next_occurrence, &job.record.spec));
+            let job = &mut self.jobs[key];
+            let mut unfinished = job.unfinished_tasks();
+            while unfinished < MAX_UNFINISHED_TASKS && job.is_occurrence_due(wall_ms) {
+                let occurrence = Occurrence::new(job.next_occurrence, &job.record.spec);
+                unfinished += occurrence.unfinished_tasks();
+                job.occurrences.push(occurrence);
                 job.next_occurrence += 1;
             }
             self.mark_ready_stages(key);
--- a/src/batch/engine/job.rs
+++ b/src/batch/engine/job.rs
@@ -57,6 +57,19 @@
         (work.sum::<f64>() as u64).min(MAX_WORK)
     }
 
+    /// Returns whether the next scheduled occurrence is due.
+    pub(super) fn is_occurrence_due(&self, wall_ms: u64) -> bool {
+        let spec = &self.record.spec;
+        let due_ms = spec.due_ms(self.next_occurrence);
+        self.next_occurrence < spec.occurrence_count() && due_ms.is_some_and(|at| at <= wall_ms)
+    }
+
+    /// Counts the tasks of its occurrences that are not done.
+    pub(super) fn unfinished_tasks(&self) -> usize {
+        let occurrences = self.occurrences.iter();
+        occurrences.map(Occurrence::unfinished_tasks).sum()
+    }
+
     /// Returns the progress to store.
     pub(super) fn progress(&self) -> Progress {
         let mut progress = Progress {
--- a/src/batch/engine/occurrence.rs
+++ b/src/batch/engine/occurrence.rs
@@ -18,4 +18,9 @@
     pub(super) fn is_complete(&self) -> bool {
         self.stages.iter().all(|stage| stage.unfinished == 0)
     }
+
+    /// Counts the tasks that are not done.
+    pub(super) fn unfinished_tasks(&self) -> usize {
+        self.stages.iter().map(|stage| stage.unfinished).sum()
+    }
 }
--- a/tests/batch/odd_jobs.rs
+++ b/tests/batch/odd_jobs.rs
@@ -19,6 +19,10 @@
         ),
         job(r#"{"count":4294967295,"cpu":500,"estimateMs":900}"#, ""),
         job(r#"{"count":1,"cpu":500,"estimateMs":900}"#, repeated),
+        job(
+            r#"{"count":1,"cpu":500,"estimateMs":900}"#,
+            r#","runCount":4294967295,"startTimeMs":0,"intervalMs":0"#,
+        ),
     ]
 }
 
@@ -36,7 +40,11 @@
             sim.accept(&format!("odd-{number}"), odd);
         }
         let good = format!("good-{number}");
-        sim.accept(&good, record(vec![step(1)]));
+        let arriving = Record {
+            arrived_ms: sim.wall_ms(),
+            ..record(vec![step(1)])
+        };
+        sim.accept(&good, arriving);
         sim.engine.plan_moves(sim.now);
         sim.run(2_000);
         assert_eq!(sim.ended[&*good].0, State::Completed, "beside job {number}");
