Remember ended jobs until their rows are deleted

Rows of ended jobs stay in the store (`deletes_the_ended_jobs_of_each_partition`, not deleted in 20 s).

Cause: `History` forgets ended jobs when they become due, before their deletion is confirmed. A write to one partition takes the due jobs of all partitions and deletes only its own. The feed goes on from the lowest version of the load, so it reports jobs that the load already holds, and a reported job that the engine does not know counts as new.

Change: a write takes only the due jobs of its partition, and they are forgotten once the write is applied. The stand-in of the store can hold back reads and refuse one feed.

If jobs are forgotten when they are taken, `starts_no_ended_job_again_whose_rows_are_being_deleted` fails (2 starts).

--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -69,11 +69,22 @@
         }
     }
 
-    /// Takes the ids of up to `limit` ended jobs whose retention time is over.
-    pub fn take_outdated(&mut self, wall_ms: u64, limit: usize) -> Vec<Arc<str>> {
+    /// Takes the ids of up to `limit` ended jobs whose retention time is over and for which
+    /// `selected` holds, to delete their rows.
+    pub fn take_outdated(
+        &mut self,
+        wall_ms: u64,
+        limit: usize,
+        selected: impl Fn(&str) -> bool,
+    ) -> Vec<Arc<str>> {
         let retention_ms = u64::try_from(self.tuning.retention.as_millis()).unwrap_or(u64::MAX);
         self.history
-            .take_before(wall_ms.saturating_sub(retention_ms), limit)
+            .take_before(wall_ms.saturating_sub(retention_ms), limit, selected)
+    }
+
+    /// Records that the rows of ended jobs are deleted.
+    pub fn record_deletion(&mut self, ids: &[Arc<str>]) {
+        self.history.forget(ids);
     }
 
     /// Returns the position up to which the ends of a worker may be acknowledged, because their
--- a/src/batch/engine/history.rs
+++ b/src/batch/engine/history.rs
@@ -3,11 +3,13 @@
 
 use crate::collections::Set;
 
-/// Ended jobs that callers can still query, in the order in which they were added.
+/// Ended jobs whose rows are stored.
 #[derive(Clone, Debug, Default)]
 pub(super) struct History {
-    /// End time of each job, in milliseconds since 1970, and its id.
+    /// End time in milliseconds since 1970 and id of each job whose rows are not being deleted, in
+    /// the order in which they were added.
     entries: VecDeque<(u64, Arc<str>)>,
+    /// Ids of all jobs.
     ids: Set<Arc<str>>,
 }
 
@@ -23,14 +25,33 @@
         }
     }
 
-    /// Removes and returns up to `limit` jobs that ended before `before_ms`.
-    pub(super) fn take_before(&mut self, before_ms: u64, limit: usize) -> Vec<Arc<str>> {
-        let entries = self.entries.iter().take(limit);
-        let count = entries.take_while(|(ended, _)| *ended < before_ms).count();
-        let removed: Vec<Arc<str>> = self.entries.drain(..count).map(|(_, id)| id).collect();
-        for id in &removed {
+    /// Takes up to `limit` jobs that ended before `before_ms` and for which `selected` holds, to
+    /// delete their rows. They remain known until [`History::forget`], since a read may still show
+    /// them.
+    pub(super) fn take_before(
+        &mut self,
+        before_ms: u64,
+        limit: usize,
+        selected: impl Fn(&str) -> bool,
+    ) -> Vec<Arc<str>> {
+        let entries = self.entries.iter().enumerate();
+        let positions: Vec<usize> = entries
+            .take_while(|(_, (ended_ms, _))| *ended_ms < before_ms)
+            .filter(|(_, (_, id))| selected(id))
+            .map(|(position, _)| position)
+            .take(limit)
+            .collect();
+        let positions = positions.into_iter().rev();
+        positions
+            .filter_map(|position| self.entries.remove(position))
+            .map(|(_, id)| id)
+            .collect()
+    }
+
+    /// Forgets jobs whose rows are deleted.
+    pub(super) fn forget(&mut self, ids: &[Arc<str>]) {
+        for id in ids {
             self.ids.remove(id);
         }
-        removed
     }
 }
--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -29,10 +29,13 @@
     writer: Writer,
 }
 
-/// Changes of jobs that one transaction stores, with the number of each change.
+/// Changes that one transaction stores.
 struct Changes {
     transaction: Transaction,
+    /// Changed jobs, with the number of each change.
     jobs: Vec<(JobKey, u64)>,
+    /// Ended jobs whose rows are deleted.
+    deleted: Vec<Arc<str>>,
 }
 
 /// Stores changes of jobs while this instance leads.
@@ -88,6 +91,7 @@
                     for (job, change) in changes.jobs {
                         engine.record_stored_change(job, change);
                     }
+                    engine.record_deletion(&changes.deleted);
                     return;
                 }
                 Ok(false) => return term.end("a newer leader writes"),
@@ -99,7 +103,8 @@
 
     fn take_changes(&self, term: &Term) -> Option<Changes> {
         let mut engine = term.engine();
-        let rows = engine.take_unstored(MAX_BATCH_JOBS, |job| partition::of(job) == self.name);
+        let is_here = |job: &str| partition::of(job) == self.name;
+        let rows = engine.take_unstored(MAX_BATCH_JOBS, is_here);
         if rows.is_empty() {
             return None;
         }
@@ -114,15 +119,18 @@
                 .push((PROGRESS, id.to_string(), row::encode(&progress)));
             jobs.push((key, change));
         }
-        let outdated = engine.take_outdated(unix_time_ms(), MAX_DELETED_JOBS);
-        // Outdated jobs beyond the limit are deleted with later writes. Those of other partitions
-        // stay in the store until a new leader loads them and deletes them.
-        for id in outdated.iter().filter(|id| partition::of(id) == self.name) {
+        // Outdated jobs beyond the limit are deleted with later writes.
+        let deleted = engine.take_outdated(unix_time_ms(), MAX_DELETED_JOBS, is_here);
+        for id in &deleted {
             transaction.deletes.push((JOBS, id.to_string()));
             transaction.deletes.push((JOBS, row::cancel_key(id)));
             transaction.deletes.push((PROGRESS, id.to_string()));
         }
-        Some(Changes { transaction, jobs })
+        Some(Changes {
+            transaction,
+            jobs,
+            deleted,
+        })
     }
 
     /// Sends one transaction on condition that the fence row is unchanged. Returns true if it was
--- /dev/null
+++ b/tests/batch/history.rs
@@ -0,0 +1,43 @@
+use std::time::Duration;
+
+use coriandernotch::batch::Tuning;
+
+use crate::simulation::{Simulation, record, step};
+
+/// Maximum number of jobs to delete in one transaction.
+const LIMIT: usize = 10;
+
+/// Runs the job `j` and waits until its retention time is over.
+fn with_outdated_job() -> Simulation {
+    let mut sim = Simulation::with_workers(1);
+    sim.accept("j", record(vec![step(1)]));
+    sim.run(1_000);
+    assert!(sim.ended.contains_key("j"));
+    sim.now = sim.now + Tuning::default().retention + Duration::from_secs(1);
+    sim
+}
+
+/// Guards against running a job again that has ended and whose rows are still stored, when the store
+/// reports it once more (rule TWICE).
+#[test]
+fn starts_no_ended_job_again_whose_rows_are_being_deleted() {
+    let mut sim = with_outdated_job();
+    let wall = sim.wall_ms();
+    let taken = sim.engine.take_outdated(wall, LIMIT, |_| true);
+    assert_eq!(taken, ["j".into()]);
+    sim.accept("j", record(vec![step(1)]));
+    sim.run(100);
+    assert_eq!(sim.starts.len(), 1);
+}
+
+/// Guards against ended jobs that stay in the store, because they became due with a transaction of
+/// another partition.
+#[test]
+fn deletes_a_job_with_a_transaction_of_its_partition() {
+    let mut sim = with_outdated_job();
+    let wall = sim.wall_ms();
+    assert!(sim.engine.take_outdated(wall, LIMIT, |_| false).is_empty());
+    let taken = sim.engine.take_outdated(wall, LIMIT, |_| true);
+    assert_eq!(taken, ["j".into()]);
+    assert!(sim.engine.take_outdated(wall, LIMIT, |_| true).is_empty());
+}
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -2,6 +2,7 @@
 
 mod ends;
 mod handover;
+mod history;
 mod maintenance;
 mod members;
 mod odd_jobs;
--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
 
+use crate::platform::job;
 use crate::port::free_address;
 
 /// Time within which a test must reach each expected state; it normally takes far less.
@@ -25,6 +26,20 @@
     pub(crate) store: SocketAddr,
 }
 
+impl Instance {
+    /// Submits a job of one task.
+    pub(crate) async fn submit(&self, path: &str, payload: &str) {
+        let body = job(payload, 1);
+        request_until(self.callers, "POST", path, &body, |s, _| s == 200).await;
+    }
+
+    /// Waits until the instance reports a job in a state.
+    pub(crate) async fn wait_for_state(&self, path: &str, state: &str) {
+        let is_in_state = |_, answer: &Value| answer["state"] == state;
+        request_until(self.callers, "GET", path, &json!({}), is_in_state).await;
+    }
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         // Fails if the process has already ended.
@@ -38,7 +53,19 @@
 }
 
 pub(crate) fn start_with_output(name: &str, store: SocketAddr, stdout: Stdio) -> Instance {
-    start_with_outputs(name, store, stdout, Stdio::inherit())
+    start_with_outputs(name, store, &bounds(), [stdout, Stdio::inherit()])
+}
+
+/// Starts an instance that deletes ended jobs after `retention_s` seconds.
+pub(crate) fn start_with_retention(name: &str, store: SocketAddr, retention_s: u64) -> Instance {
+    let mut bounds = bounds();
+    bounds["status-s"] = json!(retention_s);
+    start_with_outputs(name, store, &bounds, [Stdio::null(), Stdio::inherit()])
+}
+
+/// Returns the bounds in the settings of an instance.
+fn bounds() -> Value {
+    json!({"grace-s": 1.0})
 }
 
 /// Starts an instance that writes standard output and standard error to files, and returns their
@@ -48,13 +75,18 @@
         let file = format!("coriandernotch-{}-{name}.{suffix}", std::process::id());
         std::env::temp_dir().join(file)
     });
-    let [stdout, stderr] = paths
+    let outputs = paths
         .each_ref()
         .map(|path| File::create(path).unwrap().into());
-    (start_with_outputs(name, store, stdout, stderr), paths)
+    (start_with_outputs(name, store, &bounds(), outputs), paths)
 }
 
-fn start_with_outputs(name: &str, store: SocketAddr, stdout: Stdio, stderr: Stdio) -> Instance {
+fn start_with_outputs(
+    name: &str,
+    store: SocketAddr,
+    bounds: &Value,
+    [stdout, stderr]: [Stdio; 2],
+) -> Instance {
     let (callers, readiness, metrics) = (free_address(), free_address(), free_address());
     let settings = json!({
         "name": name,
@@ -63,7 +95,7 @@
         "readiness": readiness,
         "metrics": metrics,
         "store": store,
-        "bounds": {"grace-s": 1.0},
+        "bounds": bounds,
     });
     let folder = std::env::temp_dir();
     let path = folder.join(format!(
@@ -126,6 +158,15 @@
     String::from_utf8(body.to_vec()).unwrap()
 }
 
+/// Waits until a state is reached, which `what` describes.
+pub(crate) async fn wait_until(what: &str, is_reached: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !is_reached() {
+        assert!(begun.elapsed() < TIMEOUT, "{what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Waits until an instance that answers requests serves a line among its metrics.
 pub(crate) async fn wait_for_metric(instance: &Instance, line: &str) {
     let begun = Instant::now();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -3,7 +3,9 @@
 mod contract;
 mod end;
 mod handover;
+mod hold;
 mod instance;
+mod load;
 mod log;
 mod mode;
 mod odd_entries;
@@ -11,6 +13,7 @@
 mod platform;
 mod port;
 mod process;
+mod retention;
 mod run;
 mod standin;
 mod store;
--- a/tests/entry/platform.rs
+++ b/tests/entry/platform.rs
@@ -9,6 +9,13 @@
 pub(crate) const ONE: &str = "/q/00000000000000a1";
 /// Path of the second job of a test.
 pub(crate) const TWO: &str = "/q/00000000000000a2";
+/// Path of the third job of a test, which is stored in the same partition as [`ONE`].
+pub(crate) const THREE: &str = "/q/00000000000000a3";
+
+/// Returns the id in the path of a job.
+pub(crate) fn id(path: &str) -> &str {
+    path.rsplit('/').next().unwrap()
+}
 
 /// Builds a job of one step with a declared run time of 100 ms. The payload is the run time of its
 /// tasks in milliseconds, or a word for tasks that do not end by themselves.
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::hold::{Hold, Moment};
 use crate::mode::Mode;
 use crate::standin::{Call, serve};
 
@@ -40,6 +41,10 @@
     version: u64,
     mode: Mode,
     calls: u64,
+    /// Reads that are held back, each with the number of calls that it has reached.
+    holds: Vec<(Hold, u64)>,
+    /// Table whose feed answers status 503.
+    failing_feed: Option<&'static str>,
 }
 
 impl Store {
@@ -62,6 +67,28 @@
         state.history.clear();
     }
 
+    /// Holds back the reads that match from now on.
+    pub(crate) fn hold(&self, hold: Hold) {
+        self.state.lock().unwrap().holds.push((hold, 0));
+    }
+
+    /// Returns whether a call is or was held back by `hold`.
+    pub(crate) fn is_reached(&self, hold: Hold) -> bool {
+        let state = self.state.lock().unwrap();
+        let mut holds = state.holds.iter();
+        holds.any(|(known, calls)| *known == hold && *calls > 0)
+    }
+
+    /// Answers all reads that are held back.
+    pub(crate) fn release(&self) {
+        self.state.lock().unwrap().holds.clear();
+    }
+
+    /// Refuses the feed of one table, or of none.
+    pub(crate) fn set_failing_feed(&self, table: Option<&'static str>) {
+        self.state.lock().unwrap().failing_feed = table;
+    }
+
     /// Writes a row like an operator or a worker, outside of any partition.
     pub(crate) fn write(&self, table: &str, key: &str, value: &Value) {
         self.write_raw(table, key, value.to_string().as_bytes());
@@ -131,7 +158,7 @@
         }
         let answer = match call.path.as_str() {
             "/api/rows-tx" => self.transact(&call),
-            "/api/rows-get" => self.get(&call),
+            "/api/rows-get" => self.get_or_hold(&call).await,
             "/api/rows-feed" => self.feed(&call).await,
             _ => (404, json!({})),
         };
@@ -175,6 +202,28 @@
         (200, json!({"ver": version, "nowMs": 1}))
     }
 
+    async fn get_or_hold(&self, call: &Call) -> (u16, Value) {
+        self.wait_for_release(call, Moment::Before).await;
+        let answer = self.get(call);
+        self.wait_for_release(call, Moment::After).await;
+        answer
+    }
+
+    /// Waits while a read is held back at `moment`.
+    async fn wait_for_release(&self, call: &Call, moment: Moment) {
+        let matches = |hold: &Hold| hold.moment == moment && hold.matches(call);
+        for (hold, calls) in &mut self.state.lock().unwrap().holds {
+            *calls += u64::from(matches(hold));
+        }
+        let is_held = || {
+            let state = self.state.lock().unwrap();
+            state.holds.iter().any(|(hold, _)| matches(hold))
+        };
+        while is_held() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     fn get(&self, call: &Call) -> (u16, Value) {
         let state = self.state.lock().unwrap();
         let (from, to) = (call.query("from"), call.query("target"));
@@ -207,6 +256,9 @@
 
     async fn feed(&self, call: &Call) -> (u16, Value) {
         let deadline = Instant::now() + Duration::from_millis(call.number("waitMs"));
+        if self.state.lock().unwrap().failing_feed == Some(call.query("table")) {
+            return (503, json!({}));
+        }
         loop {
             let changed = self.changed.notified();
             {
--- a/tests/entry/takeover.rs
+++ b/tests/entry/takeover.rs
@@ -1,8 +1,6 @@
-use std::time::{Duration, Instant};
-
 use serde_json::json;
 
-use crate::instance::{Instance, TIMEOUT, request_until, start_instance, wait_for_metric};
+use crate::instance::{Instance, request_until, start_instance, wait_for_metric, wait_until};
 use crate::mode::Mode;
 use crate::platform::{ONE, TWO, job, register, start_platform};
 use crate::store::Store;
@@ -67,14 +65,6 @@
     }
 }
 
-async fn wait_until(what: &str, is_reached: impl Fn() -> bool) {
-    let begun = Instant::now();
-    while !is_reached() {
-        assert!(begun.elapsed() < TIMEOUT, "{what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// Guards against a new leader that knows only the workers in the list of the store. The
 /// registration of a worker expired while the store was away, and its tasks were started a second
 /// time on another worker (rule TWICE).
--- a/tests/entry/worker.rs
+++ b/tests/entry/worker.rs
@@ -98,6 +98,24 @@
         }
     }
 
+    /// Ends all runs of a job as done.
+    pub(crate) fn end_runs(&self, job: &str) {
+        let mut state = self.state.lock().unwrap();
+        let mut position = state.position;
+        let is_of_job = |run: &&mut Run| run.end.is_none() && run.task.starts_with(job);
+        for run in state.runs.iter_mut().filter(is_of_job) {
+            position += 1;
+            run.end(position, "done", Instant::now());
+        }
+        state.position = position;
+    }
+
+    /// Counts the starts of tasks of a job.
+    pub(crate) fn starts_of(&self, job: &str) -> usize {
+        let starts = self.starts().into_iter();
+        starts.filter(|(task, _)| task.starts_with(job)).count()
+    }
+
     /// Stops carrying out calls and answering them.
     pub(crate) fn freeze(&self) {
         self.state.lock().unwrap().frozen = true;
