Remember deleted jobs until the feed has passed their deletion

Seen: the stand-in of the store discards its history, so the leader reads all jobs again.

Cause: both reads show different versions. A job without a progress row counts as new, and the leader has forgotten the job with the deletion of its rows.

Change: an ended job is forgotten once the feed has reported a version at or after its deletion. No later read shows the job, so a job that the leader does not know is new. Reading all jobs again therefore takes no progress rows. Weighed: to read the progress before the jobs closes this case with twice the calls, but not that of the feed; to skip rows up to the version of the feed leaves rows of pages that are newer than the version of the load.

--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -82,9 +82,15 @@
             .take_before(wall_ms.saturating_sub(retention_ms), limit, selected)
     }
 
-    /// Records that the rows of ended jobs are deleted.
-    pub fn record_deletion(&mut self, ids: &[Arc<str>]) {
-        self.history.forget(ids);
+    /// Records that the rows of ended jobs were deleted at a version of the store.
+    pub fn record_deletion(&mut self, ids: Vec<Arc<str>>, version: u64) {
+        self.history.record_deletion(ids, version);
+    }
+
+    /// Forgets the ended jobs whose rows were deleted up to `version`. No read of the store that
+    /// is passed to this engine from now on may be older.
+    pub fn forget_deleted(&mut self, version: u64) {
+        self.history.forget_deleted(version);
     }
 
     /// Returns the position up to which the ends of a worker may be acknowledged, because their
--- a/src/batch/engine/history.rs
+++ b/src/batch/engine/history.rs
@@ -3,12 +3,14 @@
 
 use crate::collections::Set;
 
-/// Ended jobs whose rows are stored.
+/// Ended jobs whose rows a read of the store may still show.
 #[derive(Clone, Debug, Default)]
 pub(super) struct History {
     /// End time in milliseconds since 1970 and id of each job whose rows are not being deleted, in
     /// the order in which they were added.
     entries: VecDeque<(u64, Arc<str>)>,
+    /// Jobs whose rows are deleted, with the version of the store at which they were.
+    deleted: Vec<(u64, Arc<str>)>,
     /// Ids of all jobs.
     ids: Set<Arc<str>>,
 }
@@ -26,8 +28,7 @@
     }
 
     /// Takes up to `limit` jobs that ended before `before_ms` and for which `selected` holds, to
-    /// delete their rows. They remain known until [`History::forget`], since a read may still show
-    /// them.
+    /// delete their rows.
     pub(super) fn take_before(
         &mut self,
         before_ms: u64,
@@ -48,10 +49,16 @@
             .collect()
     }
 
-    /// Forgets jobs whose rows are deleted.
-    pub(super) fn forget(&mut self, ids: &[Arc<str>]) {
-        for id in ids {
-            self.ids.remove(id);
+    /// Records that the rows of jobs were deleted at `version`.
+    pub(super) fn record_deletion(&mut self, ids: Vec<Arc<str>>, version: u64) {
+        self.deleted.extend(ids.into_iter().map(|id| (version, id)));
+    }
+
+    /// Forgets the jobs whose rows were deleted up to `version`, from which on the store is read.
+    pub(super) fn forget_deleted(&mut self, version: u64) {
+        let forgotten = (self.deleted).extract_if(.., |(deleted, _)| *deleted <= version);
+        for (_, id) in forgotten {
+            self.ids.remove(&id);
         }
     }
 }
--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -91,7 +91,7 @@
                     for (job, change) in changes.jobs {
                         engine.record_stored_change(job, change);
                     }
-                    engine.record_deletion(&changes.deleted);
+                    engine.record_deletion(changes.deleted, self.writer.version());
                     return;
                 }
                 Ok(false) => return term.end("a newer leader writes"),
--- a/src/entry/follow_jobs.rs
+++ b/src/entry/follow_jobs.rs
@@ -41,10 +41,10 @@
             }
             Feed::Changes(rows, next) => {
                 *version = next;
+                apply_changes(term, &rows, next);
                 if rows.is_empty() {
                     continue;
                 }
-                apply_changes(term, &rows);
                 term.placement_wake.notify_one();
                 tokio::time::sleep(BATCH_DELAY).await;
             }
@@ -52,17 +52,19 @@
     }
 }
 
-fn apply_changes(term: &Term, rows: &[Row]) {
+/// Passes the changes up to `version` to the engine.
+fn apply_changes(term: &Term, rows: &[Row], version: u64) {
     let mut engine = term.engine();
     rows.iter()
         .for_each(|row| load::apply_job_row(&mut engine, row, None));
+    engine.forget_deleted(version);
 }
 
-/// Reads all jobs again, because the engine may have missed some. Jobs that the engine knows are
-/// unchanged; an ended job is recognised by its progress row.
+/// Reads all jobs again, because the engine may have missed some. The others are unchanged: the
+/// engine knows those in progress and all ended ones that may still be read.
 async fn read_all(shared: &Shared, term: &Term) -> Result<u64, Fault> {
     let names: Vec<String> = partition::all().collect();
-    let reads = names.iter().map(|name| load::read_partition(shared, name));
+    let reads = names.iter().map(|name| load::read_jobs(shared, name));
     let partitions = try_join_all(reads).await?;
     partitions
         .iter()
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -126,8 +126,21 @@
     read_partition(shared, &partition).await.map(Some)
 }
 
-/// Reads the jobs of a partition and their progress.
-pub(super) async fn read_partition(shared: &Shared, partition: &str) -> Result<Jobs, Fault> {
+/// Reads the jobs of a partition without their progress, for a leader that has loaded all jobs
+/// with progress before.
+pub(super) async fn read_jobs(shared: &Shared, partition: &str) -> Result<Jobs, Fault> {
+    let read = shared.store.read(JOBS, partition, "", "", STORE_TIMEOUT);
+    let (rows, version) = read.await?;
+    Ok(Jobs {
+        rows,
+        progress: Vec::new(),
+        version,
+    })
+}
+
+/// Reads the jobs of a partition and their progress at the start of a term. No progress is written
+/// and no job deleted meanwhile: the partition is fenced, and this leader has not begun to write.
+async fn read_partition(shared: &Shared, partition: &str) -> Result<Jobs, Fault> {
     let jobs = shared.store.read(JOBS, partition, "", "", STORE_TIMEOUT);
     let progress = shared
         .store
--- a/tests/batch/history.rs
+++ b/tests/batch/history.rs
@@ -41,3 +41,21 @@
     assert_eq!(taken, ["j".into()]);
     assert!(sim.engine.take_outdated(wall, LIMIT, |_| true).is_empty());
 }
+
+/// Guards against forgetting a job before the feed has passed the deletion of its rows: a read that
+/// began earlier still shows them, and the job started again (rule TWICE).
+#[test]
+fn remembers_a_deleted_job_until_the_deletion_is_read() {
+    let mut sim = with_outdated_job();
+    let wall = sim.wall_ms();
+    let taken = sim.engine.take_outdated(wall, LIMIT, |_| true);
+    sim.engine.record_deletion(taken, 50);
+    sim.engine.forget_deleted(49);
+    sim.accept("j", record(vec![step(1)]));
+    sim.run(100);
+    assert_eq!(sim.starts.len(), 1);
+    sim.engine.forget_deleted(50);
+    sim.accept("j", record(vec![step(1)]));
+    sim.run(100);
+    assert_eq!(sim.starts.len(), 2, "a new job may have the id");
+}
--- a/tests/entry/load.rs
+++ b/tests/entry/load.rs
@@ -76,3 +76,40 @@
     instance.wait_for_state(ONE, "completed").await;
     assert_eq!(worker.starts_of(id(TWO)), 1);
 }
+
+/// Guards against a job whose rows are deleted between the read of the jobs and the read of their
+/// progress: it looked like a new one and was started again (rule TWICE).
+#[tokio::test(flavor = "multi_thread")]
+async fn starts_no_job_again_that_is_deleted_while_jobs_are_read_again() {
+    let (store, address, worker) = start_platform().await;
+    let instance = start_with_retention("deleted", address, RETENTION_S);
+    instance.submit(ONE, "10").await;
+    instance.wait_for_state(ONE, "completed").await;
+    instance.submit(THREE, "lasting").await;
+    instance.wait_for_state(THREE, "running").await;
+    tokio::time::sleep(RETENTION).await;
+    let jobs = Hold {
+        table: "jobs",
+        part: "j0",
+        page: Page::First,
+        moment: Moment::After,
+    };
+    store.hold(jobs);
+    store.hold(Hold {
+        table: "progress",
+        moment: Moment::Before,
+        ..jobs
+    });
+    store.expire_feeds();
+    wait_for_hold(&store, jobs).await;
+    assert!(store.read("jobs", id(ONE)).is_some());
+    worker.end_runs(id(THREE));
+    wait_until("the ended job is deleted", || {
+        store.read("jobs", id(ONE)).is_none()
+    })
+    .await;
+    store.release();
+    instance.submit(TWO, "10").await;
+    instance.wait_for_state(TWO, "completed").await;
+    assert_eq!(worker.starts_of(id(ONE)), 1);
+}
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -67,6 +67,14 @@
         state.history.clear();
     }
 
+    /// Discards the history together with a change that no reader has seen, so that the feeds of all
+    /// tables must be read again.
+    pub(crate) fn expire_feeds(&self) {
+        self.state.lock().unwrap().version += 1;
+        self.discard_history();
+        self.changed.notify_waiters();
+    }
+
     /// Holds back the reads that match from now on.
     pub(crate) fn hold(&self, hold: Hold) {
         self.state.lock().unwrap().holds.push((hold, 0));
