--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod mode;
 mod odd_entries;
 mod odd_entry;
+mod pages;
 mod platform;
 mod port;
 mod process;
--- a/tests/entry/platform.rs
+++ b/tests/entry/platform.rs
@@ -1,5 +1,8 @@
 use std::net::SocketAddr;
 
+use coriandernotch::batch::{Record, Spec, Step};
+use coriandernotch::jobs::Size;
+use serde::Serialize;
 use serde_json::{Value, json};
 
 use crate::store::Store;
@@ -62,3 +65,32 @@
             "capacity": {"cpu": 4000, "memMb": 4000, "gpu": 0}}),
     );
 }
+
+/// Writes the row of a job of one task into the partition of [`ONE`], as an instance stores it.
+pub(crate) fn store_job(store: &Store, path: &str, payload: &str) {
+    let step = Step {
+        count: 1,
+        size: Size::new(10, 10, 0),
+        estimate_ms: 100,
+        ..Step::default()
+    };
+    let spec = Spec {
+        payload: payload.into(),
+        steps: vec![step],
+        ..Spec::default()
+    };
+    let record = Record {
+        route: "q".into(),
+        service: "s".into(),
+        workspace: "w".into(),
+        arrived_ms: 0,
+        spec,
+    };
+    store_row(store, "jobs", path, &record);
+}
+
+/// Writes a row of a job into the partition of [`ONE`].
+pub(crate) fn store_row(store: &Store, table: &str, path: &str, row: &impl Serialize) {
+    let content = serde_json::to_vec(row).unwrap();
+    store.write_in_partition(table, "j0", id(path), &content);
+}
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::hold::{Hold, Moment};
+use crate::instance::wait_until;
 use crate::mode::Mode;
 use crate::standin::{Call, serve};
 
@@ -80,11 +81,14 @@
         self.state.lock().unwrap().holds.push((hold, 0));
     }
 
-    /// Returns whether a call is or was held back by `hold`.
-    pub(crate) fn is_reached(&self, hold: Hold) -> bool {
-        let state = self.state.lock().unwrap();
-        let mut holds = state.holds.iter();
-        holds.any(|(known, calls)| *known == hold && *calls > 0)
+    /// Waits until a call is held back.
+    pub(crate) async fn wait_for_hold(&self, hold: Hold) {
+        let is_reached = || {
+            let state = self.state.lock().unwrap();
+            let mut holds = state.holds.iter();
+            holds.any(|(known, calls)| *known == hold && *calls > 0)
+        };
+        wait_until(&format!("{hold:?} is reached"), is_reached).await;
     }
 
     /// Answers all reads that are held back.
