--- a/tests/entry/hold.rs
+++ b/tests/entry/hold.rs
@@ -1,6 +1,8 @@
+use crate::moment::Moment;
+use crate::page::Page;
 use crate::standin::Call;
 
-/// Reads that the stand-in of the store holds back until they are released.
+/// Reads of one partition of a table that the stand-in of the store holds back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Hold {
     pub(crate) table: &'static str,
@@ -9,23 +11,6 @@
     pub(crate) moment: Moment,
 }
 
-/// A page of a read of a whole partition.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Page {
-    First,
-    /// Any page after the first.
-    Later,
-}
-
-/// When a read is held back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Moment {
-    /// Before the rows are read, so that the answer shows later changes.
-    Before,
-    /// After the rows are read, so that the answer shows no later change.
-    After,
-}
-
 impl Hold {
     /// Returns whether a call is one of the reads that are held back.
     pub(crate) fn matches(&self, call: &Call) -> bool {
--- a/tests/entry/load.rs
+++ b/tests/entry/load.rs
@@ -1,5 +1,7 @@
-use crate::hold::{Hold, Moment, Page};
+use crate::hold::Hold;
 use crate::instance::{start_with_retention, wait_until};
+use crate::moment::Moment;
+use crate::page::Page;
 use crate::platform::{ONE, THREE, TWO, id, start_platform, store_job};
 use crate::retention::{RETENTION, RETENTION_S};
 
@@ -21,13 +23,13 @@
         moment: Moment::Before,
         ..first
     };
-    store.hold(first);
-    store.hold(second);
+    store.holds.add(first);
+    store.holds.add(second);
     let instance = start_with_retention("late-feed", address, RETENTION_S);
-    store.wait_for_hold(first).await;
-    store.wait_for_hold(second).await;
+    store.holds.wait_for_call(first).await;
+    store.holds.wait_for_call(second).await;
     instance.submit(TWO, "10").await;
-    store.release();
+    store.holds.release();
     instance.wait_for_state(TWO, "completed").await;
     instance.wait_for_state(THREE, "running").await;
     tokio::time::sleep(RETENTION).await;
@@ -56,21 +58,21 @@
         page: Page::First,
         moment: Moment::After,
     };
-    store.hold(jobs);
-    store.hold(Hold {
+    store.holds.add(jobs);
+    store.holds.add(Hold {
         table: "progress",
         moment: Moment::Before,
         ..jobs
     });
     store.expire_feeds();
-    store.wait_for_hold(jobs).await;
+    store.holds.wait_for_call(jobs).await;
     assert!(store.read("jobs", id(ONE)).is_some());
     worker.end_runs(id(THREE));
     wait_until("the ended job is deleted", || {
         store.read("jobs", id(ONE)).is_none()
     })
     .await;
-    store.release();
+    store.holds.release();
     instance.submit(TWO, "10").await;
     instance.wait_for_state(TWO, "completed").await;
     assert_eq!(worker.starts_of(id(ONE)), 1);
--- a/tests/entry/pages.rs
+++ b/tests/entry/pages.rs
@@ -5,8 +5,10 @@
 use coriandernotch::platform::api::{Outcome, Precondition, Store as Client, Transaction};
 use serde_json::json;
 
-use crate::hold::{Hold, Moment, Page};
+use crate::hold::Hold;
 use crate::instance::{Instance, send_request, start_instance};
+use crate::moment::Moment;
+use crate::page::Page;
 use crate::platform::{id, start_platform, store_job, store_row};
 use crate::store::Store;
 use crate::worker::Worker;
@@ -74,8 +76,8 @@
 /// Cancels the running jobs and submits others while a later page is held back, and waits until
 /// both have taken effect.
 async fn change_between_pages(store: &Store, instance: &Instance) {
-    store.wait_for_hold(SECOND_PAGE).await;
-    store.wait_for_hold(OTHER_PARTITION).await;
+    store.holds.wait_for_call(SECOND_PAGE).await;
+    store.holds.wait_for_call(OTHER_PARTITION).await;
     for number in SUBMITTED {
         instance.submit(&path(number), "10").await;
     }
@@ -84,7 +86,7 @@
         let (status, _) = send_request(instance.callers, "DELETE", &path, &json!({})).await;
         assert_eq!(status, 200);
     }
-    store.release();
+    store.holds.release();
     for number in SUBMITTED {
         instance.wait_for_state(&path(number), "completed").await;
     }
@@ -106,10 +108,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn loads_jobs_and_cancellations_that_are_stored_between_two_pages() {
     let (store, address, worker) = start_with_many_jobs().await;
-    store.hold(SECOND_PAGE);
-    store.hold(OTHER_PARTITION);
+    store.holds.add(SECOND_PAGE);
+    store.holds.add(OTHER_PARTITION);
     let instance = start_instance("load-pages", address);
-    store.wait_for_hold(SECOND_PAGE).await;
+    store.holds.wait_for_call(SECOND_PAGE).await;
     let late_write = Transaction {
         part: "j0".into(),
         expected: vec![Precondition {
@@ -139,8 +141,8 @@
     for number in RUNNING {
         instance.wait_for_state(&path(number), "running").await;
     }
-    store.hold(SECOND_PAGE);
-    store.hold(OTHER_PARTITION);
+    store.holds.add(SECOND_PAGE);
+    store.holds.add(OTHER_PARTITION);
     store.expire_feeds();
     change_between_pages(&store, &instance).await;
     assert_eq!(count_starts(&worker), ([1, 1], [1, 1], 0));
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -9,9 +9,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::hold::{Hold, Moment};
-use crate::instance::wait_until;
+use crate::holds::Holds;
 use crate::mode::Mode;
+use crate::moment::Moment;
 use crate::standin::{Call, serve};
 
 /// Largest content of a row, in bytes.
@@ -29,6 +29,7 @@
 pub(crate) struct Store {
     state: Arc<Mutex<State>>,
     changed: Arc<Notify>,
+    pub(crate) holds: Holds,
 }
 
 #[derive(Default)]
@@ -42,8 +43,6 @@
     version: u64,
     mode: Mode,
     calls: u64,
-    /// Reads that are held back, each with the number of calls that it has reached.
-    holds: Vec<(Hold, u64)>,
     /// Table whose feed answers status 503.
     failing_feed: Option<&'static str>,
 }
@@ -76,26 +75,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Holds back the reads that match from now on.
-    pub(crate) fn hold(&self, hold: Hold) {
-        self.state.lock().unwrap().holds.push((hold, 0));
-    }
-
-    /// Waits until a call is held back.
-    pub(crate) async fn wait_for_hold(&self, hold: Hold) {
-        let is_reached = || {
-            let state = self.state.lock().unwrap();
-            let mut holds = state.holds.iter();
-            holds.any(|(known, calls)| *known == hold && *calls > 0)
-        };
-        wait_until(&format!("{hold:?} is reached"), is_reached).await;
-    }
-
-    /// Answers all reads that are held back.
-    pub(crate) fn release(&self) {
-        self.state.lock().unwrap().holds.clear();
-    }
-
     /// Refuses the feed of one table, or of none.
     pub(crate) fn set_failing_feed(&self, table: Option<&'static str>) {
         self.state.lock().unwrap().failing_feed = table;
@@ -215,27 +194,12 @@
     }
 
     async fn get_or_hold(&self, call: &Call) -> (u16, Value) {
-        self.wait_for_release(call, Moment::Before).await;
+        self.holds.wait_for_release(call, Moment::Before).await;
         let answer = self.get(call);
-        self.wait_for_release(call, Moment::After).await;
+        self.holds.wait_for_release(call, Moment::After).await;
         answer
     }
 
-    /// Waits while a read is held back at `moment`.
-    async fn wait_for_release(&self, call: &Call, moment: Moment) {
-        let matches = |hold: &Hold| hold.moment == moment && hold.matches(call);
-        for (hold, calls) in &mut self.state.lock().unwrap().holds {
-            *calls += u64::from(matches(hold));
-        }
-        let is_held = || {
-            let state = self.state.lock().unwrap();
-            state.holds.iter().any(|(hold, _)| matches(hold))
-        };
-        while is_held() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    }
-
     fn get(&self, call: &Call) -> (u16, Value) {
         let state = self.state.lock().unwrap();
         let (from, to) = (call.query("from"), call.query("target"));
