--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -69,11 +69,28 @@
         }
     }
 
-    /// Takes the ids of up to `limit` ended jobs whose retention time is over.
-    pub fn take_outdated(&mut self, wall_ms: u64, limit: usize) -> Vec<Arc<str>> {
+    /// Takes the ids of up to `limit` ended jobs whose retention time is over and for which
+    /// `selected` holds, to delete their rows.
+    pub fn take_outdated(
+        &mut self,
+        wall_ms: u64,
+        limit: usize,
+        selected: impl Fn(&str) -> bool,
+    ) -> Vec<Arc<str>> {
         let retention_ms = u64::try_from(self.tuning.retention.as_millis()).unwrap_or(u64::MAX);
         self.history
-            .take_before(wall_ms.saturating_sub(retention_ms), limit)
+            .take_before(wall_ms.saturating_sub(retention_ms), limit, selected)
+    }
+
+    /// Records that the rows of ended jobs were deleted at a version of the store.
+    pub fn record_deletion(&mut self, ids: Vec<Arc<str>>, version: u64) {
+        self.history.record_deletion(ids, version);
+    }
+
+    /// Forgets the ended jobs whose rows were deleted up to `version`. No read of the store that
+    /// is passed to this engine from now on may be older.
+    pub fn forget_deleted(&mut self, version: u64) {
+        self.history.forget_deleted(version);
     }
 
     /// Returns the position up to which the ends of a worker may be acknowledged, because their
--- a/src/batch/engine/history.rs
+++ b/src/batch/engine/history.rs
@@ -3,11 +3,15 @@
 
 use crate::collections::Set;
 
-/// Ended jobs that callers can still query, in the order in which they were added.
+/// Ended jobs whose rows a read of the store may still show.
 #[derive(Clone, Debug, Default)]
 pub(super) struct History {
-    /// End time of each job, in milliseconds since 1970, and its id.
+    /// End time in milliseconds since 1970 and id of each job whose rows are not being deleted, in
+    /// the order in which they were added.
     entries: VecDeque<(u64, Arc<str>)>,
+    /// Jobs whose rows are deleted, with the version of the store at which they were.
+    deleted: Vec<(u64, Arc<str>)>,
+    /// Ids of all jobs.
     ids: Set<Arc<str>>,
 }
 
@@ -23,14 +27,38 @@
         }
     }
 
-    /// Removes and returns up to `limit` jobs that ended before `before_ms`.
-    pub(super) fn take_before(&mut self, before_ms: u64, limit: usize) -> Vec<Arc<str>> {
-        let entries = self.entries.iter().take(limit);
-        let count = entries.take_while(|(ended, _)| *ended < before_ms).count();
-        let removed: Vec<Arc<str>> = self.entries.drain(..count).map(|(_, id)| id).collect();
-        for id in &removed {
-            self.ids.remove(id);
+    /// Takes up to `limit` jobs that ended before `before_ms` and for which `selected` holds, to
+    /// delete their rows.
+    pub(super) fn take_before(
+        &mut self,
+        before_ms: u64,
+        limit: usize,
+        selected: impl Fn(&str) -> bool,
+    ) -> Vec<Arc<str>> {
+        let entries = self.entries.iter().enumerate();
+        let positions: Vec<usize> = entries
+            .take_while(|(_, (ended_ms, _))| *ended_ms < before_ms)
+            .filter(|(_, (_, id))| selected(id))
+            .map(|(position, _)| position)
+            .take(limit)
+            .collect();
+        let positions = positions.into_iter().rev();
+        positions
+            .filter_map(|position| self.entries.remove(position))
+            .map(|(_, id)| id)
+            .collect()
+    }
+
+    /// Records that the rows of jobs were deleted at `version`.
+    pub(super) fn record_deletion(&mut self, ids: Vec<Arc<str>>, version: u64) {
+        self.deleted.extend(ids.into_iter().map(|id| (version, id)));
+    }
+
+    /// Forgets the jobs whose rows were deleted up to `version`, from which on the store is read.
+    pub(super) fn forget_deleted(&mut self, version: u64) {
+        let forgotten = (self.deleted).extract_if(.., |(deleted, _)| *deleted <= version);
+        for (_, id) in forgotten {
+            self.ids.remove(&id);
         }
-        removed
     }
 }
--- a/tests/entry/platform.rs
+++ b/tests/entry/platform.rs
@@ -1,5 +1,8 @@
 use std::net::SocketAddr;
 
+use coriandernotch::batch::{Record, Spec, Step};
+use coriandernotch::jobs::Size;
+use serde::Serialize;
 use serde_json::{Value, json};
 
 use crate::store::Store;
@@ -9,6 +12,13 @@
 pub(crate) const ONE: &str = "/q/00000000000000a1";
 /// Path of the second job of a test.
 pub(crate) const TWO: &str = "/q/00000000000000a2";
+/// Path of the third job of a test, which is stored in the same partition as [`ONE`].
+pub(crate) const THREE: &str = "/q/00000000000000a3";
+
+/// Returns the id in the path of a job.
+pub(crate) fn id(path: &str) -> &str {
+    path.rsplit('/').next().unwrap()
+}
 
 /// Builds a job of one step with a declared run time of 100 ms. The payload is the run time of its
 /// tasks in milliseconds, or a word for tasks that do not end by themselves.
@@ -55,3 +65,32 @@
             "capacity": {"cpu": 4000, "memMb": 4000, "gpu": 0}}),
     );
 }
+
+/// Writes the row of a job of one task into the partition of [`ONE`], as an instance stores it.
+pub(crate) fn store_job(store: &Store, path: &str, payload: &str) {
+    let step = Step {
+        count: 1,
+        size: Size::new(10, 10, 0),
+        estimate_ms: 100,
+        ..Step::default()
+    };
+    let spec = Spec {
+        payload: payload.into(),
+        steps: vec![step],
+        ..Spec::default()
+    };
+    let record = Record {
+        route: "q".into(),
+        service: "s".into(),
+        workspace: "w".into(),
+        arrived_ms: 0,
+        spec,
+    };
+    store_row(store, "jobs", path, &record);
+}
+
+/// Writes a row of a job into the partition of [`ONE`].
+pub(crate) fn store_row(store: &Store, table: &str, path: &str, row: &impl Serialize) {
+    let content = serde_json::to_vec(row).unwrap();
+    store.write_in_partition(table, "j0", id(path), &content);
+}
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -9,7 +9,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::holds::Holds;
 use crate::mode::Mode;
+use crate::moment::Moment;
 use crate::standin::{Call, serve};
 
 /// Largest content of a row, in bytes.
@@ -27,6 +29,7 @@
 pub(crate) struct Store {
     state: Arc<Mutex<State>>,
     changed: Arc<Notify>,
+    pub(crate) holds: Holds,
 }
 
 #[derive(Default)]
@@ -40,6 +43,8 @@
     version: u64,
     mode: Mode,
     calls: u64,
+    /// Table whose feed answers status 503.
+    failing_feed: Option<&'static str>,
 }
 
 impl Store {
@@ -62,6 +67,19 @@
         state.history.clear();
     }
 
+    /// Discards the history together with a change that no reader has seen, so that the feeds of all
+    /// tables must be read again.
+    pub(crate) fn expire_feeds(&self) {
+        self.state.lock().unwrap().version += 1;
+        self.discard_history();
+        self.changed.notify_waiters();
+    }
+
+    /// Refuses the feed of one table, or of none.
+    pub(crate) fn set_failing_feed(&self, table: Option<&'static str>) {
+        self.state.lock().unwrap().failing_feed = table;
+    }
+
     /// Writes a row like an operator or a worker, outside of any partition.
     pub(crate) fn write(&self, table: &str, key: &str, value: &Value) {
         self.write_raw(table, key, value.to_string().as_bytes());
@@ -131,7 +149,7 @@
         }
         let answer = match call.path.as_str() {
             "/api/rows-tx" => self.transact(&call),
-            "/api/rows-get" => self.get(&call),
+            "/api/rows-get" => self.get_or_hold(&call).await,
             "/api/rows-feed" => self.feed(&call).await,
             _ => (404, json!({})),
         };
@@ -175,6 +193,13 @@
         (200, json!({"ver": version, "nowMs": 1}))
     }
 
+    async fn get_or_hold(&self, call: &Call) -> (u16, Value) {
+        self.holds.wait_for_release(call, Moment::Before).await;
+        let answer = self.get(call);
+        self.holds.wait_for_release(call, Moment::After).await;
+        answer
+    }
+
     fn get(&self, call: &Call) -> (u16, Value) {
         let state = self.state.lock().unwrap();
         let (from, to) = (call.query("from"), call.query("target"));
@@ -207,6 +232,9 @@
 
     async fn feed(&self, call: &Call) -> (u16, Value) {
         let deadline = Instant::now() + Duration::from_millis(call.number("waitMs"));
+        if self.state.lock().unwrap().failing_feed == Some(call.query("table")) {
+            return (503, json!({}));
+        }
         loop {
             let changed = self.changed.notified();
             {
