Count the reply to a start as a sign of life of its worker

Seen in a review of: on a worker idle for 3.9 s a task started 10 ms after its job was submitted, and a second one that was submitted 450 ms later took 562 ms, another 700 ms later 311 ms. Measured with the stand-in of a worker in tests/entry.

Cause: the second start finds that the last answer to a poll is older than a lease, although the worker has just accepted the first start. It waits for the answer to the poll under way, which the worker may hold back for 1 s until a run ends; the start gives up after 1 s as well. Members of a gang that are placed then can be separated by that time.

--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -81,7 +81,8 @@
         worker.born_ms = snapshot.born_ms;
         worker.clock = Some((snapshot.clock_ms, now));
         worker.first_answered_at.get_or_insert(now);
-        (worker.answered_at, worker.unreachable) = (Some(now), false);
+        (worker.answered_at, worker.responded_at) = (Some(now), Some(now));
+        worker.unreachable = false;
         worker.answered_address = Some(worker.profile.address.clone());
         worker.absent_since = None;
         worker.lists_ends = !snapshot.ended.is_empty();
--- a/src/batch/engine/reply.rs
+++ b/src/batch/engine/reply.rs
@@ -55,7 +55,10 @@
         if let Some(worker) = self.workers.get_mut(worker) {
             match reply {
                 Reply::Unsent | Reply::Unknown | Reply::Replaced => worker.set_unreachable(),
-                _ => worker.unreachable = false,
+                _ => {
+                    worker.responded_at = Some(now);
+                    worker.unreachable = false;
+                }
             }
             if let Some(clock) = clock_ms {
                 worker.clock = Some((clock, now));
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -23,6 +23,8 @@
     /// When its current process first answered, and when it last did.
     pub(super) first_answered_at: Option<Instant>,
     pub(super) answered_at: Option<Instant>,
+    /// When it last responded to a poll or a start order.
+    pub(super) responded_at: Option<Instant>,
     /// Address that the registration had when it last answered.
     pub(super) answered_address: Option<Arc<str>>,
     /// Whether the last call got no answer.
@@ -66,6 +68,7 @@
             unverified_grant: None,
             first_answered_at: None,
             answered_at: None,
+            responded_at: None,
             answered_address: None,
             unreachable: false,
             silent_report: 0,
--- a/tests/batch/restart.rs
+++ b/tests/batch/restart.rs
@@ -254,3 +254,23 @@
     sim.run(5_000);
     assert_eq!((sim.starts.len(), sim.running()), (1, 1));
 }
+
+/// Guards against a start order that waits for the answer to a poll although the worker has just
+/// accepted another one. That answer may be held back for 1 s.
+#[test]
+fn launches_at_once_on_a_worker_that_accepted_a_start() {
+    let (mut sim, key) = with_replaced_process();
+    sim.now = sim.now + Duration::from_secs(3);
+    sim.renew();
+    sim.accept("j", record(vec![step(1)]));
+    let run = place(&mut sim)[0];
+    assert!(sim.engine.launch(run, sim.now).is_some());
+    sim.engine
+        .record_start_outcome(run, &Reply::Started, None, sim.now);
+    sim.now = sim.now + Duration::from_secs(1);
+    sim.renew();
+    sim.accept("k", record(vec![step(1)]));
+    let run = place(&mut sim)[0];
+    assert!(!sim.engine.must_answer_before_start(key, sim.now));
+    assert!(sim.engine.launch(run, sim.now).is_some());
+}
