Start tasks at a new address of a worker only once it has answered there

Cause: the age of the last answer counted, not the address from which it came. A worker that restarts under its id usually registers with another address.

Change: a worker that has not answered at its registered address must answer a poll before tasks start there, as one that has not responded for a lease. This adds one poll for each new address.

Before: launches_nothing_at_an_address_that_has_not_answered failed. After: it passes, with tests/batch (81), tests/entry (35) and tests/takeover_model (12).

--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -131,13 +131,15 @@
         answered_at.map_or(Duration::MAX, |at| now.since(at))
     }
 
-    /// Returns whether a worker must answer a poll before tasks are started on it. Since it last
-    /// responded to a poll or a start order a whole lease has passed, so its process may not answer
-    /// any more or may have been replaced.
+    /// Returns whether a worker must answer a poll before tasks are started on it: it has not
+    /// answered at its address yet, or since it last responded to a poll or a start order a whole
+    /// lease has passed. Its process may not answer any more or may have been replaced.
     pub fn must_answer_before_start(&self, key: WorkerKey, now: Instant) -> bool {
         let reachable = self.workers.get(key).filter(|worker| !worker.unreachable);
         let is_outdated = |at: Instant| now.since(at) > self.lease();
-        reachable.is_some_and(|worker| worker.responded_at.is_none_or(is_outdated))
+        reachable.is_some_and(|worker| {
+            !worker.has_answered_at_its_address() || worker.responded_at.is_none_or(is_outdated)
+        })
     }
 
     /// Returns whether a worker answered the last call.
--- a/tests/batch/restart.rs
+++ b/tests/batch/restart.rs
@@ -274,3 +274,21 @@
     assert!(!sim.engine.must_answer_before_start(key, sim.now));
     assert!(sim.engine.launch(run, sim.now).is_some());
 }
+
+/// Guards against starting tasks on a process that has not answered at the new address of its
+/// worker. If it does not answer either, the task waits for the longest lease.
+#[test]
+fn launches_nothing_at_an_address_that_has_not_answered() {
+    let (mut sim, key) = with_replaced_process();
+    sim.engine.update_worker(Profile {
+        address: "127.0.0.1:2".into(),
+        ..profile("i-0", "s")
+    });
+    sim.renew();
+    sim.accept("j", record(vec![step(1)]));
+    let run = place(&mut sim)[0];
+    assert_eq!(sim.engine.launch(run, sim.now), None);
+    assert!(sim.engine.must_answer_before_start(key, sim.now));
+    answer(&mut sim, key, Vec::new());
+    assert!(sim.engine.launch(run, sim.now).is_some());
+}
