Take over occurrences that are not due by the clock of a new leader

Seen, by new tests: tasks of a scheduled occurrence that the previous leader had begun started again on a new leader whose clock was 3 s behind, 4 starts instead of 2 (rule TWICE). Clocks may differ by 5 s.

Cause: a new leader begins the stored occurrences and those that are due. A run of any other counted as unwanted and was stopped, and its end was acknowledged without effect. The limit of occurrences that begin at once made the same possible with equal clocks.

Change: the occurrences up to one of which a worker lists a run or an end are begun.

Before: both tests of tests/batch/occurrences.rs failed.

--- a/src/batch/engine/accept.rs
+++ b/src/batch/engine/accept.rs
@@ -14,6 +14,9 @@
 /// can be due at once; each takes memory and time in every scheduling round.
 const MAX_UNFINISHED_TASKS: usize = 1_000;
 
+/// Number of occurrences of a job that a previous leader may have begun beyond the stored ones.
+const MAX_INHERITED_OCCURRENCES: u32 = 10_000;
+
 impl Engine {
     /// Loads a stored job. A job that is known already, or has ended, stays unchanged: what was
     /// read of it may be older than what this engine has stored since.
@@ -239,6 +242,23 @@
         }
     }
 
+    /// Begins the occurrences of a job up to one of which a worker lists a run. The previous leader
+    /// began it, by a clock that may be ahead of the present one.
+    pub(super) fn begin_occurrences_until(&mut self, key: JobKey, number: u32) {
+        let job = &mut self.jobs[key];
+        let is_possible = number < job.record.spec.occurrence_count()
+            && number.saturating_sub(job.next_occurrence) < MAX_INHERITED_OCCURRENCES;
+        if job.state.is_final() || !is_possible || number < job.next_occurrence {
+            return;
+        }
+        for next in job.next_occurrence..=number {
+            let occurrence = Occurrence::new(next, &job.record.spec);
+            job.occurrences.push(occurrence);
+        }
+        job.next_occurrence = number + 1;
+        self.mark_ready_stages(key);
+    }
+
     /// Marks the stages as ready whose dependencies are complete.
     pub(super) fn mark_ready_stages(&mut self, key: JobKey) {
         let job = &mut self.jobs[key];
--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -26,6 +26,7 @@
         let Some(&job) = self.job_ids.get(&ended.task.job) else {
             return;
         };
+        self.begin_occurrences_until(job, ended.task.occurrence);
         self.apply_end(job, worker, ended, wall_ms, now);
         self.defer_acknowledgement(job, worker, ended.position);
     }
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -130,6 +130,7 @@
             self.orders.push((key, stop));
             return;
         };
+        self.begin_occurrences_until(job, running.task.occurrence);
         let known_job = &self.jobs[job];
         let step = known_job.record.spec.steps.get(running.task.step as usize);
         let is_wanted = |speculative: bool| {
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -6,6 +6,7 @@
 mod history;
 mod maintenance;
 mod members;
+mod occurrences;
 mod odd_config;
 mod odd_jobs;
 mod pace;
--- /dev/null
+++ b/tests/batch/occurrences.rs
@@ -0,0 +1,63 @@
+use std::time::Duration;
+
+use coriandernotch::batch::{Record, Spec};
+
+use crate::simulation::{START_MS, Simulation, config, profile, record, step};
+use crate::takeover::running_progress;
+
+/// Time by which the clock of the new leader is behind that of the old one.
+const CLOCK_BEHIND: Duration = Duration::from_secs(3);
+
+/// Builds a job whose second occurrence is due a second after the first.
+fn recurring_job() -> Record {
+    let job = record(vec![step(1)]);
+    let spec = Spec {
+        occurrences: 2,
+        first_ms: START_MS,
+        interval_ms: 1_000,
+        ..job.spec
+    };
+    Record { spec, ..job }
+}
+
+/// Runs the job on a leader that stores nothing until both occurrences have started, and hands it to
+/// a new leader whose clock is behind. Returns the number of starts in all.
+fn hand_over(run_ms: u64) -> usize {
+    let mut old = Simulation::with_workers(1);
+    old.run_ms = run_ms;
+    old.store_unavailable = true;
+    old.accept("j", recurring_job());
+    old.run(1_400);
+    assert_eq!(old.starts.len(), 2);
+    let mut sim = Simulation::new(2, config());
+    sim.now = old.now - CLOCK_BEHIND;
+    sim.workers = old.workers.clone();
+    for worker in sim.workers.values_mut() {
+        for run in &mut worker.running {
+            run.ends_at = run.ends_at.map(|at| at - CLOCK_BEHIND);
+        }
+    }
+    let progress = Some(running_progress());
+    let wall = sim.wall_ms();
+    sim.engine
+        .load_job(&"j".into(), recurring_job(), progress, wall, sim.now);
+    sim.engine.update_worker(profile("i-0", "s"));
+    sim.engine.inherit(&[], false, sim.now);
+    sim.run(8_000);
+    assert!(sim.ended.contains_key("j"));
+    old.starts.len() + sim.starts.len()
+}
+
+/// Guards against stopping runs of an occurrence that is not due yet by the clock of a new leader.
+/// Their tasks were started again later.
+#[test]
+fn adopts_runs_of_an_occurrence_that_is_not_due_by_its_clock() {
+    assert_eq!(hand_over(5_000), 2);
+}
+
+/// Guards against ignoring an end of such an occurrence: it was acknowledged, and the task started
+/// again (rule TWICE).
+#[test]
+fn counts_ends_of_an_occurrence_that_is_not_due_by_its_clock() {
+    assert_eq!(hand_over(300), 2);
+}
