Store the progress of large jobs by ranges

From the code, nothing else of the partition is stored until the leader changes, since the transaction is repeated. Jobs of up to 100,000 tasks are accepted, and each occurrence of a scheduled job adds its tasks.

Change: beyond 500 succeeded tasks, progress lists ranges of indexes and ranges of complete occurrences. Up to 500 tasks are listed one by one as before, so that an instance of an older version can take over jobs of usual size.

Left: failed runs are listed one by one. A job with thousands of failed tasks at once can still outgrow its row.

With a limit of 500,000 tasks, so that they are listed as before: progress_of_a_large_job_fits_into_a_row and progress_of_a_recurring_job_fits_into_a_row fail. After: they pass, and each task starts once over a change of leader.

--- a/src/batch/engine/accept.rs
+++ b/src/batch/engine/accept.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::{Engine, Job, Occurrence, StageKey, Worker};
-use crate::batch::{JobKey, Profile, Progress, Record, State, WorkerKey};
+use crate::batch::{JobKey, Profile, Progress, Ranges, Record, State, WorkerKey};
 use crate::clock::Instant;
 use crate::collections::Set;
 
@@ -51,7 +51,7 @@
             objective: Duration::ZERO,
             occurrences: Vec::new(),
             next_occurrence: 0,
-            complete_occurrences: Vec::new(),
+            complete_occurrences: Ranges::default(),
             state: progress.state,
             ended_ms: 0,
             change_count: 0,
@@ -180,19 +180,20 @@
             job.occurrences.push(Occurrence::new(0, &job.record.spec));
             job.next_occurrence = 1;
         } else {
-            let done = progress.done.iter().map(|(occurrence, ..)| *occurrence);
+            let done = progress.done_tasks().map(|(occurrence, ..)| occurrence);
             let failed = progress.failed.iter().map(|(occurrence, ..)| *occurrence);
-            job.next_occurrence = done.chain(failed).max().map_or(0, |last| last + 1);
-            for number in 0..job.next_occurrence {
+            let begun = done.chain(failed).chain(progress.complete.last()).max();
+            job.next_occurrence = begun.map_or(0, |last| last + 1);
+            for number in (0..job.next_occurrence).filter(|n| !progress.complete.contains(*n)) {
                 job.occurrences
                     .push(Occurrence::new(number, &job.record.spec));
             }
         }
-        for (number, step, index) in &progress.done {
-            let occurrence = job.occurrences.iter_mut().find(|o| o.number == *number);
-            let stage = occurrence.and_then(|o| o.stages.get_mut(*step as usize));
+        for (number, step, index) in progress.done_tasks() {
+            let occurrence = job.occurrences.iter_mut().find(|o| o.number == number);
+            let stage = occurrence.and_then(|o| o.stages.get_mut(step as usize));
             if let Some(stage) = stage
-                && let Some(task) = stage.tasks.get_mut(*index as usize)
+                && let Some(task) = stage.tasks.get_mut(index as usize)
                 && !task.done
             {
                 task.done = true;
@@ -206,15 +207,10 @@
                 task.failures.clone_from(failures);
             }
         }
-        let is_complete = |o: &Occurrence| o.is_complete();
-        job.complete_occurrences = job
-            .occurrences
-            .iter()
-            .filter(|o| is_complete(o))
-            .map(|o| o.number)
-            .collect();
         if job.record.spec.occurrences > 0 {
-            job.occurrences.retain(|o| !o.is_complete());
+            let complete = job.occurrences.extract_if(.., |o| o.is_complete());
+            let complete = complete.map(|o| o.number);
+            job.complete_occurrences = progress.complete.iter().chain(complete).collect();
         }
         self.mark_ready_stages(key);
     }
--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -184,8 +184,7 @@
         let job = &mut self.jobs[key];
         if job.record.spec.occurrences > 0 {
             let complete = job.occurrences.extract_if(.., |o| o.is_complete());
-            job.complete_occurrences.extend(complete.map(|o| o.number));
-            job.complete_occurrences.dedup();
+            complete.for_each(|o| job.complete_occurrences.insert(o.number));
         }
         let all_begun = job.next_occurrence >= job.record.spec.occurrence_count();
         if all_begun && job.occurrences.iter().all(super::Occurrence::is_complete) {
--- a/src/batch/engine/job.rs
+++ b/src/batch/engine/job.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::Occurrence;
-use crate::batch::{Progress, Record, State};
+use crate::batch::{Progress, Ranges, Record, State};
 use crate::clock::Instant;
 
 /// Largest work of a job that is counted, in thousandths of a processor times milliseconds. The sum
@@ -27,7 +27,7 @@
     /// Number of the next occurrence.
     pub(super) next_occurrence: u32,
     /// Numbers of the complete occurrences.
-    pub(super) complete_occurrences: Vec<u32>,
+    pub(super) complete_occurrences: Ranges,
     pub(super) state: State,
     /// When the job ended, in milliseconds since 1970.
     pub(super) ended_ms: u64,
@@ -80,25 +80,24 @@
         if self.state.is_final() {
             return progress;
         }
-        for number in &self.complete_occurrences {
-            for (step, stage) in (0..).zip(&self.record.spec.steps) {
-                let all = (0..stage.count).map(|index| (*number, step, index));
-                progress.done.extend(all);
-            }
-        }
+        progress.complete.clone_from(&self.complete_occurrences);
         for occurrence in &self.occurrences {
             for (step, stage) in (0..).zip(&occurrence.stages) {
-                for (index, task) in (0..).zip(&stage.tasks) {
-                    if task.done {
-                        progress.done.push((occurrence.number, step, index));
-                    }
-                    if !task.failures.is_empty() {
-                        let entry = (occurrence.number, step, index, task.failures.clone());
-                        progress.failed.push(entry);
-                    }
+                let done = (0..).zip(&stage.tasks).filter(|(_, task)| task.done);
+                let done: Ranges = done.map(|(index, _)| index).collect();
+                if !done.is_empty() {
+                    progress.done_ranges.push((occurrence.number, step, done));
                 }
+                let failed = (0..).zip(&stage.tasks);
+                let failed = failed.filter(|(_, task)| !task.failures.is_empty());
+                progress.failed.extend(
+                    failed.map(|(index, task)| {
+                        (occurrence.number, step, index, task.failures.clone())
+                    }),
+                );
             }
         }
+        progress.list_few_tasks(&self.record.spec);
         progress
     }
 }
--- a/src/batch/progress.rs
+++ b/src/batch/progress.rs
@@ -1,6 +1,11 @@
 use serde::{Deserialize, Serialize};
 
-use super::State;
+use super::{Ranges, Spec, State};
+
+/// Number of succeeded tasks up to which they are listed one by one, as leaders of older versions
+/// read them. Rows with longer lists, of which one transaction writes many, become too large for the
+/// store.
+const MAX_LISTED_TASKS: u64 = 500;
 
 /// Stored progress of the tasks of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,6 +16,12 @@
     /// Succeeded tasks, as (occurrence, step, index).
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<(u32, u32, u32)>,
+    /// Further succeeded tasks, as (occurrence, step, indexes).
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub done_ranges: Vec<(u32, u32, Ranges)>,
+    /// Occurrences of which all tasks have succeeded, beside the tasks that are listed.
+    #[serde(skip_serializing_if = "Ranges::is_empty")]
+    pub complete: Ranges,
     /// Failed tasks, as (occurrence, step, index, numbers of the failed runs). A worker lists an
     /// end until it is acknowledged, so a new leader may read one that is already stored.
     #[serde(skip_serializing_if = "Vec::is_empty")]
@@ -18,3 +29,42 @@
     /// When the job ended, in milliseconds since 1970; 0 before.
     pub ended_ms: u64,
 }
+
+impl Progress {
+    /// Returns the succeeded tasks of occurrences that are not listed as complete.
+    ///
+    /// ```
+    /// use coriandernotch::batch::Progress;
+    ///
+    /// let done_ranges = vec![(0, 2, [4, 5].into_iter().collect())];
+    /// let progress = Progress { done: vec![(0, 1, 3)], done_ranges, ..Progress::default() };
+    /// assert_eq!(progress.done_tasks().collect::<Vec<_>>(), [(0, 1, 3), (0, 2, 4), (0, 2, 5)]);
+    /// ```
+    pub fn done_tasks(&self) -> impl Iterator<Item = (u32, u32, u32)> {
+        let ranges = self.done_ranges.iter();
+        let tasks = ranges.flat_map(|(occurrence, step, indexes)| {
+            indexes.iter().map(|index| (*occurrence, *step, index))
+        });
+        self.done.iter().copied().chain(tasks)
+    }
+
+    /// Lists the succeeded tasks one by one if there are few.
+    pub(super) fn list_few_tasks(&mut self, spec: &Spec) {
+        let tasks_each: u64 = spec.steps.iter().map(|step| u64::from(step.count)).sum();
+        let ranges = self.done_ranges.iter();
+        let count: u64 = ranges.map(|(.., indexes)| indexes.len()).sum();
+        if self.complete.len().saturating_mul(tasks_each) + count > MAX_LISTED_TASKS {
+            return;
+        }
+        let complete = std::mem::take(&mut self.complete);
+        for occurrence in complete.iter() {
+            for (step, stage) in (0..).zip(&spec.steps) {
+                let tasks = (0..stage.count).map(|index| (occurrence, step, index));
+                self.done.extend(tasks);
+            }
+        }
+        let tasks: Vec<_> = self.done_tasks().skip(self.done.len()).collect();
+        self.done.extend(tasks);
+        self.done_ranges.clear();
+    }
+}
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -12,6 +12,7 @@
 mod pace;
 mod place;
 mod pools;
+mod progress;
 mod restart;
 mod simulation;
 mod takeover;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use coriandernotch::batch::{
-    Config, End, Ended, Engine, MemberChanges, Order, Profile, Record, Reply, Route, Running,
-    Snapshot, Spec, Step, TaskId, Tuning, WorkerKey, Workspace,
+    Config, End, Ended, Engine, MemberChanges, Order, Profile, Progress, Record, Reply, Route,
+    Running, Snapshot, Spec, Step, TaskId, Tuning, WorkerKey, Workspace,
 };
 use coriandernotch::clock::Instant;
 use coriandernotch::collections::Map;
@@ -54,6 +54,8 @@
     pub(crate) paces: Vec<u64>,
     /// State and end time of each job that is stored as ended, in milliseconds since 1970.
     pub(crate) ended: Map<Arc<str>, (coriandernotch::batch::State, u64)>,
+    /// Latest stored progress of each job.
+    pub(crate) stored: Map<Arc<str>, Progress>,
     /// Run time of a task in milliseconds.
     pub(crate) run_ms: u64,
 }
@@ -128,6 +130,7 @@
             starts: Vec::new(),
             paces: Vec::new(),
             ended: Map::default(),
+            stored: Map::default(),
             run_ms: 500,
         }
     }
@@ -199,8 +202,10 @@
             for (job, id, change, progress) in self.engine.take_unstored(usize::MAX, |_| true) {
                 self.engine.record_stored_change(job, change);
                 if progress.state.is_final() {
-                    self.ended.entry(id).or_insert((progress.state, wall));
+                    let ended = (progress.state, wall);
+                    self.ended.entry(id.clone()).or_insert(ended);
                 }
+                self.stored.insert(id, progress);
             }
         }
     }
