Poll often while it is unknown whether a run has started

Change: a poll waits 100 ms at most while a start on its worker has no known outcome.

Before: starts_a_task_soon_whose_worker_was_replaced failed after 3.24 and 3.29 s.

--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -142,6 +142,14 @@
         })
     }
 
+    /// Returns whether a worker must be polled often because a start order got no answer: the task
+    /// can start elsewhere only once its run was found missing.
+    pub fn has_uncertain_run(&self, key: WorkerKey) -> bool {
+        let runs = self.workers.get(key).map(|worker| &worker.runs);
+        let mut runs = runs.into_iter().flatten().map(|run| &self.runs[*run]);
+        runs.any(|run| run.uncertain_since.is_some())
+    }
+
     /// Returns whether a worker answered the last call.
     pub fn answers(&self, key: WorkerKey) -> bool {
         let worker = self.workers.get(key);
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -18,6 +18,9 @@
 /// Shorter wait while a long-running task on the worker starts up.
 const SETTLING_WAIT: Duration = Duration::from_millis(250);
 
+/// Shorter wait while it is unknown whether a run has started.
+const UNCERTAIN_WAIT: Duration = Duration::from_millis(100);
+
 /// Time that a response may take beyond the wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -58,6 +61,7 @@
             let wait = match deadline {
                 None if !engine.answers(key) => Duration::ZERO,
                 _ if engine.must_answer_before_start(key, sent) => Duration::ZERO,
+                _ if engine.has_uncertain_run(key) => UNCERTAIN_WAIT,
                 _ if engine.has_starting_task(key) => SETTLING_WAIT,
                 _ if engine.has_latency_conflict(key) => CONTENDED_WAIT,
                 _ => POLL_WAIT,
--- a/tests/entry/process.rs
+++ b/tests/entry/process.rs
@@ -215,3 +215,32 @@
     .await;
     assert_eq!((first.starts().len(), second.starts().len()), (1, 1));
 }
+
+/// Guards against a task that waits for polls which its worker holds back. Its start got no answer,
+/// and the worker was replaced, so three polls of up to 1 s each had to show that it does not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn starts_a_task_soon_whose_worker_was_replaced() {
+    let (store, address, first) = start_platform().await;
+    let instance = start_instance("replaced", address);
+    let callers = instance.callers;
+    request_until(callers, "POST", ONE, &job("100", 1), |s, _| s == 200).await;
+    request_until(callers, "GET", ONE, &json!({}), |_, b| {
+        b["state"] == "completed"
+    })
+    .await;
+    // The acknowledgement of the end is answered within this time.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    first.freeze();
+    request_until(callers, "POST", TWO, &job("100", 1), |s, _| s == 200).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let second = Worker::restarted("i-1");
+    register(&store, "i-1", second.start().await);
+    let replaced = Instant::now();
+    request_until(callers, "GET", TWO, &json!({}), |_, b| {
+        b["state"] == "completed"
+    })
+    .await;
+    let took = replaced.elapsed();
+    assert!(took < Duration::from_millis(2_600), "{took:?}");
+    assert_eq!(second.starts().len(), 1);
+}
