Cut the manager off after it has read its drain in the test of a takeover

Seen: tests/manage waves::another_instance_takes_over_during_a_wave failed in 1 of 16 runs of the whole file beside load: "a reboot did not happen" within 20 s, with the drain still under way.

Cause: the test cut the manager off from the store as soon as the row of the drain was stored. Where the manager had not read the row by then, its reports to its peers never contained the drain, and a drain ends only when the reports of all instances do. The product does not promise more: an instance that cannot read the drain may still send calls to the instance that drains.

Change: the test waits until the manager has read the drain before it cuts it off; all its checks and bounds stay.

--- a/tests/manage/cluster.rs
+++ b/tests/manage/cluster.rs
@@ -108,13 +108,46 @@
         .await;
     }
 
+    /// Waits until a node has read that an instance takes no calls.
+    pub(super) async fn wait_for_drain_at(&self, node: &Node) {
+        let dispatcher = node.shared().control.dispatcher();
+        self.wait("the drain at a node", |c| {
+            let roster = dispatcher.roster();
+            c.rows()
+                .iter()
+                .any(|(name, _)| roster.get(name).is_some_and(|known| !known.takes_calls()))
+        })
+        .await;
+    }
+
     /// Waits until `done` returns true, and checks the budgets all the while.
     pub(super) async fn wait(&self, what: &str, mut done: impl FnMut(&Self) -> bool) {
         let happened = self.bed.wait(WAIT, |_| {
             self.check();
             done(self)
         });
-        assert!(happened.await, "{what} did not happen: {:?}", self.rows());
+        let happened = happened.await;
+        assert!(
+            happened,
+            "{what} did not happen: {:?}, rosters {:?}",
+            self.rows(),
+            self.describe_rosters()
+        );
+    }
+
+    /// Tells what each node knows of the instances that do not serve.
+    fn describe_rosters(&self) -> Vec<String> {
+        let describe = |node: &Arc<Node>| {
+            let dispatcher = node.shared().control.dispatcher();
+            let (roster, version) = (dispatcher.roster(), dispatcher.roster_version());
+            let rows = self.rows().into_iter();
+            let phases: Vec<String> = rows
+                .filter(|(_, row)| row.phase != Phase::Serving)
+                .map(|(name, _)| format!("{name} {:?}", roster.get(&name).map(|known| known.phase)))
+                .collect();
+            format!("{} version {version} {phases:?}", node.shared().member.name)
+        };
+        self.bed.nodes().iter().map(describe).collect()
     }
 
     pub(super) fn rows(&self) -> Vec<(String, Assignment)> {
--- a/tests/manage/waves.rs
+++ b/tests/manage/waves.rs
@@ -76,9 +76,13 @@
             .value
             .contains(&format!("{}/{}", member.name, member.incarnation))
     });
+    let manager = manager.unwrap();
+    // A drain ends once every instance has reported its calls under a roster that contains the
+    // drain. One that is cut off before it reads the drain cannot, and holds the wave up.
+    cluster.wait_for_drain_at(manager).await;
     // Cut off from the store, it cannot renew the lease; its peers still receive the reports of its
     // calls.
-    let name = manager.unwrap().shared().member.name.clone();
+    let name = manager.shared().member.name.clone();
     cluster.bed.store.faults().cut(&name, true);
     cluster.wait("a reboot", |c| c.rebooted() > 0).await;
     cluster
