Print the logs of instances where a test fails

The four beds of instances in the process of the test print their lines of level info and above, which the test harness shows only for a failed test. A process of tests/process.rs no longer waits for a reader of its log.

--- a/tests/entry/handover.rs
+++ b/tests/entry/handover.rs
@@ -1,11 +1,9 @@
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
-use crate::instance::{Instance, TIMEOUT, request_until, start_with_output, wait_for_metric};
-use crate::log::Log;
+use crate::instance::{Instance, TIMEOUT, request_until, start_instance, wait_for_metric};
 use crate::platform::{job_with_estimate, register, start_platform};
 use crate::run::Run;
 use crate::worker::Worker;
@@ -51,13 +49,6 @@
     }
 }
 
-/// Starts an instance that writes its log to a file.
-fn start_logged(name: &str, store: SocketAddr) -> (Log, Instance) {
-    let log = Log::new(name);
-    let instance = start_with_output(name, store, log.create());
-    (log, instance)
-}
-
 /// Sends SIGTERM to an instance and waits until it has ended.
 async fn terminate(instance: &mut Instance) {
     kill_process(Pid::from_child(&instance.child), Signal::TERM).unwrap();
@@ -94,16 +85,16 @@
     let (store, address, first_worker) = start_platform().await;
     let second_worker = Worker::new("i-2");
     register(&store, "i-2", second_worker.start().await);
-    let (_first_log, mut first) = start_logged("handover-1", address);
+    let mut first = start_instance("handover-1", address);
     for job in &JOBS {
         job.submit(&first).await;
     }
-    let (_second_log, mut second) = start_logged("handover-2", address);
+    let mut second = start_instance("handover-2", address);
     for job in &JOBS {
         job.wait_for_state(&second, "running").await;
     }
     terminate(&mut first).await;
-    let (_third_log, third) = start_logged("handover-3", address);
+    let third = start_instance("handover-3", address);
     JOBS[2].wait_for_state(&third, "running").await;
     wait_for_metric(&second, "instance_leads 1").await;
     terminate(&mut second).await;
--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
 
+use crate::log::Log;
 use crate::port::free_address;
 
 /// Time within which a test must reach each expected state; it normally takes far less.
@@ -23,6 +24,8 @@
     pub(crate) callers: SocketAddr,
     pub(crate) metrics: SocketAddr,
     pub(crate) store: SocketAddr,
+    /// Printed if the test fails; `None` if the test reads standard output itself.
+    log: Option<Log>,
 }
 
 impl Drop for Instance {
@@ -33,8 +36,12 @@
     }
 }
 
+/// Starts an instance whose log is printed if the test fails.
 pub(crate) fn start_instance(name: &str, store: SocketAddr) -> Instance {
-    start_with_output(name, store, Stdio::null())
+    let log = Log::new(name);
+    let mut instance = start_with_output(name, store, log.create());
+    instance.log = Some(log);
+    instance
 }
 
 pub(crate) fn start_with_output(name: &str, store: SocketAddr, stdout: Stdio) -> Instance {
@@ -84,6 +91,7 @@
         callers,
         metrics,
         store,
+        log: None,
     }
 }
 
--- a/tests/entry/log.rs
+++ b/tests/entry/log.rs
@@ -2,7 +2,10 @@
 use std::path::PathBuf;
 use std::process::Stdio;
 
-/// File with the log of an instance. It is printed if the test fails, and removed when it ends.
+use crate::log_end::print_end;
+
+/// File with the log of an instance. Its end is printed if the test fails, and it is removed when
+/// the test ends.
 pub(crate) struct Log {
     path: PathBuf,
 }
@@ -23,8 +26,7 @@
 impl Drop for Log {
     fn drop(&mut self) {
         if std::thread::panicking() {
-            let text = std::fs::read_to_string(&self.path).unwrap_or_default();
-            println!("{}:\n{text}", self.path.display());
+            print_end(&self.path);
         }
         // Fails if the file was not created.
         let _ = std::fs::remove_file(&self.path);
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -5,6 +5,8 @@
 mod handover;
 mod instance;
 mod log;
+#[path = "../bed/log_end.rs"]
+mod log_end;
 mod mode;
 mod odd_entries;
 mod odd_entry;
--- a/tests/manage/cluster.rs
+++ b/tests/manage/cluster.rs
@@ -15,6 +15,8 @@
 use hyper::Request;
 use tokio::task::JoinSet;
 
+use crate::log_lines::print_lines;
+
 pub(super) const WAIT: Duration = Duration::from_secs(20);
 
 /// Two services with a pool each, a plan for the first, and three spare instances.
@@ -53,6 +55,7 @@
 
 impl Cluster {
     pub(super) async fn start(nodes: usize) -> Self {
+        print_lines();
         let document = fleet_document();
         let bed = Arc::new(Bed::start(&document.to_string()).await.unwrap());
         for _ in 0..nodes {
--- a/tests/manage/main.rs
+++ b/tests/manage/main.rs
@@ -3,5 +3,7 @@
 #[path = "../bed/mod.rs"]
 mod bed;
 mod cluster;
+#[path = "../bed/log_lines.rs"]
+mod log_lines;
 mod roster;
 mod waves;
--- a/tests/node/bed.rs
+++ b/tests/node/bed.rs
@@ -12,6 +12,8 @@
 use http_body_util::Full;
 use hyper::Request;
 
+use crate::log_lines::print_lines;
+
 pub(super) const WAIT: Duration = Duration::from_secs(10);
 
 pub(super) fn fleet_document() -> String {
@@ -43,6 +45,7 @@
 }
 
 pub(super) async fn start_bed(nodes: usize) -> Arc<Bed> {
+    print_lines();
     let bed = Arc::new(Bed::start(&fleet_document()).await.unwrap());
     for _ in 0..nodes {
         bed.start_node().await.unwrap();
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -5,3 +5,5 @@
 mod calls;
 mod idempotency;
 mod instances;
+#[path = "../bed/log_lines.rs"]
+mod log_lines;
--- a/tests/operators/bed.rs
+++ b/tests/operators/bed.rs
@@ -12,6 +12,8 @@
 use hyper::Request;
 use serde_json::{Value, json};
 
+use crate::log_lines::print_lines;
+
 pub(super) const WAIT: Duration = Duration::from_secs(10);
 pub(super) const ADMINISTER: &str = "administer-key";
 pub(super) type Headers<'a> = &'a [(&'a str, &'a str)];
@@ -51,6 +53,7 @@
 
 /// Entry instances with a document in force and every instance a voter.
 pub(super) async fn start(nodes: usize) -> Bed {
+    print_lines();
     let bed = Bed::start(&fleet().to_string()).await.unwrap();
     for _ in 0..nodes {
         bed.start_node().await.unwrap();
--- a/tests/operators/main.rs
+++ b/tests/operators/main.rs
@@ -4,4 +4,6 @@
 mod changes;
 mod console;
 mod events;
+#[path = "../bed/log_lines.rs"]
+mod log_lines;
 mod roles;
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -1,8 +1,11 @@
 //! The program as separate processes, with a stand-in platform on loopback.
 
-use std::io::{BufRead, BufReader};
+#[path = "bed/log_end.rs"]
+mod log_end;
+
+use std::fs::File;
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -20,7 +23,8 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_coriandernotch");
 const WAIT: Duration = Duration::from_secs(20);
 
-/// Stand-ins and the processes of a test; processes are killed when it ends.
+/// Stand-ins and the processes of a test. When it ends, the processes are killed, and if it failed,
+/// the ends of their logs are printed.
 struct Bed {
     store: Arc<Store>,
     target: Arc<Target>,
@@ -35,6 +39,9 @@
             drop(child.kill());
             drop(child.wait());
         }
+        if std::thread::panicking() {
+            self.print_logs();
+        }
         drop(std::fs::remove_dir_all(&self.folder));
     }
 }
@@ -87,15 +94,34 @@
         });
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).unwrap();
+        // A process that is started again goes on with the log of its earlier life.
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.log_path(name))
+            .unwrap();
         let child = Command::new(PROGRAM)
             .args(["serve", "--settings"])
             .arg(&path)
-            .stderr(Stdio::piped())
+            .stderr(log)
             .spawn()
             .unwrap();
         self.processes.push((name.to_owned(), child));
     }
 
+    fn log_path(&self, name: &str) -> std::path::PathBuf {
+        self.folder.join(format!("{name}.log"))
+    }
+
+    /// Prints the logs of all processes, also of those that have ended.
+    fn print_logs(&self) {
+        let files = std::fs::read_dir(&self.folder).into_iter().flatten();
+        let mut paths: Vec<_> = files.flatten().map(|file| file.path()).collect();
+        paths.retain(|path| path.extension().is_some_and(|suffix| suffix == "log"));
+        paths.sort();
+        paths.iter().for_each(|path| log_end::print_end(path));
+    }
+
     async fn member(&self, name: &str) -> Member {
         let end = Instant::now() + WAIT;
         loop {
@@ -203,8 +229,8 @@
 
     let mut stopped = bed.signal("entry-a", Signal::TERM);
     assert_eq!(stopped.wait().unwrap().code(), Some(0));
-    let lines = BufReader::new(stopped.stderr.take().unwrap()).lines();
-    let lines: Vec<String> = lines.map(Result::unwrap).collect();
+    let text = std::fs::read_to_string(bed.log_path("entry-a")).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
     assert!(
         lines.iter().any(|l| l.contains("event=shutdown-ended")),
         "{lines:#?}"
--- a/tests/work/bed.rs
+++ b/tests/work/bed.rs
@@ -15,6 +15,8 @@
 use hyper::Request;
 use serde_json::{Value, json};
 
+use crate::log_lines::print_lines;
+
 /// Limit of each wait, long enough that a busy test machine causes no failure.
 pub(super) const TIMEOUT: Duration = Duration::from_secs(40);
 
@@ -53,6 +55,7 @@
 }
 
 pub(super) async fn start_nodes(bed: Bed, nodes: usize, longest_run_ms: u64) -> Arc<Bed> {
+    print_lines();
     let bed = Arc::new(bed);
     for _ in 0..nodes {
         bed.start_node().await.unwrap();
--- a/tests/work/main.rs
+++ b/tests/work/main.rs
@@ -2,4 +2,6 @@
 
 mod bed;
 mod faults;
+#[path = "../bed/log_lines.rs"]
+mod log_lines;
 mod submission;
