--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
 
+use crate::log::Log;
 use crate::platform::job;
 use crate::port::free_address;
 
@@ -24,6 +25,8 @@
     pub(crate) callers: SocketAddr,
     pub(crate) metrics: SocketAddr,
     pub(crate) store: SocketAddr,
+    /// Printed if the test fails; `None` if the test reads standard output itself.
+    log: Option<Log>,
 }
 
 impl Instance {
@@ -48,8 +51,12 @@
     }
 }
 
+/// Starts an instance whose log is printed if the test fails.
 pub(crate) fn start_instance(name: &str, store: SocketAddr) -> Instance {
-    start_with_output(name, store, Stdio::null())
+    let log = Log::new(name);
+    let mut instance = start_with_output(name, store, log.create());
+    instance.log = Some(log);
+    instance
 }
 
 pub(crate) fn start_with_output(name: &str, store: SocketAddr, stdout: Stdio) -> Instance {
@@ -116,6 +123,7 @@
         callers,
         metrics,
         store,
+        log: None,
     }
 }
 
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -8,6 +8,8 @@
 mod instance;
 mod load;
 mod log;
+#[path = "../bed/log_end.rs"]
+mod log_end;
 mod mode;
 mod moment;
 mod odd_entries;
--- a/tests/manage/cluster.rs
+++ b/tests/manage/cluster.rs
@@ -15,6 +15,8 @@
 use hyper::Request;
 use tokio::task::JoinSet;
 
+use crate::log_lines::print_lines;
+
 pub(super) const WAIT: Duration = Duration::from_secs(20);
 
 /// Two services with a pool each, a plan for the first, and three spare instances.
@@ -53,6 +55,7 @@
 
 impl Cluster {
     pub(super) async fn start(nodes: usize) -> Self {
+        print_lines();
         let document = fleet_document();
         let bed = Arc::new(Bed::start(&document.to_string()).await.unwrap());
         for _ in 0..nodes {
@@ -108,13 +111,46 @@
         .await;
     }
 
+    /// Waits until a node has read that an instance takes no calls.
+    pub(super) async fn wait_for_drain_at(&self, node: &Node) {
+        let dispatcher = node.shared().control.dispatcher();
+        self.wait("the drain at a node", |c| {
+            let roster = dispatcher.roster();
+            c.rows()
+                .iter()
+                .any(|(name, _)| roster.get(name).is_some_and(|known| !known.takes_calls()))
+        })
+        .await;
+    }
+
     /// Waits until `done` returns true, and checks the budgets all the while.
     pub(super) async fn wait(&self, what: &str, mut done: impl FnMut(&Self) -> bool) {
         let happened = self.bed.wait(WAIT, |_| {
             self.check();
             done(self)
         });
-        assert!(happened.await, "{what} did not happen: {:?}", self.rows());
+        let happened = happened.await;
+        assert!(
+            happened,
+            "{what} did not happen: {:?}, rosters {:?}",
+            self.rows(),
+            self.describe_rosters()
+        );
+    }
+
+    /// Tells what each node knows of the instances that do not serve.
+    fn describe_rosters(&self) -> Vec<String> {
+        let describe = |node: &Arc<Node>| {
+            let dispatcher = node.shared().control.dispatcher();
+            let (roster, version) = (dispatcher.roster(), dispatcher.roster_version());
+            let rows = self.rows().into_iter();
+            let phases: Vec<String> = rows
+                .filter(|(_, row)| row.phase != Phase::Serving)
+                .map(|(name, _)| format!("{name} {:?}", roster.get(&name).map(|known| known.phase)))
+                .collect();
+            format!("{} version {version} {phases:?}", node.shared().member.name)
+        };
+        self.bed.nodes().iter().map(describe).collect()
     }
 
     pub(super) fn rows(&self) -> Vec<(String, Assignment)> {
