Choose workers from a list made once for each service and round

Cause: for every waiting task, all workers of all services were compared with the service of the task, and those of its service were asked again whether tasks may be started on them. Neither changes while tasks are placed.

Change: a round lists the workers of a service on which tasks may be started once, and chooses from that list. Which worker a task gets stays the same.

--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -29,13 +29,24 @@
 }
 
 impl Engine {
-    /// Chooses a worker with enough free capacity for a task.
+    /// Lists the workers of a service on which tasks may be started. Starting tasks does not change
+    /// the list, so it is made once for all tasks that are placed together.
+    pub(super) fn startable_workers(&self, service: &str, now: Instant) -> Vec<WorkerKey> {
+        let workers = self.workers.iter();
+        let startable =
+            workers.filter(|(_, w)| *w.profile.service == *service && self.may_start(w, now));
+        startable.map(|(key, _)| key).collect()
+    }
+
+    /// Chooses a worker with enough free capacity for a task from `workers`, which are those that
+    /// [`Engine::startable_workers`] lists for the service of the task.
     pub(super) fn choose(
         &self,
         stage_key: StageKey,
         index: u32,
         step: &Step,
         rack: Option<&Arc<str>>,
+        workers: &[WorkerKey],
         now: Instant,
     ) -> Option<WorkerKey> {
         let job = &self.jobs[stage_key.job];
@@ -49,12 +60,9 @@
             .is_some_and(|route| route.advice.is_some());
         let task = &stage.tasks[index as usize];
         let is_suitable = |key: WorkerKey, worker: &Worker| {
-            *worker.profile.service == *job.service
-                && self.may_start(worker, now)
-                && step
-                    .label
-                    .as_ref()
-                    .is_none_or(|label| worker.has_label(label))
+            step.label
+                .as_ref()
+                .is_none_or(|label| worker.has_label(label))
                 && rack.is_none_or(|rack| worker.has_label(rack))
                 && worker.free_capacity().covers(step.reserved())
                 && self.is_below_worker_limit(stage_key, step, worker)
@@ -64,10 +72,8 @@
                         .get(&key)
                         .is_some_and(|(_, until)| *until > now))
         };
-        let candidates = self
-            .workers
-            .iter()
-            .filter(|(key, worker)| is_suitable(*key, worker));
+        let candidates = workers.iter().map(|key| (*key, &self.workers[*key]));
+        let candidates = candidates.filter(|(key, worker)| is_suitable(*key, worker));
         candidates
             .map(|(key, worker)| {
                 let untried = !task.avoided_workers.contains(&key);
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -53,8 +53,9 @@
             let mut ranked: Vec<(Rank, StageKey)> =
                 stage_keys.into_iter().map(|key| (rank(key), key)).collect();
             ranked.sort_by_key(|(rank, _)| *rank);
+            let workers = self.startable_workers(&service, now);
             for (_, stage_key) in ranked {
-                self.place_stage(stage_key, now);
+                self.place_stage(stage_key, &workers, now);
             }
         }
     }
@@ -99,10 +100,12 @@
         }
     }
 
-    fn place_stage(&mut self, stage_key: StageKey, now: Instant) {
+    /// Starts the waiting tasks of a step on `workers`, those of its service, as far as they have
+    /// room.
+    fn place_stage(&mut self, stage_key: StageKey, workers: &[WorkerKey], now: Instant) {
         let step = self.jobs[stage_key.job].record.spec.steps[stage_key.step as usize].clone();
         if step.gang {
-            return self.place_gang(stage_key, &step, now);
+            return self.place_gang(stage_key, &step, workers, now);
         }
         for index in 0..step.count {
             let stage = self.stage(stage_key.job, stage_key.occurrence, stage_key.step);
@@ -112,7 +115,7 @@
             if !task.is_waiting(now) || self.may_run_on_uncontacted(stage_key, index, now) {
                 continue;
             }
-            let Some(worker) = self.choose(stage_key, index, &step, None, now) else {
+            let Some(worker) = self.choose(stage_key, index, &step, None, workers, now) else {
                 return;
             };
             self.start_run(stage_key, index, &step, worker, None, now);
@@ -120,7 +123,13 @@
     }
 
     /// Starts all tasks of a gang, or none of them.
-    fn place_gang(&mut self, stage_key: StageKey, step: &Step, now: Instant) {
+    fn place_gang(
+        &mut self,
+        stage_key: StageKey,
+        step: &Step,
+        workers: &[WorkerKey],
+        now: Instant,
+    ) {
         let Some(stage) = self.stage(stage_key.job, stage_key.occurrence, stage_key.step) else {
             return;
         };
@@ -145,7 +154,8 @@
         for rack in racks {
             let mut runs = Vec::new();
             for index in 0..step.count {
-                let Some(worker) = self.choose(stage_key, index, step, rack.as_ref(), now) else {
+                let Some(worker) = self.choose(stage_key, index, step, rack.as_ref(), workers, now)
+                else {
                     break;
                 };
                 runs.push(self.reserve_run(
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -188,7 +188,8 @@
             {
                 task.avoided_workers.push(worker);
             }
-            let chosen = self.choose(stage_key, task.index, &step, None, now);
+            let workers = self.startable_workers(&self.jobs[job].service, now);
+            let chosen = self.choose(stage_key, task.index, &step, None, &workers, now);
             if let Some(other) = chosen.filter(|other| *other != worker) {
                 self.start_run(stage_key, task.index, &step, other, None, now);
             }
