Split the files of the model of leader changes by task

Partitions, the network, the dispatch of events, orders, polls and the two followers get files of their own, named as in src/entry.

--- a/tests/takeover_model/flush.rs
+++ b/tests/takeover_model/flush.rs
@@ -7,13 +7,14 @@
 use crate::answer::Answer;
 use crate::content::Content;
 use crate::key::Key;
+use crate::partition::{PARTITIONS, partition_of};
 use crate::purpose::Purpose;
 use crate::request::Request;
 use crate::table::Table;
 use crate::term::{Changes, Term};
 use crate::timer::Timer;
 use crate::transaction::Transaction;
-use crate::world::{PARTITIONS, World, partition_of};
+use crate::world::World;
 
 /// Maximum number of jobs in one transaction.
 const MAX_BATCH_JOBS: usize = 60;
--- a/tests/takeover_model/load.rs
+++ b/tests/takeover_model/load.rs
@@ -7,13 +7,14 @@
 use crate::follow::RETRY_DELAY;
 use crate::key::Key;
 use crate::loading::Loading;
+use crate::partition::PARTITIONS;
 use crate::purpose::Purpose;
 use crate::request::Request;
 use crate::table::Table;
 use crate::term::Term;
 use crate::timer::Timer;
 use crate::transaction::Transaction;
-use crate::world::{PARTITIONS, World};
+use crate::world::World;
 
 impl World {
     /// Begins to load the state, unless the leadership has expired.
--- /dev/null
+++ b/tests/takeover_model/orders.rs
@@ -0,0 +1,154 @@
+//! How a leader sends orders to workers, as `src/entry/orders.rs` does.
+
+use std::time::Duration;
+
+use coriandernotch::batch::{Order, Reply, RunKey, TaskId, WorkerKey};
+
+use crate::timer::Timer;
+use crate::worker_answer::WorkerAnswer;
+use crate::worker_call::WorkerCall;
+use crate::worker_request::WorkerRequest;
+use crate::world::World;
+
+/// Time that the answer to an order may take.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Time until it is considered again whether a worker has answered, which a start order awaits.
+const ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Number of attempts to stop a run, and the delay between two of them.
+const STOP_ATTEMPTS: u32 = 3;
+const STOP_RETRY_DELAY: Duration = Duration::from_millis(150);
+
+impl World {
+    /// Sends the next order for a worker.
+    pub(crate) fn send_order(&mut self, instance: usize, key: WorkerKey) {
+        let now = self.now;
+        let may_send = self.may_send_orders(instance);
+        let Some(term) = &mut self.instances[instance].term else {
+            return;
+        };
+        let Some(handle) = term.handles.get_mut(&key) else {
+            return;
+        };
+        let Some(order) = handle.orders.pop_front() else {
+            handle.is_sending = false;
+            return;
+        };
+        if may_send
+            && matches!(order, Order::Start(_))
+            && term.engine.must_answer_before_start(key, now)
+        {
+            handle.orders.push_front(order);
+            return self.set_timer(instance, ANSWER_CHECK_INTERVAL, Timer::Order(key));
+        }
+        let request = match order {
+            Order::Start(run) => {
+                let launch = term.engine.launch(run, now).filter(|_| may_send);
+                let deadline = launch.is_some().then(|| term.engine.grant_lease(key, now));
+                match (launch, deadline.flatten()) {
+                    (Some(launch), Some(deadline_ms)) => Some(WorkerRequest::Start {
+                        run,
+                        launch,
+                        deadline_ms,
+                    }),
+                    _ => {
+                        term.engine.record_start_not_sent(run, now);
+                        self.wake_scheduler(instance);
+                        None
+                    }
+                }
+            }
+            Order::Stop { task, number } => may_send.then_some(WorkerRequest::Stop {
+                task,
+                number,
+                attempt: 0,
+            }),
+            Order::Pace { .. } => None,
+        };
+        match request {
+            Some(request) => self.call(instance, key, request, RESPONSE_TIMEOUT),
+            None => self.set_timer(instance, Duration::ZERO, Timer::Order(key)),
+        }
+    }
+
+    pub(crate) fn call(
+        &mut self,
+        instance: usize,
+        key: WorkerKey,
+        request: WorkerRequest,
+        timeout: Duration,
+    ) {
+        let entry = &self.instances[instance];
+        let Some(term) = &entry.term else {
+            return;
+        };
+        let Some(handle) = term.handles.get(&key) else {
+            return;
+        };
+        let call = WorkerCall {
+            process: entry.process,
+            token: term.engine.token(),
+            key,
+            worker: handle.worker,
+            id: handle.id.clone(),
+            request,
+            sent: self.now,
+            sent_ms: self.wall_ms(),
+        };
+        self.call_worker(call, timeout);
+    }
+
+    /// Records the outcome of a start order.
+    pub(crate) fn finish_start(&mut self, call: &WorkerCall, answer: &WorkerAnswer, run: RunKey) {
+        let instance = call.process.instance;
+        let reply = answer.start_outcome();
+        let clock_ms = match answer {
+            WorkerAnswer::Started(_, clock_ms) => Some(*clock_ms),
+            _ => None,
+        };
+        let now = self.now;
+        if let Some(term) = &mut self.instances[instance].term {
+            (term.engine).record_start_outcome(run, &reply, clock_ms, now);
+        }
+        if reply == Reply::Fenced {
+            return self.end_term(instance);
+        }
+        if reply != Reply::Started {
+            self.wake_scheduler(instance);
+        }
+        self.set_timer(instance, Duration::ZERO, Timer::Order(call.key));
+    }
+
+    /// Records whether a run was told to stop, and repeats the order if not.
+    pub(crate) fn finish_stop(
+        &mut self,
+        call: &WorkerCall,
+        answer: &WorkerAnswer,
+        task: TaskId,
+        number: u64,
+        attempt: u32,
+    ) {
+        let now = self.now;
+        let instance = call.process.instance;
+        let may_send = self.may_send_orders(instance);
+        let Some(term) = &mut self.instances[instance].term else {
+            return;
+        };
+        if matches!(answer, WorkerAnswer::Stopped) {
+            (term.engine).record_stop_confirmation(call.key, &task, number, now);
+        } else {
+            term.engine.record_no_answer(call.key);
+            if may_send && attempt + 1 < STOP_ATTEMPTS {
+                let attempt = attempt + 1;
+                let request = WorkerRequest::Stop {
+                    task,
+                    number,
+                    attempt,
+                };
+                return self.call(instance, call.key, request, RESPONSE_TIMEOUT);
+            }
+        }
+        self.set_timer(instance, STOP_RETRY_DELAY, Timer::Order(call.key));
+    }
+}
--- a/tests/takeover_model/term.rs
+++ b/tests/takeover_model/term.rs
@@ -7,7 +7,7 @@
 use crate::content::Content;
 use crate::handle::Handle;
 use crate::key::Key;
-use crate::world::PARTITIONS;
+use crate::partition::PARTITIONS;
 
 /// Changes that are being stored in one partition.
 #[derive(Clone, Debug)]
--- a/tests/takeover_model/world.rs
+++ b/tests/takeover_model/world.rs
@@ -5,35 +5,24 @@
 use coriandernotch::clock::Instant;
 
 use crate::action::Action;
-use crate::answer::Answer;
 use crate::audit::Audit;
 use crate::content::Content;
 use crate::event::Event;
-use crate::fault::Fault;
 use crate::instance::Instance;
 use crate::key::Key;
+use crate::partition::job_key;
 use crate::process::Process;
 use crate::queue::Queue;
 use crate::random::Random;
-use crate::request::Request;
 use crate::scenario::{MAX_ATTEMPTS, Scenario};
 use crate::store::Store;
-use crate::store_call::StoreCall;
 use crate::timer::Timer;
 use crate::violation::Violation;
 use crate::worker::Worker;
-use crate::worker_answer::WorkerAnswer;
-use crate::worker_call::WorkerCall;
-
-/// Number of partitions of jobs.
-pub(crate) const PARTITIONS: u8 = 2;
 
 /// Wall-clock time at which each simulation begins, in milliseconds since 1970.
 const START_MS: u64 = 1_700_000_000_000;
 
-/// Time that a message takes, in milliseconds.
-const TRANSMISSION_MS: std::ops::Range<u64> = 1..8;
-
 /// Time after the last fault in which all jobs must end: the longest wait of a new leader for a
 /// silent worker is 16.5 s, a takeover takes up to 3 s, and tasks run up to 5 s in two steps, with
 /// two failures and a stop each.
@@ -181,90 +170,6 @@
         due.into_iter().for_each(|action| self.act(action));
     }
 
-    fn handle(&mut self, event: Event) {
-        match event {
-            Event::Act(action) => self.act(action),
-            Event::Submit(index) => self.submit(index),
-            Event::StoreArrival(call, answered) => {
-                let answer = self.store.execute(&call.request);
-                if let (Answer::Applied(_), Request::Write(transaction)) = (&answer, &call.request)
-                {
-                    let puts = transaction.puts.clone();
-                    self.audit_completions(&puts);
-                }
-                if answered {
-                    let at = self.now + self.random.ms(TRANSMISSION_MS);
-                    self.queue.push(at, Event::StoreReply(call, answer));
-                }
-            }
-            Event::StoreReply(call, answer) => {
-                if self.is_current(call.process) {
-                    self.handle_store_reply(&call, answer);
-                }
-            }
-            Event::WorkerArrival(call, answered) => self.deliver(call, answered),
-            Event::PollAnswer { worker, poll } => self.answer_poll(worker, poll),
-            Event::WorkerReply(call, answer) => {
-                if self.is_current(call.process) {
-                    self.handle_worker_reply(&call, &answer);
-                }
-            }
-            Event::Timer(process, timer) => {
-                if self.is_current(process) {
-                    self.handle_timer(process.instance, timer);
-                }
-            }
-            Event::StartInstance(instance) => self.start_instance(instance),
-            Event::StartWorker { worker, keeps_id } => self.start_worker(worker, keeps_id),
-            Event::RunEnd {
-                worker,
-                born_ms,
-                task,
-                number,
-                how,
-            } => {
-                let process = &mut self.workers[worker];
-                if process.born_ms == born_ms && process.up {
-                    process.end_run(&task, number, how, &mut self.audit);
-                    self.answer_polls(worker);
-                }
-            }
-            Event::LeaseEnd { worker, born_ms } => {
-                let process = &mut self.workers[worker];
-                if process.born_ms == born_ms && process.up {
-                    process.enforce_lease(self.now, &mut self.audit);
-                    self.answer_polls(worker);
-                }
-            }
-            Event::Heartbeat { worker, born_ms } => self.register(worker, born_ms),
-            Event::Unlist { id, born_ms } => self.unlist(id, born_ms),
-            Event::Kill(process, away) => {
-                if self.is_current(process) {
-                    self.crash(process.instance, away);
-                }
-            }
-        }
-    }
-
-    fn handle_timer(&mut self, instance: usize, timer: Timer) {
-        match timer {
-            Timer::Follow => self.follow_leader(instance),
-            Timer::TakeOver => self.take_over(instance),
-            Timer::Load => self.load(instance),
-            Timer::Renew => self.renew(instance),
-            Timer::Round => {
-                self.set_timer(instance, Duration::from_millis(100), Timer::Round);
-                self.schedule(instance);
-            }
-            Timer::EarlyRound => self.schedule(instance),
-            Timer::Poll(key) => self.poll(instance, key),
-            Timer::Order(key) => self.send_order(instance, key),
-            Timer::Flush(part) => self.flush(instance, part),
-            Timer::FollowJobs(part) => self.follow_jobs(instance, part),
-            Timer::FollowWorkers => self.follow_workers(instance),
-        }
-    }
-
     pub(crate) fn is_current(&self, process: Process) -> bool {
         let instance = &self.instances[process.instance];
         instance.up && instance.process == process
@@ -285,64 +190,7 @@
         START_MS + self.now.since(self.start).as_millis() as u64
     }
 
-    /// Sends a call to the store.
-    pub(crate) fn call_store(&mut self, call: StoreCall) {
-        let instance = &self.instances[call.process.instance];
-        let is_read = !call.request.is_write();
-        let outage = instance.store_outage;
-        let fault = outage.and_then(|outage| outage.draw(is_read, self.now, &mut self.random));
-        let arrival = self.now + self.random.ms(TRANSMISSION_MS);
-        let timeout = self.now + call.timeout;
-        let failed = |call| Event::StoreReply(call, Answer::Failed);
-        match fault {
-            None => self.queue.push(arrival, Event::StoreArrival(call, true)),
-            Some(Fault::Refused) => self.queue.push(arrival, failed(call)),
-            Some(Fault::Silent) => self.queue.push(timeout, failed(call)),
-            Some(Fault::Lost) => {
-                self.queue.push(timeout, failed(call.clone()));
-                self.queue.push(arrival, Event::StoreArrival(call, false));
-            }
-            Some(Fault::Late(delay)) => {
-                let late = arrival + delay;
-                self.queue.push(timeout, failed(call.clone()));
-                self.queue.push(late, Event::StoreArrival(call, false));
-            }
-        }
-    }
-
-    /// Sends a call to a worker, which must answer within `timeout`.
-    pub(crate) fn call_worker(&mut self, call: WorkerCall, timeout: Duration) {
-        let outage = self.instances[call.process.instance].worker_outages[call.worker];
-        let fault = outage.and_then(|outage| outage.draw(false, self.now, &mut self.random));
-        let arrival = self.now + self.random.ms(TRANSMISSION_MS);
-        let timeout = self.now + timeout;
-        let failed = |call| Event::WorkerReply(call, WorkerAnswer::None);
-        match fault {
-            None => self.queue.push(arrival, Event::WorkerArrival(call, true)),
-            Some(Fault::Refused) => {
-                let refused = Event::WorkerReply(call, WorkerAnswer::Unsent);
-                self.queue.push(arrival, refused);
-            }
-            Some(Fault::Silent) => self.queue.push(timeout, failed(call)),
-            Some(Fault::Lost) => {
-                self.queue.push(timeout, failed(call.clone()));
-                self.queue.push(arrival, Event::WorkerArrival(call, false));
-            }
-            Some(Fault::Late(delay)) => {
-                let late = arrival + delay;
-                self.queue.push(timeout, failed(call.clone()));
-                self.queue.push(late, Event::WorkerArrival(call, false));
-            }
-        }
-    }
-
-    /// Sends the answer of a worker.
-    pub(crate) fn answer_worker_call(&mut self, call: WorkerCall, answer: WorkerAnswer) {
-        let at = self.now + self.random.ms(TRANSMISSION_MS);
-        self.queue.push(at, Event::WorkerReply(call, answer));
-    }
-
-    fn submit(&mut self, index: usize) {
+    pub(crate) fn submit(&mut self, index: usize) {
         self.steps.get_or_insert(0);
         let record = self.scenario.jobs[index].record(self.wall_ms());
         self.store.put(job_key(index), Content::Job(record));
@@ -374,30 +222,4 @@
             }
         }
     }
-
-    pub(crate) fn store_call(
-        &self,
-        instance: usize,
-        purpose: crate::purpose::Purpose,
-        request: Request,
-    ) -> StoreCall {
-        StoreCall {
-            process: self.instances[instance].process,
-            purpose,
-            request,
-            timeout: Duration::from_millis(1_200),
-            sent: self.now,
-        }
-    }
-}
-
-/// Returns the key of the job with an index.
-fn job_key(index: usize) -> Key {
-    let part = (index % usize::from(PARTITIONS)) as u8;
-    Key::Job(part, format!("j{part}-{index}").into())
-}
-
-/// Returns the partition of a job.
-pub(crate) fn partition_of(id: &str) -> u8 {
-    u8::from(id.starts_with("j1"))
 }
