--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -77,7 +77,10 @@
     }
 
     /// Returns the position up to which the ends of a worker may be acknowledged, because their
-    /// effects are stored.
+    /// effects are stored; 0 unless its latest answer listed ends.
+    ///
+    /// Another process may have started under the id of the worker since then. It numbers its ends
+    /// from the beginning, and would forget those up to the position before they are read.
     pub fn acknowledged(&mut self, key: WorkerKey) -> u64 {
         let Some(worker) = self.workers.get_mut(key) else {
             return 0;
@@ -93,7 +96,11 @@
             .iter()
             .map(|(position, ..)| position - 1);
         worker.acknowledged_position = unacknowledged.min().unwrap_or(worker.last_end_position);
-        worker.acknowledged_position
+        if worker.lists_ends {
+            worker.acknowledged_position
+        } else {
+            0
+        }
     }
 
     /// Returns whether all effects of the ends listed by a worker are stored.
@@ -111,6 +118,7 @@
     pub fn needs_poll(&self, key: WorkerKey) -> bool {
         self.workers.get(key).is_some_and(|w| {
             !w.runs.is_empty()
+                || w.lists_ends
                 || w.acknowledged_position < w.last_end_position
                 || ((w.answered_at.is_none() || w.unreachable) && !w.delisted)
                 || self.uncontacted.contains_key(&w.profile.id)
@@ -147,6 +155,9 @@
     /// Grants a lease from `now` and returns its deadline on the worker's clock. Returns `None`
     /// while that clock is unknown, or while the worker does not answer or the stored list shows it
     /// as silent: its runs are given up when the leases granted before have expired.
+    ///
+    /// A worker that listed nothing was not polled since, so a process with another clock may have
+    /// taken its place. That process shortens the lease only to the longest one.
     pub fn grant_lease(&mut self, key: WorkerKey, now: Instant) -> Option<u64> {
         let expiry = now + self.lease_expiry();
         let lease_ms = u64::try_from(self.lease().as_millis()).unwrap_or(u64::MAX / 2);
@@ -156,6 +167,16 @@
         let worker = self.workers.get_mut(key).filter(|w| !w.unreachable)?;
         let clock_ms = worker.clock_ms(now)?;
         worker.lease_until = worker.lease_until.max(expiry);
+        if !worker.lists_runs && !worker.lists_ends {
+            worker.unverified_grant = Some(now);
+        }
         Some(clock_ms + lease_ms)
     }
+
+    /// Returns when all leases granted to a worker have expired.
+    pub(super) fn last_lease_expiry(&self, worker: &Worker) -> Instant {
+        let unverified = worker.unverified_grant;
+        let longest = unverified.map(|at| at + self.longest_lease_expiry());
+        worker.lease_until.max(longest.unwrap_or_default())
+    }
 }
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -41,6 +41,8 @@
             log::warn!(event = "worker-restarted", worker = worker.profile.id,
                 runs = worker.runs.len(), listed = snapshot.running.len(); "");
         }
+        // Earlier leases were granted by the clock of this process, or its start was noticed above.
+        worker.unverified_grant.take_if(|at| *at <= sent);
         self.record_answer(key, snapshot, now);
         for ended in &snapshot.ended {
             if ended.position > self.workers[key].last_end_position {
@@ -61,7 +63,7 @@
         if !snapshot.has_more_ends {
             self.remove_missing_runs(key, &present, sent);
         }
-        self.pace_best_effort(key);
+        self.pace_best_effort(key, now);
     }
 
     /// Records that a worker answered, and what the answer tells about its process.
@@ -77,6 +79,8 @@
         worker.first_answered_at.get_or_insert(now);
         (worker.answered_at, worker.unreachable) = (Some(now), false);
         worker.absent_since = None;
+        worker.lists_ends = !snapshot.ended.is_empty();
+        worker.lists_runs = !snapshot.running.is_empty();
         // While there are more ends, a task may have ended there without being listed yet.
         if !snapshot.has_more_ends {
             self.uncontacted.remove(&id);
@@ -155,6 +159,10 @@
             lasting: step.lasting,
             saved: (!running.saved.is_empty()).then(|| running.saved.clone()),
         };
+        if run.filling {
+            // The previous leader may have slowed it down.
+            self.orders.push((key, run.pace_order()));
+        }
         self.add_run(run);
         if let Some(task) = self.task_mut(job, &running.task) {
             task.number = task.number.max(running.number);
@@ -216,7 +224,7 @@
     /// Records that a call to a worker got no answer.
     pub fn record_no_answer(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.get_mut(key) {
-            worker.unreachable = true;
+            worker.set_unreachable();
         }
     }
 
@@ -227,7 +235,7 @@
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
-        worker.unreachable = true;
+        worker.set_unreachable();
         let absent_since = *worker.absent_since.get_or_insert(now);
         let id = worker.profile.id.clone();
         if self.sole_leader_until(now).since(absent_since) < CONFIRM_ABSENT_AFTER {
