Read the store of the model in pages and discard its history

Now each read takes pages of two rows, at the version of each page; the leader follows a feed of new jobs; the store discards its history at random times, after which the leader reads all jobs again, as src/entry/follow_jobs.rs does. Ended jobs are deleted after 6 s in half of the scenarios. Workers list one end an answer, and a new kind of incident restarts a worker around a change of the leader. Answers to polls are held back for up to 20 ms or 500 ms.

The cases of the exhaustive test are the same ones, but every 19th is counted from the first instead of the 19th.

--- a/tests/takeover_model/act.rs
+++ b/tests/takeover_model/act.rs
@@ -54,6 +54,7 @@
                 }
                 self.expect_fault(lasts + AFTERMATH);
             }
+            Action::DiscardHistory => self.store.discard_history(),
             Action::ExpireRegistration { worker, lasts } => {
                 let process = &mut self.workers[worker];
                 process.unlisted_until = self.now + lasts;
--- a/tests/takeover_model/action.rs
+++ b/tests/takeover_model/action.rs
@@ -35,6 +35,8 @@
         percent: u64,
         lasts: Duration,
     },
+    /// The store discards the history of its changes.
+    DiscardHistory,
     /// The registration of a worker expires, and it cannot register for this time.
     ExpireRegistration { worker: usize, lasts: Duration },
     /// A worker process ends and another one starts after `down`.
--- a/tests/takeover_model/answer.rs
+++ b/tests/takeover_model/answer.rs
@@ -1,9 +1,13 @@
+use crate::feed::Feed;
+use crate::page::Page;
 use crate::row::Row;
 
 /// What an instance learns of a call to the modelled store.
 #[derive(Clone, Debug)]
 pub(crate) enum Answer {
-    Rows(Vec<Row>),
+    /// A page, or all pages of a read together.
+    Rows(Page),
+    Feed(Feed),
     /// The transaction was applied and received this version.
     Applied(u64),
     /// The condition did not hold; contains the row named by it, unless it is missing.
--- a/tests/takeover_model/audit.rs
+++ b/tests/takeover_model/audit.rs
@@ -3,7 +3,7 @@
 
 use coriandernotch::batch::{End, TaskId};
 use coriandernotch::clock::Instant;
-use coriandernotch::collections::Map;
+use coriandernotch::collections::{Map, Set};
 
 use crate::scenario::MAX_ATTEMPTS;
 use crate::violation::Violation;
@@ -28,6 +28,8 @@
     tasks: Map<TaskId, History>,
     /// Jobs that were shown as completed, and when.
     completed: Map<Arc<str>, Instant>,
+    /// Jobs whose end is stored. Their rows may have been deleted since.
+    ended: Set<Arc<str>>,
     pub(crate) violation: Option<Violation>,
 }
 
@@ -82,6 +84,16 @@
         self.violation = self.violation.take().or(violation);
     }
 
+    /// Records that the end of a job is stored.
+    pub(crate) fn record_job_end(&mut self, job: &Arc<str>) {
+        self.ended.insert(job.clone());
+    }
+
+    /// Returns whether the end of a job is stored.
+    pub(crate) fn has_ended(&self, job: &str) -> bool {
+        self.ended.contains(job)
+    }
+
     /// Records that callers were shown that a job is complete.
     pub(crate) fn record_completion(&mut self, job: &Arc<str>, now: Instant) {
         self.completed.entry(job.clone()).or_insert(now);
--- a/tests/takeover_model/dispatch.rs
+++ b/tests/takeover_model/dispatch.rs
@@ -4,9 +4,7 @@
 
 use crate::answer::Answer;
 use crate::event::Event;
-use crate::network::TRANSMISSION_MS;
 use crate::purpose::Purpose;
-use crate::request::Request;
 use crate::store_call::StoreCall;
 use crate::timer::Timer;
 use crate::worker_answer::WorkerAnswer;
@@ -19,20 +17,11 @@
         match event {
             Event::Act(action) => self.act(action),
             Event::Submit(index) => self.submit(index),
-            Event::StoreArrival(call, answered) => {
-                let answer = self.store.execute(&call.request);
-                if let (Answer::Applied(_), Request::Write(transaction)) = (&answer, &call.request)
-                {
-                    let puts = transaction.puts.clone();
-                    self.audit_completions(&puts);
-                }
-                if answered {
-                    let at = self.now + self.random.ms(TRANSMISSION_MS);
-                    self.queue.push(at, Event::StoreReply(call, answer));
-                }
-            }
+            Event::StoreArrival(call, answered) => self.deliver_to_store(call, answered),
             Event::StoreReply(call, answer) => {
-                if self.is_current(call.process) {
+                if self.is_current(call.process)
+                    && let Some(answer) = self.collect_pages(&call, answer)
+                {
                     self.handle_store_reply(&call, answer);
                 }
             }
@@ -94,7 +83,7 @@
             Timer::Poll(key) => self.poll(instance, key),
             Timer::Order(key) => self.send_order(instance, key),
             Timer::Flush(part) => self.flush(instance, part),
-            Timer::FollowJobs(part) => self.follow_jobs(instance, part),
+            Timer::FollowJobs => self.follow_jobs(instance),
             Timer::FollowWorkers => self.follow_workers(instance),
         }
     }
@@ -108,7 +97,8 @@
             Purpose::TakeOver(leader, _) => self.finish_take_over(call, leader, &answer),
             Purpose::Renew(leader, _) => self.finish_renewal(call, leader, &answer),
             Purpose::Resign(leader, _) => self.finish_resignation(call, &leader, &answer),
-            Purpose::FollowJobs(part) => self.finish_jobs(instance, part, answer),
+            Purpose::FollowJobs => self.finish_jobs(instance, answer),
+            Purpose::RereadJobs(attempt) => self.continue_reread(instance, attempt, answer),
             Purpose::FollowWorkers => self.finish_workers(instance, answer),
             Purpose::ReadFence(_)
             | Purpose::RaiseFence(_)
--- a/tests/takeover_model/exhaustive.rs
+++ b/tests/takeover_model/exhaustive.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
 use crate::action::{Action, Target};
+use crate::cases::check_all;
 use crate::fault::Fault;
 use crate::scenario::Scenario;
-use crate::violation::Violation;
 use crate::world::World;
 
 /// Time for which instances are away and faults last: longer than a takeover, and longer than the
@@ -21,7 +21,7 @@
 
 /// One of so many cases is run unless `TAKEOVER_EXHAUSTIVE` is set. It shares no divisor with the
 /// 39 cases of a step, so that all kinds are run.
-const STRIDE: u64 = 19;
+const STRIDE: usize = 19;
 
 /// Numbers of steps from the begin of the fault to the change.
 const GAPS: [u64; 3] = [0, 3, 9];
@@ -89,34 +89,18 @@
 
 /// Takes the actions at each step of a job, with each fault of the store and each loss of a worker.
 fn interrupt_at_each_step(change: &[Action]) {
-    let mut failures: Vec<(Scenario, Violation)> = Vec::new();
-    let mut count = 0;
     let all = std::env::var_os("TAKEOVER_EXHAUSTIVE").is_some();
     let stride = if all { 1 } else { STRIDE };
-    for tasks in 1..=2 {
-        for step in 1..=count_steps(tasks) {
-            for (fault, gap) in faults() {
-                for lost_by in LOST_BY {
-                    count += 1;
-                    if count % stride != 0 {
-                        continue;
-                    }
-                    let scenario = interrupted(tasks, step, fault, gap, lost_by, change);
-                    if let Err(violation) = World::new(scenario.clone()).run() {
-                        failures.push((scenario, violation));
-                    }
-                }
-            }
-        }
-    }
-    for (scenario, violation) in failures.iter().take(3) {
-        eprintln!("{violation:?}: {scenario:?}");
-    }
-    assert!(
-        failures.is_empty(),
-        "{} of {count} cases failed",
-        failures.len()
-    );
+    check_all(interrupted_at_each_step(change).step_by(stride));
+}
+
+fn interrupted_at_each_step(change: &[Action]) -> impl Iterator<Item = Scenario> {
+    let steps = (1..=2).flat_map(|tasks| (1..=count_steps(tasks)).map(move |step| (tasks, step)));
+    let faults = steps.flat_map(|step| faults().map(move |fault| (step, fault)));
+    let cases = faults.flat_map(|case| LOST_BY.map(|lost_by| (case, lost_by)));
+    cases.map(|(((tasks, step), (fault, gap)), lost_by)| {
+        interrupted(tasks, step, fault, gap, lost_by, change)
+    })
 }
 
 /// Returns each fault of the store, with the number of steps from its begin to the change.
--- a/tests/takeover_model/flush.rs
+++ b/tests/takeover_model/flush.rs
@@ -19,6 +19,9 @@
 /// Maximum number of jobs in one transaction.
 const MAX_BATCH_JOBS: usize = 60;
 
+/// Maximum number of ended jobs whose rows one transaction deletes.
+const MAX_DELETED_JOBS: usize = 12;
+
 /// Delay before changes are stored that callers wait for, and before others are.
 const URGENT_DELAY: Duration = Duration::from_millis(15);
 const DELAY: Duration = Duration::from_millis(45);
@@ -62,12 +65,13 @@
 
     /// Sends the changes of a partition.
     pub(crate) fn flush(&mut self, instance: usize, part: u8) {
+        let wall_ms = self.wall_ms();
         let Some(term) = &mut self.instances[instance].term else {
             return;
         };
         let index = usize::from(part);
         if term.changes[index].is_none() {
-            term.changes[index] = take_changes(term, part);
+            term.changes[index] = take_changes(term, part, wall_ms);
         }
         let Some(changes) = &term.changes[index] else {
             term.is_flushing[index] = false;
@@ -79,11 +83,11 @@
             let transaction = Transaction {
                 expected: (Key::Fence(part), writer.version()),
                 puts: changes.puts.iter().cloned().chain([fence]).collect(),
-                deletes: Vec::new(),
+                deletes: changes.deletes.clone(),
             };
             (Purpose::Flush(part), Request::Write(transaction))
         } else {
-            let request = Request::Read(Table::Fence(part));
+            let request = Request::Read(Table::Fence(part), None);
             (Purpose::PrepareFlush(part), request)
         };
         let call = self.store_call(instance, purpose, request);
@@ -107,12 +111,12 @@
                 self.finish_flush(instance, part);
             }
             (Purpose::Flush(_), Answer::Conflict(_)) => {
-                let request = Request::Read(Table::Fence(part));
+                let request = Request::Read(Table::Fence(part), None);
                 let call = self.store_call(instance, Purpose::ResolveFlush(part), request);
                 self.call_store(call);
             }
-            (_, Answer::Rows(rows)) => {
-                let Some((version, fence)) = rows.iter().find_map(|row| match row.content {
+            (_, Answer::Rows(page)) => {
+                let Some((version, fence)) = page.rows.iter().find_map(|row| match row.content {
                     Content::Fence(fence) => Some((row.version, fence)),
                     _ => None,
                 }) else {
@@ -146,6 +150,8 @@
             for (job, change) in changes.jobs {
                 term.engine.record_stored_change(job, change);
             }
+            let version = term.writers[index].version();
+            term.engine.record_deletion(changes.deleted, version);
             // A leader that stops shows nothing to callers.
             if term.stops_for.is_none() {
                 self.audit_completions(&changes.puts);
@@ -155,7 +161,7 @@
     }
 }
 
-fn take_changes(term: &mut Term, part: u8) -> Option<Changes> {
+fn take_changes(term: &mut Term, part: u8, wall_ms: u64) -> Option<Changes> {
     let selected = |id: &str| partition_of(id) == part;
     let rows = term.engine.take_unstored(MAX_BATCH_JOBS, selected);
     if rows.is_empty() {
@@ -163,12 +169,19 @@
     }
     let mut changes = Changes {
         puts: Vec::new(),
+        deletes: Vec::new(),
         jobs: Vec::new(),
+        deleted: Vec::new(),
     };
     for (key, id, change, progress) in rows {
         let row = (Key::Progress(part, id), Content::Progress(progress));
         changes.puts.push(row);
         changes.jobs.push((key, change));
     }
+    changes.deleted = (term.engine).take_outdated(wall_ms, MAX_DELETED_JOBS, selected);
+    for id in &changes.deleted {
+        changes.deletes.push(Key::Job(part, id.clone()));
+        changes.deletes.push(Key::Progress(part, id.clone()));
+    }
     Some(changes)
 }
--- a/tests/takeover_model/follow.rs
+++ b/tests/takeover_model/follow.rs
@@ -8,6 +8,7 @@
 use crate::answer::Answer;
 use crate::content::Content;
 use crate::key::Key;
+use crate::page::Page;
 use crate::purpose::Purpose;
 use crate::request::Request;
 use crate::row::Row;
@@ -31,14 +32,14 @@
 
 impl World {
     pub(crate) fn follow_leader(&mut self, instance: usize) {
-        let request = Request::Read(Table::Leaders);
+        let request = Request::Read(Table::Leaders, None);
         let call = self.store_call(instance, Purpose::Follow, request);
         self.call_store(call);
     }
 
     /// Handles a read of the leader row.
     pub(crate) fn finish_follow(&mut self, instance: usize, answer: Answer) {
-        let Answer::Rows(rows) = answer else {
+        let Answer::Rows(Page { rows, .. }) = answer else {
             return self.follow_anew(instance, RETRY_DELAY);
         };
         let (now, now_ms) = (self.now, self.wall_ms());
@@ -89,7 +90,7 @@
         let entry = &mut self.instances[instance];
         entry.resigned = entry.leader.vacant;
         if entry.resigned {
-            let request = Request::Read(Table::Leaders);
+            let request = Request::Read(Table::Leaders, None);
             let call = self.store_call(instance, Purpose::ReadHandover, request);
             return self.call_store(call);
         }
@@ -99,7 +100,7 @@
 
     /// Handles the read of the list of a leader that resigned.
     pub(crate) fn finish_handover(&mut self, instance: usize, answer: Answer) {
-        let Answer::Rows(rows) = answer else {
+        let Answer::Rows(Page { rows, .. }) = answer else {
             return self.follow_anew(instance, RETRY_DELAY);
         };
         let entry = &mut self.instances[instance];
@@ -196,7 +197,9 @@
                     self.set_timer(instance, Duration::ZERO, Timer::Follow);
                 }
             }
-            Answer::Rows(_) | Answer::Failed => self.follow_anew(instance, RETRY_DELAY),
+            Answer::Rows(_) | Answer::Feed(_) | Answer::Failed => {
+                self.follow_anew(instance, RETRY_DELAY);
+            }
         }
     }
 
--- a/tests/takeover_model/follow_workers.rs
+++ b/tests/takeover_model/follow_workers.rs
@@ -4,6 +4,7 @@
 
 use crate::answer::Answer;
 use crate::content::Content;
+use crate::page::Page;
 use crate::purpose::Purpose;
 use crate::request::Request;
 use crate::table::Table;
@@ -21,7 +22,7 @@
 
 impl World {
     pub(crate) fn follow_workers(&mut self, instance: usize) {
-        let request = Request::Read(Table::Registrations);
+        let request = Request::Read(Table::Registrations, None);
         let call = self.store_call(instance, Purpose::FollowWorkers, request);
         self.call_store(call);
     }
@@ -31,7 +32,7 @@
         let Some(term) = &mut self.instances[instance].term else {
             return;
         };
-        let Answer::Rows(rows) = answer else {
+        let Answer::Rows(Page { rows, .. }) = answer else {
             term.workers_failed = true;
             return self.set_timer(instance, RETRY_DELAY, Timer::FollowWorkers);
         };
--- a/tests/takeover_model/incident.rs
+++ b/tests/takeover_model/incident.rs
@@ -15,14 +15,17 @@
     Flicker,
     /// Registrations expire while the store is away.
     Expiry,
+    /// A worker restarts under its id around a change of leader, some calls to it are lost.
+    Restart,
 }
 
 /// All kinds of incidents.
-pub(crate) const INCIDENTS: [Incident; 4] = [
+pub(crate) const INCIDENTS: [Incident; 5] = [
     Incident::Mixed,
     Incident::Partition,
     Incident::Flicker,
     Incident::Expiry,
+    Incident::Restart,
 ];
 
 impl Incident {
@@ -33,6 +36,7 @@
             Self::Partition => partition(workers, random),
             Self::Flicker => flicker(workers, random),
             Self::Expiry => expiry(workers, random),
+            Self::Restart => restart(workers, random),
         }
     }
 }
@@ -115,6 +119,31 @@
     actions
 }
 
+fn restart(workers: usize, random: &mut Random) -> Vec<(Duration, Action)> {
+    let worker = random.index(workers);
+    let mut actions = Vec::new();
+    for _ in 0..1 + random.below(2) {
+        let restart = Action::RestartWorker {
+            worker,
+            down: random.ms(10..1_500),
+            keeps_id: random.chance(80),
+        };
+        actions.push((random.ms(0..4_000), restart));
+    }
+    for _ in 0..random.below(3) {
+        let disturbed = Action::DisturbWorker {
+            target: random.pick(&[Target::Leader, Target::Followers, Target::All]),
+            worker,
+            fault: any_fault(random),
+            percent: random.pick(&[50, 100]),
+            lasts: random.ms(200..6_000),
+        };
+        actions.push((random.ms(0..4_000), disturbed));
+    }
+    actions.push((random.ms(0..5_000), any_change(random)));
+    actions
+}
+
 /// Returns an end of the present leadership. In the third case the leader runs on.
 fn any_change(random: &mut Random) -> Action {
     let away = random.ms(200..4_000);
--- a/tests/takeover_model/load.rs
+++ b/tests/takeover_model/load.rs
@@ -1,5 +1,7 @@
 //! How a new leader fences the partitions and reads the state, as `src/entry/load.rs` does.
 
+use std::time::Duration;
+
 use coriandernotch::batch::{Engine, Fence, Tuning};
 
 use crate::answer::Answer;
@@ -22,7 +24,7 @@
         if !self.is_leading(instance) {
             return self.end_term(instance);
         }
-        self.instances[instance].loading = Some(Loading::default());
+        self.instances[instance].loading = Some(Loading::new());
         self.read_state(instance, Purpose::LoadWorkers, Table::Registrations);
         self.read_state(instance, Purpose::LoadMembers, Table::Members);
         for part in 0..PARTITIONS {
@@ -31,7 +33,7 @@
     }
 
     fn read_state(&mut self, instance: usize, purpose: Purpose, table: Table) {
-        let call = self.store_call(instance, purpose, Request::Read(table));
+        let call = self.store_call(instance, purpose, Request::Read(table, None));
         self.send_load_call(instance, call);
     }
 
@@ -49,8 +51,8 @@
         };
         loading.outstanding -= 1;
         match (purpose, answer) {
-            (Purpose::ReadFence(part), Answer::Rows(rows)) => {
-                let row = rows.first();
+            (Purpose::ReadFence(part), Answer::Rows(page)) => {
+                let row = page.rows.first();
                 let stored = match row.map(|row| &row.content) {
                     Some(Content::Fence(fence)) => *fence,
                     _ => Fence::default(),
@@ -74,12 +76,9 @@
             (Purpose::RaiseFence(part), Answer::Conflict(_)) => {
                 self.read_state(instance, Purpose::ReadFence(*part), Table::Fence(*part));
             }
-            (_, Answer::Rows(rows)) => {
-                for row in rows {
-                    loading.add(row);
-                }
-            }
-            (_, Answer::Applied(_) | Answer::Conflict(_) | Answer::Failed) => {
+            (Purpose::LoadJobs, Answer::Rows(page)) => loading.add_jobs(page),
+            (_, Answer::Rows(page)) => loading.add(page),
+            (_, Answer::Applied(_) | Answer::Conflict(_) | Answer::Feed(_) | Answer::Failed) => {
                 self.instances[instance].abort_tasks();
                 return self.set_timer(instance, RETRY_DELAY, Timer::Load);
             }
@@ -91,28 +90,33 @@
         let is_loaded = |loading: &mut Loading| loading.outstanding == 0;
         let (now, wall_ms) = (self.now, self.wall_ms());
         let config = self.config.clone();
+        let tuning = Tuning {
+            retention: self.scenario.retention,
+            ..Tuning::default()
+        };
         let entry = &mut self.instances[instance];
         let Some(loading) = entry.loading.take_if(is_loaded) else {
             return;
         };
         let token = entry.leader.token;
-        let mut engine = Engine::new(Tuning::default(), token, config);
+        let mut engine = Engine::new(tuning, token, config);
         engine.record_renewal(entry.leadership.last_renewal());
-        for (id, record) in loading.jobs {
-            let progress = loading.progress.get(&id).cloned();
-            engine.load_job(&id, record, progress, wall_ms, now);
-        }
+        let jobs_version = loading.jobs_version;
+        loading.load_jobs(&mut engine, wall_ms, now);
         engine.set_workers(loading.profiles);
         engine.restore_members(loading.members);
         if token > 1 {
             engine.inherit(&entry.leader.busy, entry.resigned, entry.begun);
         }
-        entry.term = Some(Term::new(engine));
-        for timer in [Timer::Renew, Timer::Round, Timer::FollowWorkers] {
-            self.set_timer(instance, std::time::Duration::ZERO, timer);
-        }
-        for part in 0..PARTITIONS {
-            self.set_timer(instance, std::time::Duration::ZERO, Timer::FollowJobs(part));
+        entry.term = Some(Term::new(engine, jobs_version));
+        let timers = [
+            Timer::Renew,
+            Timer::Round,
+            Timer::FollowWorkers,
+            Timer::FollowJobs,
+        ];
+        for timer in timers {
+            self.set_timer(instance, Duration::ZERO, timer);
         }
     }
 }
--- a/tests/takeover_model/network.rs
+++ b/tests/takeover_model/network.rs
@@ -5,9 +5,12 @@
 use crate::answer::Answer;
 use crate::event::Event;
 use crate::fault::Fault;
+use crate::page::Page;
 use crate::purpose::Purpose;
 use crate::request::Request;
+use crate::row::Row;
 use crate::store_call::StoreCall;
+use crate::table::Table;
 use crate::worker_answer::WorkerAnswer;
 use crate::worker_call::WorkerCall;
 use crate::world::World;
@@ -30,6 +33,7 @@
             purpose,
             request,
             timeout: STORE_TIMEOUT,
+            read: None,
             sent: self.now,
         }
     }
@@ -59,6 +63,50 @@
         }
     }
 
+    /// Carries out a call in the store at the moment at which it arrives there.
+    pub(crate) fn deliver_to_store(&mut self, call: StoreCall, answered: bool) {
+        let answer = self.store.execute(&call.request);
+        if let (Answer::Applied(_), Request::Write(transaction)) = (&answer, &call.request) {
+            let puts = transaction.puts.clone();
+            self.audit_completions(&puts);
+        }
+        if answered {
+            let at = self.now + self.random.ms(TRANSMISSION_MS);
+            self.queue.push(at, Event::StoreReply(call, answer));
+        }
+    }
+
+    /// Adds a page to those read before, and asks for the next one unless it is the last. Returns
+    /// all rows after the last page; any other answer is returned unchanged.
+    pub(crate) fn collect_pages(&mut self, call: &StoreCall, answer: Answer) -> Option<Answer> {
+        let (Answer::Rows(page), Request::Read(table, _)) = (answer.clone(), &call.request) else {
+            return Some(answer);
+        };
+        let Some(mut read) = call.read.clone() else {
+            return self.read_on(call, *table, page);
+        };
+        // A page begins with the last row of the one before, unless that row was deleted.
+        let last_key = read.rows.last().map(|row| row.key.clone());
+        let is_new = |row: &Row| Some(&row.key) != last_key.as_ref();
+        read.rows.extend(page.rows.into_iter().filter(is_new));
+        read.has_more = page.has_more;
+        self.read_on(call, *table, read)
+    }
+
+    /// Asks for the page after those that were read, or returns them if they are all.
+    fn read_on(&mut self, call: &StoreCall, table: Table, read: Page) -> Option<Answer> {
+        if !read.has_more {
+            return Some(Answer::Rows(read));
+        }
+        let from = read.rows.last().map(|row| row.key.clone());
+        self.call_store(StoreCall {
+            request: Request::Read(table, from),
+            read: Some(read),
+            ..call.clone()
+        });
+        None
+    }
+
     /// Sends a call to a worker, which must answer within `timeout`.
     pub(crate) fn call_worker(&mut self, call: WorkerCall, timeout: Duration) {
         let outage = self.instances[call.process.instance].worker_outages[call.worker];
--- a/tests/takeover_model/platform.rs
+++ b/tests/takeover_model/platform.rs
@@ -21,8 +21,8 @@
 /// Time after the end of a process after which its registration expires.
 const EXPIRY: Duration = Duration::from_millis(1_800);
 
-/// Longest time for which a worker holds back the answer to a poll, in milliseconds.
-const MAX_HOLD_MS: u64 = 500;
+/// Longest times for which a worker holds back the answer to a poll, in milliseconds.
+const MAX_HOLD_MS: [u64; 2] = [20, 500];
 
 /// Longest time that a stop takes, in milliseconds.
 const MAX_STOP_MS: u64 = 300;
@@ -179,7 +179,8 @@
 
     /// Holds a poll back for a while, or until there is an end to list.
     fn hold_poll(&mut self, call: WorkerCall, holds: bool) {
-        let hold = Duration::from_millis(self.random.below(MAX_HOLD_MS));
+        let max_hold_ms = self.random.pick(&MAX_HOLD_MS);
+        let hold = Duration::from_millis(self.random.below(max_hold_ms));
         let hold = if holds { hold } else { Duration::ZERO };
         let worker = call.worker;
         let poll = self.workers[worker].hold(call);
--- a/tests/takeover_model/purpose.rs
+++ b/tests/takeover_model/purpose.rs
@@ -18,7 +18,9 @@
     LoadMembers,
     /// Renewing the leadership; the number of attempts that are left after a conflict.
     Renew(Leader, u32),
-    FollowJobs(u8),
+    FollowJobs,
+    /// Reading all jobs again, in the attempt with this number.
+    RereadJobs(u32),
     FollowWorkers,
     /// Reading the fence of a partition before the first write.
     PrepareFlush(u8),
--- a/tests/takeover_model/scenario.rs
+++ b/tests/takeover_model/scenario.rs
@@ -11,6 +11,11 @@
 /// Time from the start of a scenario until the first leader has been elected.
 pub(crate) const ELECTED_AFTER: Duration = Duration::from_secs(4);
 
+/// Times for which jobs stay in the store: longer than a simulation, and so short that jobs are
+/// deleted in it. The short one is longer than the delays of late calls.
+const LONG_RETENTION: Duration = Duration::from_secs(600);
+const SHORT_RETENTION: Duration = Duration::from_secs(6);
+
 /// What happens in one simulation.
 #[derive(Clone, Debug)]
 pub(crate) struct Scenario {
@@ -20,6 +25,8 @@
     pub(crate) jobs: Vec<Job>,
     /// Share of runs that fail.
     pub(crate) failing_percent: u64,
+    /// Time for which jobs stay in the store after their end.
+    pub(crate) retention: Duration,
     /// Actions and their times.
     pub(crate) actions: Vec<(Duration, Action)>,
     /// Actions that take place just before the step with a number, counted from the submission of
@@ -42,6 +49,7 @@
             workers: 2,
             jobs: vec![job],
             failing_percent: 0,
+            retention: LONG_RETENTION,
             actions: Vec::new(),
             interruptions: Vec::new(),
         }
@@ -59,6 +67,7 @@
             workers,
             jobs: jobs.collect(),
             failing_percent: random.pick(&[0, 0, 10, 40]),
+            retention: random.pick(&[LONG_RETENTION, SHORT_RETENTION]),
             actions: Vec::new(),
             interruptions: Vec::new(),
         };
@@ -69,6 +78,10 @@
             let actions = actions.into_iter().map(|(at, action)| (begin + at, action));
             scenario.actions.extend(actions);
         }
+        for _ in 0..random.pick(&[0, 4, 20]) {
+            let at = ELECTED_AFTER + random.ms(0..30_000);
+            scenario.actions.push((at, Action::DiscardHistory));
+        }
         scenario
     }
 }
--- a/tests/takeover_model/store.rs
+++ b/tests/takeover_model/store.rs
@@ -2,9 +2,12 @@
 
 use crate::answer::Answer;
 use crate::content::Content;
+use crate::feed::Feed;
 use crate::key::Key;
+use crate::page::{PAGE_ROWS, Page};
 use crate::request::Request;
 use crate::row::Row;
+use crate::table::Table;
 use crate::transaction::Transaction;
 
 /// Rows with versions and conditional transactions.
@@ -12,20 +15,47 @@
 pub(crate) struct Store {
     rows: BTreeMap<Key, (u64, Content)>,
     version: u64,
+    /// Oldest version for which the changes after it are known.
+    history_from: u64,
 }
 
 impl Store {
     /// Carries out a call at the moment at which it takes effect.
     pub(crate) fn execute(&mut self, request: &Request) -> Answer {
         match request {
-            Request::Read(table) => {
-                let rows = self.rows.iter().filter(|(key, _)| table.contains(key));
-                Answer::Rows(rows.map(row).collect())
-            }
+            Request::Read(table, from) => Answer::Rows(self.read(*table, from.as_ref())),
+            Request::Feed(after) => Answer::Feed(self.read_new_jobs(*after)),
             Request::Write(transaction) => self.apply(transaction),
         }
     }
 
+    fn read(&self, table: Table, from: Option<&Key>) -> Page {
+        let is_wanted = |key: &Key| table.contains(key) && from.is_none_or(|from| key >= from);
+        let mut rows = self.rows.iter().filter(|(key, _)| is_wanted(key)).map(row);
+        Page {
+            rows: rows.by_ref().take(PAGE_ROWS).collect(),
+            has_more: rows.next().is_some(),
+            version: self.version,
+        }
+    }
+
+    fn read_new_jobs(&self, after: u64) -> Feed {
+        if after < self.history_from {
+            return Feed::Gone;
+        }
+        let is_new_job = |(key, (version, _)): &(&Key, &(u64, Content))| {
+            matches!(key, Key::Job(..)) && *version > after
+        };
+        let rows = self.rows.iter().filter(is_new_job);
+        Feed::Changes(rows.map(row).collect(), self.version)
+    }
+
+    /// Discards the history of changes, also for a reader that knows the latest one.
+    pub(crate) fn discard_history(&mut self) {
+        self.version += 1;
+        self.history_from = self.version;
+    }
+
     fn apply(&mut self, transaction: &Transaction) -> Answer {
         let (key, version) = &transaction.expected;
         let found = self.rows.get_key_value(key);
--- a/tests/takeover_model/store_call.rs
+++ b/tests/takeover_model/store_call.rs
@@ -2,6 +2,7 @@
 
 use coriandernotch::clock::Instant;
 
+use crate::page::Page;
 use crate::process::Process;
 use crate::purpose::Purpose;
 use crate::request::Request;
@@ -13,6 +14,8 @@
     pub(crate) purpose: Purpose,
     pub(crate) request: Request,
     pub(crate) timeout: Duration,
+    /// Pages that were read before.
+    pub(crate) read: Option<Page>,
     /// When the first attempt was sent.
     pub(crate) sent: Instant,
 }
--- a/tests/takeover_model/term.rs
+++ b/tests/takeover_model/term.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use coriandernotch::batch::{Engine, JobKey, WorkerKey, Writer};
@@ -7,13 +8,17 @@
 use crate::content::Content;
 use crate::handle::Handle;
 use crate::key::Key;
+use crate::loading::Loading;
 use crate::partition::PARTITIONS;
 
 /// Changes that are being stored in one partition.
 #[derive(Clone, Debug)]
 pub(crate) struct Changes {
     pub(crate) puts: Vec<(Key, Content)>,
+    pub(crate) deletes: Vec<Key>,
     pub(crate) jobs: Vec<(JobKey, u64)>,
+    /// Ended jobs whose rows are deleted.
+    pub(crate) deleted: Vec<Arc<str>>,
 }
 
 /// A term of leadership of one instance.
@@ -25,6 +30,11 @@
     /// Whether the next flush of a partition is due or in progress.
     pub(crate) is_flushing: [bool; PARTITIONS as usize],
     pub(crate) handles: Map<WorkerKey, Handle>,
+    /// Version up to which new jobs are known.
+    pub(crate) jobs_version: u64,
+    /// All jobs, while they are read again, and the number of attempts to do so.
+    pub(crate) reread: Option<Loading>,
+    pub(crate) reread_attempts: u32,
     pub(crate) renewal_failed: bool,
     pub(crate) is_renewing: bool,
     pub(crate) round_is_due: bool,
@@ -37,13 +47,16 @@
 }
 
 impl Term {
-    pub(crate) fn new(engine: Engine) -> Self {
+    pub(crate) fn new(engine: Engine, jobs_version: u64) -> Self {
         Self {
             writers: [Writer::new(engine.token()); PARTITIONS as usize],
             engine,
             changes: [const { None }; PARTITIONS as usize],
             is_flushing: [false; PARTITIONS as usize],
             handles: Map::default(),
+            jobs_version,
+            reread: None,
+            reread_attempts: 0,
             renewal_failed: false,
             is_renewing: false,
             round_is_due: false,
--- a/tests/takeover_model/timer.rs
+++ b/tests/takeover_model/timer.rs
@@ -14,6 +14,6 @@
     /// Sending the next order for a worker.
     Order(WorkerKey),
     Flush(u8),
-    FollowJobs(u8),
+    FollowJobs,
     FollowWorkers,
 }
--- a/tests/takeover_model/worker.rs
+++ b/tests/takeover_model/worker.rs
@@ -14,6 +14,9 @@
 /// Number of runs that a worker has room for.
 const ROOM: usize = 8;
 
+/// Number of ends in one answer to a poll, so small that some answers leave ends out.
+const MAX_LISTED_ENDS: usize = 1;
+
 /// A run that is present on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -230,12 +233,13 @@
             percent: percent(run) as u64,
             load: 0,
         });
+        let listed = self.ended.iter().take(MAX_LISTED_ENDS);
         Snapshot {
             clock_ms: self.clock_ms(now),
             born_ms: self.born_ms,
             running: running.collect(),
-            has_more_ends: false,
-            ended: self.ended.iter().map(|end| end.ended.clone()).collect(),
+            has_more_ends: self.ended.len() > MAX_LISTED_ENDS,
+            ended: listed.map(|end| end.ended.clone()).collect(),
         }
     }
 }
--- a/tests/takeover_model/world.rs
+++ b/tests/takeover_model/world.rs
@@ -199,11 +199,10 @@
     /// Returns the jobs that the store does not show as ended.
     fn unfinished_jobs(&self) -> Vec<String> {
         let is_unfinished = |index: &usize| {
-            let Key::Job(part, id) = job_key(*index) else {
+            let Key::Job(_, id) = job_key(*index) else {
                 unreachable!("the key of a job")
             };
-            !matches!(self.store.get(&Key::Progress(part, id)),
-                Some(Content::Progress(progress)) if progress.state.is_final())
+            !self.audit.has_ended(&id)
         };
         let indices = 0..self.scenario.jobs.len();
         indices
@@ -215,9 +214,13 @@
     /// Records that callers are shown the progress in rows that are stored.
     pub(crate) fn audit_completions(&mut self, puts: &[(Key, Content)]) {
         for (key, content) in puts {
-            if let (Key::Progress(_, id), Content::Progress(progress)) = (key, content)
-                && progress.state == State::Completed
-            {
+            let (Key::Progress(_, id), Content::Progress(progress)) = (key, content) else {
+                continue;
+            };
+            if progress.state.is_final() {
+                self.audit.record_job_end(id);
+            }
+            if progress.state == State::Completed {
                 self.audit.record_completion(id, self.now);
             }
         }
