--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -81,7 +81,8 @@
         worker.born_ms = snapshot.born_ms;
         worker.clock = Some((snapshot.clock_ms, now));
         worker.first_answered_at.get_or_insert(now);
-        (worker.answered_at, worker.unreachable) = (Some(now), false);
+        (worker.answered_at, worker.responded_at) = (Some(now), Some(now));
+        worker.unreachable = false;
         worker.answered_address = Some(worker.profile.address.clone());
         worker.absent_since = None;
         worker.lists_ends = !snapshot.ended.is_empty();
@@ -129,6 +130,7 @@
             self.orders.push((key, stop));
             return;
         };
+        self.begin_occurrences_until(job, running.task.occurrence);
         let known_job = &self.jobs[job];
         let step = known_job.record.spec.steps.get(running.task.step as usize);
         let is_wanted = |speculative: bool| {
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -23,6 +23,8 @@
     /// When its current process first answered, and when it last did.
     pub(super) first_answered_at: Option<Instant>,
     pub(super) answered_at: Option<Instant>,
+    /// When it last responded to a poll or a start order.
+    pub(super) responded_at: Option<Instant>,
     /// Address that the registration had when it last answered.
     pub(super) answered_address: Option<Arc<str>>,
     /// Whether the last call got no answer.
@@ -33,6 +35,8 @@
     pub(super) silent_report: u64,
     /// Whether the store no longer lists it.
     pub(super) delisted: bool,
+    /// Whether the store certainly holds its row for the next leader, with its current profile.
+    pub(super) is_member: bool,
     /// Position of the latest end read, and for each end that is not acknowledged its position, the
     /// job and the change of the job that must be stored first.
     pub(super) last_end_position: u64,
@@ -66,11 +70,13 @@
             unverified_grant: None,
             first_answered_at: None,
             answered_at: None,
+            responded_at: None,
             answered_address: None,
             unreachable: false,
             silent_report: 0,
             absent_since: None,
             delisted: false,
+            is_member: false,
             last_end_position: 0,
             unstored_ends: Vec::new(),
             acknowledged_position: 0,
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -1,10 +1,12 @@
 //! Scheduling of jobs with simulated workers and simulated time.
 
+mod cost;
 mod ends;
 mod handover;
 mod history;
 mod maintenance;
 mod members;
+mod occurrences;
 mod odd_config;
 mod odd_jobs;
 mod pace;
