Split two files of the batch engine by task

ack.rs held acknowledgements, polling, leases and changes to store, and accept.rs jobs, workers, leases and occurrences.

--- /dev/null
+++ b/src/batch/engine/contact.rs
@@ -0,0 +1,52 @@
+//! What is known from the last answers of a worker, and when it must be polled.
+
+use std::time::Duration;
+
+use super::Engine;
+use crate::batch::WorkerKey;
+use crate::clock::Instant;
+
+impl Engine {
+    /// Returns whether a worker must be polled: it has runs, has ends to acknowledge, has not
+    /// answered this leader yet or did not answer the last call.
+    pub fn needs_poll(&self, key: WorkerKey) -> bool {
+        self.workers.get(key).is_some_and(|w| {
+            !w.runs.is_empty()
+                || w.lists_ends
+                || w.acknowledged_position < w.last_end_position
+                || ((w.answered_at.is_none() || w.unreachable) && !w.delisted)
+                || self.uncontacted.contains_key(&w.profile.id)
+        })
+    }
+
+    /// Returns the time since a worker last answered.
+    pub fn time_since_answer(&self, key: WorkerKey, now: Instant) -> Duration {
+        let answered_at = self.workers.get(key).and_then(|worker| worker.answered_at);
+        answered_at.map_or(Duration::MAX, |at| now.since(at))
+    }
+
+    /// Returns whether a worker must answer a poll before tasks are started on it: it has not
+    /// answered at its address yet, or since it last responded to a poll or a start order a whole
+    /// lease has passed. Its process may not answer any more or may have been replaced.
+    pub fn must_answer_before_start(&self, key: WorkerKey, now: Instant) -> bool {
+        let reachable = self.workers.get(key).filter(|worker| !worker.unreachable);
+        let is_outdated = |at: Instant| now.since(at) > self.lease();
+        reachable.is_some_and(|worker| {
+            !worker.has_answered_at_its_address() || worker.responded_at.is_none_or(is_outdated)
+        })
+    }
+
+    /// Returns whether a worker must be polled often because a start order got no answer: the task
+    /// can start elsewhere only once its run was found missing.
+    pub fn has_uncertain_run(&self, key: WorkerKey) -> bool {
+        let runs = self.workers.get(key).map(|worker| &worker.runs);
+        let mut runs = runs.into_iter().flatten().map(|run| &self.runs[*run]);
+        runs.any(|run| run.uncertain_since.is_some())
+    }
+
+    /// Returns whether a worker answered the last call.
+    pub fn answers(&self, key: WorkerKey) -> bool {
+        let worker = self.workers.get(key);
+        worker.is_some_and(|w| w.answered_at.is_some() && !w.unreachable)
+    }
+}
--- /dev/null
+++ b/src/batch/engine/listing.rs
@@ -0,0 +1,50 @@
+//! The workers that the store lists.
+
+use std::sync::Arc;
+
+use super::{Engine, Worker};
+use crate::batch::{Profile, WorkerKey};
+use crate::collections::Set;
+
+impl Engine {
+    /// Sets the workers listed in the store.
+    pub fn set_workers(&mut self, profiles: Vec<Profile>) {
+        let listed: Set<Arc<str>> = profiles.iter().map(|p| p.id.clone()).collect();
+        for worker in self.workers.values_mut() {
+            worker.set_delisted(!listed.contains(&worker.profile.id));
+        }
+        profiles.into_iter().for_each(|profile| {
+            self.update_worker(profile);
+        });
+    }
+
+    /// Adds a worker, or updates what it reports about itself.
+    pub fn update_worker(&mut self, profile: Profile) -> WorkerKey {
+        if let Some(&key) = self.worker_ids.get(&profile.id) {
+            let worker = &mut self.workers[key];
+            worker.set_delisted(false);
+            worker.profile = profile;
+            self.update_membership(key);
+            return key;
+        }
+        let id = profile.id.clone();
+        let key = self.workers.insert(Worker::new(profile));
+        self.worker_ids.insert(id, key);
+        self.update_membership(key);
+        key
+    }
+
+    /// Records that the store no longer lists a worker.
+    pub fn mark_delisted(&mut self, id: &str) {
+        if let Some(&key) = self.worker_ids.get(id) {
+            self.workers[key].set_delisted(true);
+        }
+    }
+
+    /// Returns the workers to contact: key, id and address.
+    pub fn worker_addresses(&self) -> Vec<(WorkerKey, Arc<str>, Arc<str>)> {
+        let contact =
+            |(key, w): (WorkerKey, &Worker)| (key, w.profile.id.clone(), w.profile.address.clone());
+        self.workers.iter().map(contact).collect()
+    }
+}
