Log starts that are decided and not sent

A start whose worker fell silent, or whose run was no longer wanted, left no line, although its task starts elsewhere later. The event start-not-sent names the run, the worker and the age of its last answer.

--- a/src/batch/engine/reply.rs
+++ b/src/batch/engine/reply.rs
@@ -100,6 +100,14 @@
 
     /// Records that a start order will not be sent.
     pub fn record_start_not_sent(&mut self, key: RunKey, now: Instant) {
+        if let Some(run) = self.runs.get(key) {
+            let worker = self.workers.get(run.worker);
+            log::info!(event = "start-not-sent", job = run.task.job, step = run.task.step,
+                index = run.task.index, run = run.number,
+                worker = worker.map_or("", |worker| &worker.profile.id),
+                unreachable = worker.is_some_and(|worker| worker.unreachable),
+                heard_ms = self.time_since_answer(run.worker, now).as_millis(); "");
+        }
         self.drop_run(key, Duration::ZERO, now);
     }
 
