--- a/tests/takeover_model/platform.rs
+++ b/tests/takeover_model/platform.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriandernotch::batch::{End, Profile, Reply};
+use coriandernotch::batch::{End, Launch, Profile, Reply};
 use coriandernotch::jobs::Size;
 
 use crate::content::Content;
@@ -126,39 +126,7 @@
                 launch,
                 deadline_ms,
                 ..
-            } => {
-                let job = launch.task.job.rsplit('-').next();
-                let job: usize = job.and_then(|n| n.parse().ok()).expect("a known job");
-                let run_time = self.scenario.jobs[job].run_time;
-                let (reply, is_new) = worker.start(&launch, deadline_ms, run_time, self.now);
-                if is_new {
-                    let in_touch = self.instances[call.process.instance].is_in_touch(call.sent);
-                    let (task, number) = (&launch.task, launch.number);
-                    self.audit
-                        .record_start(call.worker, task, number, call.sent, in_touch);
-                }
-                let worker = &self.workers[call.worker];
-                let clock_ms = worker.clock_ms(self.now);
-                if is_new {
-                    let how = if self.random.chance(self.scenario.failing_percent) {
-                        End::Failed
-                    } else {
-                        End::Done
-                    };
-                    let end = Event::RunEnd {
-                        worker: call.worker,
-                        born_ms: self.workers[call.worker].born_ms,
-                        task: launch.task,
-                        number: launch.number,
-                        how,
-                    };
-                    self.queue.push(self.now + run_time, end);
-                }
-                self.watch_lease(call.worker);
-                if answered {
-                    self.answer_worker_call(call, WorkerAnswer::Started(reply, clock_ms));
-                }
-            }
+            } => self.carry_out_start(call, launch, deadline_ms, answered),
             WorkerRequest::Stop { task, number, .. } => {
                 worker.reject(&task, number);
                 let end = Event::RunEnd {
@@ -177,6 +145,54 @@
         }
     }
 
+    fn carry_out_start(
+        &mut self,
+        call: WorkerCall,
+        launch: Launch,
+        deadline_ms: u64,
+        answered: bool,
+    ) {
+        let run_time = self.run_time(&launch);
+        let worker = &mut self.workers[call.worker];
+        let (reply, is_new) = worker.start(&launch, deadline_ms, run_time, self.now);
+        let clock_ms = worker.clock_ms(self.now);
+        if is_new {
+            let in_touch = self.instances[call.process.instance].is_in_touch(call.sent);
+            let (task, number) = (&launch.task, launch.number);
+            self.audit
+                .record_start(call.worker, task, number, call.sent, in_touch);
+            self.plan_end(call.worker, launch, run_time);
+        }
+        self.watch_lease(call.worker);
+        if answered {
+            self.answer_worker_call(call, WorkerAnswer::Started(reply, clock_ms));
+        }
+    }
+
+    /// Returns the time that a task runs.
+    fn run_time(&self, launch: &Launch) -> Duration {
+        let index = launch.task.job.rsplit('-').next();
+        let index: usize = index.and_then(|n| n.parse().ok()).expect("a known job");
+        self.scenario.jobs[index].run_time
+    }
+
+    /// Plans the end of a new run.
+    fn plan_end(&mut self, worker: usize, launch: Launch, run_time: Duration) {
+        let how = if self.random.chance(self.scenario.failing_percent) {
+            End::Failed
+        } else {
+            End::Done
+        };
+        let end = Event::RunEnd {
+            worker,
+            born_ms: self.workers[worker].born_ms,
+            task: launch.task,
+            number: launch.number,
+            how,
+        };
+        self.queue.push(self.now + run_time, end);
+    }
+
     /// Holds a poll back for a while, or until there is an end to list.
     fn hold_poll(&mut self, call: WorkerCall, holds: bool) {
         let max_hold_ms = self.random.pick(&MAX_HOLD_MS);
--- a/tests/takeover_model/restart.rs
+++ b/tests/takeover_model/restart.rs
@@ -197,7 +197,7 @@
 /// Guards against a leader without the store that starts the task of a restarted worker again: its
 /// successor, which it does not know, has read the end of the task before the restart.
 #[test]
-fn a_leader_without_the_store_does_not_give_up_the_runs_of_a_restarted_worker() {
+fn a_leader_without_the_store_does_not_give_up_restarted_workers() {
     let lose_store = Action::DisturbStore {
         target: Target::Leader,
         fault: Fault::Silent,
