--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -201,7 +201,8 @@
             task.avoided_workers.push(worker);
         }
         let step = self.jobs[job].record.spec.steps[stage_key.step as usize].clone();
-        let chosen = self.choose(stage_key, index, &step, None, now);
+        let workers = self.startable_workers(&self.jobs[job].service, now);
+        let chosen = self.choose(stage_key, index, &step, None, &workers, now);
         if let Some(other) = chosen.filter(|other| *other != worker) {
             self.start_run(stage_key, index, &step, other, None, now);
         }
