--- a/tests/takeover_model/follow_jobs.rs
+++ b/tests/takeover_model/follow_jobs.rs
@@ -55,10 +55,9 @@
             }
         }
         term.engine.forget_deleted(version);
-        if is_unchanged {
-            return;
+        if !is_unchanged {
+            self.wake_scheduler(instance);
         }
-        self.wake_scheduler(instance);
     }
 
     /// Reads all jobs again.
--- a/tests/takeover_model/history.rs
+++ b/tests/takeover_model/history.rs
@@ -1,15 +1,9 @@
 //! A store that discards its history, so that the leader reads all jobs again.
 
-use std::time::Duration;
-
 use crate::action::Action;
 use crate::cases::check_all;
 use crate::job::Job;
-use crate::scenario::{SHORT_RETENTION, Scenario};
-
-const fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
+use crate::scenario::{SHORT_RETENTION, Scenario, ms};
 
 /// Guards against a start of an ended job whose rows are deleted while the jobs are read again. The
 /// first jobs end by 4.4 s, and the end of the last one, at 10.9 s, comes with their deletion.
--- a/tests/takeover_model/new_worker.rs
+++ b/tests/takeover_model/new_worker.rs
@@ -1,15 +1,9 @@
-use std::time::Duration;
-
 use crate::action::{Action, Target};
 use crate::fault::Fault;
 use crate::job::Job;
-use crate::scenario::Scenario;
+use crate::scenario::{Scenario, ms};
 use crate::world::World;
 
-const fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
 /// Guards against a start on a worker that the next leader cannot know: the leader reads its
 /// registration but cannot store it as a member, and the registration expires before the takeover.
 #[test]
--- a/tests/takeover_model/restart.rs
+++ b/tests/takeover_model/restart.rs
@@ -6,7 +6,7 @@
 use crate::cases::check_all;
 use crate::fault::Fault;
 use crate::job::Job;
-use crate::scenario::Scenario;
+use crate::scenario::{Scenario, ms};
 
 /// The worker that restarts. Of two workers that are equally free, tasks start on it.
 const RESTARTED: usize = 1;
@@ -14,10 +14,6 @@
 /// The other worker.
 const STEADY: usize = 0;
 
-const fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
 /// Returns the times `from`, `from + step` and so on up to `to`, in milliseconds.
 fn times(from: u64, to: u64, step: usize) -> impl Iterator<Item = Duration> + Clone {
     (from..=to).step_by(step).map(ms)
--- a/tests/takeover_model/scenario.rs
+++ b/tests/takeover_model/scenario.rs
@@ -16,6 +16,11 @@
 const LONG_RETENTION: Duration = Duration::from_secs(600);
 pub(crate) const SHORT_RETENTION: Duration = Duration::from_secs(6);
 
+/// Returns a duration of whole milliseconds.
+pub(crate) const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
 /// What happens in one simulation.
 #[derive(Clone, Debug)]
 pub(crate) struct Scenario {
