--- a/tests/takeover_model/restart.rs
+++ b/tests/takeover_model/restart.rs
@@ -6,7 +6,7 @@
 use crate::cases::check_all;
 use crate::fault::Fault;
 use crate::job::Job;
-use crate::scenario::Scenario;
+use crate::scenario::{Scenario, ms};
 
 /// The worker that restarts. Of two workers that are equally free, tasks start on it.
 const RESTARTED: usize = 1;
@@ -14,10 +14,6 @@
 /// The other worker.
 const STEADY: usize = 0;
 
-const fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
 /// Returns the times `from`, `from + step` and so on up to `to`, in milliseconds.
 fn times(from: u64, to: u64, step: usize) -> impl Iterator<Item = Duration> + Clone {
     (from..=to).step_by(step).map(ms)
@@ -197,7 +193,7 @@
 /// Guards against a leader without the store that starts the task of a restarted worker again: its
 /// successor, which it does not know, has read the end of the task before the restart.
 #[test]
-fn a_leader_without_the_store_does_not_give_up_the_runs_of_a_restarted_worker() {
+fn a_leader_without_the_store_does_not_give_up_restarted_workers() {
     let lose_store = Action::DisturbStore {
         target: Target::Leader,
         fault: Fault::Silent,
