Give each run of the tests of check its own folder

Cause: the tests write files of fixed names to the target folder, and runs side by side share it.

Change: each test writes to a folder with its process id and removes it in the end; the checks stay.

--- a/tests/document/check.rs
+++ b/tests/document/check.rs
@@ -1,5 +1,6 @@
 //! The command `check`.
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use coriandernotch::cli;
@@ -7,10 +8,18 @@
 
 use super::text::{RENNES, SETTINGS};
 
+/// Creates a folder of one test that runs of the test in other processes do not use.
+fn create_folder(test: &str) -> PathBuf {
+    let name = format!("{test}-{}", std::process::id());
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
 /// Guards against wrong exit codes of `check` and against problems that are not written.
 #[test]
 fn check_exits_as_documented() {
-    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let folder = create_folder("check-exits");
     let long = vec![b' '; MAX_BYTES + 1];
     let cases: &[(&str, &[u8], u8, usize)] = &[
         ("settings.jsonc", SETTINGS.as_bytes(), 0, 0),
@@ -38,12 +47,13 @@
         assert!(out.lines().all(|l| l.starts_with(&*path.to_string_lossy())));
     }
     let mut out = Vec::new();
-    assert_eq!(cli::check_to(folder, &mut out), ExitCode::from(1));
+    assert_eq!(cli::check_to(&folder, &mut out), ExitCode::from(1));
     assert_eq!(
         cli::check_to(&folder.join("none"), &mut out),
         ExitCode::from(1)
     );
     assert_eq!(String::from_utf8(out).unwrap().lines().count(), 2);
+    std::fs::remove_dir_all(folder).unwrap();
 }
 
 /// Guards against a file of neither kind whose unknown fields are not named.
@@ -65,7 +75,8 @@
             ],
         ),
     ];
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("no-kind.jsonc");
+    let folder = create_folder("check-no-kind");
+    let path = folder.join("no-kind.jsonc");
     for (text, expected) in cases {
         std::fs::write(&path, text).unwrap();
         let mut out = Vec::new();
@@ -79,4 +90,5 @@
             assert!(line.contains(part), "{text}: {out}");
         }
     }
+    std::fs::remove_dir_all(folder).unwrap();
 }
