--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -22,7 +22,8 @@
             .iter()
             .map(|(position, ..)| position - 1);
         worker.acknowledged_position = unacknowledged.min().unwrap_or(worker.last_end_position);
-        if worker.lists_ends {
+        // The registration may name a new process that has not answered yet.
+        if worker.lists_ends && worker.profile.born_ms <= worker.born_ms {
             worker.acknowledged_position
         } else {
             0
--- a/tests/batch/restart.rs
+++ b/tests/batch/restart.rs
@@ -72,6 +72,25 @@
     assert!(place(&mut sim).is_empty());
 }
 
+/// Guards against acknowledging the ends of a new process by the position of the old one, whose
+/// ends are numbered anew. The new process then forgot the end of a run that was not read yet, and
+/// the task started again (rule TWICE).
+#[test]
+fn acknowledges_no_ends_of_a_process_that_has_not_answered() {
+    let mut sim = Simulation::with_workers(1);
+    sim.accept("j", record(vec![step(1)]));
+    while !sim.ended.contains_key("j") {
+        sim.run(10);
+    }
+    let key = sim.engine.worker_addresses()[0].0;
+    assert_eq!(sim.engine.acknowledged(key), 1);
+    sim.add(Profile {
+        born_ms: SECOND_BORN_MS,
+        ..profile("i-0", "s")
+    });
+    assert_eq!(sim.engine.acknowledged(key), 0);
+}
+
 /// Guards against starting tasks on a worker that may have ended or been replaced since it was last
 /// heard. Idle workers are not polled, and starts on workers last heard 23 s before were seen.
 #[test]
