--- a/src/front/callers/dial.rs
+++ b/src/front/callers/dial.rs
@@ -56,8 +56,12 @@
         };
         let connections = self.connections.clone();
         tokio::spawn(async move {
-            if let Ok(sender) = attempt.await {
-                connections.keep(grant.address(), sender);
+            let address = grant.address();
+            match attempt.await {
+                Ok(sender) => connections.keep(address, sender),
+                Err(error) => {
+                    log::debug!(event = "abandoned-dial-failed", target:% = address, error:% = error; "");
+                }
             }
             grant.finish(Verdict::Neutral, Completion::Confirmed, clock::now());
         });
