Share repeated steps of the tests of entry processes and of the model

tests/entry/process.rs submitted jobs and waited for their state in long form, although Instance has both; the actions that replace a worker and lose the writes of the leader stood twice in the model of leader changes.

--- a/tests/entry/process.rs
+++ b/tests/entry/process.rs
@@ -26,21 +26,12 @@
     let (store, address, worker) = start_platform().await;
     let mut first = start_instance("first", address);
     request_until(first.callers, "POST", ONE, &job("3000", 3), |s, _| s == 200).await;
-    request_until(first.callers, "GET", ONE, &json!({}), |_, b| {
-        b["state"] == "running"
-    })
-    .await;
+    first.wait_for_state(ONE, "running").await;
     let second = start_instance("second", address);
-    request_until(second.callers, "GET", ONE, &json!({}), |_, b| {
-        b["state"] == "running"
-    })
-    .await;
+    second.wait_for_state(ONE, "running").await;
     // The leader is killed while the tasks run; its successor must not start them again.
     first.child.kill().unwrap();
-    request_until(second.callers, "GET", ONE, &json!({}), |_, b| {
-        b["state"] == "completed"
-    })
-    .await;
+    second.wait_for_state(ONE, "completed").await;
     assert_eq!(worker.starts().len(), 3);
     // A request that is repeated after the end of the job must not run it again.
     let (status, _) = send_request(second.callers, "POST", ONE, &job("3000", 3)).await;
@@ -78,16 +69,10 @@
         assert_eq!(actual, status, "{method} {path}: {answer}");
     }
     assert_eq!(store.read("jobs", "00000000000000a2"), None);
-    request_until(entry.callers, "GET", ONE, &json!({}), |_, b| {
-        b["state"] == "running"
-    })
-    .await;
+    entry.wait_for_state(ONE, "running").await;
     let (status, _) = send_request(entry.callers, "DELETE", ONE, &json!({})).await;
     assert_eq!(status, 200);
-    request_until(entry.callers, "GET", ONE, &json!({}), |_, b| {
-        b["state"] == "cancelled"
-    })
-    .await;
+    entry.wait_for_state(ONE, "cancelled").await;
     let begun = Instant::now();
     while worker.running() > 0 {
         assert!(begun.elapsed() < TIMEOUT);
@@ -103,7 +88,7 @@
 async fn distinguishes_refused_from_unknown() {
     let (store, address, worker) = start_platform().await;
     let entry = start_instance("unsure", address);
-    request_until(entry.callers, "POST", ONE, &job("10", 1), |s, _| s == 200).await;
+    entry.submit(ONE, "10").await;
     store.set_mode(Mode::Unavailable);
     let (status, _) = send_request(entry.callers, "POST", TWO, &job("10", 1)).await;
     assert_eq!(status, 503);
@@ -114,18 +99,12 @@
     let (status, _) = send_request(entry.callers, "POST", TWO, &job("10", 1)).await;
     assert!(matches!(status, 200 | 504), "{status}");
     store.set_mode(Mode::Normal);
-    request_until(entry.callers, "GET", TWO, &json!({}), |_, b| {
-        b["state"] == "completed"
-    })
-    .await;
+    entry.wait_for_state(TWO, "completed").await;
     assert_eq!(worker.starts().len(), 2);
     store.discard_history();
     let third = "/q/00000000000000a3";
-    request_until(entry.callers, "POST", third, &job("10", 1), |s, _| s == 200).await;
-    request_until(entry.callers, "GET", third, &json!({}), |_, b| {
-        b["state"] == "completed"
-    })
-    .await;
+    entry.submit(third, "10").await;
+    entry.wait_for_state(third, "completed").await;
     assert!(store.calls() > 0);
 }
 
@@ -134,7 +113,7 @@
 async fn serves_while_nobody_reads_its_log() {
     let (_store, address, _worker) = start_platform().await;
     let entry = start_with_output("unread", address, Stdio::piped());
-    request_until(entry.callers, "POST", ONE, &job("10", 1), |s, _| s == 200).await;
+    entry.submit(ONE, "10").await;
     // Each response logs a line of about 200 bytes; a pipe holds 64 KiB.
     for number in 0..600 {
         let path = format!("/q/{number:016x}");
@@ -148,10 +127,7 @@
     let (_store, address, _worker) = start_platform().await;
     let entry = start_instance("measured", address);
     request_until(entry.callers, "POST", ONE, &job("10", 2), |s, _| s == 200).await;
-    request_until(entry.callers, "GET", ONE, &json!({}), |_, b| {
-        b["state"] == "completed"
-    })
-    .await;
+    entry.wait_for_state(ONE, "completed").await;
     let text = get_text(entry.metrics, "/metrics").await;
     for line in [
         r#"calls_total{method="POST",status="200"} 1"#,
@@ -176,19 +152,13 @@
     let callers = instance.callers;
     let both = wide_job(2);
     request_until(callers, "POST", ONE, &both, |s, _| s == 200).await;
-    request_until(callers, "GET", ONE, &json!({}), |_, b| {
-        b["state"] == "completed"
-    })
-    .await;
+    instance.wait_for_state(ONE, "completed").await;
     assert_eq!((first.starts().len(), second.starts().len()), (1, 1));
     tokio::time::sleep(IDLE_TIME).await;
     first.freeze();
     let submitted = Instant::now();
     request_until(callers, "POST", TWO, &both, |s, _| s == 200).await;
-    request_until(callers, "GET", TWO, &json!({}), |_, b| {
-        b["state"] == "completed"
-    })
-    .await;
+    instance.wait_for_state(TWO, "completed").await;
     let took = submitted.elapsed();
     assert!(took < Duration::from_secs(3), "{took:?}");
     assert_eq!((first.starts().len(), second.starts().len()), (1, 3));
@@ -199,20 +169,13 @@
 async fn follows_a_worker_to_a_new_address() {
     let (store, address, first) = start_platform().await;
     let instance = start_instance("new-address", address);
-    let callers = instance.callers;
-    request_until(callers, "POST", ONE, &job("100", 1), |s, _| s == 200).await;
-    request_until(callers, "GET", ONE, &json!({}), |_, b| {
-        b["state"] == "completed"
-    })
-    .await;
+    instance.submit(ONE, "100").await;
+    instance.wait_for_state(ONE, "completed").await;
     let second = Worker::restarted("i-1");
     register(&store, "i-1", second.start().await);
     tokio::time::sleep(Duration::from_secs(1)).await;
-    request_until(callers, "POST", TWO, &job("100", 1), |s, _| s == 200).await;
-    request_until(callers, "GET", TWO, &json!({}), |_, b| {
-        b["state"] == "completed"
-    })
-    .await;
+    instance.submit(TWO, "100").await;
+    instance.wait_for_state(TWO, "completed").await;
     assert_eq!((first.starts().len(), second.starts().len()), (1, 1));
 }
 
@@ -222,24 +185,17 @@
 async fn starts_a_task_soon_whose_worker_was_replaced() {
     let (store, address, first) = start_platform().await;
     let instance = start_instance("replaced", address);
-    let callers = instance.callers;
-    request_until(callers, "POST", ONE, &job("100", 1), |s, _| s == 200).await;
-    request_until(callers, "GET", ONE, &json!({}), |_, b| {
-        b["state"] == "completed"
-    })
-    .await;
+    instance.submit(ONE, "100").await;
+    instance.wait_for_state(ONE, "completed").await;
     // The acknowledgement of the end is answered within this time.
     tokio::time::sleep(Duration::from_secs(2)).await;
     first.freeze();
-    request_until(callers, "POST", TWO, &job("100", 1), |s, _| s == 200).await;
+    instance.submit(TWO, "100").await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     let second = Worker::restarted("i-1");
     register(&store, "i-1", second.start().await);
     let replaced = Instant::now();
-    request_until(callers, "GET", TWO, &json!({}), |_, b| {
-        b["state"] == "completed"
-    })
-    .await;
+    instance.wait_for_state(TWO, "completed").await;
     let took = replaced.elapsed();
     assert!(took < Duration::from_millis(2_600), "{took:?}");
     assert_eq!(second.starts().len(), 1);
--- a/tests/takeover_model/action.rs
+++ b/tests/takeover_model/action.rs
@@ -47,3 +47,25 @@
         keeps_id: bool,
     },
 }
+
+impl Action {
+    /// Replaces a worker by one with another id after `down`.
+    pub(crate) fn replace_worker(worker: usize, down: Duration) -> Self {
+        Self::RestartWorker {
+            worker,
+            down,
+            keeps_id: false,
+        }
+    }
+
+    /// Loses the writes of the leader to the store, and the answers to them.
+    pub(crate) fn lose_writes_of_leader(lasts: Duration) -> Self {
+        Self::DisturbStore {
+            target: Target::Leader,
+            fault: Fault::Silent,
+            percent: 100,
+            spares_reads: true,
+            lasts,
+        }
+    }
+}
--- a/tests/takeover_model/incident.rs
+++ b/tests/takeover_model/incident.rs
@@ -151,18 +151,8 @@
 fn replacement(workers: usize, random: &mut Random) -> Vec<(Duration, Action)> {
     let worker = random.index(workers);
     let down = random.ms(50..500);
-    let replace = Action::RestartWorker {
-        worker,
-        down,
-        keeps_id: false,
-    };
-    let lose_writes = Action::DisturbStore {
-        target: Target::Leader,
-        fault: Fault::Silent,
-        percent: 100,
-        spares_reads: true,
-        lasts: random.ms(5_000..12_000),
-    };
+    let replace = Action::replace_worker(worker, down);
+    let lose_writes = Action::lose_writes_of_leader(random.ms(5_000..12_000));
     let expire = Action::ExpireRegistration {
         worker,
         lasts: random.ms(5_000..12_000),
--- a/tests/takeover_model/new_worker.rs
+++ b/tests/takeover_model/new_worker.rs
@@ -1,5 +1,4 @@
-use crate::action::{Action, Target};
-use crate::fault::Fault;
+use crate::action::Action;
 use crate::job::Job;
 use crate::scenario::{Scenario, ms};
 use crate::world::World;
@@ -9,18 +8,8 @@
 #[test]
 fn nothing_starts_on_a_worker_that_is_not_stored() {
     let unlist = |worker, lasts| Action::ExpireRegistration { worker, lasts };
-    let replace = Action::RestartWorker {
-        worker: 0,
-        down: ms(100),
-        keeps_id: false,
-    };
-    let lose_writes = Action::DisturbStore {
-        target: Target::Leader,
-        fault: Fault::Silent,
-        percent: 100,
-        spares_reads: true,
-        lasts: ms(9_000),
-    };
+    let replace = Action::replace_worker(0, ms(100));
+    let lose_writes = Action::lose_writes_of_leader(ms(9_000));
     let job = Job {
         at: ms(6_080),
         tasks: 1,
