Log lasting tasks without a run, with what holds them back

No log line named which of the grounds for waiting held such a task back, so logs could not tell the hypotheses apart. The leader now logs task-idle every 3 s for each lasting task without a confirmed run, with the ground and with the workers of its service counted by the reason for which they are passed over. The reasons are decided in one place, which may_start and choose use as well; no decision changes.

--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use super::{Engine, StageKey, Worker};
+use super::{Engine, Exclusion, StageKey, Worker};
 use crate::batch::{Step, WorkerKey};
 use crate::clock::Instant;
 
@@ -54,26 +54,15 @@
             return None;
         }
         let stage = self.stage(stage_key.job, stage_key.occurrence, stage_key.step)?;
-        let needs_ticket = self
-            .config
-            .route_named(&job.record.route)
-            .is_some_and(|route| route.advice.is_some());
         let task = &stage.tasks[index as usize];
-        let is_suitable = |key: WorkerKey, worker: &Worker| {
-            step.label
-                .as_ref()
-                .is_none_or(|label| worker.has_label(label))
-                && rack.is_none_or(|rack| worker.has_label(rack))
-                && worker.free_capacity().covers(step.reserved())
-                && self.is_below_worker_limit(stage_key, step, worker)
-                && (!needs_ticket
-                    || stage
-                        .tickets
-                        .get(&key)
-                        .is_some_and(|(_, until)| *until > now))
-        };
+        let needs_ticket = self.needs_ticket(stage_key);
         let candidates = workers.iter().map(|key| (*key, &self.workers[*key]));
-        let candidates = candidates.filter(|(key, worker)| is_suitable(*key, worker));
+        let candidates = candidates.filter(|(key, worker)| {
+            rack.is_none_or(|rack| worker.has_label(rack))
+                && self
+                    .unfitness(stage_key, step, *key, needs_ticket, now)
+                    .is_none()
+        });
         candidates
             .map(|(key, worker)| {
                 let untried = !task.avoided_workers.contains(&key);
@@ -84,18 +73,67 @@
     }
 
     /// Returns whether the workspace may run one more task of a step.
-    fn is_within_maximum(&self, workspace: &Arc<str>, step: &Step) -> bool {
+    pub(super) fn is_within_maximum(&self, workspace: &Arc<str>, step: &Step) -> bool {
         let known = self.config.workspaces.get(workspace);
         known.is_none_or(|w| w.admits(self.used_by(workspace), step.size))
     }
 
     /// Returns whether tasks may be started on a worker.
     pub(super) fn may_start(&self, worker: &Worker, now: Instant) -> bool {
-        self.is_usable(worker, now)
-            && !worker.relocating
-            && !self.is_reported_silent(worker)
-            && self.is_known_to_successor(worker)
-            && self.predates_successor(worker)
+        self.exclusion(worker, now).is_none()
+    }
+
+    /// Returns why no task may be started on a worker, if that is so.
+    pub(super) fn exclusion(&self, worker: &Worker, now: Instant) -> Option<Exclusion> {
+        if let Some(exclusion) = self.unusability(worker, now) {
+            Some(exclusion)
+        } else if worker.relocating {
+            Some(Exclusion::Relocating)
+        } else if self.is_reported_silent(worker) {
+            Some(Exclusion::ReportedSilent)
+        } else if !self.is_known_to_successor(worker) {
+            Some(Exclusion::NotMember)
+        } else if !self.predates_successor(worker) {
+            Some(Exclusion::MayHaveSuccessor)
+        } else {
+            None
+        }
+    }
+
+    /// Returns whether the workers that may run a step are known by tickets only.
+    pub(super) fn needs_ticket(&self, stage_key: StageKey) -> bool {
+        let job = &self.jobs[stage_key.job];
+        let route = self.config.route_named(&job.record.route);
+        route.is_some_and(|route| route.advice.is_some())
+    }
+
+    /// Returns why a worker on which tasks may be started cannot take one of a step, if that is so.
+    pub(super) fn unfitness(
+        &self,
+        stage_key: StageKey,
+        step: &Step,
+        key: WorkerKey,
+        needs_ticket: bool,
+        now: Instant,
+    ) -> Option<Exclusion> {
+        let worker = &self.workers[key];
+        let has_ticket = || {
+            let stage = self.stage(stage_key.job, stage_key.occurrence, stage_key.step);
+            let ticket = stage.and_then(|stage| stage.tickets.get(&key));
+            ticket.is_some_and(|(_, until)| *until > now)
+        };
+        let mut label = step.label.iter();
+        if !label.all(|label| worker.has_label(label)) {
+            Some(Exclusion::Label)
+        } else if !worker.free_capacity().covers(step.reserved()) {
+            Some(Exclusion::Full)
+        } else if !self.is_below_worker_limit(stage_key, step, worker) {
+            Some(Exclusion::WorkerLimit)
+        } else if needs_ticket && !has_ticket() {
+            Some(Exclusion::NoTicket)
+        } else {
+            None
+        }
     }
 
     /// Returns whether the process of a worker first answered while no other instance can have led.
@@ -114,15 +152,28 @@
     /// Returns whether tasks may be started on a worker, except that its machine may be due to
     /// move.
     pub(super) fn is_usable(&self, worker: &Worker, now: Instant) -> bool {
-        !worker.delisted
-            && !worker.profile.draining
-            && !worker.cordoned
-            && !worker.unreachable
-            && worker.answered_at.is_some()
-            && worker.shunned_until <= now
-            && !self
-                .excluded_data_centres
-                .contains(&worker.profile.data_centre)
+        self.unusability(worker, now).is_none()
+    }
+
+    fn unusability(&self, worker: &Worker, now: Instant) -> Option<Exclusion> {
+        let excluded = &self.excluded_data_centres;
+        if worker.delisted {
+            Some(Exclusion::Delisted)
+        } else if worker.profile.draining {
+            Some(Exclusion::Draining)
+        } else if worker.cordoned {
+            Some(Exclusion::Cordoned)
+        } else if worker.unreachable {
+            Some(Exclusion::Unreachable)
+        } else if worker.answered_at.is_none() {
+            Some(Exclusion::Unanswered)
+        } else if worker.shunned_until > now {
+            Some(Exclusion::Shunned)
+        } else if excluded.contains(&worker.profile.data_centre) {
+            Some(Exclusion::DataCentreOut)
+        } else {
+            None
+        }
     }
 
     fn is_below_worker_limit(&self, stage_key: StageKey, step: &Step, worker: &Worker) -> bool {
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -10,7 +10,10 @@
 mod deferral;
 mod demand;
 mod end;
+mod exclusion;
 mod history;
+mod hold;
+mod idle_tasks;
 mod inherit;
 mod inherited_worker;
 mod job;
@@ -49,6 +52,7 @@
 
 use deferral::Deferral;
 use demand::Demand;
+use exclusion::Exclusion;
 use history::History;
 use inherited_worker::InheritedWorker;
 use job::Job;
@@ -106,6 +110,8 @@
     uncontacted: Map<Arc<str>, InheritedWorker>,
     /// Whether the workers that did not answer in time have been logged.
     uncontacted_logged: bool,
+    /// When lasting tasks without a run were last looked for.
+    idle_checked_at: Instant,
     /// When this leader begins to move lasting tasks.
     moves_from: Instant,
     /// When the latest successful renewal of the leadership was sent; `None` if the leadership does
@@ -144,6 +150,7 @@
             members: Members::default(),
             uncontacted: Map::default(),
             uncontacted_logged: false,
+            idle_checked_at: Instant::default(),
             moves_from: Instant::default(),
             renewed_at: None,
             latest_report: 0,
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -69,7 +69,7 @@
 
     /// Returns whether a job arrived early enough after the last renewal to be started safely: the
     /// next leader can only know of runs of jobs that were stored before.
-    fn is_safe_to_start(&self, key: JobKey) -> bool {
+    pub(super) fn is_safe_to_start(&self, key: JobKey) -> bool {
         self.was_sole_leader(self.jobs[key].known_since)
     }
 
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -43,6 +43,7 @@
         self.copy_slow_runs(now);
         self.empty_due_machines(now);
         self.remove_ended_jobs();
+        self.log_idle_tasks(now);
     }
 
     /// Releases runs on workers whose leases have expired without contact.
--- a/src/batch/engine/task.rs
+++ b/src/batch/engine/task.rs
@@ -18,6 +18,10 @@
     pub(super) saved: Option<Arc<str>>,
     /// Time before which it must not be started.
     pub(super) not_before: Instant,
+    /// Since when a lasting task has had no run, as far as this leader knows, and when that was last
+    /// logged.
+    pub(super) idle_since: Option<Instant>,
+    pub(super) idle_logged_at: Option<Instant>,
     /// Workers on which it failed or stalled.
     pub(super) avoided_workers: Vec<WorkerKey>,
 }
