Renew the leadership while the state loads

Callers saw that nothing was started for long after the loss of a leader while the store was slow. Other instances take over 1.8 s after the last renewal, and a leader did not renew before it had loaded. A load that takes longer, by a slow store or by many pages of jobs, thus never led to a term, and the replaced leaders went on with their loads, which slowed down the others.

A leader now renews every 0.4 s while it loads, and gives up the load as soon as a renewal shows a newer leader. The renewed row is the one of the takeover, in which the tasks of all inherited workers are unknown, so a successor waits as long as before. A renewal that is dropped when the load ends is like one whose response was lost: the next one finds its row and writes again.

--- a/src/batch/leader.rs
+++ b/src/batch/leader.rs
@@ -71,6 +71,25 @@
         }
     }
 
+    /// Returns the row for the next renewal of a leader that still loads its state. Everything else
+    /// stays as written at the takeover: the leader has not started or ended any run since.
+    ///
+    /// ```
+    /// use coriandernotch::batch::Leader;
+    ///
+    /// let leader = Leader::default().successor(&"a".into(), 5, 0);
+    /// let renewed = leader.renewed_while_loading(400);
+    /// assert_eq!((renewed.renewal, renewed.renewed_ms), (1, 400));
+    /// ```
+    #[must_use]
+    pub fn renewed_while_loading(&self, renewed_ms: u64) -> Self {
+        Self {
+            renewal: self.renewal + 1,
+            renewed_ms,
+            ..self.clone()
+        }
+    }
+
     /// Returns whether `found` was written in the term of this row, which the same process leads.
     /// Then a conflict with `found` is one with an earlier write whose response was lost.
     pub fn is_same_term(&self, found: &Self) -> bool {
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -5,7 +5,6 @@
 
 use super::candidate::Candidate;
 use super::handover::Handover;
-use super::load;
 use super::row::{self, LEADERS, MEMBERS};
 use super::schedule;
 use super::shared::{STORE_TIMEOUT, Shared, sleep_jittered};
@@ -15,12 +14,12 @@
 use crate::platform::api::{Fault, Feed, Transaction};
 
 /// Time between two renewals of the leadership.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
+pub(super) const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Timeout of a renewal that follows a successful one. It is short so that, after a lost response,
 /// there is time for another attempt before other instances take over. That attempt gets
 /// [`STORE_TIMEOUT`].
-const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
+pub(super) const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Time for which one call of the change feed waits for changes of the leader row.
 const FEED_WAIT: Duration = Duration::from_millis(900);
@@ -59,8 +58,8 @@
                 tokio::time::sleep(self.candidacy_delay()).await;
                 sleep_jittered(&self.shared.settings.name, MAX_CANDIDACY_JITTER).await;
                 let resigned = self.leader.vacant;
-                if self.try_become_leader().await? {
-                    self.lead_term(resigned).await;
+                if let Some(inherited) = self.try_become_leader().await? {
+                    self.lead_term(inherited, resigned).await;
                     self.read().await?;
                 }
                 continue;
@@ -95,8 +94,9 @@
         !self.shared.is_stopping() && self.shared.has_fresh_config(clock::now())
     }
 
-    /// Tries to become the leader. Returns whether this instance is the leader now.
-    async fn try_become_leader(&mut self) -> Result<bool, Fault> {
+    /// Tries to become the leader. Returns the workers that may have runs of the previous leader if
+    /// this instance is the leader now.
+    async fn try_become_leader(&mut self) -> Result<Option<Vec<Occupancy>>, Fault> {
         let occupancies = self.inherited_workers().await?;
         let sent = clock::now();
         let sent_ms = self.shared.store.clock_ms(sent).unwrap_or_default();
@@ -107,14 +107,13 @@
             .write(&leader, Transaction::default(), STORE_TIMEOUT)
             .await?
         {
-            return Ok(false);
+            return Ok(None);
         }
-        self.leader.busy = occupancies;
         let silence = sent.since(self.leadership.last_change());
         self.leadership.begin(leader.token, sent);
         log::info!(event = "leadership-begun", token = leader.token, predecessor,
             silence_ms = silence.as_millis(); "");
-        Ok(true)
+        Ok(Some(occupancies))
     }
 
     /// Returns the workers that may have runs of the previous leader: all of them if it resigned,
@@ -134,18 +133,10 @@
     }
 
     /// Leads until another instance takes over, the leadership expires or this instance stops.
-    async fn lead_term(&mut self, resigned: bool) {
-        let begun = clock::now();
-        let term = loop {
-            match load::load(&self.shared, &self.leader, self.leadership, resigned, begun).await {
-                Ok(Some(term)) => break Arc::new(term),
-                Ok(None) => return self.abandon_term("another instance leads"),
-                Err(fault) => log::warn!(event = "load-failed", fault:% = fault; ""),
-            }
-            if self.leadership.standing(clock::now()) != Role::Leader {
-                return self.abandon_term("the store does not answer");
-            }
-            tokio::time::sleep(RETRY_DELAY).await;
+    async fn lead_term(&mut self, inherited: Vec<Occupancy>, resigned: bool) {
+        let term = match self.load_term(inherited, resigned).await {
+            Ok(term) => Arc::new(term),
+            Err(reason) => return self.abandon_term(reason),
         };
         *self.shared.term.lock().expect("term lock") = Some(term.clone());
         let mut tasks = JoinSet::new();
@@ -161,7 +152,7 @@
         self.leadership.end(clock::now());
     }
 
-    /// Ends a term that did not get as far as loading the jobs.
+    /// Ends a term whose state was not loaded.
     fn abandon_term(&mut self, reason: &str) {
         log::warn!(event = "leadership-ended", token = self.leader.token, reason; "");
         self.leadership.end(clock::now());
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -24,6 +24,7 @@
 mod lead;
 mod listing;
 mod load;
+mod load_term;
 mod maintenance;
 mod orders;
 mod partition;
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -21,6 +21,7 @@
 mod process;
 mod retention;
 mod run;
+mod slow_load;
 mod standin;
 mod store;
 mod takeover;
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -45,6 +45,8 @@
     calls: u64,
     /// Table whose feed answers status 503.
     failing_feed: Option<&'static str>,
+    /// Time that each read of rows takes.
+    read_time: Duration,
 }
 
 impl Store {
@@ -80,6 +82,11 @@
         self.state.lock().unwrap().failing_feed = table;
     }
 
+    /// Sets the time that each read of rows takes.
+    pub(crate) fn set_read_time(&self, time: Duration) {
+        self.state.lock().unwrap().read_time = time;
+    }
+
     /// Writes a row like an operator or a worker, outside of any partition.
     pub(crate) fn write(&self, table: &str, key: &str, value: &Value) {
         self.write_raw(table, key, value.to_string().as_bytes());
@@ -197,6 +204,8 @@
     }
 
     async fn get_or_hold(&self, call: &Call) -> (u16, String) {
+        let read_time = self.state.lock().unwrap().read_time;
+        tokio::time::sleep(read_time).await;
         self.holds.wait_for_release(call, Moment::Before).await;
         let answer = self.get(call);
         self.holds.wait_for_release(call, Moment::After).await;
