Do not wait for workers whose machines are gone after a takeover

Cause: a new leader waits for each worker that its predecessor may have used and that does not answer. Without a resignation it assumes that the predecessor granted leases for 10 s after its last renewal, each of up to 6.45 s, and until then starts no task of the service that has no run. A worker that was lost for good never answers, and its machine is neither down nor moved in the platform's list: it is missing from it, which proved nothing to the leader.

Change: a worker counts as gone when two complete lists of machines in a row lack its machine, the store does not list it and it does not answer. Each alone may be a lagging source: one list is read in pages, and registrations expire while the store is away. worker-not-awaited says why a worker is no longer waited for.

--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use super::inherited_worker::InheritedWorker;
+use super::release::Release;
 use super::{Engine, StageKey, Worker};
 use crate::batch::leadership::LEADER_ACTIVE_FOR;
 use crate::batch::{Occupancy, RunKey, TaskId};
@@ -11,6 +12,10 @@
 /// Stops ordered by the previous leader are over by then, so it knows which tasks are down.
 const MOVE_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Number of lists of machines, one after another, that must lack a machine before it counts as
+/// gone.
+const MIN_ABSENCES: u32 = 2;
+
 impl Engine {
     /// Takes over from the previous leader; `begun` is the start of this leader's term.
     ///
@@ -33,6 +38,7 @@
                 machine: worker.machine.clone(),
                 born_ms: worker.born_ms,
                 lease_until,
+                absences: 0,
                 tasks: (complete && !worker.unknown).then(|| worker.tasks.clone()),
             };
             self.uncontacted.insert(worker.worker.clone(), inherited);
@@ -44,6 +50,7 @@
                     machine: worker.profile.machine.clone(),
                     born_ms: worker.profile.born_ms,
                     lease_until: latest_expiry,
+                    absences: 0,
                     tasks: None,
                 };
                 self.uncontacted
@@ -58,27 +65,80 @@
         self.moves_from = begun + self.tuning.stop + MOVE_DELAY;
     }
 
-    /// Removes inherited workers whose runs have certainly ended: the lease has expired, a newer
-    /// worker has answered on the machine, or the machine was shut down or moved to another pool. A
-    /// newer process that is only listed may not exist.
-    ///
-    /// A newer process with the same id does not count: the previous leader may have started tasks
-    /// on it before it read its registration.
+    /// Removes inherited workers whose runs have certainly ended.
     pub(super) fn drop_uncontacted(&mut self, now: Instant) {
-        let sole_leader_until = self.sole_leader_until(now);
-        let (workers, machines) = (&self.workers, &self.pools.machines);
-        self.uncontacted.retain(|id, inherited| {
-            let is_newer_worker = |worker: &Worker| {
-                worker.profile.id != *id
-                    && worker.profile.machine == inherited.machine
-                    && worker.answered_at.is_some()
-                    && worker.born_ms > inherited.born_ms
-            };
-            let replaced = !inherited.machine.is_empty() && workers.values().any(is_newer_worker);
-            let machine = machines.get(&inherited.machine);
-            let moved_or_down = machine.is_some_and(|m| !m.up || m.pool != inherited.service);
-            sole_leader_until < inherited.lease_until && !replaced && !moved_or_down
+        let workers = self.uncontacted.iter();
+        let released = workers.filter_map(|(id, inherited)| {
+            let release = self.release_of(id, inherited, now)?;
+            Some((id.clone(), release))
         });
+        let released: Vec<(Arc<str>, Release)> = released.collect();
+        for (id, release) in released {
+            let reason: &str = release.into();
+            log::info!(event = "worker-not-awaited", worker = id, reason; "");
+            self.uncontacted.remove(&id);
+        }
+    }
+
+    /// Returns why the runs on an inherited worker have certainly ended, if they have.
+    ///
+    /// A newer process with the same id is no replacement: the previous leader may have started
+    /// tasks on it before it read its registration. A newer process that is only listed may not
+    /// exist.
+    ///
+    /// A machine that the platform does not list may have been missed by one list, whose pages are
+    /// read one after another. A worker that runs on without its machine being listed would renew
+    /// its registration.
+    fn release_of(
+        &self,
+        id: &Arc<str>,
+        inherited: &InheritedWorker,
+        now: Instant,
+    ) -> Option<Release> {
+        if self.sole_leader_until(now) >= inherited.lease_until {
+            return Some(Release::LeaseExpired);
+        }
+        if inherited.machine.is_empty() {
+            return None;
+        }
+        let is_newer_worker = |worker: &Worker| {
+            worker.profile.id != *id
+                && worker.profile.machine == inherited.machine
+                && worker.answered_at.is_some()
+                && worker.born_ms > inherited.born_ms
+        };
+        if self.workers.values().any(is_newer_worker) {
+            return Some(Release::Replaced);
+        }
+        match self.pools.machines.get(&inherited.machine) {
+            Some(machine) if !machine.up => Some(Release::MachineDown),
+            Some(machine) if machine.pool != inherited.service => Some(Release::MachineMoved),
+            Some(_) => None,
+            None => {
+                let is_gone = inherited.absences >= MIN_ABSENCES && !self.is_listed(id);
+                is_gone.then_some(Release::MachineGone)
+            }
+        }
+    }
+
+    fn is_listed(&self, id: &Arc<str>) -> bool {
+        let worker = self.worker_ids.get(id).map(|key| &self.workers[*key]);
+        worker.is_some_and(|worker| !worker.delisted)
+    }
+
+    /// Counts the lists of machines that lack the machines of inherited workers. An empty list says
+    /// nothing about a machine.
+    pub(super) fn count_absences(&mut self) {
+        let machines = &self.pools.machines;
+        if machines.is_empty() {
+            return;
+        }
+        for inherited in self.uncontacted.values_mut() {
+            inherited.absences = match machines.contains_key(&inherited.machine) {
+                true => 0,
+                false => inherited.absences + 1,
+            };
+        }
     }
 
     /// Lists the workers with runs that do not answer or are no longer in the store, for a
@@ -163,9 +223,10 @@
         }
         self.uncontacted_logged = true;
         for (id, inherited) in &self.uncontacted {
-            let worker = self.worker_ids.get(id).map(|key| &self.workers[*key]);
             log::warn!(event = "worker-not-answering", worker = id, service = inherited.service,
-                exact = inherited.tasks.is_some(), listed = worker.is_some_and(|w| !w.delisted),
+                machine = inherited.machine, exact = inherited.tasks.is_some(),
+                listed = self.is_listed(id),
+                machine_listed = self.pools.machines.contains_key(&inherited.machine),
                 wait_ms = inherited.lease_until.since(now).as_millis(); "");
         }
     }
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -29,6 +29,7 @@
 mod place;
 mod poll;
 mod pools;
+mod release;
 mod relocate;
 mod reply;
 mod review;
--- a/src/batch/engine/pools.rs
+++ b/src/batch/engine/pools.rs
@@ -56,10 +56,11 @@
 }
 
 impl Engine {
-    /// Sets the machines listed by the platform.
+    /// Sets the machines listed by the platform, all of them.
     pub fn set_machines(&mut self, machines: Vec<Machine>) {
         let named = machines.into_iter().map(|m| (m.name.clone(), m));
         self.pools.machines = named.collect();
+        self.count_absences();
     }
 
     /// Restores the home pools of the machines that the previous leader has lent: machine and home
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -314,3 +314,38 @@
     }
     assert_eq!(sim.starts.len(), 1);
 }
+
+/// Guards against taking a worker for lost that may still run its tasks, which would start a second
+/// time (rule TWICE): one list of machines may lack its machine, and a worker that the store lists
+/// has renewed its registration.
+#[test]
+fn waits_for_a_worker_that_one_source_still_shows() {
+    let gone = || vec![machine("m-i-0")];
+    let all = || vec![machine("m-i-0"), machine("m-i-1")];
+    let lists: [(&str, bool, Vec<Vec<Machine>>); 5] = [
+        ("one list", true, vec![gone()]),
+        ("listed in the store", false, vec![gone(), gone(), gone()]),
+        ("listed in between", true, vec![gone(), all(), gone()]),
+        ("listed in the end", true, vec![gone(), all()]),
+        (
+            "empty lists",
+            true,
+            vec![Vec::new(), Vec::new(), Vec::new()],
+        ),
+    ];
+    for (case, delisted, lists) in lists {
+        let old = Simulation::with_workers(2);
+        let mut sim = next_leader(&old, &[("j", lasting(1), running_progress())]);
+        sim.workers.get_mut("i-1").unwrap().silent = true;
+        sim.engine.inherit(&[], false, sim.now);
+        sim.run(500);
+        if delisted {
+            sim.engine.mark_delisted("i-1");
+        }
+        for list in lists {
+            sim.engine.set_machines(list);
+            sim.run(2_000);
+        }
+        assert_eq!(sim.starts.len(), 0, "{case}");
+    }
+}
