--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -4,6 +4,7 @@
 mod ends;
 mod handover;
 mod history;
+mod lost_workers;
 mod maintenance;
 mod members;
 mod occurrences;
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriandernotch::batch::{Machine, Occupancy, Progress, State, TaskId};
+use coriandernotch::batch::{Occupancy, Progress, State, TaskId};
 
 use crate::simulation::{START_MS, Simulation, config, lasting, profile, record, step};
 
@@ -33,16 +33,6 @@
     }
 }
 
-/// Creates a machine of the service `s` as the platform lists it.
-fn machine(name: &str) -> Machine {
-    Machine {
-        name: name.into(),
-        pool: "s".into(),
-        up: true,
-        ..Machine::default()
-    }
-}
-
 /// Guards against starting tasks a second time: a new leader took the lease of their worker for
 /// expired.
 #[test]
@@ -237,28 +227,6 @@
     assert!(silent[0].silent && silent[0].tasks.len() == 1);
 }
 
-/// Guards against waiting for a worker whose machine went down for maintenance between two leaders,
-/// which blocked its service for 16 s.
-#[test]
-fn does_not_wait_for_a_worker_whose_machine_is_down() {
-    for (up, pool, starts) in [(true, "s", 0), (false, "s", 1), (true, "spare", 1)] {
-        let old = Simulation::with_workers(2);
-        let mut sim = next_leader(&old, &[("j", lasting(1), running_progress())]);
-        sim.workers.get_mut("i-1").unwrap().silent = true;
-        sim.engine.inherit(&[], false, sim.now);
-        sim.run(500);
-        sim.engine.mark_delisted("i-1");
-        let machine = Machine {
-            pool: pool.into(),
-            up,
-            ..machine("m-i-1")
-        };
-        sim.engine.set_machines(vec![machine]);
-        sim.run(500);
-        assert_eq!(sim.starts.len(), starts, "up {up}, in {pool}");
-    }
-}
-
 /// Guards against loading an ended job from an older read of the store and running it again, which
 /// breaks the rule TWICE (a task runs twice).
 #[test]
@@ -296,56 +264,3 @@
     sim.run(100);
     assert_eq!(sim.starts_of("after", 0, 0), 1);
 }
-
-/// Guards against lasting tasks that do not run although there is room (rule LOST): a new leader
-/// waited for a worker that was lost for good until all leases of the last leader had expired, for
-/// 16 s. The rule allows 9 s from the loss, of which a takeover takes up to 2.5 s.
-#[test]
-fn starts_the_lasting_tasks_of_a_worker_whose_machine_is_gone() {
-    let old = Simulation::with_workers(2);
-    let mut sim = next_leader(&old, &[("j", lasting(1), running_progress())]);
-    sim.workers.get_mut("i-1").unwrap().silent = true;
-    sim.engine.inherit(&[], false, sim.now);
-    sim.run(2_500);
-    sim.engine.mark_delisted("i-1");
-    for _ in 0..2 {
-        sim.engine.set_machines(vec![machine("m-i-0")]);
-        sim.run(2_000);
-    }
-    assert_eq!(sim.starts.len(), 1);
-}
-
-/// Guards against taking a worker for lost that may still run its tasks, which would start a second
-/// time (rule TWICE): one list of machines may lack its machine, and a worker that the store lists
-/// has renewed its registration.
-#[test]
-fn waits_for_a_worker_that_one_source_still_shows() {
-    let gone = || vec![machine("m-i-0")];
-    let all = || vec![machine("m-i-0"), machine("m-i-1")];
-    let lists: [(&str, bool, Vec<Vec<Machine>>); 5] = [
-        ("one list", true, vec![gone()]),
-        ("listed in the store", false, vec![gone(), gone(), gone()]),
-        ("listed in between", true, vec![gone(), all(), gone()]),
-        ("listed in the end", true, vec![gone(), all()]),
-        (
-            "empty lists",
-            true,
-            vec![Vec::new(), Vec::new(), Vec::new()],
-        ),
-    ];
-    for (case, delisted, lists) in lists {
-        let old = Simulation::with_workers(2);
-        let mut sim = next_leader(&old, &[("j", lasting(1), running_progress())]);
-        sim.workers.get_mut("i-1").unwrap().silent = true;
-        sim.engine.inherit(&[], false, sim.now);
-        sim.run(500);
-        if delisted {
-            sim.engine.mark_delisted("i-1");
-        }
-        for list in lists {
-            sim.engine.set_machines(list);
-            sim.run(2_000);
-        }
-        assert_eq!(sim.starts.len(), 0, "{case}");
-    }
-}
