Prefer another worker after a rejected start

Callers would see a lasting task without a run while another worker has room for it. After a rejected start (400, or 409 with an unknown reason) the task waited for 1 s and was placed on the same worker again, since nothing distinguished it from the others: in the test, no start went to the other worker within 60 s.

The worker now counts among those to avoid, as after a failure, so the next start goes to another one if there is one with room. The order itself may be at fault; then every worker is avoided and the choice is as before.

--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -146,9 +146,7 @@
             return;
         }
         task.not_before = now + RETRY_AFTER;
-        if !task.avoided_workers.contains(&worker) {
-            task.avoided_workers.push(worker);
-        }
+        task.avoid(worker);
         if lasting {
             return;
         }
--- a/src/batch/engine/reply.rs
+++ b/src/batch/engine/reply.rs
@@ -90,7 +90,13 @@
                 self.shun(worker, UNHEALTHY_PAUSE, now);
                 self.drop_run(key, Duration::ZERO, now);
             }
-            Reply::Rejected => self.drop_run(key, REJECTED_PAUSE, now),
+            Reply::Rejected => {
+                // Another worker may accept the order.
+                if let Some(task) = self.task_mut(job, &task) {
+                    task.avoid(worker);
+                }
+                self.drop_run(key, REJECTED_PAUSE, now);
+            }
             Reply::Unadvised => {
                 self.drop_ticket(job, &task, worker);
                 self.drop_run(key, Duration::ZERO, now);
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -196,10 +196,8 @@
             step: task.step,
         };
         let index = task.index;
-        if let Some(task) = self.task_mut(job, task)
-            && !task.avoided_workers.contains(&worker)
-        {
-            task.avoided_workers.push(worker);
+        if let Some(task) = self.task_mut(job, task) {
+            task.avoid(worker);
         }
         let step = self.jobs[job].record.spec.steps[stage_key.step as usize].clone();
         let workers = self.startable_workers(&self.jobs[job].service, now);
--- a/src/batch/engine/task.rs
+++ b/src/batch/engine/task.rs
@@ -22,7 +22,7 @@
     /// logged.
     pub(super) idle_since: Option<Instant>,
     pub(super) idle_logged_at: Option<Instant>,
-    /// Workers on which it failed or stalled.
+    /// Workers on which it failed or stalled, or that rejected its start.
     pub(super) avoided_workers: Vec<WorkerKey>,
 }
 
@@ -31,4 +31,11 @@
     pub(super) fn is_waiting(&self, now: Instant) -> bool {
         !self.done && self.runs.is_empty() && self.not_before <= now
     }
+
+    /// Prefers other workers than the given one for the next runs of the task.
+    pub(super) fn avoid(&mut self, worker: WorkerKey) {
+        if !self.avoided_workers.contains(&worker) {
+            self.avoided_workers.push(worker);
+        }
+    }
 }
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -16,3 +16,4 @@
 mod restart;
 mod simulation;
 mod takeover;
+mod waits;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -184,11 +184,7 @@
             .into_iter()
             .map(|(key, id, _)| (key, id))
             .collect();
-        for (key, id) in &keys {
-            if self.engine.needs_poll(*key) {
-                self.poll(*key, id, wall);
-            }
-        }
+        self.poll_all();
         self.engine.check_runs_and_workers(self.now);
         self.engine.place(self.now, wall);
         for (key, order) in self.engine.take_orders() {
@@ -210,6 +206,16 @@
         }
     }
 
+    /// Polls the workers that must be polled.
+    pub(crate) fn poll_all(&mut self) {
+        let wall = self.wall_ms();
+        for (key, id, _) in self.engine.worker_addresses() {
+            if self.engine.needs_poll(key) {
+                self.poll(key, &id, wall);
+            }
+        }
+    }
+
     fn poll(&mut self, key: WorkerKey, id: &Arc<str>, wall: u64) {
         let worker = self.workers.get_mut(id).unwrap();
         if worker.silent {
@@ -291,6 +297,13 @@
         }
     }
 
+    /// Returns whether a worker does not answer.
+    pub(crate) fn is_silent(&self, key: WorkerKey) -> bool {
+        let addresses = self.engine.worker_addresses();
+        let (_, id, _) = addresses.iter().find(|(known, ..)| *known == key).unwrap();
+        self.workers[id].silent
+    }
+
     /// Counts the runs of all workers.
     pub(crate) fn running(&self) -> usize {
         self.workers.values().map(|w| w.running.len()).sum()
