Use a shunned worker for a round before it is shunned again

Callers would see lasting tasks without a run for 12 s. A worker on which three different jobs have failed is shunned for 6 s, and again after each further failure. Tasks that last go on failing and never end as done, so the count is not cleared; a failure on the worker in the moment in which its exclusion ended began the next one before any waiting task was placed. The test, with one worker, waited for longer than the 7 s that the rule allows.

A failure counts again only 200 ms after an exclusion, which covers a scheduling round of at most 100 ms: a task with room on the worker waits for about 6 s.

--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -11,6 +11,10 @@
 /// Time for which a shunned worker gets no starts.
 const SHUN_FOR: Duration = Duration::from_secs(6);
 
+/// Time after an exclusion in which a worker is not shunned again. It covers a scheduling round, so
+/// that waiting tasks get the worker even if another task fails on it in that moment.
+const MIN_TIME_BETWEEN_SHUNS: Duration = Duration::from_millis(200);
+
 /// Delay before a failed task runs again.
 const RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -170,7 +174,8 @@
         if !worker.failed_jobs.contains(&job) {
             worker.failed_jobs.push(job);
         }
-        if worker.failed_jobs.len() >= SHUN_AFTER_FAILED_JOBS && worker.shunned_until <= now {
+        let may_be_shunned = worker.shunned_until + MIN_TIME_BETWEEN_SHUNS <= now;
+        if worker.failed_jobs.len() >= SHUN_AFTER_FAILED_JOBS && may_be_shunned {
             worker.shunned_until = now + SHUN_FOR;
             log::warn!(event = "worker-excluded", worker = worker.profile.id,
                 failed_jobs = worker.failed_jobs.len(), seconds = SHUN_FOR.as_secs(); "");
--- a/tests/batch/waits.rs
+++ b/tests/batch/waits.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use coriandernotch::batch::{Order, Reply, Running, Snapshot, WorkerKey};
+use coriandernotch::batch::{End, Order, Reply, Running, Snapshot, WorkerKey};
 
-use crate::simulation::{Simulation, lasting};
+use crate::simulation::{Run, Simulation, lasting};
 
 /// Time within which an accepted lasting task must run once nothing disturbs it.
 pub(crate) const MAX_WAIT_MS: u64 = 7_000;
@@ -32,6 +32,17 @@
     sim.now.since(begun)
 }
 
+/// Ends the run of a job as failed, and reads the end.
+fn fail(sim: &mut Simulation, job: &str) {
+    let worker = sim.workers.get_mut("i-0").unwrap();
+    let is_of_job = |run: &mut Run| *run.task.job == *job;
+    let runs: Vec<Run> = worker.running.extract_if(.., is_of_job).collect();
+    assert_eq!(runs.len(), 1);
+    runs.into_iter()
+        .for_each(|run| worker.end(run, End::Failed));
+    sim.run(10);
+}
+
 /// Processes an answer of a worker that lists the given runs.
 fn answer(sim: &mut Simulation, key: WorkerKey, running: Vec<Running>) {
     let snapshot = Snapshot {
@@ -134,3 +145,29 @@
     });
     assert!(took < Duration::from_millis(MAX_WAIT_MS), "{took:?}");
 }
+
+/// Guards against a worker that is excluded without end while tasks on it go on to fail: the wait
+/// of the other tasks was prolonged by a failure in the moment in which it ended.
+#[test]
+fn uses_a_worker_in_time_whose_tasks_go_on_to_fail() {
+    let mut sim = Simulation::with_workers(1);
+    for job in ["a", "b", "c", "d"] {
+        sim.accept(job, lasting(1));
+    }
+    sim.run(100);
+    assert_eq!(sim.running(), 4);
+    for job in ["a", "b", "c"] {
+        fail(&mut sim, job);
+    }
+    let failed_at = sim.now;
+    // The fourth task fails as soon as the worker may be used again.
+    sim.run(5_990);
+    assert_eq!(sim.starts.len(), 4);
+    fail(&mut sim, "d");
+    let waited = sim.now.since(failed_at);
+    let rest = Duration::from_millis(MAX_WAIT_MS).saturating_sub(waited);
+    sim.run(u64::try_from(rest.as_millis()).unwrap());
+    for job in ["a", "b", "c"] {
+        assert_eq!(sim.starts_of(job, 0, 0), 2, "{job}");
+    }
+}
