Run lasting tasks on machines that cannot be emptied

Three tests show tasks that wait without end beside a worker with room (30 s, 30 s and 20 s, as long as the tests last):

- Two tasks of a step, of which one may be down, run on a machine that is due for maintenance, and no other worker has room.
One was stopped; the other could not be, so the machine stayed cordoned and the first never started.
- One of two such tasks fails there: the same state.
- A machine that is to move to another pool runs a long task.
It got no starts until that had ended, although the move waited for it.

A lasting task is now stopped for maintenance only if all lasting tasks of the worker may be down at once or another worker has room. A task that found no worker for 1 s may start on one whose machine stays for now: a cordoned one whose lasting tasks may not all be down, or a relocating one with runs. Neither can be ordered to go down meanwhile, since that requires an empty worker and no start empties it; a worker that is empty or can be emptied still gets none.

--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -85,11 +85,14 @@
 
     /// Returns why no task may be started on a worker, if that is so.
     pub(super) fn exclusion(&self, worker: &Worker, now: Instant) -> Option<Exclusion> {
-        if let Some(exclusion) = self.unusability(worker, now) {
-            Some(exclusion)
-        } else if worker.relocating {
-            Some(Exclusion::Relocating)
-        } else if self.is_reported_silent(worker) {
+        self.unusability(worker, now)
+            .or_else(|| worker.relocating.then_some(Exclusion::Relocating))
+            .or_else(|| self.succession_risk(worker))
+    }
+
+    /// Returns why the next leader may not know of a run on a worker, if that is so.
+    fn succession_risk(&self, worker: &Worker) -> Option<Exclusion> {
+        if self.is_reported_silent(worker) {
             Some(Exclusion::ReportedSilent)
         } else if !self.is_known_to_successor(worker) {
             Some(Exclusion::NotMember)
@@ -100,6 +103,23 @@
         }
     }
 
+    /// Lists the workers of a service that get no starts only because their machine is to be moved
+    /// or maintained, and whose machine stays for now: short tasks still run on it, or lasting
+    /// tasks that may not be stopped.
+    pub(super) fn workers_that_stay(&self, service: &str, now: Instant) -> Vec<WorkerKey> {
+        let stays = |key: WorkerKey, worker: &Worker| {
+            let waits_for_tasks = worker.relocating && !worker.runs.is_empty();
+            waits_for_tasks || (worker.cordoned && !self.may_stop_all_lasting(key, now))
+        };
+        let workers = self.workers.iter().filter(|(key, worker)| {
+            *worker.profile.service == *service
+                && stays(*key, worker)
+                && self.unavailability(worker, now).is_none()
+                && self.succession_risk(worker).is_none()
+        });
+        workers.map(|(key, _)| key).collect()
+    }
+
     /// Returns whether the workers that may run a step are known by tickets only.
     pub(super) fn needs_ticket(&self, stage_key: StageKey) -> bool {
         let job = &self.jobs[stage_key.job];
@@ -156,13 +176,17 @@
     }
 
     fn unusability(&self, worker: &Worker, now: Instant) -> Option<Exclusion> {
+        self.unavailability(worker, now)
+            .or_else(|| worker.cordoned.then_some(Exclusion::Cordoned))
+    }
+
+    /// Returns why a worker could not be used even if its machine were to stay, if that is so.
+    fn unavailability(&self, worker: &Worker, now: Instant) -> Option<Exclusion> {
         let excluded = &self.excluded_data_centres;
         if worker.delisted {
             Some(Exclusion::Delisted)
         } else if worker.profile.draining {
             Some(Exclusion::Draining)
-        } else if worker.cordoned {
-            Some(Exclusion::Cordoned)
         } else if worker.unreachable {
             Some(Exclusion::Unreachable)
         } else if worker.answered_at.is_none() {
--- a/src/batch/engine/maintenance.rs
+++ b/src/batch/engine/maintenance.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::wave_progress::{Maintenance, WaveProgress};
-use super::{Engine, Worker};
+use super::{Engine, StageKey, Task, Worker};
 use crate::batch::{RunKey, WorkerKey};
 use crate::clock::Instant;
 use crate::collections::{Map, Set};
@@ -146,10 +146,13 @@
             .filter_map(|w| w.emptying.get(&worker.profile.machine));
         let since = maintenance.map(|maintenance| maintenance.since).min();
         let overdue = since.is_some_and(|since| now.since(since) > STOP_SHORT_TASKS_AFTER);
-        for run in worker.runs.clone() {
+        let runs = worker.runs.clone();
+        let may_stop_all = self.may_stop_all_lasting(key, now);
+        for run in runs {
             let current = &self.runs[run];
             let movable = if current.lasting {
-                is_draining || self.may_move(run, now)
+                is_draining
+                    || (self.may_move(run, now) && (may_stop_all || self.fits_elsewhere(run, now)))
             } else {
                 overdue
             };
@@ -171,12 +174,50 @@
         let step = &self.jobs[run.job].record.spec.steps[run.task.step as usize];
         let others = stage.tasks.iter().enumerate();
         let others = others.filter(|(index, _)| *index != run.task.index as usize);
-        let is_task_working =
-            |task: &super::Task| task.runs.iter().any(|run| self.is_working(*run, now));
+        let is_task_working = |task: &Task| task.runs.iter().any(|run| self.is_working(*run, now));
         let down = others.filter(|(_, task)| !is_task_working(task)).count();
         down < (step.may_miss as usize).max(1)
     }
 
+    /// Returns whether all lasting tasks of a worker may be down at once. Otherwise it can be emptied
+    /// only if some of them start on other workers.
+    pub(super) fn may_stop_all_lasting(&self, key: WorkerKey, now: Instant) -> bool {
+        let is_working_elsewhere = |task: &Task| {
+            let mut runs = task.runs.iter();
+            runs.any(|run| self.runs[*run].worker != key && self.is_working(*run, now))
+        };
+        let runs = self.workers[key].runs.iter().map(|run| &self.runs[*run]);
+        let mut lasting = runs.filter(|run| run.lasting);
+        lasting.all(|run| {
+            let Some(stage) = self.stage(run.job, run.task.occurrence, run.task.step) else {
+                return true;
+            };
+            let step = &self.jobs[run.job].record.spec.steps[run.task.step as usize];
+            let tasks = stage.tasks.iter();
+            let down = tasks.filter(|task| !is_working_elsewhere(task)).count();
+            down <= (step.may_miss as usize).max(1)
+        })
+    }
+
+    /// Returns whether another worker has room for the task of a run.
+    fn fits_elsewhere(&self, key: RunKey, now: Instant) -> bool {
+        let run = &self.runs[key];
+        let stage_key = StageKey {
+            job: run.job,
+            occurrence: run.task.occurrence,
+            step: run.task.step,
+        };
+        let job = &self.jobs[run.job];
+        let step = &job.record.spec.steps[run.task.step as usize];
+        let workers = self.startable_workers(&job.service, now);
+        // Advice is asked for only once a task waits.
+        let has_room = |other: &WorkerKey| {
+            let unfitness = self.unfitness(stage_key, step, *other, false, now);
+            *other != run.worker && unfitness.is_none()
+        };
+        workers.iter().any(has_room)
+    }
+
     fn is_working(&self, key: RunKey, now: Instant) -> bool {
         let run = &self.runs[key];
         let worker = self.workers.get(run.worker).filter(|w| !w.unreachable);
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -11,6 +11,11 @@
 /// lasts as long as the longest of its tasks.
 const REMAINING_TIME_FACTOR: f64 = 1.15;
 
+/// Time without a run after which a lasting task is placed on a worker that is being emptied. Most
+/// tasks moved off a machine start elsewhere within it. A task with room may wait 9 s, of which the
+/// lease of a lost worker takes up to 6.5 s.
+const LAST_RESORT_AFTER: Duration = Duration::from_secs(1);
+
 /// Order in which ready stages of one service are placed, compared field by field; the smallest
 /// comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -115,13 +120,36 @@
             if !task.is_waiting(now) || self.may_run_on_uncontacted(stage_key, index, now) {
                 continue;
             }
-            let Some(worker) = self.choose(stage_key, index, &step, None, workers, now) else {
+            let worker = self
+                .choose(stage_key, index, &step, None, workers, now)
+                .or_else(|| self.choose_last_resort(stage_key, index, &step, now));
+            let Some(worker) = worker else {
                 return;
             };
             self.start_run(stage_key, index, &step, worker, None, now);
         }
     }
 
+    /// Chooses a worker whose machine is to be moved or maintained for a lasting task that found no
+    /// other one for [`LAST_RESORT_AFTER`], if the machine stays for now. It may stay for long, and
+    /// in maintenance even because of this task: no more tasks of its step may be stopped while it
+    /// is down.
+    fn choose_last_resort(
+        &self,
+        stage_key: StageKey,
+        index: u32,
+        step: &Step,
+        now: Instant,
+    ) -> Option<WorkerKey> {
+        let stage = self.stage(stage_key.job, stage_key.occurrence, stage_key.step)?;
+        let idle_since = stage.tasks[index as usize].idle_since;
+        if !step.lasting || idle_since.is_none_or(|at| now.since(at) < LAST_RESORT_AFTER) {
+            return None;
+        }
+        let workers = self.workers_that_stay(&self.jobs[stage_key.job].service, now);
+        self.choose(stage_key, index, step, None, &workers, now)
+    }
+
     /// Starts all tasks of a gang, or none of them.
     fn place_gang(
         &mut self,
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -1,6 +1,7 @@
 //! Scheduling of jobs with simulated workers and simulated time.
 
 mod cost;
+mod emptying;
 mod ends;
 mod handover;
 mod history;
--- a/tests/batch/maintenance.rs
+++ b/tests/batch/maintenance.rs
@@ -6,7 +6,7 @@
 use crate::simulation::{Simulation, lasting, profile, record, step};
 use crate::takeover::{next_leader, running_progress};
 
-fn wave(sim: &Simulation, machines: &[&str], maximum: usize, within: Duration) -> Wave {
+pub(crate) fn wave(sim: &Simulation, machines: &[&str], maximum: usize, within: Duration) -> Wave {
     Wave {
         number: 1,
         machines: machines.iter().map(|m| Arc::from(*m)).collect(),
--- a/tests/batch/pools.rs
+++ b/tests/batch/pools.rs
@@ -20,7 +20,7 @@
     config
 }
 
-fn machine(name: &str, pool: &str) -> Machine {
+pub(crate) fn machine(name: &str, pool: &str) -> Machine {
     Machine {
         name: name.into(),
         pool: pool.into(),
