Poll a worker whose machine was maintained before instead of dropping it

Callers would see tasks that wait without end although a worker is free. The platform accepts an order for maintenance also if it was carried out earlier: when the order of a leader got no answer and is repeated, or is repeated by its successor. All workers of the machine were then marked as no longer listed and removed, the live one that had come back among them, and the feed reports a worker again only when more than its sequence number changes.

The worker still gets no starts after the order, but stays known. If the store still lists it 4.5 s later it is polled, and used once it answers. By then most workers that have ended are no longer listed, so few polls are added, and late answers to polls sent before the order have arrived.

--- a/src/batch/engine/maintenance.rs
+++ b/src/batch/engine/maintenance.rs
@@ -269,9 +269,10 @@
             );
         }
         progress.done.insert(machine.clone());
-        for worker in self.workers.values_mut() {
-            worker.delisted |= worker.profile.machine == *machine;
-        }
+        let on_machine = self.workers.values_mut();
+        on_machine
+            .filter(|worker| worker.profile.machine == *machine)
+            .for_each(|worker| worker.record_shutdown(now));
     }
 
     /// Records that the maintenance of a machine was refused; the machine is chosen again later.
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -37,6 +37,7 @@
     /// second.
     pub fn check_runs_and_workers(&mut self, now: Instant) {
         self.drop_expired(now);
+        self.verify_shutdowns(now);
         self.drop_delisted();
         self.stop_stalled(now);
         self.repeat_stops(now);
@@ -61,11 +62,18 @@
         self.drop_uncontacted(now);
     }
 
+    /// Lists workers again whose machines were shut down and that the store still lists.
+    fn verify_shutdowns(&mut self, now: Instant) {
+        let workers = self.workers.values_mut();
+        workers.for_each(|worker| worker.verify_shutdown(now));
+    }
+
     /// Removes workers that the store no longer lists and that have neither runs nor ends to store.
     /// Those that may have runs of the previous leader stay, so that they are polled.
     fn drop_delisted(&mut self) {
         let is_removable = |w: &super::Worker| {
             w.delisted
+                && w.shut_down_at.is_none()
                 && w.runs.is_empty()
                 && self.has_stored_ends(w)
                 && !self.uncontacted.contains_key(&w.profile.id)
@@ -93,7 +101,7 @@
             self.stop_run(key, now);
             self.count_failure(worker, job, now);
             if let Some(task) = self.task_mut(job, &task) {
-                task.avoided_workers.push(worker);
+                task.avoid(worker);
             }
         }
     }
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -1,9 +1,15 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::batch::{JobKey, Profile, RunKey};
 use crate::clock::Instant;
 use crate::jobs::Size;
 
+/// Time after the shutdown of a machine from which its worker is polled if the store still lists it.
+/// The platform accepts an order that was carried out earlier, and then the worker still runs. The
+/// store lists a worker that has ended for 4 to 5 s.
+const VERIFY_SHUTDOWN_AFTER: Duration = Duration::from_millis(4_500);
+
 /// A worker and what this leader knows about it.
 #[derive(Clone, Debug)]
 pub(super) struct Worker {
@@ -33,8 +39,11 @@
     pub(super) absent_since: Option<Instant>,
     /// Number of the latest list of silent workers that contains it; 0 if there is none.
     pub(super) silent_report: u64,
-    /// Whether the store no longer lists it.
+    /// Whether it counts as gone: the store no longer lists it, or its machine was shut down.
     pub(super) delisted: bool,
+    /// When an order to shut down its machine was accepted, until the store or
+    /// [`Worker::verify_shutdown`] tells whether its process has ended.
+    pub(super) shut_down_at: Option<Instant>,
     /// Whether the store certainly holds its row for the next leader, with its current profile.
     pub(super) is_member: bool,
     /// Position of the latest end read, and for each end that is not acknowledged its position, the
@@ -76,6 +85,7 @@
             silent_report: 0,
             absent_since: None,
             delisted: false,
+            shut_down_at: None,
             is_member: false,
             last_end_position: 0,
             unstored_ends: Vec::new(),
@@ -91,12 +101,30 @@
 
     /// Records whether the store no longer lists the worker, and logs a change.
     pub(super) fn set_delisted(&mut self, delisted: bool) {
+        if self.shut_down_at.take().is_some() {
+            self.set_unreachable();
+        }
         if std::mem::replace(&mut self.delisted, delisted) != delisted {
             log::info!(event = "worker-listing-changed", worker = self.profile.id,
                 listed = !delisted, runs = self.runs.len(); "");
         }
     }
 
+    /// Records that an order to shut down its machine was accepted.
+    pub(super) fn record_shutdown(&mut self, now: Instant) {
+        self.delisted = true;
+        self.shut_down_at = Some(now);
+    }
+
+    /// Lists the worker again if the store still does [`VERIFY_SHUTDOWN_AFTER`] its machine was shut
+    /// down. It gets no starts until it has answered a poll.
+    pub(super) fn verify_shutdown(&mut self, now: Instant) {
+        let is_overdue = |at: Instant| now.since(at) > VERIFY_SHUTDOWN_AFTER;
+        if self.shut_down_at.is_some_and(is_overdue) {
+            self.set_delisted(false);
+        }
+    }
+
     /// Records that a call got no answer.
     pub(super) fn set_unreachable(&mut self) {
         self.unreachable = true;
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -15,6 +15,7 @@
 mod pools;
 mod progress;
 mod restart;
+mod shutdown;
 mod simulation;
 mod takeover;
 mod waits;
