--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -5,6 +5,7 @@
 mod ends;
 mod handover;
 mod history;
+mod lost_workers;
 mod maintenance;
 mod members;
 mod occurrences;
