Poll a worker whose machine was moved before instead of dropping it

The same loss as after maintenance: a move without an answer is tried again 3 s later, the platform accepts it although the machine has moved, and the worker that joined its new pool was marked as gone for good. Both orders now record the shutdown in one place. A worker that the store had removed before the order is left alone: it would be polled without end, since the store reports no second removal.

--- a/src/batch/engine/listing.rs
+++ b/src/batch/engine/listing.rs
@@ -4,6 +4,7 @@
 
 use super::{Engine, Worker};
 use crate::batch::{Profile, WorkerKey};
+use crate::clock::Instant;
 use crate::collections::Set;
 
 impl Engine {
@@ -41,6 +42,19 @@
         }
     }
 
+    /// Records that an order to shut down a machine was accepted.
+    pub(super) fn record_shutdown(&mut self, machine: &Arc<str>, now: Instant) {
+        let workers = self.workers.values_mut();
+        let on_machine = workers.filter(|worker| worker.profile.machine == *machine);
+        on_machine.for_each(|worker| worker.record_shutdown(now));
+    }
+
+    /// Lists workers again whose machines were shut down and that the store still lists.
+    pub(super) fn verify_shutdowns(&mut self, now: Instant) {
+        let workers = self.workers.values_mut();
+        workers.for_each(|worker| worker.verify_shutdown(now));
+    }
+
     /// Returns the workers to contact: key, id and address.
     pub fn worker_addresses(&self) -> Vec<(WorkerKey, Arc<str>, Arc<str>)> {
         let contact =
--- a/src/batch/engine/maintenance.rs
+++ b/src/batch/engine/maintenance.rs
@@ -269,10 +269,7 @@
             );
         }
         progress.done.insert(machine.clone());
-        let on_machine = self.workers.values_mut();
-        on_machine
-            .filter(|worker| worker.profile.machine == *machine)
-            .for_each(|worker| worker.record_shutdown(now));
+        self.record_shutdown(machine, now);
     }
 
     /// Records that the maintenance of a machine was refused; the machine is chosen again later.
--- a/src/batch/engine/pools.rs
+++ b/src/batch/engine/pools.rs
@@ -93,11 +93,7 @@
             since: now,
         };
         self.pools.transfers.insert(machine.clone(), transfer);
-        for worker in self.workers.values_mut() {
-            if worker.profile.machine == *machine {
-                worker.delisted = true;
-            }
-        }
+        self.record_shutdown(machine, now);
     }
 
     /// Records that a move of a machine was refused.
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -62,12 +62,6 @@
         self.drop_uncontacted(now);
     }
 
-    /// Lists workers again whose machines were shut down and that the store still lists.
-    fn verify_shutdowns(&mut self, now: Instant) {
-        let workers = self.workers.values_mut();
-        workers.for_each(|worker| worker.verify_shutdown(now));
-    }
-
     /// Removes workers that the store no longer lists and that have neither runs nor ends to store.
     /// Those that may have runs of the previous leader stay, so that they are polled.
     fn drop_delisted(&mut self) {
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -112,8 +112,10 @@
 
     /// Records that an order to shut down its machine was accepted.
     pub(super) fn record_shutdown(&mut self, now: Instant) {
-        self.delisted = true;
-        self.shut_down_at = Some(now);
+        if !self.delisted {
+            self.delisted = true;
+            self.shut_down_at = Some(now);
+        }
     }
 
     /// Lists the worker again if the store still does [`VERIFY_SHUTDOWN_AFTER`] its machine was shut
