--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -37,6 +37,7 @@
     /// second.
     pub fn check_runs_and_workers(&mut self, now: Instant) {
         self.drop_expired(now);
+        self.verify_shutdowns(now);
         self.drop_delisted();
         self.stop_stalled(now);
         self.repeat_stops(now);
@@ -66,6 +67,7 @@
     fn drop_delisted(&mut self) {
         let is_removable = |w: &super::Worker| {
             w.delisted
+                && w.shut_down_at.is_none()
                 && w.runs.is_empty()
                 && self.has_stored_ends(w)
                 && !self.uncontacted.contains_key(&w.profile.id)
@@ -93,7 +95,7 @@
             self.stop_run(key, now);
             self.count_failure(worker, job, now);
             if let Some(task) = self.task_mut(job, &task) {
-                task.avoided_workers.push(worker);
+                task.avoid(worker);
             }
         }
     }
@@ -196,10 +198,8 @@
             step: task.step,
         };
         let index = task.index;
-        if let Some(task) = self.task_mut(job, task)
-            && !task.avoided_workers.contains(&worker)
-        {
-            task.avoided_workers.push(worker);
+        if let Some(task) = self.task_mut(job, task) {
+            task.avoid(worker);
         }
         let step = self.jobs[job].record.spec.steps[stage_key.step as usize].clone();
         let workers = self.startable_workers(&self.jobs[job].service, now);
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -1,6 +1,7 @@
 //! Scheduling of jobs with simulated workers and simulated time.
 
 mod cost;
+mod emptying;
 mod ends;
 mod handover;
 mod history;
@@ -15,5 +16,7 @@
 mod pools;
 mod progress;
 mod restart;
+mod shutdown;
 mod simulation;
 mod takeover;
+mod waits;
