Check in the takeover model that lasting tasks run after faults

A worker can now be lost for good, with its machine missing from the platform's list, which each leader of the model reads. After the last fault, each lasting task must have a run within the time that the rule on lost tasks gives.

--- a/tests/takeover_model/act.rs
+++ b/tests/takeover_model/act.rs
@@ -10,9 +10,6 @@
 /// Time after which a process that stops is killed.
 const GRACE: Duration = Duration::from_secs(4);
 
-/// Time that the effects of a fault go on after its end: calls that are late, and timeouts.
-const AFTERMATH: Duration = Duration::from_secs(6);
-
 impl World {
     pub(crate) fn act(&mut self, action: Action) {
         match action {
@@ -34,7 +31,8 @@
                 for instance in self.targets(target) {
                     self.instances[instance].store_outage = Some(outage);
                 }
-                self.expect_fault(lasts + AFTERMATH);
+                self.expect_fault(lasts);
+                self.expect_late_calls(lasts + fault.delay());
             }
             Action::DisturbWorker {
                 target,
@@ -52,7 +50,29 @@
                 for instance in self.targets(target) {
                     self.instances[instance].worker_outages[worker] = Some(outage);
                 }
-                self.expect_fault(lasts + AFTERMATH);
+                self.expect_fault(lasts);
+                self.expect_late_calls(lasts + fault.delay());
+            }
+            Action::DisturbMachineList {
+                target,
+                fault,
+                percent,
+                lasts,
+            } => {
+                let outage = Outage {
+                    fault,
+                    percent,
+                    spares_reads: false,
+                    until: self.now + lasts,
+                };
+                for instance in self.targets(target) {
+                    self.instances[instance].machines_outage = Some(outage);
+                }
+                self.expect_fault(lasts);
+            }
+            Action::LoseWorker { worker, listed_for } => {
+                self.lose_worker(worker, listed_for);
+                self.expect_fault(Duration::ZERO);
             }
             Action::DiscardHistory => self.store.discard_history(),
             Action::ExpireRegistration { worker, lasts } => {
@@ -60,7 +80,7 @@
                 process.unlisted_until = self.now + lasts;
                 let (id, born_ms) = (process.id.clone(), process.born_ms);
                 self.unlist(id, born_ms);
-                self.expect_fault(lasts + AFTERMATH);
+                self.expect_fault(lasts);
             }
             Action::RestartWorker {
                 worker,
@@ -68,7 +88,7 @@
                 keeps_id,
             } => {
                 self.stop_worker(worker, down, keeps_id);
-                self.expect_fault(down + AFTERMATH);
+                self.expect_fault(down);
             }
         }
     }
@@ -98,7 +118,7 @@
         self.instances[instance].replace_process(false);
         self.queue
             .push(self.now + away, Event::StartInstance(instance));
-        self.expect_fault(away + AFTERMATH);
+        self.expect_fault(away);
     }
 
     pub(crate) fn start_instance(&mut self, instance: usize) {
@@ -117,7 +137,7 @@
         let process = entry.process;
         self.queue
             .push(self.now + GRACE, Event::Kill(process, away));
-        self.expect_fault(away + GRACE + AFTERMATH);
+        self.expect_fault(away + GRACE);
         self.begin_last_flush(instance, away);
     }
 }
--- a/tests/takeover_model/action.rs
+++ b/tests/takeover_model/action.rs
@@ -39,6 +39,19 @@
     DiscardHistory,
     /// The registration of a worker expires, and it cannot register for this time.
     ExpireRegistration { worker: usize, lasts: Duration },
+    /// Calls for the list of machines are affected by a fault.
+    DisturbMachineList {
+        target: Target,
+        fault: Fault,
+        percent: u64,
+        lasts: Duration,
+    },
+    /// A worker and its machine are lost for good, and the address is silent from then on.
+    LoseWorker {
+        worker: usize,
+        /// Time until the platform no longer lists the machine.
+        listed_for: Duration,
+    },
     /// A worker process ends and another one starts after `down`.
     RestartWorker {
         worker: usize,
@@ -58,6 +71,17 @@
         }
     }
 
+    /// Cuts off a worker from some instances.
+    pub(crate) fn cut_off(worker: usize, target: Target, lasts: Duration) -> Self {
+        Self::DisturbWorker {
+            target,
+            worker,
+            fault: Fault::Silent,
+            percent: 100,
+            lasts,
+        }
+    }
+
     /// Loses the writes of the leader to the store, and the answers to them.
     pub(crate) fn lose_writes_of_leader(lasts: Duration) -> Self {
         Self::DisturbStore {
--- a/tests/takeover_model/audit.rs
+++ b/tests/takeover_model/audit.rs
@@ -16,6 +16,8 @@
 struct History {
     /// Numbers of the runs that are present on workers, with the workers.
     running: Vec<(usize, u64)>,
+    /// When the last run ended.
+    ended_at: Option<Instant>,
     starts: u64,
     /// For each acknowledged end, the number of starts before it.
     done: Vec<u64>,
@@ -60,9 +62,16 @@
     }
 
     /// Records that a run is gone. Returns the number of starts of the task up to now.
-    pub(crate) fn record_end(&mut self, worker: usize, task: &TaskId, number: u64) -> u64 {
+    pub(crate) fn record_end(
+        &mut self,
+        worker: usize,
+        task: &TaskId,
+        number: u64,
+        now: Instant,
+    ) -> u64 {
         let history = self.tasks.entry(task.clone()).or_default();
         history.running.retain(|run| *run != (worker, number));
+        history.ended_at = Some(now);
         history.starts
     }
 
@@ -84,6 +93,16 @@
         self.violation = self.violation.take().or(violation);
     }
 
+    /// Returns since when a task that was submitted at `submitted` has had no run, or `None` if one
+    /// is present.
+    pub(crate) fn idle_since(&self, task: &TaskId, submitted: Instant) -> Option<Instant> {
+        let Some(history) = self.tasks.get(task) else {
+            return Some(submitted);
+        };
+        let is_idle = history.running.is_empty();
+        is_idle.then_some(history.ended_at.unwrap_or(submitted))
+    }
+
     /// Records that the end of a job is stored.
     pub(crate) fn record_job_end(&mut self, job: &Arc<str>) {
         self.ended.insert(job.clone());
--- a/tests/takeover_model/dispatch.rs
+++ b/tests/takeover_model/dispatch.rs
@@ -37,6 +37,11 @@
                     self.handle_timer(process.instance, timer);
                 }
             }
+            Event::MachineList(process, machines) => {
+                if self.is_current(process) {
+                    self.set_machines(process.instance, machines);
+                }
+            }
             Event::StartInstance(instance) => self.start_instance(instance),
             Event::StartWorker { worker, keeps_id } => self.start_worker(worker, keeps_id),
             Event::RunEnd {
@@ -48,7 +53,7 @@
             } => {
                 let process = &mut self.workers[worker];
                 if process.born_ms == born_ms && process.up {
-                    process.end_run(&task, number, how, &mut self.audit);
+                    process.end_run(&task, number, how, self.now, &mut self.audit);
                     self.answer_polls(worker);
                 }
             }
@@ -85,6 +90,7 @@
             Timer::Flush(part) => self.flush(instance, part),
             Timer::FollowJobs => self.follow_jobs(instance),
             Timer::FollowWorkers => self.follow_workers(instance),
+            Timer::ListMachines => self.list_machines(instance),
         }
     }
 
--- a/tests/takeover_model/event.rs
+++ b/tests/takeover_model/event.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriandernotch::batch::{End, TaskId};
+use coriandernotch::batch::{End, Machine, TaskId};
 
 use crate::action::Action;
 use crate::answer::Answer;
@@ -29,6 +29,8 @@
     },
     WorkerReply(WorkerCall, WorkerAnswer),
     Timer(Process, Timer),
+    /// The platform's list of machines reaches the leader that asked for it.
+    MachineList(Process, Vec<Machine>),
     StartInstance(usize),
     /// A worker process starts at an address.
     StartWorker {
--- a/tests/takeover_model/fault.rs
+++ b/tests/takeover_model/fault.rs
@@ -13,3 +13,13 @@
     /// The call is not carried out.
     Silent,
 }
+
+impl Fault {
+    /// Returns the time after which an affected call is carried out.
+    pub(crate) fn delay(self) -> Duration {
+        match self {
+            Self::Late(delay) => delay,
+            Self::Refused | Self::Lost | Self::Silent => Duration::ZERO,
+        }
+    }
+}
--- a/tests/takeover_model/history.rs
+++ b/tests/takeover_model/history.rs
@@ -14,6 +14,7 @@
         tasks,
         steps: 1,
         run_time,
+        lasting: false,
     };
     let first_jobs = [job(ms(4_000), 1, ms(200)); 6];
     let last_jobs = [job(ms(4_300), 1, ms(6_500)); 2];
--- a/tests/takeover_model/incident.rs
+++ b/tests/takeover_model/incident.rs
@@ -19,9 +19,11 @@
     Restart,
     /// A new worker registers shortly before the leader cannot write, and its registration expires.
     Replacement,
+    /// A worker is lost for good around a change of leader.
+    Loss,
 }
 
-/// All kinds of incidents.
+/// All kinds of incidents in which no worker is lost for good.
 pub(crate) const INCIDENTS: [Incident; 6] = [
     Incident::Mixed,
     Incident::Partition,
@@ -41,6 +43,7 @@
             Self::Expiry => expiry(workers, random),
             Self::Restart => restart(workers, random),
             Self::Replacement => replacement(workers, random),
+            Self::Loss => loss(workers, random),
         }
     }
 }
@@ -164,6 +167,31 @@
     ]
 }
 
+fn loss(workers: usize, random: &mut Random) -> Vec<(Duration, Action)> {
+    let lost = Action::LoseWorker {
+        worker: random.index(workers),
+        listed_for: random.ms(0..2_500),
+    };
+    let mut actions = vec![
+        (random.ms(0..2_000), lost),
+        (random.ms(0..3_000), any_change(random)),
+    ];
+    if random.chance(30) {
+        let unread = Action::DisturbMachineList {
+            target: random.pick(&[Target::Leader, Target::Followers, Target::All]),
+            fault: Fault::Refused,
+            percent: random.pick(&[50, 100]),
+            lasts: random.ms(500..6_000),
+        };
+        actions.push((random.ms(0..3_000), unread));
+    }
+    if random.chance(30) {
+        let restart = restart_worker(random.index(workers), random);
+        actions.push((random.ms(0..5_000), restart));
+    }
+    actions
+}
+
 /// Returns an end of the present leadership. In the third case the leader runs on.
 fn any_change(random: &mut Random) -> Action {
     let away = random.ms(200..4_000);
@@ -185,13 +213,7 @@
 }
 
 fn lose_worker(target: Target, worker: usize, lasts: Duration) -> Action {
-    Action::DisturbWorker {
-        target,
-        worker,
-        fault: Fault::Silent,
-        percent: 100,
-        lasts,
-    }
+    Action::cut_off(worker, target, lasts)
 }
 
 fn restart_worker(worker: usize, random: &mut Random) -> Action {
--- a/tests/takeover_model/instance.rs
+++ b/tests/takeover_model/instance.rs
@@ -30,6 +30,8 @@
     pub(crate) loading: Option<Loading>,
     pub(crate) term: Option<Term>,
     pub(crate) store_outage: Option<Outage>,
+    /// What affects the calls for the list of machines.
+    pub(crate) machines_outage: Option<Outage>,
     /// For each worker, what affects the calls to it.
     pub(crate) worker_outages: Vec<Option<Outage>>,
 }
@@ -54,6 +56,7 @@
             loading: None,
             term: None,
             store_outage: None,
+            machines_outage: None,
             worker_outages: vec![None; workers],
         }
     }
@@ -69,6 +72,7 @@
             process,
             up,
             store_outage: self.store_outage,
+            machines_outage: self.machines_outage,
             worker_outages: self.worker_outages.clone(),
             ..Self::new(process.instance, 0)
         };
--- a/tests/takeover_model/job.rs
+++ b/tests/takeover_model/job.rs
@@ -13,8 +13,10 @@
     pub(crate) tasks: u32,
     /// Number of steps, each of which waits for the one before.
     pub(crate) steps: u32,
-    /// Time that each task runs.
+    /// Time that each task runs, unless it is lasting.
     pub(crate) run_time: Duration,
+    /// Whether the tasks run until the job is cancelled, which never happens here.
+    pub(crate) lasting: bool,
 }
 
 impl Job {
@@ -24,6 +26,18 @@
             tasks: 1 + random.below(3) as u32,
             steps: random.pick(&[1, 1, 2]),
             run_time: random.ms(100..5_000),
+            lasting: false,
+        }
+    }
+
+    /// Returns a job of lasting tasks.
+    pub(crate) fn lasting(at: Duration, tasks: u32) -> Self {
+        Self {
+            at,
+            tasks,
+            steps: 1,
+            run_time: Duration::ZERO,
+            lasting: true,
         }
     }
 
@@ -34,6 +48,7 @@
             size: Size::new(500, 100, 0),
             estimate_ms: self.run_time.as_millis() as u64,
             after: (0..number).collect(),
+            lasting: self.lasting,
             ..Step::default()
         };
         Record {
--- a/tests/takeover_model/load.rs
+++ b/tests/takeover_model/load.rs
@@ -114,6 +114,7 @@
             Timer::Round,
             Timer::FollowWorkers,
             Timer::FollowJobs,
+            Timer::ListMachines,
         ];
         for timer in timers {
             self.set_timer(instance, Duration::ZERO, timer);
--- a/tests/takeover_model/network.rs
+++ b/tests/takeover_model/network.rs
@@ -107,12 +107,12 @@
         None
     }
 
-    /// Sends a call to a worker, which must answer within `timeout`.
-    pub(crate) fn call_worker(&mut self, call: WorkerCall, timeout: Duration) {
+    /// Sends a call to a worker.
+    pub(crate) fn call_worker(&mut self, call: WorkerCall) {
         let outage = self.instances[call.process.instance].worker_outages[call.worker];
         let fault = outage.and_then(|outage| outage.draw(false, self.now, &mut self.random));
         let arrival = self.now + self.random.ms(TRANSMISSION_MS);
-        let timeout = self.now + timeout;
+        let timeout = self.now + call.timeout;
         let failed = |call| Event::WorkerReply(call, WorkerAnswer::None);
         match fault {
             None => self.queue.push(arrival, Event::WorkerArrival(call, true)),
@@ -133,6 +133,13 @@
         }
     }
 
+    /// Lets a call to a worker end without an answer.
+    pub(crate) fn time_out_worker_call(&mut self, call: WorkerCall) {
+        let at = self.now.max(call.sent + call.timeout);
+        self.queue
+            .push(at, Event::WorkerReply(call, WorkerAnswer::None));
+    }
+
     /// Sends the answer of a worker.
     pub(crate) fn answer_worker_call(&mut self, call: WorkerCall, answer: WorkerAnswer) {
         let at = self.now + self.random.ms(TRANSMISSION_MS);
--- a/tests/takeover_model/new_worker.rs
+++ b/tests/takeover_model/new_worker.rs
@@ -15,6 +15,7 @@
         tasks: 1,
         steps: 1,
         run_time: ms(8_000),
+        lasting: false,
     };
     let scenario = Scenario {
         jobs: vec![job],
--- a/tests/takeover_model/orders.rs
+++ b/tests/takeover_model/orders.rs
@@ -93,10 +93,11 @@
             worker: handle.worker,
             id: handle.id.clone(),
             request,
+            timeout,
             sent: self.now,
             sent_ms: self.wall_ms(),
         };
-        self.call_worker(call, timeout);
+        self.call_worker(call);
     }
 
     /// Records the outcome of a start order.
--- a/tests/takeover_model/platform.rs
+++ b/tests/takeover_model/platform.rs
@@ -56,7 +56,10 @@
 
     pub(crate) fn stop_worker(&mut self, worker: usize, down: Duration, keeps_id: bool) {
         let process = &mut self.workers[worker];
-        process.crash(&mut self.audit);
+        if process.is_lost() {
+            return;
+        }
+        process.crash(self.now, &mut self.audit);
         let held = process.release_all();
         let (id, born_ms) = (process.id.clone(), process.born_ms);
         for call in held {
@@ -68,10 +71,28 @@
             .push(self.now + EXPIRY, Event::Unlist { id, born_ms });
     }
 
+    /// Ends a worker for good, and lets its address be silent. The platform lists its machine until
+    /// `listed_for` has passed.
+    pub(crate) fn lose_worker(&mut self, worker: usize, listed_for: Duration) {
+        let process = &mut self.workers[worker];
+        if process.is_lost() {
+            return;
+        }
+        process.crash(self.now, &mut self.audit);
+        process.machine_listed_until = Some(self.now + listed_for);
+        let held = process.release_all();
+        let (id, born_ms) = (process.id.clone(), process.born_ms);
+        for call in held {
+            self.time_out_worker_call(call);
+        }
+        self.queue
+            .push(self.now + EXPIRY, Event::Unlist { id, born_ms });
+    }
+
     pub(crate) fn start_worker(&mut self, worker: usize, keeps_id: bool) {
         let born_ms = self.wall_ms();
         let old = &self.workers[worker];
-        if old.up {
+        if old.up || old.is_lost() {
             return;
         }
         let id = if keeps_id {
@@ -95,6 +116,12 @@
         if born_after_call {
             return;
         }
+        if worker.is_lost() {
+            if answered {
+                self.time_out_worker_call(call);
+            }
+            return;
+        }
         if !worker.up || worker.id != call.id {
             if answered {
                 self.answer_worker_call(call, WorkerAnswer::Missing);
@@ -161,7 +188,9 @@
             let (task, number) = (&launch.task, launch.number);
             self.audit
                 .record_start(call.worker, task, number, call.sent, in_touch);
-            self.plan_end(call.worker, launch, run_time);
+            if let Some(run_time) = run_time {
+                self.plan_end(call.worker, launch, run_time);
+            }
         }
         self.watch_lease(call.worker);
         if answered {
@@ -169,11 +198,12 @@
         }
     }
 
-    /// Returns the time that a task runs.
-    fn run_time(&self, launch: &Launch) -> Duration {
+    /// Returns the time that a task runs; `None` if it is lasting.
+    fn run_time(&self, launch: &Launch) -> Option<Duration> {
         let index = launch.task.job.rsplit('-').next();
         let index: usize = index.and_then(|n| n.parse().ok()).expect("a known job");
-        self.scenario.jobs[index].run_time
+        let job = &self.scenario.jobs[index];
+        (!job.lasting).then_some(job.run_time)
     }
 
     /// Plans the end of a new run.
@@ -252,6 +282,11 @@
     format!("i-{worker}-{born_ms}").into()
 }
 
+/// Returns the name of the machine at an address.
+pub(crate) fn machine_name(worker: usize) -> Arc<str> {
+    format!("m-{worker}").into()
+}
+
 fn registration(worker: &Worker) -> (Key, Profile) {
     let profile = Profile {
         id: worker.id.clone(),
@@ -259,7 +294,7 @@
         service: "s".into(),
         address: worker.address.to_string().into(),
         data_centre: "a".into(),
-        machine: format!("m-{}", worker.address).into(),
+        machine: machine_name(worker.address),
         draining: false,
         capacity: Size::new(4_000, 8_000, 0),
         labels: vec!["k".into()],
--- a/tests/takeover_model/restart.rs
+++ b/tests/takeover_model/restart.rs
@@ -43,6 +43,7 @@
         tasks,
         steps,
         run_time,
+        lasting: false,
     }
 }
 
--- a/tests/takeover_model/scenario.rs
+++ b/tests/takeover_model/scenario.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use crate::action::Action;
-use crate::incident::INCIDENTS;
+use crate::incident::{INCIDENTS, Incident};
 use crate::job::Job;
 use crate::random::Random;
 
@@ -16,6 +16,12 @@
 const LONG_RETENTION: Duration = Duration::from_secs(600);
 pub(crate) const SHORT_RETENTION: Duration = Duration::from_secs(6);
 
+/// Number of jobs beside those of lasting tasks, so small that workers have room.
+const MAX_OTHER_JOBS: usize = 4;
+
+/// Distinguishes the random numbers for lasting tasks from those of the other faults.
+const LASTING_SALT: u64 = 0x1a57;
+
 /// Returns a duration of whole milliseconds.
 pub(crate) const fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -47,6 +53,7 @@
             tasks,
             steps: 1,
             run_time: Duration::from_millis(600),
+            lasting: false,
         };
         Self {
             seed: 1,
@@ -89,4 +96,30 @@
         }
         scenario
     }
+
+    /// Creates the random scenario of a seed with lasting tasks. In most, a worker is lost for good
+    /// around a change of leader; in half of them, the faults of [`Scenario::random`] come before.
+    pub(crate) fn random_lasting(seed: u64) -> Self {
+        let mut random = Random::new(seed ^ LASTING_SALT);
+        let mut scenario = Self::random(seed);
+        scenario.jobs.truncate(MAX_OTHER_JOBS);
+        for _ in 0..1 + random.index(2) {
+            let at = ELECTED_AFTER + random.ms(0..3_000);
+            let tasks = 1 + random.below(3) as u32;
+            scenario.jobs.push(Job::lasting(at, tasks));
+        }
+        let loses_worker = random.chance(75);
+        if loses_worker && random.chance(50) {
+            scenario.actions.clear();
+        }
+        if loses_worker {
+            // The others must have room for all tasks.
+            scenario.workers += 1;
+            let begin = ELECTED_AFTER + random.ms(2_000..20_000);
+            let actions = Incident::Loss.actions(scenario.workers, &mut random);
+            let actions = actions.into_iter().map(|(at, action)| (begin + at, action));
+            scenario.actions.extend(actions);
+        }
+        scenario
+    }
 }
--- a/tests/takeover_model/seeded.rs
+++ b/tests/takeover_model/seeded.rs
@@ -16,6 +16,17 @@
 /// Guards against takeovers that start tasks twice or never, in random coincidences of faults.
 #[test]
 fn random_faults_break_no_rule() {
+    check_seeds(Scenario::random);
+}
+
+/// Guards against lasting tasks that have no run although nothing disturbs the system any more, in
+/// random coincidences of faults and losses of workers.
+#[test]
+fn lasting_tasks_run_after_random_faults() {
+    check_seeds(Scenario::random_lasting);
+}
+
+fn check_seeds(scenario: impl Fn(u64) -> Scenario + Sync) {
     let seeds = match setting("TAKEOVER_SEED") {
         Some(seed) => seed..seed + 1,
         None => 0..setting("TAKEOVER_SEEDS").unwrap_or(SEEDS),
@@ -28,7 +39,7 @@
             if seed >= seeds.end {
                 return failures;
             }
-            if let Err(violation) = World::new(Scenario::random(seed)).run() {
+            if let Err(violation) = World::new(scenario(seed)).run() {
                 failures.push((seed, violation));
             }
         }
--- a/tests/takeover_model/timer.rs
+++ b/tests/takeover_model/timer.rs
@@ -16,4 +16,5 @@
     Flush(u8),
     FollowJobs,
     FollowWorkers,
+    ListMachines,
 }
--- a/tests/takeover_model/violation.rs
+++ b/tests/takeover_model/violation.rs
@@ -11,6 +11,9 @@
     StartAfterCompletion(TaskId, u64),
     /// A start after as many acknowledged failures as are allowed.
     StartAfterFailures(TaskId, u64),
+    /// A lasting task that did not run although nothing disturbed the system and there was room,
+    /// the time without a run in milliseconds, and the latest log line about what held it back.
+    Idle(TaskId, u128, String),
     /// Jobs that have not ended in time.
     Stuck(Vec<String>),
 }
--- a/tests/takeover_model/worker.rs
+++ b/tests/takeover_model/worker.rs
@@ -23,7 +23,17 @@
     pub(crate) task: TaskId,
     pub(crate) number: u64,
     started: Instant,
-    duration: Duration,
+    /// Time that the task runs; `None` if it is lasting.
+    duration: Option<Duration>,
+}
+
+impl Run {
+    /// Returns the progress that the worker shows. A lasting task works at full speed.
+    fn percent(&self, now: Instant) -> u64 {
+        self.duration.map_or(100, |duration| {
+            (now.since(self.started).as_millis() * 97 / duration.as_millis()) as u64
+        })
+    }
 }
 
 /// An end that is listed until it is acknowledged.
@@ -47,6 +57,8 @@
     pub(crate) up: bool,
     /// Time until which the store does not list it.
     pub(crate) unlisted_until: Instant,
+    /// If the worker is lost for good, the time until which the platform lists its machine.
+    pub(crate) machine_listed_until: Option<Instant>,
     started: Instant,
     /// Speed of its clock in percent.
     clock_percent: u32,
@@ -71,6 +83,7 @@
             born_ms,
             up: true,
             unlisted_until: Instant::default(),
+            machine_listed_until: None,
             started: now,
             clock_percent: if slow { 98 } else { 100 },
             fence: 0,
@@ -116,7 +129,7 @@
         }
         self.lapses += 1;
         for run in std::mem::take(&mut self.running) {
-            self.list_end(&run, End::Lapsed, audit);
+            self.list_end(&run, End::Lapsed, now, audit);
         }
     }
 
@@ -125,7 +138,7 @@
         &mut self,
         launch: &Launch,
         deadline_ms: u64,
-        duration: Duration,
+        duration: Option<Duration>,
         now: Instant,
     ) -> (Reply, bool) {
         if self.clock_ms(now) >= deadline_ms {
@@ -153,15 +166,22 @@
     }
 
     /// Ends a run if it is present.
-    pub(crate) fn end_run(&mut self, task: &TaskId, number: u64, how: End, audit: &mut Audit) {
+    pub(crate) fn end_run(
+        &mut self,
+        task: &TaskId,
+        number: u64,
+        how: End,
+        now: Instant,
+        audit: &mut Audit,
+    ) {
         let is_same = |run: &mut Run| run.task == *task && run.number == number;
         let runs: Vec<Run> = self.running.extract_if(.., is_same).collect();
         for run in runs {
-            self.list_end(&run, how, audit);
+            self.list_end(&run, how, now, audit);
         }
     }
 
-    fn list_end(&mut self, run: &Run, how: End, audit: &mut Audit) {
+    fn list_end(&mut self, run: &Run, how: End, now: Instant, audit: &mut Audit) {
         self.position += 1;
         self.reject(&run.task, run.number);
         self.ended.push(ListedEnd {
@@ -172,7 +192,7 @@
                 how,
                 saved: "".into(),
             },
-            starts: audit.record_end(self.address, &run.task, run.number),
+            starts: audit.record_end(self.address, &run.task, run.number, now),
             lapses: self.lapses,
         });
     }
@@ -194,15 +214,34 @@
         }
     }
 
+    /// Returns whether the process has ended for good and its address is silent.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.machine_listed_until.is_some()
+    }
+
+    /// Returns whether the platform lists the machine of the worker.
+    pub(crate) fn has_listed_machine(&self, now: Instant) -> bool {
+        self.machine_listed_until.is_none_or(|until| now < until)
+    }
+
+    /// Returns the number of runs that can be started on the worker.
+    pub(crate) fn free_room(&self, now: Instant) -> usize {
+        if self.up && self.unlisted_until <= now {
+            ROOM - self.running.len()
+        } else {
+            0
+        }
+    }
+
     pub(crate) fn lists_ends(&self) -> bool {
         !self.ended.is_empty()
     }
 
     /// Ends the process, with all that it holds.
-    pub(crate) fn crash(&mut self, audit: &mut Audit) {
+    pub(crate) fn crash(&mut self, now: Instant, audit: &mut Audit) {
         self.up = false;
         for run in std::mem::take(&mut self.running) {
-            audit.record_end(self.address, &run.task, run.number);
+            audit.record_end(self.address, &run.task, run.number, now);
         }
     }
 
@@ -224,13 +263,11 @@
     }
 
     pub(crate) fn snapshot(&self, now: Instant) -> Snapshot {
-        let percent =
-            |run: &Run| now.since(run.started).as_millis() * 97 / run.duration.as_millis();
         let running = self.running.iter().map(|run| Running {
             task: run.task.clone(),
             number: run.number,
             saved: "".into(),
-            percent: percent(run) as u64,
+            percent: run.percent(now),
             load: 0,
         });
         let listed = self.ended.iter().take(MAX_LISTED_ENDS);
--- a/tests/takeover_model/worker_call.rs
+++ b/tests/takeover_model/worker_call.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use coriandernotch::batch::WorkerKey;
 use coriandernotch::clock::Instant;
@@ -18,6 +19,8 @@
     /// Id of the worker process that is meant.
     pub(crate) id: Arc<str>,
     pub(crate) request: WorkerRequest,
+    /// Time that the answer may take.
+    pub(crate) timeout: Duration,
     pub(crate) sent: Instant,
     /// Wall-clock time of that moment, in milliseconds since 1970.
     pub(crate) sent_ms: u64,
--- a/tests/takeover_model/world.rs
+++ b/tests/takeover_model/world.rs
@@ -8,6 +8,7 @@
 use crate::audit::Audit;
 use crate::content::Content;
 use crate::event::Event;
+use crate::idle_log;
 use crate::instance::Instance;
 use crate::key::Key;
 use crate::partition::job_key;
@@ -28,6 +29,9 @@
 /// two failures and a stop each.
 const END_WITHIN: Duration = Duration::from_secs(60);
 
+/// Time that the effects of a fault go on after its end: calls that are late, and timeouts.
+const AFTERMATH: Duration = Duration::from_secs(6);
+
 /// Time between two checks whether the simulation is over.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -43,9 +47,12 @@
     pub(crate) workers: Vec<Worker>,
     pub(crate) audit: Audit,
     pub(crate) config: Arc<Config>,
-    start: Instant,
-    /// When the last fault is over.
+    pub(crate) start: Instant,
+    /// When the last fault is over, and when its effects are.
+    pub(crate) disturbed_until: Instant,
     calm_from: Instant,
+    /// Since when workers have had room for further runs.
+    pub(crate) room_since: Option<Instant>,
     /// When the end of the simulation is next looked for.
     next_check: Instant,
     /// Number of steps since the first job was submitted; `None` before.
@@ -56,6 +63,7 @@
 
 impl World {
     pub(crate) fn new(scenario: Scenario) -> Self {
+        idle_log::begin();
         let start = Instant::from_start(Duration::from_secs(1_000));
         let route = Route {
             name: "q".into(),
@@ -78,7 +86,9 @@
             audit: Audit::default(),
             config: Arc::new(config),
             start,
+            disturbed_until: start,
             calm_from: start,
+            room_since: None,
             next_check: start,
             steps: None,
             traces: std::env::var_os("TAKEOVER_TRACE").is_some(),
@@ -138,6 +148,7 @@
     /// Returns whether all jobs have ended after the last fault. Fails if they take too long.
     fn is_over(&mut self) -> Result<bool, Violation> {
         self.next_check = self.now + CHECK_INTERVAL;
+        let lasting_tasks_run = self.check_lasting_tasks()?;
         let last_job = self.scenario.jobs.iter().map(|job| self.start + job.at);
         let calm_from = last_job.fold(self.calm_from, Instant::max);
         if self.now < calm_from {
@@ -147,7 +158,7 @@
         if self.now > calm_from + END_WITHIN && !unfinished.is_empty() {
             return Err(Violation::Stuck(unfinished));
         }
-        Ok(unfinished.is_empty())
+        Ok(unfinished.is_empty() && lasting_tasks_run)
     }
 
     fn trace(&self, event: &Event) {
@@ -183,7 +194,13 @@
 
     /// Extends the time in which faults are expected by one that lasts for `duration`.
     pub(crate) fn expect_fault(&mut self, duration: Duration) {
-        self.calm_from = self.calm_from.max(self.now + duration);
+        self.disturbed_until = self.disturbed_until.max(self.now + duration);
+        self.calm_from = self.calm_from.max(self.now + duration + AFTERMATH);
+    }
+
+    /// Extends the time in which calls that a fault affects are carried out.
+    pub(crate) fn expect_late_calls(&mut self, duration: Duration) {
+        self.disturbed_until = self.disturbed_until.max(self.now + duration);
     }
 
     pub(crate) fn wall_ms(&self) -> u64 {
@@ -206,6 +223,7 @@
         };
         let indices = 0..self.scenario.jobs.len();
         indices
+            .filter(|index| !self.scenario.jobs[*index].lasting)
             .filter(is_unfinished)
             .map(|index| format!("{:?}", job_key(index)))
             .collect()
