--- a/tests/batch/maintenance.rs
+++ b/tests/batch/maintenance.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriandernotch::batch::Wave;
+use coriandernotch::batch::{Machine, Wave};
 
 use crate::simulation::{Simulation, lasting, profile, record, step};
 use crate::takeover::{next_leader, running_progress};
@@ -185,3 +185,72 @@
     sim.run(1_000);
     assert_eq!(sim.engine.wave_reports(), [(1, true)]);
 }
+
+/// Lists the machines of the workers `ids`, as the platform does every two seconds.
+fn list_machines(sim: &mut Simulation, ids: &[&str]) {
+    let machine = |id: &&str| Machine {
+        name: format!("m-{id}").into(),
+        pool: "s".into(),
+        up: true,
+        ..Machine::default()
+    };
+    sim.engine.set_machines(ids.iter().map(machine).collect());
+}
+
+/// Guards against a wave that never ends because one of its machines was lost for good: the platform
+/// refuses its maintenance, and the order was repeated every second.
+#[test]
+fn completes_a_wave_of_which_a_machine_is_gone() {
+    let mut sim = Simulation::with_workers(2);
+    let wave = wave(&sim, &["m-i-0", "m-gone"], 1, Duration::from_secs(20));
+    sim.engine.set_waves(vec![wave]);
+    let mut refusals = 0;
+    for _ in 0..20 {
+        list_machines(&mut sim, &["i-0", "i-1"]);
+        for _ in 0..20 {
+            sim.run(100);
+            for (number, machine) in sim.engine.maintenance_due() {
+                if &*machine == "m-gone" {
+                    sim.engine
+                        .record_refused_maintenance(number, &machine, sim.now);
+                    refusals += 1;
+                } else {
+                    sim.engine
+                        .record_maintenance_start(number, &machine, sim.now);
+                    sim.engine.mark_delisted("i-0");
+                    let mut new = profile("i-2", "s");
+                    (new.machine, new.born_ms) = (machine.clone(), 9);
+                    sim.add(new);
+                }
+            }
+        }
+    }
+    assert_eq!(
+        sim.engine.wave_reports(),
+        [(1, true)],
+        "{refusals} orders were refused"
+    );
+}
+
+/// Guards against a machine that is lost for good during its maintenance and keeps the next one
+/// waiting for 15 s.
+#[test]
+fn goes_on_with_a_wave_when_a_machine_is_lost_during_its_maintenance() {
+    let mut sim = Simulation::with_workers(2);
+    let wave = wave(&sim, &["m-i-0", "m-i-1"], 1, Duration::from_secs(20));
+    sim.engine.set_waves(vec![wave]);
+    list_machines(&mut sim, &["i-0", "i-1"]);
+    sim.run(100);
+    let (number, machine) = sim.engine.maintenance_due()[0].clone();
+    sim.engine
+        .record_maintenance_start(number, &machine, sim.now);
+    let lost = machine.strip_prefix("m-").unwrap().to_owned();
+    sim.engine.mark_delisted(&lost);
+    sim.workers.get_mut(&*lost).unwrap().silent = true;
+    let left = if lost == "i-0" { "i-1" } else { "i-0" };
+    for _ in 0..3 {
+        list_machines(&mut sim, &[left]);
+        sim.run(2_000);
+    }
+    assert_eq!(sim.engine.maintenance_due().len(), 1);
+}
--- a/tests/batch/place.rs
+++ b/tests/batch/place.rs
@@ -370,3 +370,29 @@
     sim.run(500);
     assert_eq!(sim.starts.len(), 2);
 }
+
+/// Guards against a lasting task that does not run for over 9 s although there is room (rule LOST):
+/// its worker was lost together with an idle one, which had answered within the last lease, so the
+/// task was started there without a poll. A start without an answer holds the task for the longest
+/// lease.
+#[test]
+fn restarts_a_lasting_task_soon_after_the_loss_of_two_workers() {
+    let mut sim = Simulation::with_workers(0);
+    for (id, processors) in [("i-0", 16_000), ("i-1", 8_000), ("i-2", 4_000)] {
+        let mut worker = profile(id, "s");
+        worker.capacity = Size::new(processors, 8_000, 0);
+        sim.add(worker);
+    }
+    sim.run(50);
+    sim.accept("j", lasting(1));
+    sim.run(100);
+    assert_eq!(&*sim.starts[0].0, "i-0");
+    // The last poll of a worker with runs is up to a second old when the worker is lost.
+    sim.workers.get_mut("i-0").unwrap().silent = true;
+    sim.accept("short", record(vec![step(1)]));
+    sim.run(700);
+    assert_eq!(&*sim.starts[1].0, "i-1");
+    sim.workers.get_mut("i-1").unwrap().silent = true;
+    sim.run(9_000);
+    assert_eq!(sim.workers["i-2"].running.len(), 1);
+}
--- a/tests/batch/pools.rs
+++ b/tests/batch/pools.rs
@@ -242,3 +242,19 @@
     let moves = sim.engine.plan_moves(sim.now);
     assert_eq!(moves, [("x".into(), "spare".into())]);
 }
+
+/// Guards against a lent machine that is lost for good and is remembered as lent by all leaders:
+/// its service counts as short of machines whenever tasks wait.
+#[test]
+fn forgets_a_lent_machine_that_is_gone() {
+    let mut sim = Simulation::new(1, fleet_config());
+    sim.engine
+        .set_machines(vec![machine("m-0", "s"), machine("m-1", "s")]);
+    sim.engine.record_move(&"m-1".into(), &"t".into(), sim.now);
+    for _ in 0..3 {
+        sim.engine.set_machines(vec![machine("m-0", "s")]);
+        sim.run(2_000);
+        sim.engine.plan_moves(sim.now);
+    }
+    assert!(sim.engine.lent_machines().is_empty());
+}
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -263,6 +263,11 @@
                 let (Some(launch), Some(lease)) = (launch, deadline) else {
                     return self.engine.record_start_not_sent(run, self.now);
                 };
+                if worker.silent {
+                    return self
+                        .engine
+                        .record_start_outcome(run, &Reply::Unknown, None, self.now);
+                }
                 worker.lease_ms = worker.lease_ms.max(lease);
                 let lasting = launch.payload.contains("lasting");
                 let duration = Duration::from_millis(if worker.fails { 20 } else { self.run_ms });
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -349,3 +349,25 @@
         assert_eq!(sim.starts.len(), 0, "{case}");
     }
 }
+
+/// Guards against a wait that begins anew with each leader, for a worker that the store lists and
+/// that answers none of them: the second leader grants it no lease and starts nothing on it.
+#[test]
+fn does_not_prolong_a_wait_at_the_next_takeover() {
+    let old = Simulation::with_workers(2);
+    let jobs = [("j", lasting(1), running_progress())];
+    let mut second = next_leader(&old, &jobs);
+    second.workers.get_mut("i-1").unwrap().silent = true;
+    second.engine.inherit(&[], false, second.now);
+    second.run(10_000);
+    assert!(second.starts.is_empty());
+    let silent = second.engine.list_silent_workers(second.now);
+    let mut third = next_leader(&second, &jobs);
+    third.engine.inherit(&silent, false, third.now);
+    third.run(7_000);
+    assert_eq!(
+        third.starts.len(),
+        1,
+        "the leases of the first have expired"
+    );
+}
