--- a/tests/batch/lost_workers.rs
+++ b/tests/batch/lost_workers.rs
@@ -1,18 +1,9 @@
 use coriandernotch::batch::Machine;
 
+use crate::pools::machine;
 use crate::simulation::{Simulation, lasting};
 use crate::takeover::{next_leader, running_progress};
 
-/// Creates a machine of the service `s` as the platform lists it.
-fn machine(name: &str) -> Machine {
-    Machine {
-        name: name.into(),
-        pool: "s".into(),
-        up: true,
-        ..Machine::default()
-    }
-}
-
 /// Guards against waiting for a worker whose machine went down for maintenance between two leaders,
 /// which blocked its service for 16 s.
 #[test]
@@ -27,7 +18,7 @@
         let machine = Machine {
             pool: pool.into(),
             up,
-            ..machine("m-i-1")
+            ..machine("m-i-1", "s")
         };
         sim.engine.set_machines(vec![machine]);
         sim.run(500);
@@ -47,7 +38,7 @@
     sim.run(2_500);
     sim.engine.mark_delisted("i-1");
     for _ in 0..2 {
-        sim.engine.set_machines(vec![machine("m-i-0")]);
+        sim.engine.set_machines(vec![machine("m-i-0", "s")]);
         sim.run(2_000);
     }
     assert_eq!(sim.starts.len(), 1);
@@ -58,8 +49,8 @@
 /// has renewed its registration.
 #[test]
 fn waits_for_a_worker_that_one_source_still_shows() {
-    let gone = || vec![machine("m-i-0")];
-    let all = || vec![machine("m-i-0"), machine("m-i-1")];
+    let gone = || vec![machine("m-i-0", "s")];
+    let all = || vec![machine("m-i-0", "s"), machine("m-i-1", "s")];
     let lists: [(&str, bool, Vec<Vec<Machine>>); 5] = [
         ("one list", true, vec![gone()]),
         ("listed in the store", false, vec![gone(), gone(), gone()]),
