Reject lists of machines with missing fields

Name, pool and state are required now, and so are the machines of each page. tests/entry/machines.rs failed before: two of three tests.

--- a/src/platform/api/fleet.rs
+++ b/src/platform/api/fleet.rs
@@ -21,21 +21,24 @@
 }
 
 /// One page of the list of machines.
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct Page {
     machines: Vec<WireMachine>,
     next_token: Option<String>,
 }
 
-/// A machine as listed by the platform.
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
+/// A machine as listed by the platform. Its name, pool and state show whether its worker may run,
+/// so they have no defaults.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct WireMachine {
     machine: Arc<str>,
     pool: Arc<str>,
     state: String,
+    #[serde(default)]
     zone: Arc<str>,
+    #[serde(default)]
     capacity: Resources,
 }
 
