Forget lent machines that are gone

Machines missing from two complete lists in a row are counted in one place now, which the release of lost workers uses as well.

--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -12,10 +12,6 @@
 /// Stops ordered by the previous leader are over by then, so it knows which tasks are down.
 const MOVE_DELAY: Duration = Duration::from_millis(1_500);
 
-/// Number of lists of machines, one after another, that must lack a machine before it counts as
-/// gone.
-const MIN_ABSENCES: u32 = 2;
-
 impl Engine {
     /// Takes over from the previous leader; `begun` is the start of this leader's term.
     ///
@@ -38,7 +34,6 @@
                 machine: worker.machine.clone(),
                 born_ms: worker.born_ms,
                 lease_until,
-                absences: 0,
                 tasks: (complete && !worker.unknown).then(|| worker.tasks.clone()),
             };
             self.uncontacted.insert(worker.worker.clone(), inherited);
@@ -50,7 +45,6 @@
                     machine: worker.profile.machine.clone(),
                     born_ms: worker.profile.born_ms,
                     lease_until: latest_expiry,
-                    absences: 0,
                     tasks: None,
                 };
                 self.uncontacted
@@ -86,9 +80,7 @@
     /// tasks on it before it read its registration. A newer process that is only listed may not
     /// exist.
     ///
-    /// A machine that the platform does not list may have been missed by one list, whose pages are
-    /// read one after another. A worker that runs on without its machine being listed would renew
-    /// its registration.
+    /// A worker that runs on without its machine being listed would renew its registration.
     fn release_of(
         &self,
         id: &Arc<str>,
@@ -115,7 +107,7 @@
             Some(machine) if machine.pool != inherited.service => Some(Release::MachineMoved),
             Some(_) => None,
             None => {
-                let is_gone = inherited.absences >= MIN_ABSENCES && !self.is_listed(id);
+                let is_gone = self.pools.is_gone(&inherited.machine) && !self.is_listed(id);
                 is_gone.then_some(Release::MachineGone)
             }
         }
@@ -126,21 +118,6 @@
         worker.is_some_and(|worker| !worker.delisted)
     }
 
-    /// Counts the lists of machines that lack the machines of inherited workers. An empty list says
-    /// nothing about a machine.
-    pub(super) fn count_absences(&mut self) {
-        let machines = &self.pools.machines;
-        if machines.is_empty() {
-            return;
-        }
-        for inherited in self.uncontacted.values_mut() {
-            inherited.absences = match machines.contains_key(&inherited.machine) {
-                true => 0,
-                false => inherited.absences + 1,
-            };
-        }
-    }
-
     /// Lists the workers with runs that do not answer or are no longer in the store, for a
     /// successor in case this leader crashes. The successor can poll all others.
     ///
--- a/src/batch/engine/pools.rs
+++ b/src/batch/engine/pools.rs
@@ -15,6 +15,10 @@
 /// Time before a machine may move again after a move was refused.
 const REFUSED_PAUSE: Duration = Duration::from_secs(3);
 
+/// Number of lists of machines, one after another, that must lack a machine before it counts as
+/// gone. The pages of a list are read one after another, so a single list may miss a machine.
+const MIN_ABSENCES: u64 = 2;
+
 /// A machine in transit to another pool.
 #[derive(Clone, Debug)]
 pub(super) struct Transfer {
@@ -26,6 +30,9 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pools {
     pub(super) machines: Map<Arc<str>, Machine>,
+    /// Number of lists read, and for each machine the number of the latest one that contains it.
+    lists: u64,
+    last_listed: Map<Arc<str>, u64>,
     /// Home pool of each machine that is in another pool.
     homes: Map<Arc<str>, Arc<str>>,
     pub(super) transfers: Map<Arc<str>, Transfer>,
@@ -43,6 +50,26 @@
         self.homes.get(&machine.name).unwrap_or(&machine.pool)
     }
 
+    /// Takes a complete list of the machines. An empty one says nothing about a machine.
+    fn set_machines(&mut self, machines: Vec<Machine>) {
+        let named = machines.into_iter().map(|m| (m.name.clone(), m));
+        self.machines = named.collect();
+        if self.machines.is_empty() {
+            return;
+        }
+        self.lists += 1;
+        let listed = self.machines.keys().map(|name| (name.clone(), self.lists));
+        self.last_listed.extend(listed);
+        let homes = std::mem::take(&mut self.homes).into_iter();
+        self.homes = homes.filter(|(name, _)| !self.is_gone(name)).collect();
+    }
+
+    /// Returns whether a machine does not exist any more, as far as the platform's lists tell.
+    pub(super) fn is_gone(&self, machine: &Arc<str>) -> bool {
+        let last_listed = self.last_listed.get(machine).copied();
+        self.lists - last_listed.unwrap_or_default() >= MIN_ABSENCES
+    }
+
     /// Returns whether machines of a service are in other pools.
     pub(super) fn has_lent_machines(&self, service: &Arc<str>) -> bool {
         self.homes.values().any(|home| home == service)
@@ -58,9 +85,7 @@
 impl Engine {
     /// Sets the machines listed by the platform, all of them.
     pub fn set_machines(&mut self, machines: Vec<Machine>) {
-        let named = machines.into_iter().map(|m| (m.name.clone(), m));
-        self.pools.machines = named.collect();
-        self.count_absences();
+        self.pools.set_machines(machines);
     }
 
     /// Restores the home pools of the machines that the previous leader has lent: machine and home
