Take machines that are gone out of waves of maintenance

Operators saw a wave that is late. A machine that two complete lists in a row lack no longer belongs to any wave.

--- a/src/batch/engine/maintenance.rs
+++ b/src/batch/engine/maintenance.rs
@@ -37,6 +37,7 @@
     /// Chooses machines that are due for maintenance, and moves tasks off them and off draining
     /// workers.
     pub(super) fn empty_due_machines(&mut self, now: Instant) {
+        self.drop_gone_machines();
         for wave_index in 0..self.waves.len() {
             self.drop_returned(wave_index, now);
             while let Some((machine, maintenance)) = self.choose_machine(wave_index, now) {
@@ -56,6 +57,21 @@
         }
     }
 
+    /// Takes machines that do not exist any more out of all waves: their maintenance would be refused
+    /// without end.
+    fn drop_gone_machines(&mut self) {
+        let pools = &self.pools;
+        for progress in &mut self.waves {
+            let machines = &mut progress.wave.machines;
+            machines.retain(|machine| !pools.is_gone(machine));
+            progress
+                .emptying
+                .retain(|machine, _| !pools.is_gone(machine));
+            progress.down.retain(|machine, _| !pools.is_gone(machine));
+            progress.done.retain(|machine| !pools.is_gone(machine));
+        }
+    }
+
     fn drop_returned(&mut self, wave_index: usize, now: Instant) {
         let workers = &self.workers;
         let return_time = self.tuning.upkeep + NO_WORKER_RETURN_MARGIN;
@@ -114,7 +130,11 @@
     }
 
     fn machines_at_once(&self, progress: &WaveProgress, now: Instant) -> usize {
-        let remaining = progress.wave.machines.len() - progress.done.len();
+        let remaining = progress
+            .wave
+            .machines
+            .len()
+            .saturating_sub(progress.done.len());
         let planned_time = progress.wave.due.since(now).mul_f64(PLANNED_FRACTION);
         let time_per_machine = self.tuning.upkeep + EMPTY_AND_RETURN_TIME;
         let needed =
