Poll an idle worker before a lasting task is started on it

Callers would see a lasting task without a run for over 9 s although there was room (LOST).

A worker whose latest response is over 1 s old must answer a poll before a lasting task is started on it; if it does not, the task starts elsewhere. The test restarts_a_lasting_task_soon_after_the_loss_of_two_workers failed before.

--- a/src/batch/engine/contact.rs
+++ b/src/batch/engine/contact.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
-use super::Engine;
+use super::{Engine, Worker};
 use crate::batch::WorkerKey;
 use crate::clock::Instant;
 
+/// Age of the latest response of a worker from which it must answer before a lasting task is
+/// started on it. A start without an answer holds the task until the lease has expired.
+const MAX_RESPONSE_AGE_FOR_LASTING: Duration = Duration::from_secs(1);
+
 impl Engine {
     /// Returns whether a worker must be polled: it has runs, has ends to acknowledge, has not
     /// answered this leader yet or did not answer the last call.
@@ -27,15 +31,26 @@
 
     /// Returns whether a worker must answer a poll before tasks are started on it: it has not
     /// answered at its address yet, or since it last responded to a poll or a start order a whole
-    /// lease has passed. Its process may not answer any more or may have been replaced.
+    /// lease has passed, or a second if a lasting task is to start. Its process may not answer any
+    /// more or may have been replaced.
     pub fn must_answer_before_start(&self, key: WorkerKey, now: Instant) -> bool {
         let reachable = self.workers.get(key).filter(|worker| !worker.unreachable);
-        let is_outdated = |at: Instant| now.since(at) > self.lease();
+        let max_age = match reachable.is_some_and(|worker| self.awaits_lasting_start(worker)) {
+            true => MAX_RESPONSE_AGE_FOR_LASTING,
+            false => self.lease(),
+        };
+        let is_outdated = |at: Instant| now.since(at) > max_age;
         reachable.is_some_and(|worker| {
             !worker.has_answered_at_its_address() || worker.responded_at.is_none_or(is_outdated)
         })
     }
 
+    /// Returns whether a lasting task is to start on a worker and its order was not answered yet.
+    fn awaits_lasting_start(&self, worker: &Worker) -> bool {
+        let mut runs = worker.runs.iter().map(|run| &self.runs[*run]);
+        runs.any(|run| run.lasting && run.confirmed_at.is_none() && run.uncertain_since.is_none())
+    }
+
     /// Returns whether a worker must be polled often because a start order got no answer: the task
     /// can start elsewhere only once its run was found missing.
     pub fn has_uncertain_run(&self, key: WorkerKey) -> bool {
