--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -12,6 +12,10 @@
 /// Stops ordered by the previous leader are over by then, so it knows which tasks are down.
 const MOVE_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Maximum number of uncontacted workers in the list for the next leader that it knows otherwise.
+/// The leader row is limited to 64 KB.
+const MAX_KNOWN_LISTED: usize = 100;
+
 impl Engine {
     /// Takes over from the previous leader; `begun` is the start of this leader's term.
     ///
@@ -129,10 +133,17 @@
         self.latest_report += 1;
         let silent = |worker: &Worker| worker.unreachable || (worker.delisted && !worker.is_member);
         let mut list = self.list_workers(|worker| silent(worker), now);
-        // The successor already assumes that any task may run on a worker that the store lists.
-        let must_be_listed =
+        // The successor assumes that any task may run on a worker that it knows, and waits for it as
+        // long as after a crash. Most workers answer within a short time, so they are not listed.
+        let is_settled = now >= self.moves_from;
+        let is_needed_by_successor =
             |row: &Occupancy| !row.unknown || !self.worker_ids.contains_key(&row.worker);
-        list.extend(self.list_uncontacted(now).filter(must_be_listed));
+        let (needed, known): (Vec<Occupancy>, Vec<Occupancy>) =
+            self.list_uncontacted(now).partition(is_needed_by_successor);
+        list.extend(needed);
+        if is_settled {
+            list.extend(known.into_iter().take(MAX_KNOWN_LISTED));
+        }
         for row in &list {
             if let Some(key) = self.worker_ids.get(&row.worker) {
                 self.workers[*key].silent_report = self.latest_report;
