Read the list of machines again soon after a failure

It is read 0.5 s after the request now, and the failure is logged. This change has no test of its own.

--- a/src/entry/maintenance.rs
+++ b/src/entry/maintenance.rs
@@ -12,6 +12,10 @@
 /// Time between two reads of the list of machines.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time until the list of machines is read again after a failure. A new leader may wait for workers
+/// until two lists lack their machines.
+const LIST_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// Time that the response to a call about machines may take.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -22,16 +26,12 @@
         return;
     };
     let fleet = Fleet::new(address, &shared.settings.name);
-    let mut last_listed = Instant::default();
+    let mut next_list = Instant::default();
     loop {
         tokio::time::sleep(ROUND_INTERVAL).await;
         let now = clock::now();
-        if now.since(last_listed) >= LIST_INTERVAL && term.may_send_orders() {
-            last_listed = now;
-            match fleet.list(RESPONSE_TIMEOUT).await {
-                Ok(machines) => term.engine().set_machines(machines),
-                Err(fault) => log::debug!(event = "machine-list-failed", fault:% = fault; ""),
-            }
+        if now >= next_list && term.may_send_orders() {
+            next_list = now + list_machines(&term, &fleet).await;
         }
         move_machines(&term, &fleet).await;
         let due = term.engine().maintenance_due();
@@ -62,6 +62,20 @@
     }
 }
 
+/// Reads the list of machines, and returns the time until it must be read again.
+async fn list_machines(term: &Term, fleet: &Fleet) -> Duration {
+    match fleet.list(RESPONSE_TIMEOUT).await {
+        Ok(machines) => {
+            term.engine().set_machines(machines);
+            LIST_INTERVAL
+        }
+        Err(fault) => {
+            log::warn!(event = "machine-list-failed", fault:% = fault; "");
+            LIST_RETRY_DELAY
+        }
+    }
+}
+
 /// Moves machines to the pools that need them.
 async fn move_machines(term: &Term, fleet: &Fleet) {
     if !term.may_order_machines(clock::now()) {
