--- a/tests/takeover_model/act.rs
+++ b/tests/takeover_model/act.rs
@@ -70,8 +70,12 @@
                 }
                 self.expect_fault(lasts);
             }
-            Action::LoseWorker { worker, listed_for } => {
-                self.lose_worker(worker, listed_for);
+            Action::LoseWorker {
+                worker,
+                listed_for,
+                registered_for,
+            } => {
+                self.lose_worker(worker, listed_for, registered_for);
                 self.expect_fault(Duration::ZERO);
             }
             Action::DiscardHistory => self.store.discard_history(),
--- a/tests/takeover_model/action.rs
+++ b/tests/takeover_model/action.rs
@@ -51,6 +51,8 @@
         worker: usize,
         /// Time until the platform no longer lists the machine.
         listed_for: Duration,
+        /// Time until the registration expires.
+        registered_for: Duration,
     },
     /// A worker process ends and another one starts after `down`.
     RestartWorker {
--- a/tests/takeover_model/incident.rs
+++ b/tests/takeover_model/incident.rs
@@ -4,6 +4,9 @@
 use crate::fault::Fault;
 use crate::random::Random;
 
+/// Longest time from the loss of a worker until its registration expires, in milliseconds.
+const MAX_EXPIRY_MS: u64 = 4_600;
+
 /// Faults that coincide, with a change of leader among them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Incident {
@@ -19,7 +22,7 @@
     Restart,
     /// A new worker registers shortly before the leader cannot write, and its registration expires.
     Replacement,
-    /// A worker is lost for good around a change of leader.
+    /// Workers are lost for good around one or two changes of leader.
     Loss,
 }
 
@@ -168,14 +171,18 @@
 }
 
 fn loss(workers: usize, random: &mut Random) -> Vec<(Duration, Action)> {
-    let lost = Action::LoseWorker {
-        worker: random.index(workers),
-        listed_for: random.ms(0..2_500),
-    };
-    let mut actions = vec![
-        (random.ms(0..2_000), lost),
-        (random.ms(0..3_000), any_change(random)),
-    ];
+    let mut actions = vec![(random.ms(0..5_000), any_change(random))];
+    for _ in 0..1 + random.index(2) {
+        let lost = Action::LoseWorker {
+            worker: random.index(workers),
+            listed_for: random.ms(0..2_500),
+            registered_for: random.ms(1_800..MAX_EXPIRY_MS),
+        };
+        actions.push((random.ms(0..3_000), lost));
+    }
+    if random.chance(30) {
+        actions.push((random.ms(1_000..6_000), any_change(random)));
+    }
     if random.chance(30) {
         let unread = Action::DisturbMachineList {
             target: random.pick(&[Target::Leader, Target::Followers, Target::All]),
--- a/tests/takeover_model/lasting_cases.rs
+++ b/tests/takeover_model/lasting_cases.rs
@@ -34,6 +34,7 @@
             let lost = Action::LoseWorker {
                 worker: AFFECTED,
                 listed_for: ms(listed_ms),
+                registered_for: ms(4_600),
             };
             let change = Action::Crash(ms(1_000));
             lasting(listed_ms, vec![(lost_at, lost), (CHANGE_AT, change)])
--- a/tests/takeover_model/platform.rs
+++ b/tests/takeover_model/platform.rs
@@ -72,8 +72,13 @@
     }
 
     /// Ends a worker for good, and lets its address be silent. The platform lists its machine until
-    /// `listed_for` has passed.
-    pub(crate) fn lose_worker(&mut self, worker: usize, listed_for: Duration) {
+    /// `listed_for` has passed, and the store its registration until `registered_for` has.
+    pub(crate) fn lose_worker(
+        &mut self,
+        worker: usize,
+        listed_for: Duration,
+        registered_for: Duration,
+    ) {
         let process = &mut self.workers[worker];
         if process.is_lost() {
             return;
@@ -86,7 +91,7 @@
             self.time_out_worker_call(call);
         }
         self.queue
-            .push(self.now + EXPIRY, Event::Unlist { id, born_ms });
+            .push(self.now + registered_for, Event::Unlist { id, born_ms });
     }
 
     pub(crate) fn start_worker(&mut self, worker: usize, keeps_id: bool) {
--- a/tests/takeover_model/scenario.rs
+++ b/tests/takeover_model/scenario.rs
@@ -97,8 +97,8 @@
         scenario
     }
 
-    /// Creates the random scenario of a seed with lasting tasks. In most, a worker is lost for good
-    /// around a change of leader; in half of them, the faults of [`Scenario::random`] come before.
+    /// Creates the random scenario of a seed with lasting tasks. In most, workers are lost for good
+    /// around changes of leader; in half of these, the faults of [`Scenario::random`] come too.
     pub(crate) fn random_lasting(seed: u64) -> Self {
         let mut random = Random::new(seed ^ LASTING_SALT);
         let mut scenario = Self::random(seed);
@@ -114,7 +114,7 @@
         }
         if loses_worker {
             // The others must have room for all tasks.
-            scenario.workers += 1;
+            scenario.workers += 2;
             let begin = ELECTED_AFTER + random.ms(2_000..20_000);
             let actions = Incident::Loss.actions(scenario.workers, &mut random);
             let actions = actions.into_iter().map(|(at, action)| (begin + at, action));
