--- a/tests/takeover_model/lasting_cases.rs
+++ b/tests/takeover_model/lasting_cases.rs
@@ -4,6 +4,7 @@
 
 use crate::action::{Action, Target};
 use crate::cases::check_all;
+use crate::fault::Fault;
 use crate::job::Job;
 use crate::scenario::{ELECTED_AFTER, Scenario, ms};
 
@@ -57,7 +58,7 @@
             let cut_off = Action::cut_off(AFFECTED, Target::Followers, lasts);
             let lose_store = Action::DisturbStore {
                 target: Target::Leader,
-                fault: crate::fault::Fault::Silent,
+                fault: Fault::Silent,
                 percent: 100,
                 spares_reads: false,
                 lasts,
@@ -71,3 +72,90 @@
         })
     }));
 }
+
+/// Guards against a start order to a worker that was lost while it was idle, and that keeps a task
+/// of another lost worker from running elsewhere until the longest lease has expired.
+#[test]
+fn lasting_tasks_run_after_an_idle_worker_is_lost_too() {
+    let lose = |worker| Action::LoseWorker {
+        worker,
+        listed_for: Duration::ZERO,
+        registered_for: ms(4_600),
+    };
+    let lost_after = (0..=4_500).step_by(250);
+    check_all(lost_after.flat_map(|lost_after| {
+        (0..=4_000).step_by(500).flat_map(move |ended_after| {
+            let short_job = Job {
+                at: CHANGE_AT + ms(ended_after),
+                tasks: 4,
+                steps: 1,
+                run_time: ms(100),
+                lasting: false,
+            };
+            [(3, 2), (2, 3), (1, 0), (0, 1)].map(|(first, second)| Scenario {
+                seed: ended_after,
+                workers: 4,
+                jobs: vec![Job::lasting(ELECTED_AFTER, 1), short_job],
+                actions: vec![
+                    (CHANGE_AT, lose(first)),
+                    (CHANGE_AT + ms(lost_after), lose(second)),
+                ],
+                ..Scenario::quiet(1)
+            })
+        })
+    }));
+}
+
+/// Guards against a start of a task whose end a newer leader has read. The leader between them
+/// never reaches the worker, loses the store, and then finds the machine of the worker gone.
+#[test]
+fn a_leader_without_the_store_does_not_give_up_tasks_on_machines_that_are_gone() {
+    let lasts = ms(25_000);
+    let lose_store = Action::DisturbStore {
+        target: Target::Leader,
+        fault: Fault::Silent,
+        percent: 100,
+        spares_reads: false,
+        lasts,
+    };
+    let unlist = Action::ExpireRegistration {
+        worker: AFFECTED,
+        lasts,
+    };
+    let lost = Action::LoseWorker {
+        worker: AFFECTED,
+        listed_for: Duration::ZERO,
+        registered_for: ms(1_800),
+    };
+    let second_change = ms(11_500);
+    let job = Job {
+        at: ms(4_100),
+        tasks: 12,
+        steps: 1,
+        run_time: ms(11_000),
+        lasting: false,
+    };
+    check_all((0..40).map(|seed| Scenario {
+        seed,
+        instances: 3,
+        workers: 3,
+        jobs: vec![job],
+        actions: vec![
+            (ms(7_000), unlist),
+            (CHANGE_AT, lose_store),
+            (
+                CHANGE_AT,
+                Action::cut_off(AFFECTED, Target::Followers, ms(4_800)),
+            ),
+            (
+                second_change,
+                Action::cut_off(AFFECTED, Target::Leader, lasts),
+            ),
+            (second_change, Action::cut_off(0, Target::Followers, lasts)),
+            (second_change, Action::cut_off(2, Target::Followers, lasts)),
+            (second_change, lose_store),
+            (ms(16_000), lost),
+        ],
+        ..Scenario::quiet(1)
+    }));
+}
