--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -84,7 +84,8 @@
     /// tasks on it before it read its registration. A newer process that is only listed may not
     /// exist.
     ///
-    /// A worker that runs on without its machine being listed would renew its registration.
+    /// A worker that runs on without its machine being listed would renew its registration. While
+    /// another instance may lead, it may have read the ends of a worker before it was lost.
     fn release_of(
         &self,
         id: &Arc<str>,
@@ -94,7 +95,7 @@
         if self.sole_leader_until(now) >= inherited.lease_until {
             return Some(Release::LeaseExpired);
         }
-        if inherited.machine.is_empty() {
+        if inherited.machine.is_empty() || !self.was_sole_leader(now) {
             return None;
         }
         let is_newer_worker = |worker: &Worker| {
