Repeat only the failed call while the state loads

Each fence, each partition of a table and each list is now read again by itself, 150 ms after a failure, while what was read before is kept. This is as safe as the whole attempt: a fence that is written stays, rows of jobs are read after it, and members after the leader row. The time for loading stays limited to 10 s, and a renewal that finds a newer leader ends it.

--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
+use std::time::Duration;
 
-use futures_util::future::{try_join, try_join_all, try_join3};
+use futures_util::future::{join, join_all, join3};
+use tokio::time::sleep;
 
 use super::partition;
 use super::row::{self, JOBS, MEMBERS, OWNER_KEY, PROGRESS, TERMS};
@@ -13,32 +15,33 @@
     Fault, Outcome, Precondition, Row, Store, Transaction, decode_registration,
 };
 
+/// Delay after a call that failed.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+
 /// Fences the partitions, reads all jobs and workers and returns the new term. `None` if a newer
 /// leader has fenced a partition or no configuration is known.
+///
+/// Each call is repeated until it succeeds, so callers limit the time.
 pub(super) async fn load(
     shared: &Shared,
     leader: &Leader,
     leadership: Leadership,
     resigned: bool,
     begun: Instant,
-) -> Result<Option<Term>, Fault> {
+) -> Option<Term> {
     let desired = shared.desired.lock().expect("desired lock").clone();
-    let Some(config) = desired.config() else {
-        return Ok(None);
-    };
+    let config = desired.config()?;
     let mut engine = Engine::new(tuning(shared), leader.token, config);
     engine.record_renewal(leadership.last_renewal());
     engine.set_excluded_data_centres(desired.excluded());
     let loads = partition::all().map(|name| load_partition(shared, name, leader.token));
-    let workers = (shared.store).read(Store::WORKERS, "", "", "", STORE_TIMEOUT);
-    let members = (shared.store).read(MEMBERS, "", "", "", STORE_TIMEOUT);
-    let reads = try_join3(try_join_all(loads), workers, members);
-    let (partitions, (rows, _), (members, _)) = reads.await?;
+    let workers = retry(|| read(shared, Store::WORKERS, ""));
+    let members = retry(|| read(shared, MEMBERS, ""));
+    let reads = join3(join_all(loads), workers, members);
+    let (partitions, (rows, _), (members, _)) = reads.await;
     let mut version = u64::MAX;
     for jobs in partitions {
-        let Some(jobs) = jobs else {
-            return Ok(None);
-        };
+        let jobs = jobs?;
         version = version.min(jobs.version);
         load_jobs(&mut engine, &jobs);
     }
@@ -58,29 +61,47 @@
     log::info!(event = "state-loaded", token = leader.token, workers = rows.len(),
         silent = leader.busy.len(), awaited = engine.uncontacted_count(), resigned,
         took_ms = clock::now().since(begun).as_millis(); "");
-    Ok(Some(Term::new(engine, leadership, version)))
+    Some(Term::new(engine, leadership, version))
 }
 
 fn tuning(shared: &Shared) -> Tuning {
     let bounds = &shared.settings.bounds;
-    let from_ms = std::time::Duration::from_millis;
+    let from_ms = Duration::from_millis;
     Tuning {
         lease: from_ms(bounds.lease_ms),
         stop: from_ms(bounds.stop_ms),
         notice: from_ms(bounds.notice_ms),
-        upkeep: std::time::Duration::from_secs_f64(bounds.upkeep_s.max(0.0)),
-        relocation: std::time::Duration::from_secs_f64(bounds.move_s.max(0.0)),
-        retention: std::time::Duration::from_secs(bounds.status_s),
+        upkeep: Duration::from_secs_f64(bounds.upkeep_s.max(0.0)),
+        relocation: Duration::from_secs_f64(bounds.move_s.max(0.0)),
+        retention: Duration::from_secs(bounds.status_s),
+    }
+}
+
+/// Repeats a call until it succeeds. A store that is short of capacity refuses some calls of each
+/// load, so repeating the others as well might never succeed.
+async fn retry<T, F>(call: impl Fn() -> F) -> T
+where
+    F: Future<Output = Result<T, Fault>>,
+{
+    loop {
+        match call().await {
+            Ok(value) => return value,
+            Err(fault) => log::warn!(event = "load-failed", fault:% = fault; ""),
+        }
+        sleep(RETRY_DELAY).await;
     }
 }
 
+/// Reads all rows of a partition of a table, and the version of the table before.
+async fn read(shared: &Shared, table: &str, partition: &str) -> Result<(Vec<Row>, u64), Fault> {
+    let store = &shared.store;
+    store.read(table, partition, "", "", STORE_TIMEOUT).await
+}
+
 /// Writes the fencing token of this leader into a partition, so that writes of older leaders fail.
 /// Returns false if a newer leader has done so before.
 async fn fence(shared: &Shared, partition: &str, token: u64) -> Result<bool, Fault> {
-    let (rows, _) = shared
-        .store
-        .read(TERMS, partition, "", "", STORE_TIMEOUT)
-        .await?;
+    let (rows, _) = read(shared, TERMS, partition).await?;
     let row = rows.iter().find(|r| &*r.key == OWNER_KEY);
     let (version, content) = row.map_or((0, None), |r| (r.version, r.content.as_ref()));
     let stored = content
@@ -114,23 +135,28 @@
     pub(super) version: u64,
 }
 
-/// Fences a partition and reads its jobs. `None` if a newer leader has fenced it.
-async fn load_partition(
-    shared: &Shared,
-    partition: String,
-    token: u64,
-) -> Result<Option<Jobs>, Fault> {
-    if !fence(shared, &partition, token).await? {
-        return Ok(None);
+/// Fences a partition and reads its jobs and their progress. `None` if a newer leader has fenced it.
+///
+/// No progress is written and no job deleted meanwhile: the partition is fenced, and this leader has
+/// not begun to write.
+async fn load_partition(shared: &Shared, partition: String, token: u64) -> Option<Jobs> {
+    if !retry(|| fence(shared, &partition, token)).await {
+        return None;
     }
-    read_partition(shared, &partition).await.map(Some)
+    let jobs = retry(|| read(shared, JOBS, &partition));
+    let progress = retry(|| read(shared, PROGRESS, &partition));
+    let ((rows, version), (progress, _)) = join(jobs, progress).await;
+    Some(Jobs {
+        rows,
+        progress,
+        version,
+    })
 }
 
 /// Reads the jobs of a partition without their progress, for a leader that has loaded all jobs
 /// with progress before.
 pub(super) async fn read_jobs(shared: &Shared, partition: &str) -> Result<Jobs, Fault> {
-    let read = shared.store.read(JOBS, partition, "", "", STORE_TIMEOUT);
-    let (rows, version) = read.await?;
+    let (rows, version) = read(shared, JOBS, partition).await?;
     Ok(Jobs {
         rows,
         progress: Vec::new(),
@@ -138,21 +164,6 @@
     })
 }
 
-/// Reads the jobs of a partition and their progress at the start of a term. No progress is written
-/// and no job deleted meanwhile: the partition is fenced, and this leader has not begun to write.
-async fn read_partition(shared: &Shared, partition: &str) -> Result<Jobs, Fault> {
-    let jobs = shared.store.read(JOBS, partition, "", "", STORE_TIMEOUT);
-    let progress = shared
-        .store
-        .read(PROGRESS, partition, "", "", STORE_TIMEOUT);
-    let ((rows, version), (progress, _)) = try_join(jobs, progress).await?;
-    Ok(Jobs {
-        rows,
-        progress,
-        version,
-    })
-}
-
 /// Passes the jobs of a partition to the engine, cancellations after the jobs that they cancel.
 pub(super) fn load_jobs(engine: &mut Engine, jobs: &Jobs) {
     let decode = |row: &Row| row::decode(&row.key, row.content.as_ref()?);
--- a/src/entry/load_term.rs
+++ b/src/entry/load_term.rs
@@ -1,4 +1,3 @@
-use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::{sleep, timeout};
@@ -6,19 +5,16 @@
 use super::candidate::Candidate;
 use super::lead::{RENEWAL_INTERVAL, RENEWAL_TIMEOUT};
 use super::load;
-use super::shared::{STORE_TIMEOUT, Shared};
+use super::shared::STORE_TIMEOUT;
 use super::term::Term;
-use crate::batch::{Leader, Leadership, Occupancy, Role};
-use crate::clock::{self, Instant};
+use crate::batch::{Leader, Occupancy, Role};
+use crate::clock;
 use crate::platform::api::Transaction;
 
 /// Maximum time for loading the state. A leader that takes longer leaves the term to another
 /// instance, before the leases of inherited workers have expired unseen.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Delay after an attempt to load the state that failed.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
-
 impl Candidate {
     /// Loads the state of a new term and renews the leadership meanwhile: with a slow store or many
     /// jobs, loading takes longer than other instances wait before they take over.
@@ -34,9 +30,9 @@
             busy: inherited,
             ..self.leader.clone()
         };
-        let attempts = attempt_to_load(shared, leader, self.leadership, resigned, clock::now());
+        let load = load::load(&shared, &leader, self.leadership, resigned, clock::now());
         let term = tokio::select! {
-            term = timeout(LOAD_TIMEOUT, attempts) => term,
+            term = timeout(LOAD_TIMEOUT, load) => term,
             reason = self.renew_until_superseded() => return Err(reason),
         };
         let term = term.map_err(|_| "the state was not loaded in time")?;
@@ -77,20 +73,3 @@
         term.engine().record_renewal(self.leadership.last_renewal());
     }
 }
-
-/// Loads the state, again after each failure. Returns `None` if another instance leads.
-async fn attempt_to_load(
-    shared: Arc<Shared>,
-    leader: Leader,
-    leadership: Leadership,
-    resigned: bool,
-    begun: Instant,
-) -> Option<Term> {
-    loop {
-        match load::load(&shared, &leader, leadership, resigned, begun).await {
-            Ok(term) => return term,
-            Err(fault) => log::warn!(event = "load-failed", fault:% = fault; ""),
-        }
-        sleep(RETRY_DELAY).await;
-    }
-}
--- a/tests/entry/mode.rs
+++ b/tests/entry/mode.rs
@@ -8,6 +8,8 @@
     Unavailable,
     /// Refuses all calls with status 429 and has no effect.
     RateLimited,
+    /// Refuses every other transaction of a partition with status 429.
+    ShortOfWrites,
     /// Applies transactions but closes the connection without a response.
     ResponseLost,
     /// Has no effect and sends no response.
--- a/tests/entry/slow_load.rs
+++ b/tests/entry/slow_load.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use crate::instance::start_instance;
+use crate::mode::Mode;
 use crate::platform::{ONE, id, start_platform, store_job};
 
 /// Time that one read takes, less than the timeout of the instances.
@@ -26,3 +27,17 @@
     assert_eq!(leader["token"], 1, "{leader}");
     assert_eq!(worker.starts_of(id(ONE)), 1);
 }
+
+/// Guards against a load that begins again after each refused call: while the store was short of
+/// writes, one of the partitions was refused in each attempt (rule LOST).
+#[tokio::test(flavor = "multi_thread")]
+async fn loads_while_the_store_refuses_some_writes() {
+    let (store, address, worker) = start_platform().await;
+    store_job(&store, ONE, "lasting");
+    store.set_mode(Mode::ShortOfWrites);
+    let instance = start_instance("short-of-writes", address);
+    instance.wait_for_state(ONE, "running").await;
+    let leader = store.read("leaders", "owner").unwrap();
+    assert_eq!(leader["token"], 1, "{leader}");
+    assert_eq!(worker.starts_of(id(ONE)), 1);
+}
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -47,6 +47,8 @@
     failing_feed: Option<&'static str>,
     /// Time that each read of rows takes.
     read_time: Duration,
+    /// Number of transactions of partitions in [`Mode::ShortOfWrites`].
+    partition_writes: u64,
 }
 
 impl Store {
@@ -152,7 +154,8 @@
                 });
                 return None;
             }
-            Mode::Normal | Mode::ResponseLost | Mode::AppliedLate => {}
+            Mode::ShortOfWrites if self.refuses_write(&call) => return Some((429, "{}".into())),
+            Mode::Normal | Mode::ShortOfWrites | Mode::ResponseLost | Mode::AppliedLate => {}
         }
         let answer = match call.path.as_str() {
             "/api/rows-tx" => {
@@ -166,6 +169,19 @@
         (mode != Mode::ResponseLost || call.path != "/api/rows-tx").then_some(answer)
     }
 
+    /// Returns whether a call is a transaction of a partition that is refused because the one before
+    /// was not.
+    fn refuses_write(&self, call: &Call) -> bool {
+        let puts = call.body["puts"].as_array().into_iter().flatten();
+        let mut parts = puts.map(|put| &put["part"]);
+        if call.path != "/api/rows-tx" || !parts.any(|part| *part != "") {
+            return false;
+        }
+        let mut state = self.state.lock().unwrap();
+        state.partition_writes += 1;
+        state.partition_writes % 2 == 0
+    }
+
     fn transact(&self, call: &Call) -> (u16, Value) {
         if !is_within_limits(&call.body) {
             return (400, json!({}));
