Repeat a takeover whose outcome is unknown

Callers saw that nothing was started for some seconds after the loss of a leader while the store answered late or not at all.

An instance now sends the row up to three times while the outcome is unknown. If an earlier write was applied, the next one finds a row of the same term and writes on top of it, as a renewal does after a lost response. If another instance was faster, the condition on the version fails as before. The time of the term counts from the last attempt that was answered.

--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -27,6 +27,9 @@
 /// Delay after a call that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Attempts to write the first leader row of a term while the outcome is unknown.
+const TAKEOVER_ATTEMPTS: usize = 3;
+
 /// Minimum share of a processor, and the delay before an instance with that share tries to lead.
 const CANDIDACY_DELAYS: [(f64, Duration); 2] =
     [(0.4, Duration::ZERO), (0.2, Duration::from_millis(150))];
@@ -96,8 +99,25 @@
 
     /// Tries to become the leader. Returns the workers that may have runs of the previous leader if
     /// this instance is the leader now.
+    ///
+    /// Repeats a write whose outcome is unknown: if it was applied, nobody else takes over soon.
     async fn try_become_leader(&mut self) -> Result<Option<Vec<Occupancy>>, Fault> {
-        let occupancies = self.inherited_workers().await?;
+        let inherited = self.inherited_workers().await?;
+        let mut attempts = 1;
+        loop {
+            match self.write_first_row().await {
+                Err(fault @ Fault::Unknown { .. }) if attempts < TAKEOVER_ATTEMPTS => {
+                    log::warn!(event = "takeover-retried", fault:% = fault; "");
+                    attempts += 1;
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+                is_leader => return Ok(is_leader?.then_some(inherited)),
+            }
+        }
+    }
+
+    /// Writes the first leader row of a term. Returns whether this instance is the leader now.
+    async fn write_first_row(&mut self) -> Result<bool, Fault> {
         let sent = clock::now();
         let sent_ms = self.shared.store.clock_ms(sent).unwrap_or_default();
         let (name, incarnation) = (&self.shared.settings.name, self.shared.incarnation);
@@ -107,13 +127,13 @@
             .write(&leader, Transaction::default(), STORE_TIMEOUT)
             .await?
         {
-            return Ok(None);
+            return Ok(false);
         }
         let silence = sent.since(self.leadership.last_change());
         self.leadership.begin(leader.token, sent);
         log::info!(event = "leadership-begun", token = leader.token, predecessor,
             silence_ms = silence.as_millis(); "");
-        Ok(Some(occupancies))
+        Ok(true)
     }
 
     /// Returns the workers that may have runs of the previous leader: all of them if it resigned,
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod log;
 #[path = "../bed/log_end.rs"]
 mod log_end;
+mod lost_answer;
 mod mode;
 mod moment;
 mod odd_entries;
