Drop idle connections that went silent with another one

A connection that the network cut off without a reset looks usable while it is idle, and the next call on it takes its whole timeout: 1.2 s for a call to the store, up to 8 idle connections one after another. A leader whose calls met two of them in a row could not renew within the 1.8 s after which others take over.

When a response times out, the client now drops the idle connections on which nothing has arrived since the request was sent. Connections that were answered meanwhile stay. Idle connections carry no request, so no outcome changes. The next call opens a new connection.

--- a/src/platform/api/link.rs
+++ b/src/platform/api/link.rs
@@ -118,6 +118,7 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response, Failure> {
+        let sent_at = Instant::now();
         let exchange = async {
             let sent = connection.sender.try_send_request(request).await;
             let response = sent.map_err(|mut e| {
@@ -134,9 +135,10 @@
             let body = body.map_err(|e| Failure::Sent(e.to_string()))?.to_bytes();
             Ok(Response { status, body })
         };
-        let response = timeout_at(deadline, exchange)
-            .await
-            .map_err(|_| Failure::Sent("response timed out".into()))??;
+        let response = timeout_at(deadline, exchange).await.map_err(|_| {
+            self.pool.drop_unanswered_since(sent_at);
+            Failure::Sent("response timed out".into())
+        })??;
         self.pool.keep(connection);
         Ok(response)
     }
--- a/src/platform/http/client.rs
+++ b/src/platform/http/client.rs
@@ -124,6 +124,7 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<(StatusCode, Bytes), Failure> {
+        let sent_at = Instant::now();
         let exchange = async {
             let response = connection
                 .sender
@@ -143,9 +144,10 @@
                 .map_err(|e| Failure::Sent(e.to_string()))?;
             Ok((status, body.to_bytes()))
         };
-        let response = timeout_at(deadline, exchange)
-            .await
-            .map_err(|_| Failure::Sent("response timed out".into()))??;
+        let response = timeout_at(deadline, exchange).await.map_err(|_| {
+            self.pool.drop_unanswered_since(sent_at);
+            Failure::Sent("response timed out".into())
+        })??;
         self.pool.keep(connection);
         Ok(response)
     }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -22,6 +22,7 @@
 mod process;
 mod retention;
 mod run;
+mod silent_connections;
 mod slow_load;
 mod standin;
 mod store;
--- a/tests/entry/standin.rs
+++ b/tests/entry/standin.rs
@@ -19,6 +19,8 @@
     /// Identity of the worker that the sender expects at the address.
     pub(crate) expected: Option<String>,
     pub(crate) body: Value,
+    /// Number of the connection, in the order in which they were accepted.
+    pub(crate) connection: usize,
 }
 
 impl Call {
@@ -44,10 +46,14 @@
     let address = listener.local_addr().unwrap();
     let respond = Arc::new(respond);
     tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
+        for connection in 0.. {
+            let Ok((stream, _)) = listener.accept().await else {
+                return;
+            };
             let respond = respond.clone();
             tokio::spawn(async move {
-                let service = service_fn(|request| handle_request(respond.clone(), request));
+                let handle = |request| handle_request(respond.clone(), connection, request);
+                let service = service_fn(handle);
                 // Fails for a connection that is closed without a response.
                 let _ = http1::Builder::new()
                     .serve_connection(TokioIo::new(stream), service)
@@ -60,6 +66,7 @@
 
 async fn handle_request<F, R, B>(
     respond: Arc<F>,
+    connection: usize,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, std::io::Error>
 where
@@ -85,6 +92,7 @@
             .get("x-expect-instance")
             .map(|value| value.to_str().unwrap().to_owned()),
         body: serde_json::from_slice(&body).unwrap_or_default(),
+        connection,
     };
     let Some((status, body)) = respond(call).await else {
         return Err(std::io::Error::other("closed"));
