--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -179,7 +179,7 @@
         }
         let mut state = self.state.lock().unwrap();
         state.partition_writes += 1;
-        state.partition_writes % 2 == 0
+        state.partition_writes.is_multiple_of(2)
     }
 
     fn transact(&self, call: &Call) -> (u16, Value) {
