--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -11,6 +11,7 @@
 #[path = "../bed/log_end.rs"]
 mod log_end;
 mod machines;
+mod lost_answer;
 mod mode;
 mod moment;
 mod odd_entries;
@@ -22,6 +23,7 @@
 mod process;
 mod retention;
 mod run;
+mod silent_connections;
 mod slow_load;
 mod standin;
 mod store;
