Plan moves of machines again after each order

A round ordered all planned moves one after another, each for up to 1 s, and the workers of all of them got no starts until the next plan.

The moves are planned again after each order, and after one without an answer not before the next round, so a plan is in force for little more than 1 s.

--- a/src/entry/maintenance.rs
+++ b/src/entry/maintenance.rs
@@ -62,20 +62,22 @@
     }
 }
 
-/// Moves machines to the pools that need them.
+/// Moves machines to the pools that need them, one after another. The moves are planned again after
+/// each order, and put off after one that fails, because workers that are to move get no starts
+/// until the next plan.
 async fn move_machines(term: &Term, fleet: &Fleet) {
-    if !term.may_order_machines(clock::now()) {
-        return term.engine().cancel_moves();
-    }
-    let moves = term.engine().plan_moves(clock::now());
-    for (machine, pool) in moves {
+    loop {
         if !term.may_order_machines(clock::now()) {
-            return;
+            return term.engine().cancel_moves();
         }
-        match fleet
+        let moves = term.engine().plan_moves(clock::now());
+        let Some((machine, pool)) = moves.into_iter().next() else {
+            return;
+        };
+        let result = fleet
             .relocate(&machine, &pool, term.token, RESPONSE_TIMEOUT)
-            .await
-        {
+            .await;
+        match result {
             Ok(true) => {
                 log::info!(event = "machine-relocated", machine, pool; "");
                 term.engine().record_move(&machine, &pool, clock::now());
@@ -87,6 +89,7 @@
             Err(fault) => {
                 log::warn!(event = "move-failed", machine, pool, fault:% = fault; "");
                 term.engine().record_refused_move(&machine, clock::now());
+                return;
             }
         }
     }
--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -60,14 +60,30 @@
 }
 
 pub(crate) fn start_with_output(name: &str, store: SocketAddr, stdout: Stdio) -> Instance {
-    start_with_outputs(name, store, &bounds(), [stdout, Stdio::inherit()])
+    start_with_outputs(name, store, None, &bounds(), [stdout, Stdio::inherit()])
+}
+
+/// Starts an instance that maintains and moves the machines of a machine service, and whose log is
+/// printed if the test fails.
+pub(crate) fn start_with_machines(name: &str, store: SocketAddr, machines: SocketAddr) -> Instance {
+    let log = Log::new(name);
+    let outputs = [log.create(), Stdio::inherit()];
+    let mut instance = start_with_outputs(name, store, Some(machines), &bounds(), outputs);
+    instance.log = Some(log);
+    instance
 }
 
 /// Starts an instance that deletes ended jobs after `retention_s` seconds.
 pub(crate) fn start_with_retention(name: &str, store: SocketAddr, retention_s: u64) -> Instance {
     let mut bounds = bounds();
     bounds["status-s"] = json!(retention_s);
-    start_with_outputs(name, store, &bounds, [Stdio::null(), Stdio::inherit()])
+    start_with_outputs(
+        name,
+        store,
+        None,
+        &bounds,
+        [Stdio::null(), Stdio::inherit()],
+    )
 }
 
 /// Returns the bounds in the settings of an instance.
@@ -85,12 +101,16 @@
     let outputs = paths
         .each_ref()
         .map(|path| File::create(path).unwrap().into());
-    (start_with_outputs(name, store, &bounds(), outputs), paths)
+    (
+        start_with_outputs(name, store, None, &bounds(), outputs),
+        paths,
+    )
 }
 
 fn start_with_outputs(
     name: &str,
     store: SocketAddr,
+    machines: Option<SocketAddr>,
     bounds: &Value,
     [stdout, stderr]: [Stdio; 2],
 ) -> Instance {
@@ -102,6 +122,7 @@
         "readiness": readiness,
         "metrics": metrics,
         "store": store,
+        "machines": machines,
         "bounds": bounds,
     });
     let folder = std::env::temp_dir();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod contract;
 mod end;
+mod fleet;
 mod handover;
 mod hold;
 mod holds;
@@ -12,6 +13,7 @@
 mod log_end;
 mod mode;
 mod moment;
+mod moves;
 mod odd_entries;
 mod odd_entry;
 mod page;
