--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod contract;
 mod end;
+mod fleet;
 mod handover;
 mod hold;
 mod holds;
@@ -10,10 +11,11 @@
 mod log;
 #[path = "../bed/log_end.rs"]
 mod log_end;
-mod machines;
 mod lost_answer;
+mod machines;
 mod mode;
 mod moment;
+mod moves;
 mod odd_entries;
 mod odd_entry;
 mod page;
