Pause after a slow scheduling round for as long as it took

Each poll wakes a round, and a round looks at all waiting jobs.

The next round now waits for as long as the last one took, at most 0.5 s. Rounds of usual length, a few ms, are delayed by that much.

No test of this repository shows it.

--- a/src/entry/schedule.rs
+++ b/src/entry/schedule.rs
@@ -18,6 +18,9 @@
 /// Delay before a round, so that events that occur together share one.
 const BATCH_DELAY: Duration = Duration::from_millis(3);
 
+/// Maximum time for which a slow round delays the next one.
+const MAX_ROUND_DELAY: Duration = Duration::from_millis(500);
+
 /// Spawns the tasks of a leader.
 pub(super) fn spawn(shared: &Arc<Shared>, term: &Arc<Term>, tasks: &mut JoinSet<()>) {
     tasks.spawn(schedule(shared.clone(), term.clone()));
@@ -31,7 +34,11 @@
 /// Places waiting tasks on workers and dispatches the resulting orders, round after round.
 async fn schedule(shared: Arc<Shared>, term: Arc<Term>) {
     let mut worker_tasks = JoinSet::new();
+    let mut round_time = Duration::ZERO;
     loop {
+        // With many waiting tasks a round takes long. Without a pause, rounds would leave no
+        // processor time for the polls that show which workers have room again.
+        tokio::time::sleep(round_time.min(MAX_ROUND_DELAY)).await;
         tokio::select! {
             () = term.placement_wake.notified() => tokio::time::sleep(BATCH_DELAY).await,
             () = tokio::time::sleep(MAX_ROUND_INTERVAL) => {}
@@ -54,6 +61,7 @@
         }
         update_worker_tasks(&term, &mut worker_tasks);
         dispatch(&term);
+        round_time = clock::now().since(now);
         if term.engine().has_changes_to_store().is_some() {
             term.flush_wake.notify_one();
         }
