--- a/tests/takeover_model/main.rs
+++ b/tests/takeover_model/main.rs
@@ -1,4 +1,5 @@
-//! Simulates changes of the leader over a store that loses answers and carries out writes late.
+//! Simulates changes of the leader over a store that loses answers and carries out writes late, and
+//! checks that no task runs twice and that lasting tasks run while nothing disturbs the system.
 //!
 //! The instances use the decisions of [`coriandernotch::batch`]; the store, the workers and the
 //! messages between them are models with their own clock. A failed case can be repeated with
