Shun at most a third of the workers of a service

Cause: a worker on which three different jobs have failed in a row gets no starts for 6 s.

Workers that are at fault are few, so at most a third of those of a service are shunned at once. The test keeps_most_workers_in_use_while_jobs_fail_on_all_of_them failed before (0 of 16 tasks started).

--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -11,6 +11,10 @@
 /// Time for which a shunned worker gets no starts.
 const SHUN_FOR: Duration = Duration::from_secs(6);
 
+/// Divisor for the workers of a service that may be shunned at once: a third of them. When jobs fail
+/// on more workers than that, the jobs are at fault.
+const MAX_SHUNNED_DIVISOR: usize = 3;
+
 /// Time after an exclusion in which a worker is not shunned again. It covers a scheduling round, so
 /// that waiting tasks get the worker even if another task fails on it in that moment.
 const MIN_TIME_BETWEEN_SHUNS: Duration = Duration::from_millis(200);
@@ -168,6 +172,7 @@
     /// Counts a failure against a worker, and shuns it after failures of several different jobs in
     /// a row.
     pub(super) fn count_failure(&mut self, key: WorkerKey, job: JobKey, now: Instant) {
+        let may_shun_more = self.may_shun_more(key, now);
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -175,13 +180,24 @@
             worker.failed_jobs.push(job);
         }
         let may_be_shunned = worker.shunned_until + MIN_TIME_BETWEEN_SHUNS <= now;
-        if worker.failed_jobs.len() >= SHUN_AFTER_FAILED_JOBS && may_be_shunned {
+        if worker.failed_jobs.len() >= SHUN_AFTER_FAILED_JOBS && may_be_shunned && may_shun_more {
             worker.shunned_until = now + SHUN_FOR;
             log::warn!(event = "worker-excluded", worker = worker.profile.id,
                 failed_jobs = worker.failed_jobs.len(), seconds = SHUN_FOR.as_secs(); "");
         }
     }
 
+    /// Returns whether few enough workers of the service of a worker are shunned to shun one more.
+    fn may_shun_more(&self, key: WorkerKey, now: Instant) -> bool {
+        let service = self.workers.get(key).map(|worker| &worker.profile.service);
+        let workers = self.workers.values().filter(|w| !w.delisted);
+        let workers = workers.filter(|w| Some(&w.profile.service) == service);
+        let (shunned, count) = workers.fold((0, 0), |(shunned, count), worker| {
+            (shunned + usize::from(worker.shunned_until > now), count + 1)
+        });
+        shunned * MAX_SHUNNED_DIVISOR < count
+    }
+
     /// Completes a job once all its occurrences are complete.
     pub(super) fn complete_if_done(&mut self, key: JobKey, wall_ms: u64, now: Instant) {
         let job = &mut self.jobs[key];
--- a/tests/batch/waits.rs
+++ b/tests/batch/waits.rs
@@ -4,7 +4,7 @@
 
 use coriandernotch::batch::{End, Order, Reply, Running, Snapshot, WorkerKey};
 
-use crate::simulation::{Run, Simulation, lasting};
+use crate::simulation::{Run, Simulation, lasting, record, step};
 
 /// Time within which an accepted lasting task must run once nothing disturbs it.
 pub(crate) const MAX_WAIT_MS: u64 = 7_000;
@@ -171,3 +171,25 @@
         assert_eq!(sim.starts_of(job, 0, 0), 2, "{job}");
     }
 }
+
+/// Guards against the exclusion of all workers of a service by jobs that fail everywhere: good jobs
+/// had no worker for as long as bad ones were left (rule LOST).
+#[test]
+fn keeps_most_workers_in_use_while_jobs_fail_on_all_of_them() {
+    let mut sim = Simulation::with_workers(6);
+    for worker in sim.workers.values_mut() {
+        worker.fails = true;
+    }
+    for number in 0..40 {
+        sim.accept(&format!("bad-{number}"), record(vec![step(1)]));
+    }
+    sim.run(500);
+    for worker in sim.workers.values_mut() {
+        worker.fails = false;
+    }
+    // Four of the six workers have room for all of its tasks.
+    sim.accept("good", record(vec![step(16)]));
+    sim.run(100);
+    let started = (0..16).filter(|index| sim.starts_of("good", 0, *index) > 0);
+    assert_eq!(started.count(), 16);
+}
