Wait 3 s before a lasting task starts on a machine that is being emptied

After 1 s most tasks that were moved off a machine had not found another worker, and went back to machines that were to be emptied.

--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -12,9 +12,9 @@
 const REMAINING_TIME_FACTOR: f64 = 1.15;
 
 /// Time without a run after which a lasting task is placed on a worker that is being emptied. Most
-/// tasks moved off a machine start elsewhere within it. A task with room may wait 9 s, of which the
-/// lease of a lost worker takes up to 6.5 s.
-const LAST_RESORT_AFTER: Duration = Duration::from_secs(1);
+/// tasks moved off a machine start elsewhere within it; with the lease of a lost worker, which takes
+/// 4.6 s, it stays below the 9 s that a task with room may wait.
+const LAST_RESORT_AFTER: Duration = Duration::from_secs(3);
 
 /// Order in which ready stages of one service are placed, compared field by field; the smallest
 /// comes first.
