Split the emptying of workers from the waves of maintenance

The reasons for which workers get no starts have names of one kind, and two tests share their set-up.

--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -60,7 +60,7 @@
         let candidates = candidates.filter(|(key, worker)| {
             rack.is_none_or(|rack| worker.has_label(rack))
                 && self
-                    .unfitness(stage_key, step, *key, needs_ticket, now)
+                    .step_exclusion(stage_key, step, *key, needs_ticket, now)
                     .is_none()
         });
         candidates
@@ -85,13 +85,13 @@
 
     /// Returns why no task may be started on a worker, if that is so.
     pub(super) fn exclusion(&self, worker: &Worker, now: Instant) -> Option<Exclusion> {
-        self.unusability(worker, now)
+        self.exclusion_from_use(worker, now)
             .or_else(|| worker.relocating.then_some(Exclusion::Relocating))
-            .or_else(|| self.succession_risk(worker))
+            .or_else(|| self.exclusion_by_succession(worker))
     }
 
     /// Returns why the next leader may not know of a run on a worker, if that is so.
-    fn succession_risk(&self, worker: &Worker) -> Option<Exclusion> {
+    fn exclusion_by_succession(&self, worker: &Worker) -> Option<Exclusion> {
         if self.is_reported_silent(worker) {
             Some(Exclusion::ReportedSilent)
         } else if !self.is_known_to_successor(worker) {
@@ -114,8 +114,8 @@
         let workers = self.workers.iter().filter(|(key, worker)| {
             *worker.profile.service == *service
                 && stays(*key, worker)
-                && self.unavailability(worker, now).is_none()
-                && self.succession_risk(worker).is_none()
+                && self.exclusion_if_machine_stays(worker, now).is_none()
+                && self.exclusion_by_succession(worker).is_none()
         });
         workers.map(|(key, _)| key).collect()
     }
@@ -128,7 +128,7 @@
     }
 
     /// Returns why a worker on which tasks may be started cannot take one of a step, if that is so.
-    pub(super) fn unfitness(
+    pub(super) fn step_exclusion(
         &self,
         stage_key: StageKey,
         step: &Step,
@@ -172,16 +172,16 @@
     /// Returns whether tasks may be started on a worker, except that its machine may be due to
     /// move.
     pub(super) fn is_usable(&self, worker: &Worker, now: Instant) -> bool {
-        self.unusability(worker, now).is_none()
+        self.exclusion_from_use(worker, now).is_none()
     }
 
-    fn unusability(&self, worker: &Worker, now: Instant) -> Option<Exclusion> {
-        self.unavailability(worker, now)
+    fn exclusion_from_use(&self, worker: &Worker, now: Instant) -> Option<Exclusion> {
+        self.exclusion_if_machine_stays(worker, now)
             .or_else(|| worker.cordoned.then_some(Exclusion::Cordoned))
     }
 
     /// Returns why a worker could not be used even if its machine were to stay, if that is so.
-    fn unavailability(&self, worker: &Worker, now: Instant) -> Option<Exclusion> {
+    fn exclusion_if_machine_stays(&self, worker: &Worker, now: Instant) -> Option<Exclusion> {
         let excluded = &self.excluded_data_centres;
         if worker.delisted {
             Some(Exclusion::Delisted)
--- a/src/batch/engine/idle_tasks.rs
+++ b/src/batch/engine/idle_tasks.rs
@@ -145,7 +145,7 @@
         let workers = workers.filter(move |(_, worker)| worker.profile.service == *service);
         workers.map(move |(key, worker)| {
             let exclusion = self.exclusion(worker, now);
-            exclusion.or_else(|| self.unfitness(stage_key, step, key, needs_ticket, now))
+            exclusion.or_else(|| self.step_exclusion(stage_key, step, key, needs_ticket, now))
         })
     }
 
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -9,6 +9,7 @@
 mod contact;
 mod deferral;
 mod demand;
+mod emptying;
 mod end;
 mod exclusion;
 mod history;
--- a/tests/batch/emptying.rs
+++ b/tests/batch/emptying.rs
@@ -26,11 +26,9 @@
     longest
 }
 
-/// Guards against a machine that can neither be emptied nor used: one of two tasks of a step was
-/// stopped for maintenance, found no other worker, and for lack of it the other one could not be
-/// stopped (rule LOST).
-#[test]
-fn keeps_tasks_that_cannot_be_moved_off_a_machine() {
+/// Creates a service with one worker, whose machine is due for maintenance and which runs both tasks
+/// of the step of the job `j`.
+fn with_due_machine() -> Simulation {
     let mut sim = Simulation::with_workers(1);
     let mut job = lasting(2);
     job.spec.steps[0].max_per_worker = 2;
@@ -38,6 +36,15 @@
     sim.run(100);
     let wave = wave(&sim, &["m-i-0"], 1, Duration::from_secs(10));
     sim.engine.set_waves(vec![wave]);
+    sim
+}
+
+/// Guards against a machine that can neither be emptied nor used: one of two tasks of a step was
+/// stopped for maintenance, found no other worker, and for lack of it the other one could not be
+/// stopped (rule LOST).
+#[test]
+fn keeps_tasks_that_cannot_be_moved_off_a_machine() {
+    let mut sim = with_due_machine();
     let longest = longest_wait(&mut sim, "j", 2);
     assert!(longest < Duration::from_millis(MAX_WAIT_MS), "{longest:?}");
 }
@@ -45,13 +52,7 @@
 /// Guards against the same deadlock after a task of the step has failed on such a machine.
 #[test]
 fn restarts_a_task_on_a_machine_that_cannot_be_emptied() {
-    let mut sim = Simulation::with_workers(1);
-    let mut job = lasting(2);
-    job.spec.steps[0].max_per_worker = 2;
-    sim.accept("j", job);
-    sim.run(100);
-    let wave = wave(&sim, &["m-i-0"], 1, Duration::from_secs(10));
-    sim.engine.set_waves(vec![wave]);
+    let mut sim = with_due_machine();
     sim.run(10);
     let worker = sim.workers.get_mut("i-0").unwrap();
     let run = worker.running.pop().unwrap();
