--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -254,6 +254,9 @@
         self.server = Server(self.handle)
         self.begin_life()
         self.on_start = lambda worker, task, run: None
+        # Set where starts need a ticket: `is_valid(worker, task, ticket)`.
+        self.is_valid = None
+        self.tasks = []
 
     def begin_life(self):
         self.begun = time.monotonic()
@@ -269,8 +272,17 @@
 
     async def start(self):
         await self.server.start()
-        asyncio.create_task(self.beat())
-        asyncio.create_task(self.work())
+        self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.work())]
+
+    async def lose(self):
+        """Ends the worker for good, like a crash: all that it runs is gone, and its entry is removed
+        after three heartbeat intervals."""
+        self.record.add(self.id, "lost for good")
+        for task in self.tasks:
+            task.cancel()
+        self.runs.clear()
+        await self.server.stop()
+        asyncio.get_running_loop().call_later(3 * HEARTBEAT_S, self.store.remove, "servers", self.id)
 
     def clock(self):
         return int((time.monotonic() - self.begun) * 1000) + 1000
@@ -332,6 +344,8 @@
             return 409, {**answer, "reason": "old"}
         if b["deadlineMs"] < self.clock():
             return 409, {**answer, "reason": "late"}
+        if self.is_valid and not self.is_valid(self, task, b.get("ticket", "")):
+            return 409, {**answer, "reason": "ticket"}
         seconds, how = self.duration(task, number)
         until = None if seconds is None else (time.monotonic() + seconds, how)
         self.runs[task] = Run(task, number, until)
@@ -369,10 +383,46 @@
                      "ended": self.ended[:500]}
 
 
+class Adviser:
+    """The advice service: decides which workers may run a step, one call at a time for each calling
+    machine. `allows(step, worker)` is the queue's policy."""
+
+    def __init__(self, record, allows, decide_ms, each_ms, valid_ms):
+        self.record, self.allows = record, allows
+        self.decide_ms, self.each_ms, self.valid_ms = decide_ms, each_ms, valid_ms
+        self.server = Server(self.handle)
+        self.turn = asyncio.Lock()  # Only the leader asks, so one turn serves all.
+        self.waiting = 0
+        self.tickets = {}
+
+    async def handle(self, method, path, query, headers, body):
+        b = json.loads(body)
+        if self.waiting >= 32:
+            return 429, {}
+        self.waiting += 1
+        try:
+            async with self.turn:
+                workers = b["workers"][:100]
+                await asyncio.sleep((self.decide_ms + self.each_ms * len(workers)) / 1000)
+                good = [[w, f"{b['step']}@{w}"] for w in workers if self.allows(b["step"], w)]
+                for _, ticket in good:
+                    self.tickets[ticket] = time.monotonic() + self.valid_ms / 1000
+                self.record.add("advice", f"{b['step']} of {len(workers)} workers: "
+                                          f"{[w for w, _ in good]}")
+                return 200, {"good": good, "validMs": self.valid_ms}
+        finally:
+            self.waiting -= 1
+
+    def is_valid(self, worker, task, ticket):
+        step = task.rsplit(".", 1)[0]
+        return (ticket == f"{step}@{worker.id}" and
+                self.tickets.get(ticket, 0) > time.monotonic())
+
+
 class Entry:
     """An entry instance as a process of its own, with settings like those of the deploy file."""
 
-    def __init__(self, name, folder, store_address, record):
+    def __init__(self, name, folder, store_address, record, **more):
         self.name, self.record = name, record
         self.front, self.readiness = free_port(), free_port()
         self.path = os.path.join(folder, name + ".jsonc")
@@ -384,7 +434,7 @@
             "bounds": {"lease-ms": MAX_HOLD_MS, "stop-ms": STOP_MS, "notice-ms": 4500,
                        "upkeep-s": 2, "move-s": 1.5, "status-s": 120, "config-ms": 2000,
                        "grace-s": 6},
-            "log": "info"}
+            "log": "info", **more}
         with open(self.path, "w") as file:
             json.dump(settings, file)
         self.process = None
@@ -454,17 +504,18 @@
                          "maximum": {"cpu": 0, "memMb": 0, "gpu": 0}}],
             "limits": {"maxBodyBytes": 262144}}
 
-    async def start(self, workers, duration, entries=3, **kind):
+    async def start(self, workers, duration, entries=3, route=None, settings=None, **kind):
         if not os.access(PROGRAM, os.X_OK):
             raise RuntimeError("build the program first: cargo build --release --locked")
         await self.store.start()
-        self.store.put("op", "config", self.config())
+        self.store.put("op", "config", self.config(**(route or {})))
         for number in range(workers):
             worker = Worker(f"i-{number}", self.store, self.record, "s", duration, **kind)
             self.workers.append(worker)
             await worker.start()
         for number in range(entries):
-            entry = Entry(f"entry-{number}", self.folder, self.store.server.address, self.record)
+            entry = Entry(f"entry-{number}", self.folder, self.store.server.address, self.record,
+                          **(settings or {}))
             self.entries.append(entry)
             await entry.start()
         await self.wait_ready()
