--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -419,6 +419,121 @@
                 self.tickets.get(ticket, 0) > time.monotonic())
 
 
+class Machines:
+    """The platform's machine service: one machine for each worker. It doesn't check fences."""
+
+    def __init__(self, record, workers):
+        self.record, self.workers = record, workers
+        self.server = Server(self.handle)
+        self.orders = []  # Time, machine, holder and fence of each order that was carried out.
+        self.done = set()
+        self.down = {}
+
+    async def handle(self, method, path, query, headers, body):
+        now = time.monotonic()
+        if path == "/api/machines":
+            rows = [{"machine": "m-" + w.id, "pool": w.service, "zone": "z1", "labels": ["a", "r1-1"],
+                     "state": "upkeep" if self.down.get("m-" + w.id, 0) > now else "up",
+                     "capacity": {"cpu": w.cpu, "memMb": 131072, "gpu": 0}, "id": w.id}
+                    for w in self.workers]
+            return 200, {"machines": rows, "nextToken": None}
+        if path != "/api/machine-upkeep":
+            return 409, {"reason": "busy"}
+        b = json.loads(body)
+        machine, holder = b["machine"], headers.get("x-duty-holder", "")
+        fence = int(headers.get("x-fencing-token", 0))
+        self.orders.append((self.record.now(), machine, holder, fence))
+        self.record.add("machines", f"upkeep of {machine} from {holder}, fence {fence}")
+        if (machine, b["wave"]) not in self.done:
+            self.done.add((machine, b["wave"]))
+            self.down[machine] = now + 2
+            for worker in self.workers:
+                if "m-" + worker.id == machine:
+                    worker.begin_life()
+        return 200, {}
+
+
+# Times after a segment was first sent at which a system sends it again.
+RESENT_AFTER = (0.2, 0.6, 1.4, 3.0, 6.2, 12.6)
+
+
+class Gate:
+    """A link to a server that can be cut. Bytes held up by the cut arrive when they are sent again
+    after it, also if their sender has closed the connection meanwhile, but not if it has reset it.
+    Connections that were begun during the cut come to nothing."""
+
+    def __init__(self, target_port):
+        self.target_port = target_port
+        self.cut_from = self.cut_until = 0.0
+        self.on_bytes = lambda data: None
+        self.port, self.server, self.writers = free_port(), None, set()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.port}"
+
+    def is_cut(self):
+        return self.cut_from <= time.monotonic() < self.cut_until
+
+    def cut(self, seconds):
+        self.cut_from = time.monotonic()
+        self.cut_until = self.cut_from + seconds
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+
+    async def stop(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            if self.is_cut():
+                await asyncio.sleep(max(self.cut_until - time.monotonic(), 0))
+                return writer.transport.abort()
+            there = await asyncio.open_connection("127.0.0.1", self.target_port)
+            self.writers.add(there[1])
+            await asyncio.gather(self.pump(reader, there[1], self.on_bytes),
+                                 self.pump(there[0], writer, lambda data: None))
+        except OSError:
+            pass
+        finally:
+            self.writers.discard(writer)
+
+    async def pump(self, reader, writer, on_bytes):
+        queue = asyncio.Queue()
+
+        async def receive():
+            while True:
+                data = await reader.read(65536)
+                on_bytes(data)
+                queue.put_nowait((time.monotonic(), data))
+                if not data:
+                    return
+
+        async def deliver():
+            while True:
+                sent, data = await queue.get()
+                while self.is_cut() or time.monotonic() < sent:
+                    again = [sent + after for after in RESENT_AFTER
+                             if sent + after >= self.cut_until]
+                    sent = again[0] if again else self.cut_until
+                    await asyncio.sleep(max(sent - time.monotonic(), 0))
+                if not data:
+                    return writer.close()
+                writer.write(data)
+                await writer.drain()
+
+        receiver, deliverer = asyncio.create_task(receive()), asyncio.create_task(deliver())
+        done, _ = await asyncio.wait({receiver, deliverer}, return_when=asyncio.FIRST_EXCEPTION)
+        failed = [task for task in done if task.exception()]
+        if failed:  # A reset: what is still held up is lost.
+            deliverer.cancel()
+            writer.transport.abort()
+
+
 class Entry:
     """An entry instance as a process of its own, with settings like those of the deploy file."""
 
@@ -507,7 +622,8 @@
     async def start(self, workers, duration, entries=3, route=None, settings=None, **kind):
         if not os.access(PROGRAM, os.X_OK):
             raise RuntimeError("build the program first: cargo build --release --locked")
-        await self.store.start()
+        if not self.store.server.server:
+            await self.store.start()
         self.store.put("op", "config", self.config(**(route or {})))
         for number in range(workers):
             worker = Worker(f"i-{number}", self.store, self.record, "s", duration, **kind)
@@ -515,7 +631,7 @@
             await worker.start()
         for number in range(entries):
             entry = Entry(f"entry-{number}", self.folder, self.store.server.address, self.record,
-                          **(settings or {}))
+                          **(settings(number) if callable(settings) else settings or {}))
             self.entries.append(entry)
             await entry.start()
         await self.wait_ready()
