--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,10 +1,10 @@
-"""The leader is cut off while its order for a machine is on its way."""
+"""The zone of the leader is cut off from the others while its order for a machine is on its way."""
 import asyncio
 import os
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "standin"))
+sys.path.insert(0, os.path.join(FOLDER, ".."))
 import world  # noqa: E402
 
 CUT_S = 4.0
@@ -27,15 +27,17 @@
                 was_cut.append(number)
                 to_store[number].cut(CUT_S)
                 to_machines[number].cut(CUT_S)
-                bed.record.add(f"entry-{number}", f"cut off from the platform for {CUT_S} s, with "
+                bed.record.add(f"entry-{number}", f"zone cut off for {CUT_S} s, with "
                                                   "its order for a machine on the way")
         return on_bytes
 
     for number, gate in enumerate(to_machines):
         gate.on_bytes = watch(number)
     await bed.start(workers=4, duration=lambda task, run: (0.5, "done"), entries=ENTRIES,
-                    settings=lambda n: {"store": to_store[n].address,
+                    settings=lambda n: {"zone": f"z{n + 1}", "store": to_store[n].address,
                                         "machines": to_machines[n].address})
+    for worker in bed.workers:  # They are in another zone than the leader.
+        worker.is_cut_from = lambda fence: fence == 1 and any(g.is_cut() for g in to_store)
     # A new leader gives no orders for machines within 4.2 s of the renewals before its term.
     await asyncio.sleep(6)
     bed.store.put("op", "wave/1", {"wave": 1, "machines": ["m-i-0"], "completeByS": 20, "maximum": 1})
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,7 +4,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "standin"))
+sys.path.insert(0, os.path.join(FOLDER, ".."))
 import world  # noqa: E402
 
 FIRST = "5c0e7a21d94b36f8"
--- a/review/standin/world.py
+++ b/review/world.py
@@ -13,7 +13,7 @@
 import time
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 PROGRAM = os.path.join(ROOT, "target", "release", "coriandernotch")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -257,6 +257,8 @@
         # Set where starts need a ticket: `is_valid(worker, task, ticket)`.
         self.is_valid = None
         self.tasks = []
+        # Whether the link to the leader with this fence is cut.
+        self.is_cut_from = lambda token: False
 
     def begin_life(self):
         self.begun = time.monotonic()
@@ -324,6 +326,9 @@
         token = b.get("fenceToken", 0)
         if token < self.token:
             return 409, {"clockMs": self.clock(), "born": self.born, "reason": "fence"}
+        if self.is_cut_from(token):
+            self.record.add(self.id, f"{path} with fence {token} is lost in a cut")
+            return Hang
         self.token = token
         if "deadlineMs" in b:
             self.lease = max(self.lease, min(b["deadlineMs"], self.clock() + MAX_HOLD_MS))
@@ -537,13 +542,13 @@
 class Entry:
     """An entry instance as a process of its own, with settings like those of the deploy file."""
 
-    def __init__(self, name, folder, store_address, record, **more):
+    def __init__(self, name, folder, store_address, record, zone="z1", **more):
         self.name, self.record = name, record
         self.front, self.readiness = free_port(), free_port()
         self.path = os.path.join(folder, name + ".jsonc")
         self.log_path = os.path.join(folder, name + ".log")
         settings = {
-            "name": name, "data-centre": "z1", "callers": f"127.0.0.1:{self.front}",
+            "name": name, "data-centre": zone, "callers": f"127.0.0.1:{self.front}",
             "readiness": f"127.0.0.1:{self.readiness}", "store": store_address,
             "processor-share": 0.25,
             "bounds": {"lease-ms": MAX_HOLD_MS, "stop-ms": STOP_MS, "notice-ms": 4500,
@@ -682,6 +687,9 @@
 def run(folder, case, limit=115):
     """Runs `case(bed)`, which returns whether the rule held, and exits as run.sh has to."""
     async def main():
+        # An early end must end the entry instances, too.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         bed = Bed(folder)
         try:
             return await asyncio.wait_for(case(bed), limit)
@@ -690,7 +698,7 @@
 
     try:
         held, text = asyncio.run(main())
-    except Exception as error:  # the case could not run
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         print(f"could not run: {error!r}")
         sys.exit(2)
     print(("held: " if held else "broken: ") + text)
