Store only workers that have answered as members

What callers saw: a new leader waited up to 16 s for entries of other writers, at which no worker has ever answered, before it started inherited tasks of their service.

Cause: every registered worker became a member, and a new leader waits for the answers of all members and of all registered workers.

Change: only workers that have answered become members, and a new leader waits for members only. This is enough because tasks are started only on workers that are stored as members. A worker is stored as soon as its first answer arrives. Two tests set up the members that a previous leader would have stored; what they check is unchanged.

--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -20,7 +20,8 @@
     /// Takes over from the previous leader; `begun` is the start of this leader's term.
     ///
     /// The list of a leader that resigned is complete. A leader that crashed may have started tasks
-    /// after it wrote the list, but not on a worker that did not answer.
+    /// after it wrote the list, but only on workers that it had stored as members before, and not on
+    /// one that did not answer.
     pub fn inherit(&mut self, occupancies: &[Occupancy], resigned: bool, begun: Instant) {
         let latest_expiry = begun + LEADER_ACTIVE_FOR + self.longest_lease_expiry();
         for worker in occupancies {
@@ -43,7 +44,9 @@
             self.uncontacted.insert(worker.worker.clone(), inherited);
         }
         if !resigned {
-            for worker in self.workers.values() {
+            let members = &self.members;
+            let workers = self.workers.values();
+            for worker in workers.filter(|worker| members.has_row(&worker.profile.id)) {
                 let inherited = || InheritedWorker {
                     service: worker.profile.service.clone(),
                     machine: worker.profile.machine.clone(),
--- a/src/batch/engine/members.rs
+++ b/src/batch/engine/members.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use super::Engine;
+use super::{Engine, Worker};
 use crate::batch::{Member, MemberChanges, Profile, WorkerKey};
 use crate::collections::{Map, Set};
 
@@ -8,10 +8,10 @@
 /// 100 rows, one of which is the leader row.
 const MAX_CHANGES: usize = 90;
 
-/// Workers recorded in the store for the next leader.
+/// Workers recorded in the store for the next leader, which waits for their answers.
 ///
 /// The list in which workers register cannot replace them: a registration expires while the store
-/// is away, although the worker runs on.
+/// is away, although the worker runs on, and an entry of another writer names no worker.
 #[derive(Debug, Default)]
 pub(super) struct Members {
     entries: Map<Arc<str>, Entry>,
@@ -35,6 +35,11 @@
             .is_some_and(|entry| entry.stored && entry.member.describes(profile))
     }
 
+    /// Returns whether the store may hold a row of a worker, of any of its processes.
+    pub(super) fn has_row(&self, id: &Arc<str>) -> bool {
+        self.entries.contains_key(id)
+    }
+
     fn restore(&mut self, members: &[Member]) {
         let stored = members.iter().map(|member| {
             let entry = Entry {
@@ -46,19 +51,20 @@
         self.entries.extend(stored);
     }
 
-    /// Takes the changes by which the store will hold `workers`, and of the others only those in
-    /// `kept`.
+    /// Takes the changes by which the store will hold those of `workers` that have answered, and of
+    /// the others only those in `kept`. A row that exists stays as long as its worker is known.
     fn take_changes<'a>(
         &mut self,
-        workers: impl Iterator<Item = &'a Profile>,
+        workers: impl Iterator<Item = &'a Worker>,
         kept: impl Fn(&Arc<str>) -> bool,
     ) -> MemberChanges {
         let mut changes = MemberChanges::default();
         let mut wanted: Set<&Arc<str>> = Set::default();
-        for profile in workers {
-            wanted.insert(&profile.id);
-            if !self.contains(profile) && changes.added.len() < MAX_CHANGES {
-                changes.added.push(Member::from(profile));
+        for worker in workers {
+            wanted.insert(&worker.profile.id);
+            let is_new = worker.answered_at.is_some() && !self.contains(&worker.profile);
+            if is_new && changes.added.len() < MAX_CHANGES {
+                changes.added.push(Member::from(&worker.profile));
             }
         }
         let outdated = self.entries.keys();
@@ -120,10 +126,9 @@
                 .values()
                 .all(|worker| worker.is_member == self.members.contains(&worker.profile))
         );
-        let workers = self.workers.values().map(|worker| &worker.profile);
         let uncontacted = &self.uncontacted;
         self.members
-            .take_changes(workers, |id| uncontacted.contains_key(id))
+            .take_changes(self.workers.values(), |id| uncontacted.contains_key(id))
     }
 
     /// Records that the changes taken last are stored.
@@ -142,9 +147,18 @@
         worker.is_member = self.members.contains(&worker.profile);
     }
 
-    /// Returns whether a registered worker is not stored as a member, so that it gets no starts.
+    /// Returns whether a registered worker that has answered is not stored as a member, so that it
+    /// gets no starts.
     pub fn has_unstored_members(&self) -> bool {
-        let mut listed = self.workers.values().filter(|worker| !worker.delisted);
-        listed.any(|worker| !worker.is_member)
+        self.workers.values().any(must_be_stored)
+    }
+
+    /// Returns whether that holds for one worker.
+    pub fn is_unstored_member(&self, key: WorkerKey) -> bool {
+        self.workers.get(key).is_some_and(must_be_stored)
     }
 }
+
+fn must_be_stored(worker: &Worker) -> bool {
+    !worker.delisted && worker.answered_at.is_some() && !worker.is_member
+}
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -154,6 +154,9 @@
 fn process_answer(term: &Term, key: WorkerKey, snapshot: &Snapshot, sent: Instant) -> Duration {
     let mut engine = term.engine();
     engine.process_poll(key, snapshot, sent, unix_time_ms(), clock::now());
+    if engine.is_unstored_member(key) {
+        term.renewal_wake.notify_one();
+    }
     if engine.has_unstored_ends(key) {
         STORE_PAUSE
     } else {
--- a/tests/batch/members.rs
+++ b/tests/batch/members.rs
@@ -1,6 +1,6 @@
 use coriandernotch::batch::{Member, State};
 
-use crate::simulation::{Simulation, lasting, profile, record, step};
+use crate::simulation::{START_MS, Simulation, config, lasting, profile, record, step};
 use crate::takeover::{next_leader, running_progress};
 
 /// Creates a leader with two workers that are stored as members, and a job with one lasting task.
@@ -61,6 +61,29 @@
     assert_eq!(sim.renew().removed, [worker]);
 }
 
+/// Guards against a new leader that waits for an entry at which no worker has ever answered. Tasks
+/// of its service that the previous leader had not started waited for 16 s.
+#[test]
+fn does_not_wait_for_an_entry_at_which_no_worker_has_answered() {
+    let mut old = Simulation::with_workers(1);
+    old.add(profile("odd", "s"));
+    old.workers.get_mut("odd").unwrap().silent = true;
+    old.run(100);
+    let members = old.renew().added;
+    let mut sim = Simulation::new(2, config());
+    (sim.now, sim.workers) = (old.now, old.workers.clone());
+    let job = Some(running_progress());
+    sim.engine
+        .load_job(&"j".into(), record(vec![step(1)]), job, START_MS, sim.now);
+    for id in ["i-0", "odd"] {
+        sim.engine.update_worker(profile(id, "s"));
+    }
+    sim.engine.restore_members(members);
+    sim.engine.inherit(&[], false, sim.now);
+    sim.run(300);
+    assert_eq!(sim.starts_of("j", 0, 0), 1);
+}
+
 /// Guards against a start that the next leader could not find: the worker is not stored yet when
 /// the leader crashes, and its registration expires.
 #[test]
--- a/tests/batch/pools.rs
+++ b/tests/batch/pools.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriandernotch::batch::{Config, Machine, State};
+use coriandernotch::batch::{Config, Machine, Member, State};
 use coriandernotch::clock::Instant;
 
 use crate::simulation::{Simulation, config, lasting, profile, record, route, step};
@@ -225,8 +225,10 @@
     let mut sim = Simulation::new(2, fleet_config());
     let mut lent = profile("i-0", "s");
     lent.machine = "x".into();
+    let members = vec![Member::from(&lent), Member::from(&profile("i-1", "s"))];
     sim.add(lent);
     sim.add(profile("i-1", "s"));
+    sim.engine.restore_members(members);
     sim.engine
         .set_machines(vec![machine("x", "s"), machine("m-i-1", "s")]);
     sim.engine
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriandernotch::batch::{Occupancy, Progress, State, TaskId};
+use coriandernotch::batch::{Member, Occupancy, Progress, State, TaskId};
 
 use crate::simulation::{START_MS, Simulation, config, lasting, profile, record, step};
 
@@ -20,9 +20,12 @@
     }
     let mut ids: Vec<_> = sim.workers.keys().cloned().collect();
     ids.sort();
+    let members = ids.iter().map(|id| Member::from(&profile(id, "s")));
+    let members = members.collect();
     for id in ids {
         sim.engine.update_worker(profile(&id, "s"));
     }
+    sim.engine.restore_members(members);
     sim
 }
 
--- a/tests/takeover_model/poll.rs
+++ b/tests/takeover_model/poll.rs
@@ -49,9 +49,11 @@
             return;
         };
         let engine = &mut term.engine;
+        let mut must_renew = false;
         let pause = match answer {
             WorkerAnswer::Snapshot(snapshot) => {
                 engine.process_poll(key, snapshot, call.sent, wall_ms, now);
+                must_renew = engine.is_unstored_member(key);
                 if engine.has_unstored_ends(key) {
                     STORE_PAUSE
                 } else {
@@ -68,6 +70,9 @@
                 RETRY_DELAY
             }
         };
+        if must_renew {
+            self.renew(instance);
+        }
         self.wake_scheduler(instance);
         self.set_timer(instance, pause, Timer::Poll(key));
     }
