Do not take a refused connection for the end of a worker

Half a second after a link to some workers was cut off with resets, the leader started their tasks elsewhere, while the first runs went on until their leases expired.

Cause: two refused connections 150 ms apart counted as proof that the process of a worker had ended. A link that is cut off refuses connections too. The same evidence let a new leader drop a worker of its predecessor.

Change: a refused connection counts as a missing answer, so the runs are released when the lease has expired. The answer of another process at the address is still taken as proof. In the takeover model a call to a crashed process is now refused without naming a successor.

Related paths: record_replaced_process is now called only for an answer of another process and for a worker whose start time has changed.

--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -5,8 +5,9 @@
 use crate::clock::Instant;
 use crate::collections::Set;
 
-/// Time for which a process must be found missing before it counts as ended.
-const CONFIRM_ABSENT_AFTER: Duration = Duration::from_millis(150);
+/// Time for which another process must be found at the address of a worker before its process counts
+/// as ended.
+const CONFIRM_REPLACED_AFTER: Duration = Duration::from_millis(150);
 
 impl Engine {
     /// Processes the answer of a worker to a poll sent at `sent`.
@@ -28,7 +29,7 @@
         }
         if restarted && self.sole_leader_until(now) < now {
             // A newer leader may have read the ends of the old process.
-            return self.record_missing_process(key, sent, now);
+            return self.record_replaced_process(key, sent, now);
         }
         let longest_expiry = self.longest_lease_expiry();
         let worker = &mut self.workers[key];
@@ -84,7 +85,7 @@
         (worker.answered_at, worker.responded_at) = (Some(now), Some(now));
         worker.unreachable = false;
         worker.answered_address = Some(worker.profile.address.clone());
-        worker.absent_since = None;
+        worker.replaced_since = None;
         worker.lists_ends = !snapshot.ended.is_empty();
         worker.lists_runs = !snapshot.running.is_empty();
         // While there are more ends, a task may have ended there without being listed yet.
@@ -241,13 +242,13 @@
         }
     }
 
-    /// Records that a call sent at `sent` found the process of a worker missing: nothing listens at
-    /// its address, or a newer process does. Its runs have ended with it, so there is no need to wait
-    /// for the lease to expire.
+    /// Records that another process answered a call sent at `sent` to the address of a worker. The
+    /// runs of the worker have ended with its process, so there is no need to wait for the lease to
+    /// expire. A refused connection shows no such thing: the link to the worker may be cut off.
     ///
     /// A process that has answered since then is at another address, and the call went to that of
     /// its predecessor. An address at which none has answered proves nothing either.
-    pub fn record_missing_process(&mut self, key: WorkerKey, sent: Instant, now: Instant) {
+    pub fn record_replaced_process(&mut self, key: WorkerKey, sent: Instant, now: Instant) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
         };
@@ -258,13 +259,13 @@
         if !worker.has_answered_at_its_address() {
             return;
         }
-        let absent_since = *worker.absent_since.get_or_insert(now);
+        let replaced_since = *worker.replaced_since.get_or_insert(now);
         let id = worker.profile.id.clone();
-        if self.sole_leader_until(now).since(absent_since) < CONFIRM_ABSENT_AFTER {
+        if self.sole_leader_until(now).since(replaced_since) < CONFIRM_REPLACED_AFTER {
             return;
         }
         self.uncontacted.remove(&id);
-        self.lose_runs(key, "no process at its address");
+        self.lose_runs(key, "another process at its address");
     }
 }
 
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -35,8 +35,8 @@
     pub(super) answered_address: Option<Arc<str>>,
     /// Whether the last call got no answer.
     pub(super) unreachable: bool,
-    /// When its process was first found missing since the last answer.
-    pub(super) absent_since: Option<Instant>,
+    /// When another process was first found at its address since the last answer.
+    pub(super) replaced_since: Option<Instant>,
     /// Number of the latest list of silent workers that contains it; 0 if there is none.
     pub(super) silent_report: u64,
     /// Whether it counts as gone: the store no longer lists it, or its machine was shut down.
@@ -85,7 +85,7 @@
             answered_address: None,
             unreachable: false,
             silent_report: 0,
-            absent_since: None,
+            replaced_since: None,
             delisted: false,
             shut_down_at: None,
             is_member: false,
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -180,12 +180,15 @@
     log::debug!(event = "poll-failed", fault:% = fault; "");
     match fault {
         Fault::Refused { status: 409, .. } => term.end("a worker knows a newer leader"),
-        // Another process answers at the address, or none does.
-        Fault::Refused { status: 421, .. } | Fault::Absent { .. } => {
+        // Another process answers at the address.
+        Fault::Refused { status: 421, .. } => {
             let mut engine = term.engine();
-            engine.record_missing_process(key, sent, clock::now());
+            engine.record_replaced_process(key, sent, clock::now());
         }
-        Fault::Refused { .. } | Fault::Unsent { .. } | Fault::Unknown { .. } => {
+        Fault::Refused { .. }
+        | Fault::Absent { .. }
+        | Fault::Unsent { .. }
+        | Fault::Unknown { .. } => {
             term.engine().record_no_answer(key);
         }
     }
--- a/src/platform/api/fault.rs
+++ b/src/platform/api/fault.rs
@@ -13,7 +13,7 @@
         /// Description of the cause.
         reason: String,
     },
-    /// The connection was refused: the process that listened at the address has ended.
+    /// The connection was refused: no process listens at the address, or the link to it is cut off.
     #[error("step={step} peer={peer}: connection refused")]
     Absent {
         /// Name of the call.
--- a/src/platform/api/link.rs
+++ b/src/platform/api/link.rs
@@ -175,7 +175,7 @@
     }
 }
 
-/// Returns whether the peer refused the connection because no process listens on the port.
+/// Returns whether the connection was refused, by the peer or by a link that is cut off.
 fn is_connection_refused(error: &(dyn std::error::Error + Send + Sync + 'static)) -> bool {
     let error = error.downcast_ref::<std::io::Error>();
     error.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
--- a/tests/batch/ends.rs
+++ b/tests/batch/ends.rs
@@ -145,10 +145,10 @@
     assert_eq!(sim.starts.len(), 2, "failed polls do not renew the lease");
 }
 
-/// Guards against waiting for the lease of a crashed worker to expire although its process is known
-/// to be gone.
+/// Guards against waiting for the lease of a worker to expire although another process is known to
+/// have its address.
 #[test]
-fn restarts_elsewhere_at_once_when_the_process_is_gone() {
+fn restarts_elsewhere_at_once_when_the_process_is_replaced() {
     let mut sim = Simulation::with_workers(2);
     sim.accept("j", record(vec![step(1)]));
     sim.run(50);
@@ -156,11 +156,11 @@
     sim.workers.get_mut(&worker).unwrap().silent = true;
     let addresses = sim.engine.worker_addresses();
     let key = addresses.iter().find(|(_, id, _)| *id == worker).unwrap().0;
-    sim.engine.record_missing_process(key, sim.now, sim.now);
+    sim.engine.record_replaced_process(key, sim.now, sim.now);
     sim.run(100);
-    assert_eq!(sim.starts.len(), 1, "one failed connection is not proof");
+    assert_eq!(sim.starts.len(), 1, "one such answer is not proof");
     sim.run(100);
-    sim.engine.record_missing_process(key, sim.now, sim.now);
+    sim.engine.record_replaced_process(key, sim.now, sim.now);
     sim.run(50);
     assert_eq!(sim.starts.len(), 2);
     assert_ne!(sim.starts[1].0, worker);
--- a/tests/batch/restart.rs
+++ b/tests/batch/restart.rs
@@ -235,10 +235,10 @@
     sim.engine
         .record_start_outcome(run, &Reply::Started, None, sim.now);
     sim.now = sim.now + Duration::from_millis(10);
-    sim.engine.record_missing_process(key, sent, sim.now);
+    sim.engine.record_replaced_process(key, sent, sim.now);
     sim.now = sim.now + Duration::from_millis(200);
     sim.renew();
-    sim.engine.record_missing_process(key, sim.now, sim.now);
+    sim.engine.record_replaced_process(key, sim.now, sim.now);
     sim.add(profile("other", "s"));
     answer_other(&mut sim);
     sim.renew();
@@ -264,7 +264,7 @@
     sim.engine.update_worker(older);
     sim.workers.get_mut(&id).unwrap().silent = true;
     for _ in 0..5 {
-        sim.engine.record_missing_process(key, sim.now, sim.now);
+        sim.engine.record_replaced_process(key, sim.now, sim.now);
         sim.run(200);
     }
     assert_eq!(sim.starts.len(), 1);
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -24,6 +24,7 @@
 mod platform;
 mod port;
 mod process;
+mod refused_connections;
 mod retention;
 mod run;
 mod silent_connections;
--- a/tests/entry/standin.rs
+++ b/tests/entry/standin.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use tokio::net::TcpListener;
+use tokio::task::{AbortHandle, JoinSet};
 
 /// A request to a stand-in.
 pub(crate) struct Call {
@@ -34,9 +35,33 @@
     }
 }
 
+/// The port of a stand-in.
+pub(crate) struct Server {
+    pub(crate) address: SocketAddr,
+    /// Task that owns the listener and the connections.
+    accepting: AbortHandle,
+}
+
+impl Server {
+    /// Closes the connections and refuses new ones from now on. Exchanges end without a response.
+    pub(crate) fn close(&self) {
+        self.accepting.abort();
+    }
+}
+
 /// Serves a stand-in on a free port. If `respond` returns `None`, the connection is closed without
 /// a response.
 pub(crate) async fn serve<F, R, B>(respond: F) -> SocketAddr
+where
+    F: Fn(Call) -> R + Send + Sync + 'static,
+    R: Future<Output = Option<(u16, B)>> + Send + 'static,
+    B: ToString + Send + 'static,
+{
+    open(respond).await.address
+}
+
+/// Serves a stand-in like [`serve`], on a port that can be closed.
+pub(crate) async fn open<F, R, B>(respond: F) -> Server
 where
     F: Fn(Call) -> R + Send + Sync + 'static,
     R: Future<Output = Option<(u16, B)>> + Send + 'static,
@@ -45,13 +70,15 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let respond = Arc::new(respond);
-    tokio::spawn(async move {
+    let accepting = tokio::spawn(async move {
+        let mut connections = JoinSet::new();
         for connection in 0.. {
             let Ok((stream, _)) = listener.accept().await else {
                 return;
             };
+            while connections.try_join_next().is_some() {}
             let respond = respond.clone();
-            tokio::spawn(async move {
+            connections.spawn(async move {
                 let handle = |request| handle_request(respond.clone(), connection, request);
                 let service = service_fn(handle);
                 // Fails for a connection that is closed without a response.
@@ -61,7 +88,10 @@
             });
         }
     });
-    address
+    Server {
+        address,
+        accepting: accepting.abort_handle(),
+    }
 }
 
 async fn handle_request<F, R, B>(
--- a/tests/entry/worker.rs
+++ b/tests/entry/worker.rs
@@ -9,7 +9,7 @@
 
 use crate::end::End;
 use crate::run::Run;
-use crate::standin::{Call, serve};
+use crate::standin::{Call, Server, open};
 
 /// Maximum number of ends in one answer.
 const MAX_LISTED_ENDS: usize = 500;
@@ -44,6 +44,8 @@
     random: Random,
     /// Highest run of each task that was stopped or has ended here.
     past_runs: HashMap<String, u64>,
+    /// Its port, from the start of the stand-in.
+    server: Option<Server>,
 }
 
 impl Worker {
@@ -59,6 +61,7 @@
             lost_percent: 0,
             random: Random::new(0),
             past_runs: HashMap::new(),
+            server: None,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -75,11 +78,20 @@
 
     pub(crate) async fn start(&self) -> SocketAddr {
         let worker = self.clone();
-        serve(move |call| {
+        let server = open(move |call| {
             let worker = worker.clone();
             async move { Some(worker.respond(call).await) }
         })
-        .await
+        .await;
+        let address = server.address;
+        self.state.lock().unwrap().server = Some(server);
+        address
+    }
+
+    /// Closes the connections to the worker and refuses new ones, while its runs go on.
+    pub(crate) fn cut_off(&self) {
+        let state = self.state.lock().unwrap();
+        state.server.as_ref().expect("the worker is served").close();
     }
 
     /// Returns task and run number of each start that was carried out.
--- a/tests/takeover_model/platform.rs
+++ b/tests/takeover_model/platform.rs
@@ -127,9 +127,15 @@
             }
             return;
         }
-        if !worker.up || worker.id != call.id {
+        if !worker.up {
             if answered {
-                self.answer_worker_call(call, WorkerAnswer::Missing);
+                self.answer_worker_call(call, WorkerAnswer::Unsent);
+            }
+            return;
+        }
+        if worker.id != call.id {
+            if answered {
+                self.answer_worker_call(call, WorkerAnswer::Replaced);
             }
             return;
         }
@@ -277,7 +283,7 @@
             Self::Started(reply, _) => reply.clone(),
             Self::Unsent => Reply::Unsent,
             Self::Fenced => Reply::Fenced,
-            Self::Missing => Reply::Replaced,
+            Self::Replaced => Reply::Replaced,
             Self::None | Self::Snapshot(_) | Self::Stopped => Reply::Unknown,
         }
     }
--- a/tests/takeover_model/poll.rs
+++ b/tests/takeover_model/poll.rs
@@ -61,8 +61,8 @@
                 }
             }
             WorkerAnswer::Fenced => return self.end_term(instance),
-            WorkerAnswer::Missing => {
-                engine.record_missing_process(key, call.sent, now);
+            WorkerAnswer::Replaced => {
+                engine.record_replaced_process(key, call.sent, now);
                 RETRY_DELAY
             }
             _ => {
--- a/tests/takeover_model/worker_answer.rs
+++ b/tests/takeover_model/worker_answer.rs
@@ -9,9 +9,9 @@
     Stopped,
     /// The worker has seen a newer leader.
     Fenced,
-    /// Another process, or none, answers at the address.
-    Missing,
-    /// The call was not sent.
+    /// Another process answers at the address.
+    Replaced,
+    /// The call was not sent. The connection may have been refused.
     Unsent,
     /// There is no answer.
     None,
