Begin no occurrence of a job that has ended

What callers saw: a cancel was answered with 200 and the job was shown as cancelled, but occurrences that came due while its runs were being stopped were started, and their tasks again and again (rules UNASKED and TWICE).

Cause: a job that has ended stays in the engine until its runs are gone and its end is stored. begin_due_occurrences did not look at its state, so its steps became ready again; successes of an ended job are ignored, so each task that ended counted as waiting. If the job was removed in between, the entries in ready_stages stayed and the next scheduling round panicked, which ended the term of the leader.

Change: no occurrence of a job is due after its end. Occurrences begin in two other places, which both look at the state already: when a worker lists a run of a later one (begin_occurrences_until), and when a job is loaded, where an ended one is not kept.

--- a/src/batch/engine/job.rs
+++ b/src/batch/engine/job.rs
@@ -57,11 +57,14 @@
         (work.sum::<f64>() as u64).min(MAX_WORK)
     }
 
-    /// Returns whether the next scheduled occurrence is due.
+    /// Returns whether the next scheduled occurrence is due. A job that has ended begins no further
+    /// ones, although it is kept until its runs have stopped and its end is stored.
     pub(super) fn is_occurrence_due(&self, wall_ms: u64) -> bool {
         let spec = &self.record.spec;
         let due_ms = spec.due_ms(self.next_occurrence);
-        self.next_occurrence < spec.occurrence_count() && due_ms.is_some_and(|at| at <= wall_ms)
+        !self.state.is_final()
+            && self.next_occurrence < spec.occurrence_count()
+            && due_ms.is_some_and(|at| at <= wall_ms)
     }
 
     /// Counts the tasks of its occurrences that are not done.
--- a/tests/batch/occurrences.rs
+++ b/tests/batch/occurrences.rs
@@ -61,3 +61,43 @@
 fn counts_ends_of_an_occurrence_that_is_not_due_by_its_clock() {
     assert_eq!(hand_over(300), 2);
 }
+
+/// Runs a job whose second occurrence is due a second after the first, which `end` ends before that,
+/// on a leader that cannot store the end yet. Returns the number of starts.
+fn starts_after_end(end: impl Fn(&mut Simulation), first_ms: u64) -> usize {
+    let mut sim = Simulation::with_workers(2);
+    sim.run_ms = 3_000;
+    sim.accept("j", recurring_job());
+    sim.run(first_ms);
+    sim.store_unavailable = true;
+    end(&mut sim);
+    sim.run(8_000);
+    sim.store_unavailable = false;
+    sim.run(8_000);
+    assert!(sim.ended.contains_key("j"));
+    sim.starts.len()
+}
+
+/// Guards against beginning an occurrence of a cancelled job that comes due before the cancellation
+/// is stored and its runs have stopped. Its tasks were started again and again (rules UNASKED and
+/// TWICE).
+#[test]
+fn begins_no_occurrence_of_a_cancelled_job() {
+    let cancel = |sim: &mut Simulation| {
+        let wall = sim.wall_ms();
+        sim.engine.cancel_job(&"j".into(), wall, sim.now);
+    };
+    assert_eq!(starts_after_end(cancel, 700), 1);
+}
+
+/// Guards against the same fault after a task of the job has failed too often.
+#[test]
+fn begins_no_occurrence_of_a_failed_job() {
+    let fail = |sim: &mut Simulation| {
+        for worker in sim.workers.values_mut() {
+            worker.fails = true;
+        }
+    };
+    // The task fails three times, which is the limit, before the second occurrence is due.
+    assert_eq!(starts_after_end(fail, 0), 3);
+}
