Reset connections whose call was given up

What callers saw: the platform carried out an order for a machine of a leader that had been cut off about two seconds after an order for the same machine of its successor (rule ONE). The old leader had given the call up six seconds before and ended its term.

Cause: a call that is given up drops its connection, which hyper closes in the ordinary way. The system goes on sending what the cut has held up, so the order arrives when the cut ends. The times for which leaders keep apart assume that an order that was given up no longer arrives.

--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -23,6 +23,7 @@
 mod objects;
 mod percent;
 mod pool;
+mod stream;
 mod table;
 
 pub use client::Client;
--- a/src/platform/http/connection.rs
+++ b/src/platform/http/connection.rs
@@ -4,9 +4,10 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use super::stream::Stream;
+
 /// HTTP/1.1 connection; a spawned task performs its reads and writes.
 pub(in crate::platform) struct Connection {
     pub(in crate::platform) sender: SendRequest<Full<Bytes>>,
@@ -23,7 +24,7 @@
         let stream = stream.into_std()?;
         let probe = stream.try_clone()?;
         let stream = TcpStream::from_std(stream)?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = handshake(Stream::new(stream)?).await?;
         tokio::spawn(connection);
         Ok(Self { sender, probe })
     }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of entry instances on a stand-in of the platform, and of the clients in `platform::api`.
 
+mod abandoned_calls;
 mod contract;
 mod end;
 mod fleet;
