Let the steps that need advice take turns

Cause: the next question was about the first step that needs advice, in a fixed order, 500 ms after the last question about it was sent. An answer that takes longer than that found the first step due again each time.

Change: steps take turns, new ones first. The answer that a worker may not run a step is kept for 5 s, so the service is asked about a hopeless step once and not without end.

The same cause on related paths, in the same functions: a step was not asked about while any ticket was valid, even if its workers were lost or full; and only the 30 freest workers were ever named. Now workers without a known answer are named, those with room first, as long as no worker with a ticket has room.

--- a/src/batch/engine/advise.rs
+++ b/src/batch/engine/advise.rs
@@ -1,82 +1,159 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Engine, StageKey};
-use crate::batch::{Question, TaskId};
+use super::denial::Denial;
+use super::{Engine, StageKey, Worker};
+use crate::batch::{Question, TaskId, WorkerKey};
 use crate::clock::Instant;
 
 /// Maximum number of workers in one question; each adds to the response time.
 const MAX_WORKERS_PER_QUESTION: usize = 30;
 
-/// Time after which the advice service is asked again about a step.
+/// Time after which the advice service may be asked again about a step.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(500);
 
+/// Time after which the service is asked again whether a worker may run a step. The answer does not
+/// change for a worker process; this bounds the effect of a wrong one.
+const DENIAL_VALID_FOR: Duration = Duration::from_secs(5);
+
+/// Time by which a step that was never asked about goes before those that were. It is longer than
+/// [`DENIAL_VALID_FOR`], so steps that no worker may run keep no other step waiting.
+const NEW_STEP_HEAD_START: Duration = Duration::from_secs(10);
+
 impl Engine {
-    /// Returns the next question for the advice service.
+    /// Returns the next question for the advice service. The steps take turns, and each question
+    /// names workers that the service was not asked about for this step.
     pub fn next_question(&mut self, now: Instant) -> Option<Question> {
-        let stage_keys: Vec<StageKey> = self.ready_stages.values().flatten().copied().collect();
-        let stage_key = stage_keys
+        let stage_keys = self.ready_stages.values().flatten();
+        let waiting = stage_keys.filter(|stage_key| self.needs_advice(**stage_key, now));
+        let mut waiting: Vec<(Instant, StageKey)> = waiting
+            .map(|stage_key| (self.advice_turn(*stage_key), *stage_key))
+            .collect();
+        waiting.sort_by_key(|(turn, _)| *turn);
+        waiting
             .into_iter()
-            .find(|stage_key| self.needs_advice(*stage_key, now))?;
+            .find_map(|(_, stage_key)| self.ask_about(stage_key, now))
+    }
+
+    /// Makes a question about a step. Returns `None` if there are no workers to ask about.
+    fn ask_about(&mut self, stage_key: StageKey, now: Instant) -> Option<Question> {
+        let workers = self.workers_without_advice(stage_key, now);
+        let stage = self.stage_mut(stage_key)?;
+        stage.ask_from = now + ASK_AGAIN_AFTER;
+        if workers.is_empty() {
+            return None;
+        }
+        stage.asked_at = Some(now);
         let job = &self.jobs[stage_key.job];
-        let route = self.config.route_named(&job.record.route)?;
-        let advice = route.advice?;
-        let step = &job.record.spec.steps[stage_key.step as usize];
-        let is_suitable = |w: &&super::Worker| {
-            self.may_start(w, now) && step.label.as_ref().is_none_or(|label| w.has_label(label))
-        };
-        let workers = self.workers_of(&job.service).map(|(_, worker)| worker);
-        let mut workers: Vec<_> = workers.filter(is_suitable).collect();
-        workers.sort_by_key(|w| std::cmp::Reverse(w.free_capacity().processors));
-        workers.truncate(MAX_WORKERS_PER_QUESTION);
-        let workers: Vec<Arc<str>> = workers.iter().map(|w| w.profile.id.clone()).collect();
+        let advice = self.config.route_named(&job.record.route)?.advice?;
         let count = u32::try_from(workers.len()).unwrap_or(u32::MAX);
-        let task = TaskId {
-            job: job.id.clone(),
-            occurrence: stage_key.occurrence,
-            step: stage_key.step,
-            index: 0,
-        };
-        self.stage_mut(stage_key)?.asked_at = Some(now);
         Some(Question {
-            task,
+            task: TaskId {
+                job: job.id.clone(),
+                occurrence: stage_key.occurrence,
+                step: stage_key.step,
+                index: 0,
+            },
             workers,
             expected_time: advice.decide + advice.each * count,
         })
     }
 
+    /// Returns the time by which steps take turns.
+    fn advice_turn(&self, stage_key: StageKey) -> Instant {
+        let known_since = self.jobs[stage_key.job].known_since;
+        let stage = self.stage(stage_key.job, stage_key.occurrence, stage_key.step);
+        let asked_at = stage.and_then(|stage| stage.asked_at);
+        asked_at.map_or(known_since, |at| at + NEW_STEP_HEAD_START)
+    }
+
+    /// Returns whether a step waits for a worker with a ticket and has room on none.
     fn needs_advice(&self, stage_key: StageKey, now: Instant) -> bool {
-        let Some(job) = self.jobs.get(stage_key.job) else {
+        let stage = self.stage(stage_key.job, stage_key.occurrence, stage_key.step);
+        let Some(stage) = stage.filter(|_| self.needs_ticket(stage_key)) else {
             return false;
         };
-        let uses_advice = self
-            .config
-            .route_named(&job.record.route)
-            .is_some_and(|route| route.advice.is_some());
-        let Some(stage) = self.stage(stage_key.job, stage_key.occurrence, stage_key.step) else {
-            return false;
+        let step = &self.jobs[stage_key.job].record.spec.steps[stage_key.step as usize];
+        let has_room = |key: &WorkerKey| {
+            let worker = self.workers.get(*key);
+            worker.is_some_and(|worker| self.may_start(worker, now))
+                && self
+                    .step_exclusion(stage_key, step, *key, true, now)
+                    .is_none()
         };
-        uses_advice
-            && stage
-                .asked_at
-                .is_none_or(|at| now.since(at) > ASK_AGAIN_AFTER)
+        stage.ask_from <= now
             && stage.tasks.iter().any(|task| task.is_waiting(now))
-            && !stage.tickets.values().any(|(_, until)| *until > now)
+            && !stage.tickets.keys().any(has_room)
     }
 
-    /// Records the tickets for a step, which are valid until `until`.
+    /// Lists the ids of some workers that may be able to run a step, and of which it is not known
+    /// whether they are allowed to: those with room first, and of these the freest. If others are
+    /// allowed and only lack room, workers without room are left out.
+    fn workers_without_advice(&self, stage_key: StageKey, now: Instant) -> Vec<Arc<str>> {
+        let Some(stage) = self.stage(stage_key.job, stage_key.occurrence, stage_key.step) else {
+            return Vec::new();
+        };
+        let job = &self.jobs[stage_key.job];
+        let step = &job.record.spec.steps[stage_key.step as usize];
+        let has_ticket = |key: &WorkerKey| {
+            let ticket = stage.tickets.get(key);
+            ticket.is_some_and(|(_, until)| *until > now)
+        };
+        let is_denied = |key: &WorkerKey, worker: &Worker| {
+            let denial = stage.denials.get(key);
+            denial.is_some_and(|denial| denial.until > now && denial.born_ms == worker.born_ms)
+        };
+        let is_unknown = |(key, worker): &(WorkerKey, &Worker)| {
+            self.may_start(worker, now)
+                && step.label.iter().all(|label| worker.has_label(label))
+                && !has_ticket(key)
+                && !is_denied(key, worker)
+        };
+        let needs_room = stage.tickets.iter().any(|(key, (_, until))| {
+            let worker = self.workers.get(*key);
+            *until > now && worker.is_some_and(|worker| self.may_start(worker, now))
+        });
+        let mut workers: Vec<(bool, u64, &Arc<str>)> = self
+            .workers_of(&job.service)
+            .filter(is_unknown)
+            .map(|(key, worker)| {
+                let exclusion = self.step_exclusion(stage_key, step, key, false, now);
+                let free = worker.free_capacity().processors;
+                (exclusion.is_none(), free, &worker.profile.id)
+            })
+            .filter(|(has_room, ..)| *has_room || !needs_room)
+            .collect();
+        workers.sort_by_key(|(has_room, free, _)| std::cmp::Reverse((*has_room, *free)));
+        let ids = workers.into_iter().map(|(.., id)| id.clone());
+        ids.take(MAX_WORKERS_PER_QUESTION).collect()
+    }
+
+    /// Records an answer of the advice service that arrived at `now`: the tickets of the workers that
+    /// may run the step, which are valid until `until`. The other workers that were named may not.
     pub fn record_tickets(
         &mut self,
         question: &Question,
         good: &[(Arc<str>, Arc<str>)],
         until: Instant,
+        now: Instant,
     ) {
         let Some(&job) = self.job_ids.get(&question.task.job) else {
             return;
         };
+        let key_of = |id: &Arc<str>| self.worker_ids.get(id).copied();
         let tickets: Vec<_> = good
             .iter()
-            .filter_map(|(id, ticket)| Some((*self.worker_ids.get(id)?, (ticket.clone(), until))))
+            .filter_map(|(id, ticket)| Some((key_of(id)?, (ticket.clone(), until))))
+            .collect();
+        let denial = |key: WorkerKey| Denial {
+            born_ms: self.workers[key].born_ms,
+            until: now + DENIAL_VALID_FOR,
+        };
+        let is_denied = |id: &&Arc<str>| !good.iter().any(|(named, _)| named == *id);
+        let denied = question.workers.iter().filter(is_denied);
+        let denials: Vec<_> = denied
+            .filter_map(key_of)
+            .map(|key| (key, denial(key)))
             .collect();
         let stage_key = StageKey {
             job,
@@ -84,7 +161,12 @@
             step: question.task.step,
         };
         if let Some(stage) = self.stage_mut(stage_key) {
-            stage.tickets = tickets.into_iter().collect();
+            stage.tickets.retain(|_, (_, until)| *until > now);
+            stage.tickets.extend(tickets);
+            stage.denials.retain(|_, denial| denial.until > now);
+            stage.denials.extend(denials);
+            // A step with more workers to ask about waits for its turn only.
+            stage.ask_from = now;
         }
     }
 }
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -9,6 +9,7 @@
 mod contact;
 mod deferral;
 mod demand;
+mod denial;
 mod emptying;
 mod end;
 mod exclusion;
--- a/src/batch/engine/stage.rs
+++ b/src/batch/engine/stage.rs
@@ -1,4 +1,5 @@
 use super::Task;
+use super::denial::Denial;
 use crate::batch::{JobKey, Step, WorkerKey};
 use crate::clock::Instant;
 use crate::collections::Map;
@@ -21,8 +22,11 @@
     pub(super) ready: bool,
     /// Ticket of each worker that may run the step, and when it expires.
     pub(super) tickets: Map<WorkerKey, (std::sync::Arc<str>, Instant)>,
-    /// When the advice service was last asked.
+    /// Workers that may not run the step.
+    pub(super) denials: Map<WorkerKey, Denial>,
+    /// When the advice service was last asked, and from when it may be asked again.
     pub(super) asked_at: Option<Instant>,
+    pub(super) ask_from: Instant,
 }
 
 impl Stage {
@@ -32,7 +36,9 @@
             unfinished: step.count as usize,
             ready: false,
             tickets: Map::default(),
+            denials: Map::default(),
             asked_at: None,
+            ask_from: Instant::default(),
         }
     }
 }
--- a/src/entry/advise.rs
+++ b/src/entry/advise.rs
@@ -33,7 +33,7 @@
         {
             Ok((usable, validity)) => {
                 term.engine()
-                    .record_tickets(&question, &usable, sent + validity);
+                    .record_tickets(&question, &usable, sent + validity, clock::now());
                 term.placement_wake.notify_one();
             }
             Err(fault) => {
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -1,5 +1,6 @@
 //! Scheduling of jobs with simulated workers and simulated time.
 
+mod advice;
 mod contender;
 mod cost;
 mod emptying;
--- a/tests/batch/place.rs
+++ b/tests/batch/place.rs
@@ -157,7 +157,7 @@
     assert_eq!(question.workers.len(), 2);
     let good = [("i-1".into(), "ticket".into())];
     let until = sim.now + Duration::from_secs(1);
-    sim.engine.record_tickets(&question, &good, until);
+    sim.engine.record_tickets(&question, &good, until, sim.now);
     sim.run(50);
     assert_eq!(&*sim.starts[0].0, "i-1");
 }
