Do not take a member for gone whose listed address is another's

An older registration that is stored late names the address of an earlier process, so the tasks of a worker that runs elsewhere would have started twice (rule TWICE).

Change: without an answer of the worker itself, such an answer counts only if the previous leader has stored that address with that start time for it.

Measured: members::waits_for_a_member_that_is_listed_at_another_address fails before (the task starts elsewhere) and passes after; all tests of tests/batch and the takeover model pass.

--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -247,7 +247,8 @@
     /// expire. A refused connection shows no such thing: the link to the worker may be cut off.
     ///
     /// A process that has answered since then is at another address, and the call went to that of
-    /// its predecessor. An address at which none has answered proves nothing either.
+    /// its predecessor. An address at which none has answered proves nothing either, unless the
+    /// previous leader has stored it as that of the process.
     pub fn record_replaced_process(&mut self, key: WorkerKey, sent: Instant, now: Instant) {
         let Some(worker) = self.workers.get_mut(key) else {
             return;
@@ -256,7 +257,11 @@
             return;
         }
         worker.set_unreachable();
-        if !worker.has_answered_at_its_address() {
+        let is_its_address = match worker.answered_address {
+            Some(_) => worker.has_answered_at_its_address(),
+            None => worker.is_member,
+        };
+        if !is_its_address {
             return;
         }
         let replaced_since = *worker.replaced_since.get_or_insert(now);
--- a/tests/batch/members.rs
+++ b/tests/batch/members.rs
@@ -1,4 +1,4 @@
-use coriandernotch::batch::{Member, State};
+use coriandernotch::batch::{Member, Profile, State};
 
 use crate::simulation::{START_MS, Simulation, config, lasting, profile, record, step};
 use crate::takeover::{next_leader, running_progress};
@@ -61,6 +61,29 @@
     assert_eq!(sim.renew().removed, [worker]);
 }
 
+/// Guards against taking a member for gone because another process has the address under which it
+/// is listed. An older registration that is stored late names the address of an earlier process, and
+/// a new leader has no answer yet that shows where the member is (rule TWICE).
+#[test]
+fn waits_for_a_member_that_is_listed_at_another_address() {
+    let (old, members, worker) = leader_with_task();
+    let mut sim = next_leader(&old, &[("j", lasting(1), running_progress())]);
+    let older = Profile {
+        born_ms: 0,
+        address: "127.0.0.1:2".into(),
+        ..profile(&worker, "s")
+    };
+    let key = sim.engine.update_worker(older);
+    sim.engine.restore_members(members);
+    sim.engine.inherit(&[], false, sim.now);
+    sim.workers.get_mut(&worker).unwrap().silent = true;
+    for _ in 0..5 {
+        sim.engine.record_replaced_process(key, sim.now, sim.now);
+        sim.run(200);
+    }
+    assert!(sim.starts.is_empty());
+}
+
 /// Guards against a new leader that waits for an entry at which no worker has ever answered. Tasks
 /// of its service that the previous leader had not started waited for 16 s.
 #[test]
