Restart tasks at once when the platform shows that their machine is down

What callers saw: since a refused connection is no proof any more, tasks of a crashed worker waited up to 4.6 s for its lease.

Cause: nothing else was asked whether the process had ended, although the platform lists the machine of a crashed worker as down and that of one that is cut off as running.

Change: while a worker with runs does not answer, the list of machines is read at once and then every 0.5 s. Its runs are released if its machine is listed as not running by a list that was asked for after the last response of the worker, and only while this leader is certainly the only one. A run whose start order may be in transit is kept. The takeover model lists crashed workers as stopped and follows the same rules.

Measured: restarts_a_task_at_once_whose_machine_is_not_running cannot be built before; keeps_a_run_whose_order_may_reach_the_next_process fails without its condition.

--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -22,6 +22,7 @@
 mod lease;
 mod listing;
 mod load;
+mod lost_machines;
 mod maintenance;
 mod members;
 mod need;
--- a/src/entry/maintenance.rs
+++ b/src/entry/maintenance.rs
@@ -12,8 +12,8 @@
 /// Time between two reads of the list of machines.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Time until the list of machines is read again after a failure. A new leader may wait for workers
-/// until two lists lack their machines.
+/// Time until the list of machines is read again after a failure, or while workers with runs do not
+/// answer. A new leader may wait for workers until two lists lack their machines.
 const LIST_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Time that the response to a call about machines may take.
@@ -26,12 +26,15 @@
         return;
     };
     let fleet = Fleet::new(address, &shared.settings.name);
-    let mut next_list = Instant::default();
+    // When the list is read next, and when it may be read earlier.
+    let (mut next_list, mut may_list_from) = (Instant::default(), Instant::default());
     loop {
         tokio::time::sleep(ROUND_INTERVAL).await;
         let now = clock::now();
-        if now >= next_list && term.may_send_orders() {
+        let must_list = now >= may_list_from && term.engine().awaits_machine_list();
+        if (must_list || now >= next_list) && term.may_send_orders() {
             next_list = now + list_machines(&term, &fleet).await;
+            may_list_from = now + LIST_RETRY_DELAY;
         }
         move_machines(&term, &fleet).await;
         let due = term.engine().maintenance_due();
@@ -64,9 +67,13 @@
 
 /// Reads the list of machines, and returns the time until it must be read again.
 async fn list_machines(term: &Term, fleet: &Fleet) -> Duration {
+    let sent = clock::now();
     match fleet.list(RESPONSE_TIMEOUT).await {
         Ok(machines) => {
-            term.engine().set_machines(machines);
+            let mut engine = term.engine();
+            engine.set_machines(machines);
+            engine.release_runs_on_stopped_machines(sent, clock::now());
+            term.placement_wake.notify_one();
             LIST_INTERVAL
         }
         Err(fault) => {
--- a/tests/takeover_model/machines.rs
+++ b/tests/takeover_model/machines.rs
@@ -7,6 +7,7 @@
 use crate::event::Event;
 use crate::platform::machine_name;
 use crate::timer::Timer;
+use crate::worker::Worker;
 use crate::world::World;
 
 /// Time between two reads of the list.
@@ -15,6 +16,9 @@
 /// Time until a leader that may not send orders tries again.
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time between two reads while workers with runs do not answer.
+const EARLY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time that the answer takes.
 const RESPONSE_TIME: Duration = Duration::from_millis(5);
 
@@ -32,25 +36,36 @@
             let list = Event::MachineList(process, self.machines());
             self.queue.push(self.now + RESPONSE_TIME, list);
         }
-        self.set_timer(instance, LIST_INTERVAL, Timer::ListMachines);
+        let term = self.instances[instance].term.as_ref();
+        let awaits_list = term.is_some_and(|term| term.engine.awaits_machine_list());
+        let interval = if awaits_list {
+            EARLY_INTERVAL
+        } else {
+            LIST_INTERVAL
+        };
+        self.set_timer(instance, interval, Timer::ListMachines);
     }
 
     pub(crate) fn set_machines(&mut self, instance: usize, machines: Vec<Machine>) {
+        let now = self.now;
         if let Some(term) = &mut self.instances[instance].term {
             term.engine.set_machines(machines);
+            let sent = now - RESPONSE_TIME;
+            term.engine.release_runs_on_stopped_machines(sent, now);
+            self.wake_scheduler(instance);
         }
     }
 
     fn machines(&self) -> Vec<Machine> {
         let listed = self.workers.iter();
         let listed = listed.filter(|worker| worker.has_listed_machine(self.now));
-        let machine = |address| Machine {
-            name: machine_name(address),
+        let machine = |worker: &Worker| Machine {
+            name: machine_name(worker.address),
             pool: "s".into(),
-            up: true,
+            up: worker.up || worker.is_lost(),
             processors: 4_000,
             data_centre: "a".into(),
         };
-        listed.map(|worker| machine(worker.address)).collect()
+        listed.map(machine).collect()
     }
 }
