--- a/src/batch/engine/advise.rs
+++ b/src/batch/engine/advise.rs
@@ -67,7 +67,7 @@
         asked_at.map_or(known_since, |at| at + NEW_STEP_HEAD_START)
     }
 
-    /// Returns whether a step waits for a worker with a ticket and has room on none.
+    /// Returns whether tasks of a step wait and no worker with a ticket has room for one.
     fn needs_advice(&self, stage_key: StageKey, now: Instant) -> bool {
         let stage = self.stage(stage_key.job, stage_key.occurrence, stage_key.step);
         let Some(stage) = stage.filter(|_| self.needs_ticket(stage_key)) else {
@@ -109,7 +109,7 @@
                 && !has_ticket(key)
                 && !is_denied(key, worker)
         };
-        let needs_room = stage.tickets.iter().any(|(key, (_, until))| {
+        let others_are_allowed = stage.tickets.iter().any(|(key, (_, until))| {
             let worker = self.workers.get(*key);
             *until > now && worker.is_some_and(|worker| self.may_start(worker, now))
         });
@@ -121,7 +121,7 @@
                 let free = worker.free_capacity().processors;
                 (exclusion.is_none(), free, &worker.profile.id)
             })
-            .filter(|(has_room, ..)| *has_room || !needs_room)
+            .filter(|(has_room, ..)| *has_room || !others_are_allowed)
             .collect();
         workers.sort_by_key(|(has_room, free, _)| std::cmp::Reverse((*has_room, *free)));
         let ids = workers.into_iter().map(|(.., id)| id.clone());
--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -75,9 +75,15 @@
         });
         let released: Vec<(Arc<str>, Release)> = released.collect();
         for (id, release) in released {
+            self.stop_awaiting(&id, release);
+        }
+    }
+
+    /// Removes an inherited worker whose runs have certainly ended, and logs why.
+    pub(super) fn stop_awaiting(&mut self, id: &Arc<str>, release: Release) {
+        if self.uncontacted.remove(id).is_some() {
             let reason: &str = release.into();
             log::info!(event = "worker-not-awaited", worker = id, reason; "");
-            self.uncontacted.remove(&id);
         }
     }
 
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::release::Release;
 use super::{Engine, Run, Worker};
 use crate::batch::{JobKey, Order, RunKey, Running, Snapshot, WorkerKey};
 use crate::clock::Instant;
@@ -269,7 +270,7 @@
         if self.sole_leader_until(now).since(replaced_since) < CONFIRM_REPLACED_AFTER {
             return;
         }
-        self.uncontacted.remove(&id);
+        self.stop_awaiting(&id, Release::Replaced);
         self.lose_runs(key, "another process at its address");
     }
 }
--- a/src/batch/engine/release.rs
+++ b/src/batch/engine/release.rs
@@ -6,7 +6,7 @@
 pub(super) enum Release {
     /// All leases that the previous leader can have granted have expired.
     LeaseExpired,
-    /// A newer worker has answered on its machine.
+    /// A newer worker has answered on its machine, or another process at its address.
     Replaced,
     /// Its machine was moved to another pool.
     MachineMoved,
