Check the permission for an order about a machine when it is sent

Operators of similar systems met processes that acted on a permission which had run out while they were paused or delayed. Here the permission was checked, and then a connection opened, which may take up to a second, so the order could follow one of the next leader within 2.2 s where 3 s are assumed.

Change: an order carries the time at which its permission ends, and is not sent after it, on a pooled or on a new connection. What remains is a process that is frozen between this check and the write.

--- a/src/batch/leadership.rs
+++ b/src/batch/leadership.rs
@@ -133,11 +133,16 @@
         }
     }
 
+    /// Returns when orders about machines may no longer be sent without another renewal.
+    pub fn machine_orders_until(&self) -> Instant {
+        self.renewed_at + MACHINE_ORDERS_FOR
+    }
+
     /// Returns whether orders about machines may be sent, which are not protected by a fencing
     /// token.
     pub fn may_order_machines(&self, now: Instant) -> bool {
         self.leading_since.is_some()
             && now >= self.machine_orders_from
-            && now.since(self.renewed_at) < MACHINE_ORDERS_FOR
+            && now < self.machine_orders_until()
     }
 }
--- a/src/entry/maintenance.rs
+++ b/src/entry/maintenance.rs
@@ -39,11 +39,11 @@
         move_machines(&term, &fleet).await;
         let due = term.engine().maintenance_due();
         for (wave, machine) in due {
-            if !term.may_order_machines(clock::now()) {
+            let Some(until) = term.machine_orders_until(clock::now()) else {
                 break;
-            }
+            };
             let result = fleet
-                .maintain(&machine, wave, term.token, RESPONSE_TIMEOUT)
+                .maintain(&machine, wave, term.token, until, RESPONSE_TIMEOUT)
                 .await;
             match result {
                 Ok(true) => {
@@ -88,15 +88,15 @@
 /// until the next plan.
 async fn move_machines(term: &Term, fleet: &Fleet) {
     loop {
-        if !term.may_order_machines(clock::now()) {
+        let Some(until) = term.machine_orders_until(clock::now()) else {
             return term.engine().cancel_moves();
-        }
+        };
         let moves = term.engine().plan_moves(clock::now());
         let Some((machine, pool)) = moves.into_iter().next() else {
             return;
         };
         let result = fleet
-            .relocate(&machine, &pool, term.token, RESPONSE_TIMEOUT)
+            .relocate(&machine, &pool, term.token, until, RESPONSE_TIMEOUT)
             .await;
         match result {
             Ok(true) => {
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -101,10 +101,11 @@
         self.lag.lock().expect("lag lock").is_behind(now)
     }
 
-    /// Returns whether orders for machines may be sent now.
-    pub(super) fn may_order_machines(&self, now: Instant) -> bool {
+    /// Returns until when orders for machines may be sent, if they may be sent now.
+    pub(super) fn machine_orders_until(&self, now: Instant) -> Option<Instant> {
         let leadership = self.leadership.lock().expect("leadership lock");
-        leadership.may_order_machines(now)
+        let may_order = leadership.may_order_machines(now);
+        may_order.then(|| leadership.machine_orders_until())
     }
 
     /// Returns whether orders for workers may be sent now.
--- a/src/platform/api/call.rs
+++ b/src/platform/api/call.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use hyper::Method;
 
+use crate::clock::Instant;
+
 /// HTTP request to send over a [`super::Link`].
 #[derive(Clone, Debug)]
 pub(super) struct Call<'a> {
@@ -14,6 +16,8 @@
     pub(super) body: Bytes,
     /// Time allowed for connecting, sending the request and reading the response.
     pub(super) timeout: Duration,
+    /// When the permission for the request ends, if it does; it is not sent afterwards.
+    pub(super) not_after: Option<Instant>,
 }
 
 impl<'a> Call<'a> {
@@ -25,6 +29,7 @@
             headers: &[],
             body: Bytes::new(),
             timeout,
+            not_after: None,
         }
     }
 
@@ -41,6 +46,7 @@
             headers: &[],
             body: body.into(),
             timeout,
+            not_after: None,
         }
     }
 }
--- a/src/platform/api/fleet.rs
+++ b/src/platform/api/fleet.rs
@@ -10,6 +10,7 @@
 use super::registration::Resources;
 use super::{Fault, Link};
 use crate::batch::Machine;
+use crate::clock::Instant;
 use crate::jobs::Size;
 use crate::platform::http::encode_query;
 
@@ -79,8 +80,9 @@
         }
     }
 
-    /// Orders the maintenance of a machine for a wave. Returns whether the maintenance has started
-    /// or was already done; if so, all runs on the machine have ended.
+    /// Orders the maintenance of a machine for a wave, unless it is `not_after` or later. Returns
+    /// whether the maintenance has started or was already done; if so, all runs on the machine have
+    /// ended.
     ///
     /// # Errors
     ///
@@ -90,21 +92,19 @@
         machine: &str,
         wave: u64,
         fencing_token: u64,
+        not_after: Instant,
         timeout: Duration,
     ) -> Result<bool, Fault> {
-        let body = json!({"machine": machine, "wave": wave});
-        self.send_order(
-            "maintain",
-            "/api/machine-upkeep",
-            &body,
-            fencing_token,
-            timeout,
-        )
-        .await
+        let body = json!({"machine": machine, "wave": wave}).to_string();
+        let call = Call {
+            not_after: Some(not_after),
+            ..Call::post("maintain", "/api/machine-upkeep", body, timeout)
+        };
+        self.send_order(call, fencing_token).await
     }
 
-    /// Moves a machine to another pool. Returns whether the move was accepted; if so, all runs on
-    /// the machine have ended.
+    /// Moves a machine to another pool, unless it is `not_after` or later. Returns whether the move
+    /// was accepted; if so, all runs on the machine have ended.
     ///
     /// # Errors
     ///
@@ -114,35 +114,27 @@
         machine: &str,
         pool: &str,
         fencing_token: u64,
+        not_after: Instant,
         timeout: Duration,
     ) -> Result<bool, Fault> {
-        let body = json!({"machine": machine, "pool": pool});
-        self.send_order(
-            "relocate",
-            "/api/machine-move",
-            &body,
-            fencing_token,
-            timeout,
-        )
-        .await
+        let body = json!({"machine": machine, "pool": pool}).to_string();
+        let call = Call {
+            not_after: Some(not_after),
+            ..Call::post("relocate", "/api/machine-move", body, timeout)
+        };
+        self.send_order(call, fencing_token).await
     }
 
     /// Sends an order; returns whether the platform accepted it.
-    async fn send_order(
-        &self,
-        step: &'static str,
-        path: &str,
-        body: &serde_json::Value,
-        fencing_token: u64,
-        timeout: Duration,
-    ) -> Result<bool, Fault> {
+    async fn send_order(&self, call: Call<'_>, fencing_token: u64) -> Result<bool, Fault> {
+        let step = call.step;
         let headers = [
             (DUTY_HOLDER, self.holder.clone()),
             (FENCING_TOKEN, fencing_token.to_string()),
         ];
         let call = Call {
             headers: &headers,
-            ..Call::post(step, path, body.to_string(), timeout)
+            ..call
         };
         match self.link.exchange(call).await?.status {
             200 => Ok(true),
--- a/src/platform/api/link.rs
+++ b/src/platform/api/link.rs
@@ -10,6 +10,7 @@
 
 use super::call::Call;
 use super::{Fault, Response};
+use crate::clock;
 use crate::platform::http::{Connection, Pool};
 
 /// Largest accepted response body, in bytes.
@@ -84,7 +85,7 @@
 
     /// Sends a request; repeats it on a new connection only if no byte of it was sent.
     async fn send(&self, call: Call<'_>) -> Result<Response, Fault> {
-        let step = call.step;
+        let (step, not_after) = (call.step, call.not_after);
         let deadline = Instant::now() + call.timeout;
         let mut request = Request::builder()
             .method(call.method)
@@ -101,7 +102,7 @@
             .map_err(|e| self.unsent(step, e.to_string()))?;
         if let Ok(Some(connection)) = timeout_at(deadline, self.pool.take()).await {
             match self
-                .exchange_on(connection, request.clone(), deadline)
+                .exchange_on(connection, request.clone(), not_after, deadline)
                 .await
             {
                 Ok(response) => return Ok(response),
@@ -115,7 +116,10 @@
             Ok(Err(error)) => return Err(self.unsent(step, error.to_string())),
             Err(_) => return Err(self.unsent(step, "connect timed out".into())),
         };
-        match self.exchange_on(connection, request, deadline).await {
+        match self
+            .exchange_on(connection, request, not_after, deadline)
+            .await
+        {
             Ok(response) => Ok(response),
             Err(Failure::Sent(reason)) => Err(self.unknown(step, reason)),
             Err(Failure::Unsent(reason)) => Err(self.unsent(step, reason)),
@@ -127,8 +131,13 @@
         &self,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
+        not_after: Option<clock::Instant>,
         deadline: Instant,
     ) -> Result<Response, Failure> {
+        // The connection may have taken long to open, or the process may have been paused.
+        if not_after.is_some_and(|at| clock::now() >= at) {
+            return Err(Failure::Unsent("the permission has ended".into()));
+        }
         let sent_at = Instant::now();
         let exchange = async {
             let sent = connection.sender.try_send_request(request).await;
