--- a/review/world-2/world.py
+++ b/review/world-2/world.py
@@ -251,6 +251,7 @@
         self.ended = None
         self.how = None
         self.stopping = False
+        self.noted = False
         self.timer = None
 
 
@@ -266,6 +267,7 @@
         self.running = {}
         self.past = {}
         self.ends = []
+        self.known = {}
         self.position = 0
         self.acknowledged = 0
         self.lease = None
@@ -320,6 +322,7 @@
         self.ends.append([self.position, run.task, run.number, how, ""])
         event, self.ended_event = self.ended_event, asyncio.Event()
         event.set()
+        self.known[(run.task, run.number)] = run
         self.world.on_end(run)
 
     async def respond(self, method, path, query, headers, body):
@@ -362,8 +365,10 @@
     def acknowledge(self, position):
         if position > self.acknowledged:
             self.acknowledged = position
+            for end in self.ends:
+                if end[0] <= position:
+                    self.world.note(self, end)
             self.ends = [e for e in self.ends if e[0] > position]
-            self.world.on_acknowledged(self, position)
 
     def percent(self, run):
         run_ms = self.world.run_ms.get(run.task.split(".")[0], 1000)
@@ -391,8 +396,9 @@
         mode, _, run_ms = spec.partition(" ")
         if self.grey:
             run.timer = loop.call_later(0.01, self.finish, run, "failed")
-        elif mode == "fail":
-            run.timer = loop.call_later(float(run_ms) / 1000, self.finish, run, "failed")
+        elif mode == "fail" or self.world.hopeless(task):
+            fails_s = min(float(run_ms), self.world.fails_ms) / 1000
+            run.timer = loop.call_later(fails_s, self.finish, run, "failed")
         else:
             run.timer = loop.call_later(float(run_ms) / 1000, self.finish, run, "done")
         self.world.on_start(run)
@@ -454,6 +460,7 @@
         self.run_ms = {}
         self.entries = {}
         self.quiet = False
+        self.fails_ms = 10_000
 
     # What the executors see.
 
@@ -471,8 +478,13 @@
         if not self.quiet:
             self.record(f"end {run.task} run {run.number} on {run.executor.name}: {run.how}")
 
-    def on_acknowledged(self, executor, position):
-        pass
+    def note(self, executor, end):
+        """An end is taken note of when ackPosition reaches it."""
+        executor.known[(end[1], end[2])].noted = True
+
+    def hopeless(self, task):
+        """Whether the runs of a task all fail by its own fault, fails_ms after their start."""
+        return False
 
     # The world.
 
