--- a/review/world-2/world.py
+++ b/review/world-2/world.py
@@ -277,6 +277,8 @@
         # good (srv_grey, errors).
         self.grey = False
         self.stop_s = 0.3
+        # Time that each answer takes, in seconds: least and most.
+        self.answer_s = None
 
     async def start(self):
         self.server, self.port = await serve(self.respond)
@@ -328,6 +330,8 @@
     async def respond(self, method, path, query, headers, body):
         if path == "/healthz":
             return 200, {}
+        if self.answer_s:
+            await asyncio.sleep(random.uniform(*self.answer_s))
         if headers.get("x-expect-instance", self.name) != self.name:
             return 421, {"clockMs": self.clock(), "born": self.born}
         call = json.loads(body)
