--- a/review/world-2/world.py
+++ b/review/world-2/world.py
@@ -387,6 +387,8 @@
             return reply(409, reason="old")
         if call.get("deadlineMs", 0) < self.clock():
             return reply(409, reason="late")
+        if not self.world.admits(self, call):
+            return reply(409, reason="ticket")
         size = self.world.size_of(task)
         used = sum(r.size[0] for r in self.running.values())
         used_mem = sum(r.size[1] for r in self.running.values())
@@ -486,6 +488,10 @@
         """An end is taken note of when ackPosition reaches it."""
         executor.known[(end[1], end[2])].noted = True
 
+    def admits(self, executor, call):
+        """Whether a start has the ticket that it needs."""
+        return True
+
     def hopeless(self, task):
         """Whether the runs of a task all fail by its own fault, fails_ms after their start."""
         return False
