--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,4 @@
 """Case 10: after its queue is removed and a new leader begins, a failing task is retried for ever."""
-import os
-import sys
-
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "world-2"))
 from world import *  # noqa: E402,F403
 
 ATTEMPTS = 4
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,4 @@
 """Case 6: after two renewals without an answer two instances lead, and tasks run twice."""
-import os
-import sys
-
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "world-2"))
 from world import *  # noqa: E402,F403
 
 WINDOWS = 16
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,4 @@
 """Case 7: after a queue has moved to another service, a new leader starts its running tasks again."""
-import os
-import sys
-
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "world-2"))
 from world import *  # noqa: E402,F403
 
 ROUNDS = 5
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,4 @@
 """Case 8: a job whose cancelling was answered 410 is run in full afterwards."""
-import os
-import sys
-
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "world-2"))
 from world import *  # noqa: E402,F403
 
 LOST_FOR_S = 4.5
