Number each write of the leader row, answered or not

After two renewals of the leader had no answer, another instance took over some 0.3 s after the third one, which was stored and answered. For 50 to 100 ms both led and started tasks.

Cause: a renewal was numbered by the last one that had been answered, so the renewals after one without an answer bore its number. Others take a row with the same number for a mere request for the lead and not for a sign of life. They counted 1.8 s from the first of them, while the leader counted 1.2 s from the answered one.

Change: the process numbers its writes itself, in the one place where all of them pass, and a number is used once. Related path: the repeated first write of a term had the same fault and is numbered there as well. The takeover model now tells renewals from requests as the program does.

Why this works: each write that is applied shows as a change to the others, so they count from a time that is not before the one from which the leader counts, and 1.8 s is more than 1.2 s.

--- a/src/batch/leader.rs
+++ b/src/batch/leader.rs
@@ -25,7 +25,8 @@
     pub incarnation: u64,
     /// Fencing token of the leader, which increases with each change of leadership.
     pub token: u64,
-    /// Number of renewals in this term.
+    /// Number of this write by the holder. No other write of its process has it, also if one of them
+    /// got no answer: others tell from it that the holder is present.
     pub renewal: u64,
     /// Clock of the store when the renewal was sent, in milliseconds; 0 if unknown.
     pub renewed_ms: u64,
@@ -101,7 +102,6 @@
     #[must_use]
     pub fn renewed(&self, engine: &mut Engine, renewed_ms: u64, now: Instant) -> Self {
         Self {
-            renewal: self.renewal + 1,
             renewed_ms,
             transfer: None,
             pending: engine.unstarted_jobs().collect(),
@@ -120,12 +120,11 @@
     ///
     /// let leader = Leader::default().successor(&"a".into(), 5, 0);
     /// let renewed = leader.renewed_while_loading(400);
-    /// assert_eq!((renewed.renewal, renewed.renewed_ms), (1, 400));
+    /// assert_eq!((renewed.token, renewed.renewed_ms), (1, 400));
     /// ```
     #[must_use]
     pub fn renewed_while_loading(&self, renewed_ms: u64) -> Self {
         Self {
-            renewal: self.renewal + 1,
             renewed_ms,
             transfer: None,
             ..self.clone()
--- a/src/entry/candidate.rs
+++ b/src/entry/candidate.rs
@@ -20,6 +20,8 @@
     pub(super) requested: Option<Transfer>,
     /// Version of the leader row.
     row_version: u64,
+    /// Number of the last write of the leader row by this process.
+    last_write: u64,
     /// Version of the table up to which changes were read.
     pub(super) table_version: u64,
 }
@@ -34,6 +36,7 @@
             contender: Contender::new(strength),
             requested: None,
             row_version: 0,
+            last_write: 0,
             table_version: 0,
         }
     }
@@ -122,26 +125,33 @@
 
     /// Writes the leader row together with `changes` of other rows, on condition that no other
     /// instance has written the leader row. Returns whether they were written.
+    ///
+    /// The row gets the next number, since an earlier write without an answer may be stored.
     pub(super) async fn write(
         &mut self,
-        leader: &Leader,
+        leader: Leader,
         changes: Transaction,
         timeout: Duration,
     ) -> Result<bool, Fault> {
+        self.last_write += 1;
+        let leader = Leader {
+            renewal: self.last_write,
+            ..leader
+        };
         let mut transaction = changes;
         transaction.expected = vec![self.precondition()];
-        let row = (LEADERS, OWNER_KEY.into(), row::encode(leader));
+        let row = (LEADERS, OWNER_KEY.into(), row::encode(&leader));
         transaction.puts.push(row);
         for _ in 0..WRITE_ATTEMPTS {
             let rows = match self.shared.store.transact(&transaction, timeout).await? {
                 Outcome::Applied(version) => {
                     self.row_version = version;
-                    self.leader = leader.clone();
+                    self.leader = leader;
                     return Ok(true);
                 }
                 Outcome::Conflict(rows) => rows,
             };
-            let Some((version, found)) = own_row(&rows, leader) else {
+            let Some((version, found)) = own_row(&rows, &leader) else {
                 rows.iter().for_each(|row| self.observe(row));
                 return Ok(false);
             };
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -118,19 +118,18 @@
             strength: self.contender.strength(sent),
             ..self.leader.successor(name, incarnation, sent_ms)
         };
-        let predecessor = self.leader.holder.clone();
-        if !self
-            .write(&leader, Transaction::default(), STORE_TIMEOUT)
-            .await?
-        {
+        let (predecessor, strength) = (self.leader.holder.clone(), leader.strength);
+        let written = self.write(leader, Transaction::default(), STORE_TIMEOUT);
+        if !written.await? {
             return Ok(false);
         }
+        let token = self.leader.token;
         let silence = sent.since(self.leadership.last_change());
-        self.leadership.begin(leader.token, sent);
+        self.leadership.begin(token, sent);
         self.requested = None;
         self.contender.begin_term();
-        log::info!(event = "leadership-begun", token = leader.token, predecessor,
-            strength:? = leader.strength, silence_ms = silence.as_millis(); "");
+        log::info!(event = "leadership-begun", token, predecessor, strength:? = strength,
+            silence_ms = silence.as_millis(); "");
         Ok(true)
     }
 
@@ -191,7 +190,7 @@
             let sent = clock::now();
             let leader = self.next_row(term);
             let changes = member_transaction(&term.engine().take_member_changes());
-            timeout = match self.write(&leader, changes, timeout).await {
+            timeout = match self.write(leader, changes, timeout).await {
                 Ok(true) => {
                     self.record_renewal(term, sent);
                     let is_behind = term.is_behind(clock::now());
@@ -267,13 +266,13 @@
         }
         let runs = term.engine().list_busy_workers(clock::now());
         let handover = Handover::transaction(leader.token, &runs);
-        self.write_resignation(&leader, handover).await;
+        self.write_resignation(leader, handover).await;
     }
 
-    pub(super) async fn write_resignation(&mut self, leader: &Leader, handover: Transaction) {
+    pub(super) async fn write_resignation(&mut self, leader: Leader, handover: Transaction) {
+        let (token, to) = (leader.token, leader.transferee.clone());
         match self.write(leader, handover, STORE_TIMEOUT).await {
-            Ok(_) => log::info!(event = "leadership-resigned", token = leader.token,
-                to = leader.transferee; ""),
+            Ok(_) => log::info!(event = "leadership-resigned", token, to; ""),
             Err(fault) => log::warn!(event = "resign-failed", fault:% = fault; ""),
         }
     }
--- a/src/entry/load_term.rs
+++ b/src/entry/load_term.rs
@@ -54,7 +54,7 @@
             let sent = clock::now();
             let sent_ms = self.shared.store.clock_ms(sent).unwrap_or_default();
             let leader = self.leader.renewed_while_loading(sent_ms);
-            timeout = match self.write(&leader, Transaction::default(), timeout).await {
+            timeout = match self.write(leader, Transaction::default(), timeout).await {
                 Ok(true) => {
                     self.leadership.renew(sent);
                     if let Some(request) = self.granted_request(false, None) {
--- a/src/entry/transfer.rs
+++ b/src/entry/transfer.rs
@@ -89,6 +89,6 @@
         } else {
             Transaction::default()
         };
-        self.write_resignation(&leader, handover).await;
+        self.write_resignation(leader, handover).await;
     }
 }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -8,12 +8,14 @@
 mod hold;
 mod holds;
 mod instance;
+mod leader_write;
 mod load;
 mod log;
 #[path = "../bed/log_end.rs"]
 mod log_end;
 mod lost_answer;
 mod lost_orders;
+mod lost_renewals;
 mod machines;
 mod mode;
 mod moment;
--- a/tests/entry/mode.rs
+++ b/tests/entry/mode.rs
@@ -12,6 +12,8 @@
     ShortOfWrites,
     /// Applies transactions but closes the connection without a response.
     ResponseLost,
+    /// Sends no response to transactions that are applied, and keeps their connections open.
+    Unanswered,
     /// Has no effect and sends no response.
     Unresponsive,
     /// Closes the connection and applies a transaction some time later.
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::holds::Holds;
+use crate::leader_write::LeaderWrite;
 use crate::mode::Mode;
 use crate::moment::Moment;
 use crate::standin::{Call, serve};
@@ -49,6 +50,8 @@
     read_time: Duration,
     /// Number of transactions of partitions in [`Mode::ShortOfWrites`].
     partition_writes: u64,
+    /// Writes of the leader row, in their order.
+    leader_writes: Vec<LeaderWrite>,
 }
 
 impl Store {
@@ -129,6 +132,11 @@
         serde_json::from_slice(&STANDARD.decode(&row.1.0).unwrap()).ok()
     }
 
+    /// Returns all writes of the leader row, in their order.
+    pub(crate) fn leader_writes(&self) -> Vec<LeaderWrite> {
+        self.state.lock().unwrap().leader_writes.clone()
+    }
+
     pub(crate) fn calls(&self) -> u64 {
         self.state.lock().unwrap().calls
     }
@@ -155,7 +163,11 @@
                 return None;
             }
             Mode::ShortOfWrites if self.refuses_write(&call) => return Some((429, "{}".into())),
-            Mode::Normal | Mode::ShortOfWrites | Mode::ResponseLost | Mode::AppliedLate => {}
+            Mode::Normal
+            | Mode::ShortOfWrites
+            | Mode::ResponseLost
+            | Mode::Unanswered
+            | Mode::AppliedLate => {}
         }
         let answer = match call.path.as_str() {
             "/api/rows-tx" => {
@@ -166,6 +178,9 @@
             "/api/rows-feed" => self.feed(&call).await,
             _ => (404, "{}".into()),
         };
+        if mode == Mode::Unanswered && call.path == "/api/rows-tx" && answer.0 == 200 {
+            return std::future::pending().await;
+        }
         (mode != Mode::ResponseLost || call.path != "/api/rows-tx").then_some(answer)
     }
 
@@ -296,6 +311,9 @@
 
 impl State {
     fn put(&mut self, key: Key, value: String) {
+        if key.0 == "leaders" && key.2 == "owner" {
+            self.leader_writes.extend(LeaderWrite::decode(&value));
+        }
         self.history.push((self.version, key.clone(), false));
         self.rows.insert(key, (value, self.version));
     }
--- a/tests/takeover_model/follow.rs
+++ b/tests/takeover_model/follow.rs
@@ -86,7 +86,9 @@
         } else {
             leader.tenancy(&entry.name)
         };
-        (entry.leadership).record_leader_row(leader.token, tenancy, self.now);
+        if !leader.is_same_renewal(&entry.leader) {
+            (entry.leadership).record_leader_row(leader.token, tenancy, self.now);
+        }
         entry.leader = leader.clone();
     }
 
@@ -125,12 +127,23 @@
         let entry = &self.instances[instance];
         let life = u64::from(entry.process.life);
         let leader = entry.leader.successor(&entry.name, life, now_ms);
+        let leader = self.numbered(instance, leader);
         let request = self.leader_write(instance, &leader, Vec::new(), Vec::new());
         let purpose = Purpose::TakeOver(leader, WRITE_ATTEMPTS - 1);
         let call = self.store_call(instance, purpose, request);
         self.call_store(call);
     }
 
+    /// Returns a row with the number of the next write of the leader row by an instance.
+    pub(crate) fn numbered(&mut self, instance: usize, leader: Leader) -> Leader {
+        let entry = &mut self.instances[instance];
+        entry.last_write += 1;
+        Leader {
+            renewal: entry.last_write,
+            ..leader
+        }
+    }
+
     /// Returns the call that writes the leader row together with changes of other rows.
     pub(crate) fn leader_write(
         &self,
--- a/tests/takeover_model/instance.rs
+++ b/tests/takeover_model/instance.rs
@@ -17,6 +17,8 @@
     pub(crate) process: Process,
     pub(crate) up: bool,
     pub(crate) leadership: Leadership,
+    /// Number of the last write of the leader row by this process.
+    pub(crate) last_write: u64,
     /// Leader row as the instance knows it, and its version.
     pub(crate) leader: Leader,
     pub(crate) row_version: u64,
@@ -47,6 +49,7 @@
             },
             up: false,
             leadership: Leadership::default(),
+            last_write: 0,
             leader: Leader::default(),
             row_version: 0,
             reads_anew: true,
--- a/tests/takeover_model/renew.rs
+++ b/tests/takeover_model/renew.rs
@@ -32,6 +32,7 @@
         let renewal_failed = term.renewal_failed;
         let leader = entry.leader.renewed(&mut term.engine, now_ms, now);
         let (puts, deletes) = member_rows(&term.engine.take_member_changes());
+        let leader = self.numbered(instance, leader);
         let request = self.leader_write(instance, &leader, puts, deletes);
         let purpose = Purpose::Renew(leader, WRITE_ATTEMPTS - 1);
         let mut call = self.store_call(instance, purpose, request);
@@ -88,6 +89,7 @@
         };
         let list = term.engine.list_busy_workers(now);
         let handover = (Key::Handover, Content::Handover(leader.token, list));
+        let leader = self.numbered(instance, leader);
         let request = self.leader_write(instance, &leader, vec![handover], Vec::new());
         let purpose = Purpose::Resign(leader, WRITE_ATTEMPTS - 1);
         let call = self.store_call(instance, purpose, request);
@@ -109,6 +111,7 @@
         let list = Content::Handover(leader.token, entry.inherited.clone());
         let handover = entry.resigned.then_some((Key::Handover, list));
         let handover = handover.into_iter().collect();
+        let leader = self.numbered(instance, leader);
         let request = self.leader_write(instance, &leader, handover, Vec::new());
         let purpose = Purpose::Resign(leader, WRITE_ATTEMPTS - 1);
         let call = self.store_call(instance, purpose, request);
