Start no task of which an unwanted run still works

A new leader found a run whose job it had not read yet, ordered its stop and forgot it. Then it read the job and started the task elsewhere, while the first run worked until its stop was carried out.

Cause: a run that is not adopted was not kept anywhere, so nothing held its task back.

Change: the leader remembers per worker which tasks of its latest answer it does not keep. Such a task gets no start until an answer no longer lists it or the leases of the worker have expired, the worker is polled until then, and it stays known although its registration has gone. Related path: a second run of a task whose kept run ends first was forgotten in the same way. A worker on which only an unwanted run is listed was not polled again, so a stop that was lost four times left the run to its lease; it is polled now, and the stop is repeated.

Measured before: starts_no_task_of_which_an_unknown_run_still_works fails.

--- a/src/batch/engine/contact.rs
+++ b/src/batch/engine/contact.rs
@@ -15,11 +15,12 @@
 const MAX_RESPONSE_AGE_OF_IDLE: Duration = Duration::from_millis(250);
 
 impl Engine {
-    /// Returns whether a worker must be polled: it has runs, has ends to acknowledge, has not
-    /// answered this leader yet or did not answer the last call.
+    /// Returns whether a worker must be polled: it has runs or lists unwanted ones, has ends to
+    /// acknowledge, has not answered this leader yet or did not answer the last call.
     pub fn needs_poll(&self, key: WorkerKey) -> bool {
         self.workers.get(key).is_some_and(|w| {
             !w.runs.is_empty()
+                || !w.unwanted.is_empty()
                 || w.lists_ends
                 || w.acknowledged_position < w.last_end_position
                 || ((w.answered_at.is_none() || w.unreachable) && !w.delisted)
--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -264,6 +264,7 @@
 
     /// Releases all runs of a worker whose lease has expired or whose process has ended.
     pub(super) fn lose_runs(&mut self, key: WorkerKey, reason: &str) {
+        self.set_unwanted(key, Vec::new());
         let runs = self.workers.get(key).map(|w: &Worker| w.runs.clone());
         let runs = runs.unwrap_or_default();
         if runs.is_empty() {
--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -238,6 +238,13 @@
         })
     }
 
+    /// Returns whether a run of a task that this leader does not keep may still work: an unwanted one,
+    /// or one on an inherited worker that has not answered.
+    pub(super) fn may_have_other_run(&self, stage_key: StageKey, index: u32, now: Instant) -> bool {
+        self.has_unwanted_run(stage_key, index)
+            || self.may_run_on_uncontacted(stage_key, index, now)
+    }
+
     /// Returns whether a task may still be running on an inherited worker that has not answered.
     pub(super) fn may_run_on_uncontacted(
         &self,
--- a/src/batch/engine/lease.rs
+++ b/src/batch/engine/lease.rs
@@ -49,6 +49,14 @@
         Some(clock_ms + lease_ms)
     }
 
+    /// Records that a worker lists a run of another leader, which may have granted the longest lease
+    /// until just now.
+    pub(super) fn expect_longest_lease(&mut self, key: WorkerKey, now: Instant) {
+        let latest_expiry = now + self.longest_lease_expiry();
+        let worker = &mut self.workers[key];
+        worker.lease_until = worker.lease_until.max(latest_expiry);
+    }
+
     /// Returns when all leases granted to a worker have expired.
     pub(super) fn last_lease_expiry(&self, worker: &Worker) -> Instant {
         let unverified = worker.unverified_grant;
--- a/src/batch/engine/listing.rs
+++ b/src/batch/engine/listing.rs
@@ -43,6 +43,7 @@
 
     /// Removes a worker of which nothing is left to do.
     pub(super) fn remove_worker(&mut self, key: WorkerKey) {
+        self.unwanted_on.remove(&key);
         if let Some(worker) = self.workers.remove(key) {
             log::info!(event = "worker-removed", worker = worker.profile.id; "");
             self.worker_ids.remove(&worker.profile.id);
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -42,6 +42,7 @@
 mod submissions;
 mod task;
 mod tenure;
+mod unwanted;
 mod wave_progress;
 mod worker;
 
@@ -92,6 +93,8 @@
     worker_ids: Map<Arc<str>, WorkerKey>,
     service_workers: Map<Arc<str>, Vec<WorkerKey>>,
     runs: SlotMap<RunKey, Run>,
+    /// Workers that list runs which this leader does not keep.
+    unwanted_on: Set<WorkerKey>,
     /// Stages that are ready and have unfinished tasks, by service.
     ready_stages: Map<Arc<str>, Vec<StageKey>>,
     /// Resources that the runs of each workspace hold on workers.
@@ -143,6 +146,7 @@
             worker_ids: Map::default(),
             service_workers: Map::default(),
             runs: SlotMap::with_key(),
+            unwanted_on: Set::default(),
             ready_stages: Map::default(),
             usage: Map::default(),
             excluded_data_centres: Set::default(),
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -142,7 +142,7 @@
             let Some(task) = stage.map(|s| &s.tasks[index as usize]) else {
                 return;
             };
-            if !task.is_waiting(now) || self.may_run_on_uncontacted(stage_key, index, now) {
+            if !task.is_waiting(now) || self.may_have_other_run(stage_key, index, now) {
                 continue;
             }
             let worker = self
@@ -189,7 +189,7 @@
         if !stage.tasks.iter().all(|task| task.is_waiting(now)) {
             return;
         }
-        if (0..step.count).any(|index| self.may_run_on_uncontacted(stage_key, index, now)) {
+        if (0..step.count).any(|index| self.may_have_other_run(stage_key, index, now)) {
             return;
         }
         let latest = stage.tasks.iter().map(|task| task.number).max();
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -57,14 +57,19 @@
             }
         }
         let mut present = Set::default();
+        let mut unwanted = Vec::new();
         for running in &snapshot.running {
             if let Some(run) = self.find_running(key, running) {
                 present.insert(run);
                 self.update_run(run, running, now);
-            } else {
-                self.adopt_run(key, running, now);
+            } else if !self.adopt_run(key, running, now) {
+                if !self.workers[key].unwanted.contains(&running.task) {
+                    self.expect_longest_lease(key, now);
+                }
+                unwanted.push(running.task.clone());
             }
         }
+        self.set_unwanted(key, unwanted);
         // A run that is not listed as running may have an end that is not listed yet.
         if !snapshot.has_more_ends {
             self.remove_missing_runs(key, &present, sent);
@@ -121,8 +126,9 @@
         }
     }
 
-    /// Adopts a run started by a previous leader, or stops it if it is not wanted.
-    fn adopt_run(&mut self, key: WorkerKey, running: &Running, now: Instant) {
+    /// Adopts a run started by a previous leader, or stops it if it is not wanted. Returns whether
+    /// it was adopted.
+    fn adopt_run(&mut self, key: WorkerKey, running: &Running, now: Instant) -> bool {
         let stop = Order::Stop {
             task: running.task.clone(),
             number: running.number,
@@ -130,7 +136,7 @@
         let Some(&job) = self.job_ids.get(&running.task.job) else {
             self.log_unwanted_run(key, running, None);
             self.orders.push((key, stop));
-            return;
+            return false;
         };
         self.begin_occurrences_until(job, running.task.occurrence);
         let known_job = &self.jobs[job];
@@ -144,7 +150,7 @@
         }) else {
             self.log_unwanted_run(key, running, Some(job));
             self.orders.push((key, stop));
-            return;
+            return false;
         };
         let run = Run {
             job,
@@ -176,11 +182,9 @@
         if let Some(task) = self.task_mut(job, &running.task) {
             task.number = task.number.max(running.number);
         }
-        // The previous leader may have granted a lease until just now.
-        let latest_expiry = now + self.longest_lease_expiry();
-        let worker = &mut self.workers[key];
-        worker.lease_until = worker.lease_until.max(latest_expiry);
+        self.expect_longest_lease(key, now);
         self.mark_started(job);
+        true
     }
 
     /// Logs that a run is stopped because its task needs no further run.
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -51,7 +51,7 @@
     fn drop_expired(&mut self, now: Instant) {
         let sole_leader_until = self.sole_leader_until(now);
         let has_expired = |w: &super::Worker| {
-            !w.runs.is_empty()
+            !(w.runs.is_empty() && w.unwanted.is_empty())
                 && w.answered_at.is_some()
                 && self.last_lease_expiry(w) < sole_leader_until
         };
@@ -69,6 +69,7 @@
             w.delisted
                 && w.shut_down_at.is_none()
                 && w.runs.is_empty()
+                && w.unwanted.is_empty()
                 && self.has_stored_ends(w)
                 && !self.uncontacted.contains_key(&w.profile.id)
         };
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::batch::{JobKey, Profile, RunKey};
+use crate::batch::{JobKey, Profile, RunKey, TaskId};
 use crate::clock::Instant;
 use crate::jobs::Size;
 
@@ -16,6 +16,9 @@
     pub(super) profile: Profile,
     pub(super) used: Size,
     pub(super) runs: Vec<RunKey>,
+    /// Tasks of the runs in its latest answer that this leader does not keep. They work until their
+    /// stop is carried out.
+    pub(super) unwanted: Vec<TaskId>,
     /// Clock of the worker in milliseconds, and when it was read.
     pub(super) clock: Option<(u64, Instant)>,
     /// Start time of the process whose ends were read, in milliseconds since 1970; 0 before the
@@ -75,6 +78,7 @@
             profile,
             used: Size::ZERO,
             runs: Vec::new(),
+            unwanted: Vec::new(),
             clock: None,
             born_ms: 0,
             lease_until: Instant::default(),
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -42,6 +42,8 @@
     pub(crate) stalls: bool,
     /// Whether all runs fail shortly after their start.
     pub(crate) fails: bool,
+    /// Whether it confirms stops and does not carry them out yet.
+    pub(crate) stops_late: bool,
 }
 
 /// An engine with simulated workers and a store that accepts every write unless it is unavailable.
@@ -291,7 +293,8 @@
                 if worker.silent {
                     return;
                 }
-                let is_same_run = |run: &mut Run| run.task == task && run.number == number;
+                let stops = !worker.stops_late;
+                let is_same_run = |run: &mut Run| stops && run.task == task && run.number == number;
                 let runs: Vec<Run> = worker.running.extract_if(.., is_same_run).collect();
                 runs.into_iter()
                     .for_each(|run| worker.end(run, End::Stopped));
--- a/tests/batch/takeover.rs
+++ b/tests/batch/takeover.rs
@@ -289,3 +289,23 @@
         "the leases of the first have expired"
     );
 }
+
+/// Guards against starting a task beside a run of the last leader that is being stopped, because
+/// the new leader heard of the run before it read the job (rule TWICE).
+#[test]
+fn starts_no_task_of_which_an_unknown_run_still_works() {
+    let mut old = Simulation::with_workers(2);
+    old.accept("j", lasting(1));
+    old.run(100);
+    let worker = old.starts[0].0.clone();
+    let mut sim = next_leader(&old, &[]);
+    sim.workers.get_mut(&worker).unwrap().stops_late = true;
+    sim.engine.inherit(&[], false, sim.now);
+    sim.run(100);
+    sim.accept("j", lasting(1));
+    sim.run(300);
+    assert!(sim.starts.is_empty(), "{:?}", sim.starts);
+    sim.workers.get_mut(&worker).unwrap().stops_late = false;
+    sim.run(3_000);
+    assert_eq!(sim.running(), 1, "the task runs again");
+}
