Wait for the workers of each service that a queue has used

Some of the work was lost when the first run was stopped.

Cause: a new leader holds a task back while a worker that may run it has not answered. It looked for such workers in the service that the queue has in the present configuration, and the runs are on workers of the one that it had before.

Change: the row of the leader lists the services that queues use besides those for which their jobs were accepted. A new leader waits for the workers of these, of the service in the record of the job and of the present one. A task starts on a service that is not in its record only once the list with that service is stored, which takes a renewal that is sent at once. An entry is dropped when no job in progress belongs there and no run of the queue is on a worker of the service. The record alone would not do: a queue may move twice, or back.

Why this works: each start is on a service that the next leader finds in the record or in the row, so no such worker is left out of the wait.

--- a/src/batch/engine/idle_tasks.rs
+++ b/src/batch/engine/idle_tasks.rs
@@ -114,10 +114,10 @@
         if task.not_before > now {
             return Hold::BackOff;
         }
-        if !self.is_safe_to_start(stage_key.job) {
+        if !self.is_safe_to_start(stage_key.job) || !self.has_stored_service(stage_key.job) {
             return Hold::MayHaveSuccessor;
         }
-        if self.may_run_on_uncontacted(stage_key, index, now) {
+        if self.may_have_other_run(stage_key, index, now) {
             return Hold::Inherited;
         }
         let job = &self.jobs[stage_key.job];
--- a/src/batch/engine/inherit.rs
+++ b/src/batch/engine/inherit.rs
@@ -262,13 +262,12 @@
                 && task.occurrence == stage_key.occurrence
                 && task.job == job.id
         };
-        let service: &Arc<str> = &job.service;
         let sole_leader_until = self.sole_leader_until(now);
         self.uncontacted.values().any(|inherited| {
             sole_leader_until < inherited.lease_until
                 && match &inherited.tasks {
                     Some(tasks) => tasks.iter().any(same_task),
-                    None => inherited.service == *service,
+                    None => self.may_have_used(job, &inherited.service),
                 }
         })
     }
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -32,6 +32,7 @@
 mod place;
 mod poll;
 mod pools;
+mod queue_services;
 mod release;
 mod relocate;
 mod reply;
@@ -64,6 +65,7 @@
 use members::Members;
 use occurrence::Occurrence;
 use pools::Pools;
+use queue_services::QueueServices;
 use run::Run;
 use stage::{Stage, StageKey};
 use submissions::Submissions;
@@ -116,6 +118,8 @@
     /// Workers on which the previous leader may have runs and that have not answered this one yet,
     /// by id.
     uncontacted: Map<Arc<str>, InheritedWorker>,
+    /// Services that queues use besides those for which their jobs were accepted.
+    queue_services: QueueServices,
     /// Whether the workers that did not answer in time have been logged.
     uncontacted_logged: bool,
     /// When lasting tasks without a run were last looked for.
@@ -159,6 +163,7 @@
             dirty: Vec::new(),
             members: Members::default(),
             uncontacted: Map::default(),
+            queue_services: QueueServices::default(),
             uncontacted_logged: false,
             idle_checked_at: Instant::default(),
             moves_from: Instant::default(),
@@ -175,9 +180,10 @@
     }
 
     /// Records that a renewal of the leadership succeeded that was sent at `sent` with the latest
-    /// list of silent workers and the latest changes of the members.
+    /// lists of silent workers and of services of queues, and the latest changes of the members.
     pub fn record_renewal(&mut self, sent: Instant) {
         self.stored_report = self.latest_report;
+        self.queue_services.confirm();
         self.confirm_members();
         self.renewed_at = self.renewed_at.max(Some(sent));
     }
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -92,6 +92,7 @@
 
     pub(super) fn has_startable_task(&self, stage_key: StageKey, now: Instant) -> bool {
         self.is_safe_to_start(stage_key.job)
+            && self.has_stored_service(stage_key.job)
             && self
                 .stage(stage_key.job, stage_key.occurrence, stage_key.step)
                 .is_some_and(|stage| stage.tasks.iter().any(|task| task.is_waiting(now)))
--- a/src/batch/leader.rs
+++ b/src/batch/leader.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Engine, Occupancy, Strength, Tenancy, Transfer};
+use super::{Engine, Occupancy, QueueService, Strength, Tenancy, Transfer};
 use crate::clock::Instant;
 
 /// The leader row: the current leader and what its successor needs to know.
@@ -49,6 +49,8 @@
     pub pending: Vec<(Arc<str>, u64)>,
     /// Workers that may have runs and do not answer.
     pub busy: Vec<Occupancy>,
+    /// Services that queues use besides those for which their jobs were accepted.
+    pub queue_services: Vec<QueueService>,
     /// Machines lent to other pools, with their home pools.
     pub homes: Vec<(Arc<str>, Arc<str>)>,
     /// Machines whose maintenance has begun, by wave.
@@ -106,6 +108,7 @@
             transfer: None,
             pending: engine.unstarted_jobs().collect(),
             busy: engine.list_silent_workers(now),
+            queue_services: engine.queue_services(),
             maintained: engine.maintained(),
             homes: engine.lent_machines(),
             ..self.clone()
--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -197,7 +197,9 @@
                     if let Some(request) = self.granted_request(is_behind, Some(loaded_at)) {
                         return Some(request);
                     }
-                    if term.engine().has_unstored_members() {
+                    if term.engine().has_unstored_members()
+                        || term.engine().has_unstored_queue_services()
+                    {
                         continue;
                     }
                     RENEWAL_TIMEOUT
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -55,6 +55,7 @@
     engine.set_waves(desired.waves());
     engine.restore_maintained(&leader.maintained);
     engine.restore_lent_machines(&leader.homes);
+    engine.restore_queue_services(leader.queue_services.clone());
     if leader.token > 1 {
         engine.inherit(&leader.busy, resigned, begun);
     }
--- a/src/entry/schedule.rs
+++ b/src/entry/schedule.rs
@@ -60,6 +60,9 @@
             if let Some(config) = desired.config() {
                 engine.set_config(&config);
             }
+            if engine.has_unstored_queue_services() {
+                term.renewal_wake.notify_one();
+            }
             engine.set_excluded_data_centres(desired.excluded());
             engine.set_waves(desired.waves());
             engine.check_runs_and_workers(now);
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -10,6 +10,7 @@
 mod lost_workers;
 mod maintenance;
 mod members;
+mod moved_queues;
 mod occurrences;
 mod odd_config;
 mod odd_jobs;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -163,8 +163,10 @@
             .load_job(&id.into(), record, None, wall, self.now);
     }
 
-    /// Renews the leadership, with the changes of the members, and returns these.
+    /// Renews the leadership, with the services of queues and the changes of the members, and
+    /// returns the latter.
     pub(crate) fn renew(&mut self) -> MemberChanges {
+        self.engine.queue_services();
         let changes = self.engine.take_member_changes();
         self.engine.record_renewal(self.now);
         changes
--- a/tests/takeover_model/load.rs
+++ b/tests/takeover_model/load.rs
@@ -105,6 +105,7 @@
         loading.load_jobs(&mut engine, wall_ms, now);
         engine.set_workers(loading.profiles);
         engine.restore_members(loading.members);
+        engine.restore_queue_services(entry.leader.queue_services.clone());
         if token > 1 {
             engine.inherit(&entry.leader.busy, entry.resigned, entry.begun);
         }
