Keep what a removed queue granted to its jobs

Cause: the number of attempts, the priority and the objective of a job were looked up in the present configuration only. A job that a new leader read had no limit of attempts, and kept none if its queue was gone.

Change: the record of a job holds what its queue granted when the job was accepted. A leader starts from that and applies the queue of the present configuration, if there is one. Related paths: priority and objective of such a job were 0; they come from the record as well.

Why this works: the limit is known from the moment a leader reads the job. Later changes of the queue hold as before, while it exists.

--- a/src/batch/engine/accept.rs
+++ b/src/batch/engine/accept.rs
@@ -1,5 +1,4 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::{Engine, Job, StageKey};
 use crate::batch::{JobKey, Progress, Ranges, Record, State};
@@ -34,9 +33,7 @@
             id: id.clone(),
             over_rate,
             service: record.service.clone(),
-            priority: 0,
-            max_attempts: u32::MAX,
-            objective: Duration::ZERO,
+            terms: record.terms,
             occurrences: Vec::new(),
             next_occurrence: 0,
             complete_occurrences: Ranges::default(),
@@ -88,10 +85,7 @@
         let Some(route) = self.config.route_named(&job.record.route) else {
             return;
         };
-        let critical_path = job.record.spec.critical_path();
-        job.priority = route.priority;
-        job.max_attempts = route.max_attempts.max(1);
-        job.objective = critical_path.mul_f64(route.stretch.max(1.0)) + route.allowance;
+        job.terms = route.terms(&job.record.spec);
         if job.service == route.service {
             return;
         }
--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -143,7 +143,7 @@
     ) {
         self.count_failure(worker, key, now);
         let job = &self.jobs[key];
-        let limit = job.max_attempts;
+        let limit = job.terms.max_attempts;
         let lasting = (job.record.spec.steps)
             .get(ended.task.step as usize)
             .is_some_and(|step| step.lasting);
@@ -222,14 +222,14 @@
         (job.state, job.ended_ms) = (state, wall_ms);
         log::info!(event = "job-ended", job = job.id, state:% = state, route = job.record.route,
             workspace = job.record.workspace, after_ms = wall_ms.saturating_sub(job.record.arrived_ms),
-            objective_ms = job.objective.as_millis(); "");
+            objective_ms = job.terms.objective.as_millis(); "");
         let took = Duration::from_millis(wall_ms.saturating_sub(job.record.arrived_ms));
         telemetry::count_job(
             &job.record.route,
             &job.record.workspace,
             state.into(),
             took,
-            took <= job.objective,
+            took <= job.terms.objective,
         );
         let tasks = job
             .occurrences
--- a/src/batch/engine/job.rs
+++ b/src/batch/engine/job.rs
@@ -1,8 +1,7 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::Occurrence;
-use crate::batch::{Progress, Ranges, Record, State};
+use crate::batch::{Progress, Ranges, Record, State, Terms};
 use crate::clock::Instant;
 
 /// Largest work of a job that is counted, in thousandths of a processor times milliseconds. The sum
@@ -18,10 +17,8 @@
     pub(super) known_since: Instant,
     /// Service whose workers currently run it.
     pub(super) service: Arc<str>,
-    pub(super) priority: u32,
-    pub(super) max_attempts: u32,
-    /// Time from arrival within which the job should complete.
-    pub(super) objective: Duration,
+    /// What its queue grants, or granted before it was removed.
+    pub(super) terms: Terms,
     /// Occurrences that have begun and are not complete.
     pub(super) occurrences: Vec<Occurrence>,
     /// Number of the next occurrence.
--- a/src/batch/engine/overload.rs
+++ b/src/batch/engine/overload.rs
@@ -84,7 +84,7 @@
             if job.record.spec.occurrences > 0 || job.record.spec.steps.iter().any(|s| s.lasting) {
                 return None;
             }
-            let due_ms = job.record.arrived_ms as f64 + job.objective.as_secs_f64() * 1_000.0;
+            let due_ms = job.record.arrived_ms as f64 + job.terms.objective.as_secs_f64() * 1_000.0;
             let left_ms = due_ms - wall_ms as f64;
             let remaining_ms = job.remaining_time().as_secs_f64() * 1_000.0;
             (left_ms >= remaining_ms).then(|| WaitingJob {
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -110,7 +110,7 @@
         let start_ms = spec
             .due_ms(stage_key.occurrence)
             .unwrap_or(job.record.arrived_ms);
-        let objective_ms = u64::try_from(job.objective.as_millis()).unwrap_or(u64::MAX / 4);
+        let objective_ms = u64::try_from(job.terms.objective.as_millis()).unwrap_or(u64::MAX / 4);
         let remaining: Duration = spec.steps[stage_key.step as usize..]
             .iter()
             .map(Step::estimate)
@@ -122,7 +122,7 @@
         let lasting = spec.steps[stage_key.step as usize].lasting;
         Rank {
             not_lasting: !lasting,
-            priority: job.priority,
+            priority: job.terms.priority,
             over_rate: job.over_rate && !lasting,
             unachievable: left_ms < remaining_ms,
             deferred,
--- a/src/batch/route.rs
+++ b/src/batch/route.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::Advice;
+use super::{Advice, Spec, Terms};
 
 /// A queue of jobs, as addressed by callers.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -27,3 +27,21 @@
     /// Advice service settings, if only workers with a ticket may run a step.
     pub advice: Option<Advice>,
 }
+
+impl Route {
+    /// Returns what the queue grants to a job.
+    ///
+    /// ```
+    /// use coriandernotch::batch::{Route, Spec};
+    ///
+    /// let route = Route { max_attempts: 4, ..Route::default() };
+    /// assert_eq!(route.terms(&Spec::default()).max_attempts, 4);
+    /// ```
+    pub fn terms(&self, spec: &Spec) -> Terms {
+        Terms {
+            priority: self.priority,
+            max_attempts: self.max_attempts.max(1),
+            objective: spec.critical_path().mul_f64(self.stretch.max(1.0)) + self.allowance,
+        }
+    }
+}
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -124,6 +124,7 @@
     let record = Record {
         route: route.name.clone(),
         service: route.service.clone(),
+        terms: route.terms(&spec),
         workspace,
         arrived_ms,
         spec,
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -18,6 +18,7 @@
 mod place;
 mod pools;
 mod progress;
+mod removed_queues;
 mod restart;
 mod shutdown;
 mod simulation;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -119,6 +119,7 @@
         workspace: "w".into(),
         arrived_ms: START_MS,
         spec,
+        ..Record::default()
     }
 }
 
--- a/tests/entry/platform.rs
+++ b/tests/entry/platform.rs
@@ -85,6 +85,7 @@
         workspace: "w".into(),
         arrived_ms: 0,
         spec,
+        ..Record::default()
     };
     store_row(store, "jobs", path, &record);
 }
--- a/tests/takeover_model/job.rs
+++ b/tests/takeover_model/job.rs
@@ -61,6 +61,7 @@
                 steps: (0..self.steps).map(step).collect(),
                 ..Spec::default()
             },
+            ..Record::default()
         }
     }
 }
