Store the cancelling of a job that is not known

What callers saw: a job was cancelled after its submission had got no answer.

Cause: a cancelling of a job that the store does not show yet stored nothing. The write of the job that was still under way, here late in the store, found nothing in its way.

Change: a cancelling is stored in any case, and the write of a job depends on there being none. A submission after that is answered 503, since the job never runs; it is not told to come back. The engine remembers a cancelling whose job it does not know: it ends the job at once if a read shows it later, as pages read one after the other may, and deletes the row after the retention time like those of ended jobs.

Why this works: the store carries out the write of the job or that of the cancelling first. In the one case the job is known and is stopped, in the other its write fails.

--- a/src/batch/engine/accept.rs
+++ b/src/batch/engine/accept.rs
@@ -15,7 +15,8 @@
         wall_ms: u64,
         now: Instant,
     ) {
-        if self.job_ids.contains_key(id) || self.history.contains(id) {
+        let cancelled = self.history.take_cancelled(id);
+        if self.job_ids.contains_key(id) || (self.history.contains(id) && !cancelled) {
             return;
         }
         let inherited = progress.is_some();
@@ -55,12 +56,16 @@
         }
         self.restore_progress(key, &progress);
         self.complete_if_done(key, wall_ms, now);
+        if cancelled {
+            self.finish_job(key, State::Cancelled, wall_ms, now);
+        }
     }
 
-    /// Cancels a job on behalf of its caller.
+    /// Cancels a job on behalf of its caller. One that is not known yet is cancelled when it is.
     pub fn cancel_job(&mut self, id: &Arc<str>, wall_ms: u64, now: Instant) {
-        if let Some(&key) = self.job_ids.get(id) {
-            self.finish_job(key, State::Cancelled, wall_ms, now);
+        match self.job_ids.get(id) {
+            Some(&key) => self.finish_job(key, State::Cancelled, wall_ms, now),
+            None => self.history.add_cancelled(id, wall_ms),
         }
     }
 
--- a/src/batch/engine/history.rs
+++ b/src/batch/engine/history.rs
@@ -13,6 +13,8 @@
     deleted: Vec<(u64, Arc<str>)>,
     /// Ids of all jobs.
     ids: Set<Arc<str>>,
+    /// Jobs that were cancelled before they were known, and that a read of the store may show yet.
+    cancelled_early: Set<Arc<str>>,
 }
 
 impl History {
@@ -27,6 +29,20 @@
         }
     }
 
+    /// Adds a job that was cancelled before it was known. Its cancellation is deleted like that of an
+    /// ended job.
+    pub(super) fn add_cancelled(&mut self, id: &Arc<str>, cancelled_ms: u64) {
+        if !self.contains(id) {
+            self.add(id.clone(), cancelled_ms);
+            self.cancelled_early.insert(id.clone());
+        }
+    }
+
+    /// Returns whether a job that becomes known was cancelled before.
+    pub(super) fn take_cancelled(&mut self, id: &str) -> bool {
+        self.cancelled_early.remove(id)
+    }
+
     /// Takes up to `limit` jobs that ended before `before_ms` and for which `selected` holds, to
     /// delete their rows.
     pub(super) fn take_before(
@@ -59,6 +75,7 @@
         let forgotten = (self.deleted).extract_if(.., |(deleted, _)| *deleted <= version);
         for (_, id) in forgotten {
             self.ids.remove(&id);
+            self.cancelled_early.remove(&id);
         }
     }
 }
--- a/src/entry/acceptance.rs
+++ b/src/entry/acceptance.rs
@@ -5,6 +5,8 @@
     Stored,
     /// The job is not stored and this request will not store it.
     Refused,
+    /// The job was cancelled before it was stored, so that no request will store it.
+    Cancelled,
     /// The job may be stored already or may be stored later.
     Unknown,
 }
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -135,6 +135,10 @@
     match committed {
         Acceptance::Stored => success(Bytes::new()),
         Acceptance::Refused => unavailable("the store does not take the job"),
+        Acceptance::Cancelled => failure(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the job was cancelled before it was stored",
+        ),
         Acceptance::Unknown => failure(StatusCode::GATEWAY_TIMEOUT, "unknown whether it is stored"),
     }
 }
@@ -178,15 +182,16 @@
     }
 }
 
+/// Cancels a job, also one that is not known: a write that stores it may be under way, and fails
+/// once the cancellation is stored.
 async fn cancel_job(shared: &Shared, id: &str) -> HttpResponse {
-    match job_state(shared, id).await {
-        Ok(Some(_)) => {}
-        Ok(None) => return failure(StatusCode::GONE, "no such job"),
+    let state = match job_state(shared, id).await {
+        Ok(state) => state,
         Err(fault) => {
             log::warn!(event = "cancel-unknown", job = id, fault:% = fault; "");
             return failure(StatusCode::BAD_GATEWAY, "the store does not answer");
         }
-    }
+    };
     let transaction = Transaction {
         part: partition::of(id),
         puts: vec![(JOBS, row::cancel_key(id), b"{}".to_vec())],
@@ -201,8 +206,11 @@
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    log::info!(event = "job-cancel-stored", job = id; "");
-    success(Bytes::new())
+    log::info!(event = "job-cancel-stored", job = id, known = state.is_some(); "");
+    match state {
+        Some(_) => success(Bytes::new()),
+        None => failure(StatusCode::GONE, "no such job"),
+    }
 }
 
 fn count_pending(shared: &Shared, route: &Route) -> HttpResponse {
--- a/src/entry/commit.rs
+++ b/src/entry/commit.rs
@@ -5,10 +5,10 @@
 use tokio::time::Instant;
 
 use super::acceptance::Acceptance;
-use super::row::JOBS;
+use super::row::{self, JOBS};
 use super::shared::{STORE_TIMEOUT, Shared};
 use super::submission::Submission;
-use crate::platform::api::{Outcome, Precondition, Transaction};
+use crate::platform::api::{Outcome, Precondition, Row, Transaction};
 
 /// Maximum number of jobs in one transaction.
 const MAX_BATCH_JOBS: usize = 20;
@@ -36,9 +36,12 @@
 /// Sends one transaction until its outcome is known or the retry time is over, and replies to the
 /// submissions whose result is known.
 async fn store_batch(shared: &Shared, partition: &str, batch: &mut Vec<Submission>) {
-    let expected = batch.iter().map(|s| Precondition {
+    // The write may be carried out late, so it also depends on the job not being cancelled.
+    let keys = batch.iter();
+    let keys = keys.flat_map(|s| [s.key.clone(), row::cancel_key(&s.key)]);
+    let expected = keys.map(|key| Precondition {
         table: JOBS,
-        key: s.key.clone(),
+        key,
         version: 0,
     });
     // A caller that repeats a request may have the same job in a batch twice.
@@ -70,9 +73,10 @@
         match result {
             Ok(Outcome::Applied(_)) => return reply_to(batch, |_| true, Acceptance::Stored),
             Ok(Outcome::Conflict(rows)) => {
-                let is_stored = |key: &str| rows.iter().any(|r| &*r.key == key && r.version > 0);
                 let count = batch.len();
-                reply_to(batch, is_stored, Acceptance::Stored);
+                reply_to(batch, |job| contains(&rows, job), Acceptance::Stored);
+                let is_cancelled = |job: &str| contains(&rows, &row::cancel_key(job));
+                reply_to(batch, is_cancelled, Acceptance::Cancelled);
                 if batch.len() == count {
                     reply_to(batch, |_| true, Acceptance::Unknown);
                 }
@@ -94,6 +98,10 @@
     }
 }
 
+fn contains(rows: &[Row], key: &str) -> bool {
+    rows.iter().any(|row| &*row.key == key && row.version > 0)
+}
+
 fn reply_to(batch: &mut Vec<Submission>, is_known: impl Fn(&str) -> bool, result: Acceptance) {
     for submission in batch.extract_if(.., |s| is_known(&s.key)) {
         // Fails when the caller has disconnected and needs no result.
--- a/tests/batch/history.rs
+++ b/tests/batch/history.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use coriandernotch::batch::Tuning;
+use coriandernotch::batch::{State, Tuning};
 
 use crate::simulation::{Simulation, record, step};
 
@@ -59,3 +59,34 @@
     sim.run(100);
     assert_eq!(sim.starts.len(), 2, "a new job may have the id");
 }
+
+/// Guards against running a job that was cancelled before the engine knew it: the read that shows
+/// the cancellation may not show the job yet (rule UNASKED).
+#[test]
+fn cancels_a_job_that_becomes_known_after_its_cancelling() {
+    let mut sim = Simulation::with_workers(1);
+    let wall = sim.wall_ms();
+    sim.engine.cancel_job(&"j".into(), wall, sim.now);
+    sim.accept("j", record(vec![step(1)]));
+    sim.run(1_000);
+    assert!(sim.starts.is_empty());
+    assert_eq!(sim.ended["j"].0, State::Cancelled);
+}
+
+/// Guards against cancellations of jobs that were never stored, which would stay in the store.
+#[test]
+fn deletes_the_cancellation_of_an_unknown_job() {
+    let mut sim = Simulation::with_workers(1);
+    let wall = sim.wall_ms();
+    sim.engine.cancel_job(&"j".into(), wall, sim.now);
+    assert!(sim.engine.take_outdated(wall, LIMIT, |_| true).is_empty());
+    sim.now = sim.now + Tuning::default().retention + Duration::from_secs(1);
+    let wall = sim.wall_ms();
+    let taken = sim.engine.take_outdated(wall, LIMIT, |_| true);
+    assert_eq!(taken, ["j".into()]);
+    sim.engine.record_deletion(taken, 50);
+    sim.engine.forget_deleted(50);
+    sim.accept("j", record(vec![step(1)]));
+    sim.run(100);
+    assert_eq!(sim.starts.len(), 1, "a new job may have the id");
+}
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -50,6 +50,8 @@
     read_time: Duration,
     /// Number of transactions of partitions in [`Mode::ShortOfWrites`].
     partition_writes: u64,
+    /// Time after which transactions that store jobs are applied without an answer, if it is set.
+    submission_delay: Option<Duration>,
     /// Writes of the leader row, in their order.
     leader_writes: Vec<LeaderWrite>,
 }
@@ -87,6 +89,12 @@
         self.state.lock().unwrap().failing_feed = table;
     }
 
+    /// Sets the time after which transactions that store jobs are applied. Their callers get no
+    /// answer. `None` ends this for later ones.
+    pub(crate) fn delay_submissions(&self, delay: Option<Duration>) {
+        self.state.lock().unwrap().submission_delay = delay;
+    }
+
     /// Sets the time that each read of rows takes.
     pub(crate) fn set_read_time(&self, time: Duration) {
         self.state.lock().unwrap().read_time = time;
@@ -142,11 +150,19 @@
     }
 
     async fn respond(&self, call: Call) -> Option<(u16, String)> {
-        let mode = {
+        let (mode, submission_delay) = {
             let mut state = self.state.lock().unwrap();
             state.calls += 1;
-            state.mode
+            (state.mode, state.submission_delay)
         };
+        if let Some(delay) = submission_delay.filter(|_| stores_jobs(&call)) {
+            let store = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                store.transact(&call);
+            });
+            return None;
+        }
         match mode {
             Mode::Unavailable => return Some((503, "{}".into())),
             Mode::RateLimited => return Some((429, "{}".into())),
@@ -330,6 +346,15 @@
     format!(r#"{{"table":{table},"part":{part},"key":{key},"value":"{value}","ver":{version}}}"#)
 }
 
+/// Returns whether a call is a transaction that stores jobs. The keys of other rows in their table
+/// have a suffix.
+fn stores_jobs(call: &Call) -> bool {
+    let puts = call.body["puts"].as_array().into_iter().flatten();
+    let key = |put: &Value| put["key"].as_str().unwrap_or_default().to_owned();
+    let mut keys = puts.filter(|put| put["table"] == "jobs").map(key);
+    keys.any(|key| !key.contains('.'))
+}
+
 /// Returns whether the store takes a transaction of this size.
 fn is_within_limits(transaction: &Value) -> bool {
     let lists = ["expectedRev", "puts", "deletes"].map(|name| transaction[name].as_array());
