Box a large variant in the takeover model and borrow a configuration

The row of the leader has grown by the services of queues, and clippy refuses the size of the answer of the model that contains it. It also refuses an argument of a new test that is taken by value.

--- a/tests/batch/moved_queues.rs
+++ b/tests/batch/moved_queues.rs
@@ -32,11 +32,11 @@
 /// last one and does not reach one worker.
 fn next_leader(
     old: &Simulation,
-    config: Arc<Config>,
+    config: &Config,
     services: Vec<QueueService>,
     silent: &str,
 ) -> Simulation {
-    let mut sim = Simulation::new(2, Config::clone(&config));
+    let mut sim = Simulation::new(2, config.clone());
     sim.now = old.now;
     sim.workers = old.workers.clone();
     sim.workers.get_mut(silent).unwrap().silent = true;
@@ -62,7 +62,7 @@
     let mut old = first_leader();
     old.run(100);
     assert_eq!(&*old.starts[0].0, "i-s");
-    let mut sim = next_leader(&old, config_with(2, "t"), Vec::new(), "i-s");
+    let mut sim = next_leader(&old, &config_with(2, "t"), Vec::new(), "i-s");
     sim.run(3_000);
     assert!(sim.starts.is_empty(), "{:?}", sim.starts);
     sim.workers.get_mut("i-s").unwrap().silent = false;
@@ -81,7 +81,7 @@
     old.run(100);
     assert_eq!(&*old.starts[0].0, "i-t");
     let services = old.engine.queue_services();
-    let mut sim = next_leader(&old, config_with(3, "u"), services, "i-t");
+    let mut sim = next_leader(&old, &config_with(3, "u"), services, "i-t");
     sim.run(3_000);
     assert!(sim.starts.is_empty(), "{:?}", sim.starts);
 }
--- a/tests/takeover_model/answer.rs
+++ b/tests/takeover_model/answer.rs
@@ -11,7 +11,7 @@
     /// The transaction was applied and received this version.
     Applied(u64),
     /// The condition did not hold; contains the row named by it, unless it is missing.
-    Conflict(Option<Row>),
+    Conflict(Option<Box<Row>>),
     /// The call was refused or got no answer.
     Failed,
 }
--- a/tests/takeover_model/follow.rs
+++ b/tests/takeover_model/follow.rs
@@ -210,7 +210,7 @@
                 self.load(instance);
             }
             Answer::Conflict(found) => {
-                if !self.repeat_leader_write(call, &leader, found.as_ref()) {
+                if !self.repeat_leader_write(call, &leader, found.as_deref()) {
                     found.iter().for_each(|row| self.observe(instance, row));
                     self.set_timer(instance, Duration::ZERO, Timer::Follow);
                 }
--- a/tests/takeover_model/renew.rs
+++ b/tests/takeover_model/renew.rs
@@ -45,7 +45,7 @@
     pub(crate) fn finish_renewal(&mut self, call: &StoreCall, leader: Leader, answer: &Answer) {
         let instance = call.process.instance;
         if let Answer::Conflict(found) = answer {
-            if !self.repeat_leader_write(call, &leader, found.as_ref()) {
+            if !self.repeat_leader_write(call, &leader, found.as_deref()) {
                 found.iter().for_each(|row| self.observe(instance, row));
                 self.end_term(instance);
             }
@@ -125,7 +125,7 @@
         answer: &Answer,
     ) {
         if let Answer::Conflict(found) = answer
-            && self.repeat_leader_write(call, leader, found.as_ref())
+            && self.repeat_leader_write(call, leader, found.as_deref())
         {
             return;
         }
--- a/tests/takeover_model/store.rs
+++ b/tests/takeover_model/store.rs
@@ -60,7 +60,7 @@
         let (key, version) = &transaction.expected;
         let found = self.rows.get_key_value(key);
         if found.map_or(0, |(_, (version, _))| *version) != *version {
-            return Answer::Conflict(found.map(row));
+            return Answer::Conflict(found.map(row).map(Box::new));
         }
         self.version += 1;
         for (key, content) in &transaction.puts {
