--- a/src/batch/engine/ack.rs
+++ b/src/batch/engine/ack.rs
@@ -1,13 +1,15 @@
 use super::{Engine, Worker};
 use crate::batch::{JobKey, WorkerKey};
+use crate::clock::Instant;
 
 impl Engine {
-    /// Returns the position up to which the ends of a worker may be acknowledged, because their
-    /// effects are stored; 0 unless its latest answer listed ends.
+    /// Returns the position up to which the ends of a worker may be acknowledged on a connection that
+    /// was opened at `opened_at`, because their effects are stored; 0 unless its latest answer listed
+    /// ends and the connection leads to the process that gave it.
     ///
     /// Another process may have started under the id of the worker since then. It numbers its ends
     /// from the beginning, and would forget those up to the position before they are read.
-    pub fn acknowledged(&mut self, key: WorkerKey) -> u64 {
+    pub fn acknowledged(&mut self, key: WorkerKey, opened_at: Instant) -> u64 {
         let Some(worker) = self.workers.get_mut(key) else {
             return 0;
         };
@@ -23,7 +25,8 @@
             .map(|(position, ..)| position - 1);
         worker.acknowledged_position = unacknowledged.min().unwrap_or(worker.last_end_position);
         // The registration may name a new process that has not answered yet.
-        if worker.lists_ends && worker.profile.born_ms <= worker.born_ms {
+        let is_current = worker.profile.born_ms <= worker.born_ms;
+        if worker.lists_ends && is_current && worker.is_reached_since(opened_at) {
             worker.acknowledged_position
         } else {
             0
--- a/src/batch/engine/lease.rs
+++ b/src/batch/engine/lease.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Engine, Worker};
-use crate::batch::WorkerKey;
+use crate::batch::{Grant, Renewal, RunKey, WorkerKey};
 use crate::clock::Instant;
 
 /// Fraction of the longest lease that is granted. 4.2 s of 6 s cover a takeover, which takes 2.3 s
@@ -32,9 +32,10 @@
     /// while that clock is unknown, or while the worker does not answer or the stored list shows it
     /// as silent: its runs are given up when the leases granted before have expired.
     ///
-    /// A worker that listed nothing was not polled since, so a process with another clock may have
-    /// taken its place. That process shortens the lease only to the longest one.
-    pub fn grant_lease(&mut self, key: WorkerKey, now: Instant) -> Option<u64> {
+    /// The order is sent on a connection that was opened at `opened_at`. If that was after the last
+    /// answer to a poll, a process with another clock may have taken the place of the worker. It
+    /// shortens the lease only to the longest one. A worker that listed nothing was not polled since.
+    pub fn grant_lease(&mut self, key: WorkerKey, opened_at: Instant, now: Instant) -> Option<u64> {
         let expiry = now + self.lease_expiry();
         let lease_ms = u64::try_from(self.lease().as_millis()).unwrap_or(u64::MAX / 2);
         if self.is_reported_silent(self.workers.get(key)?) {
@@ -43,12 +44,37 @@
         let worker = self.workers.get_mut(key).filter(|w| !w.unreachable)?;
         let clock_ms = worker.clock_ms(now)?;
         worker.lease_until = worker.lease_until.max(expiry);
-        if !worker.lists_runs && !worker.lists_ends {
+        let lists_nothing = !worker.lists_runs && !worker.lists_ends;
+        if lists_nothing || !worker.is_reached_since(opened_at) {
             worker.unverified_grant = Some(now);
         }
         Some(clock_ms + lease_ms)
     }
 
+    /// Grants a lease by the start order of a run on a connection that was opened at `opened_at`.
+    ///
+    /// The worker may carry out the order late. If another process with the same id then does, the
+    /// lease ends that much later than assumed, so the connection must lead to the known process.
+    pub fn grant_by_start(&mut self, key: RunKey, opened_at: Instant, now: Instant) -> Grant {
+        let Some(run) = self.runs.get(key).filter(|_| self.may_launch(key, now)) else {
+            return Grant::Denied;
+        };
+        let worker = run.worker;
+        if !self.workers[worker].is_reached_since(opened_at) {
+            return Grant::Unverified;
+        }
+        let deadline = self.grant_lease(worker, opened_at, now);
+        deadline.map_or(Grant::Denied, Grant::Until)
+    }
+
+    /// Returns what a poll on a connection that was opened at `opened_at` renews and acknowledges.
+    pub fn renewal(&mut self, key: WorkerKey, opened_at: Instant, now: Instant) -> Renewal {
+        Renewal {
+            deadline_ms: self.grant_lease(key, opened_at, now),
+            position: self.acknowledged(key, opened_at),
+        }
+    }
+
     /// Records that a worker lists a run of another leader, which may have granted the longest lease
     /// until just now.
     pub(super) fn expect_longest_lease(&mut self, key: WorkerKey, now: Instant) {
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -42,11 +42,13 @@
             worker.unstored_ends.clear();
             worker.born_ms = snapshot.born_ms;
             worker.first_answered_at = None;
+            worker.polled_at = None;
             // Runs of the old process are missing from the answer and released below. A start order
             // in transit may reach the new process, so its run is kept.
             log::warn!(event = "worker-restarted", worker = worker.profile.id,
                 runs = worker.runs.len(), listed = snapshot.running.len(); "");
         }
+        worker.polled_at = worker.polled_at.max(Some(sent));
         // Earlier leases were granted by the clock of this process, or its start was noticed above.
         worker.unverified_grant.take_if(|at| *at <= sent);
         self.record_answer(key, snapshot, now);
@@ -240,6 +242,22 @@
         }
     }
 
+    /// Records that a process that started at `born_ms` answered a poll of a worker sent at `sent`,
+    /// whose answer is not processed further. Returns whether it is the one whose runs are known.
+    pub fn verify_process(&mut self, key: WorkerKey, born_ms: u64, sent: Instant) -> bool {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return false;
+        };
+        let is_known = worker.answered_at.is_some() && worker.born_ms == born_ms;
+        if is_known {
+            worker.polled_at = worker.polled_at.max(Some(sent));
+        } else {
+            // A poll by which the engine learns of the new process follows.
+            worker.set_unreachable();
+        }
+        is_known
+    }
+
     /// Records that a call to a worker got no answer.
     pub fn record_no_answer(&mut self, key: WorkerKey) {
         if let Some(worker) = self.workers.get_mut(key) {
--- a/src/batch/engine/reply.rs
+++ b/src/batch/engine/reply.rs
@@ -20,18 +20,23 @@
 const REJECTED_PAUSE: Duration = Duration::from_secs(1);
 
 impl Engine {
-    /// Returns the content of the start order of a run, or `None` if the run is no longer wanted or
-    /// its worker does not answer.
+    /// Returns whether the start order of a run may be sent: the run is wanted and its worker answers.
+    pub fn may_launch(&self, key: RunKey, now: Instant) -> bool {
+        let run = self
+            .runs
+            .get(key)
+            .filter(|run| run.stopping_since.is_none());
+        let worker = run.and_then(|run| Some((run, self.workers.get(run.worker)?)));
+        worker.is_some_and(|(run, worker)| {
+            !worker.unreachable
+                && self.predates_successor(worker)
+                && !self.must_answer_before_start(run.worker, now)
+        })
+    }
+
+    /// Returns the content of the start order of a run, or `None` if it may not be sent.
     pub fn launch(&self, key: RunKey, now: Instant) -> Option<Launch> {
-        let run = self.runs.get(key)?;
-        let worker = self.workers.get(run.worker)?;
-        if run.stopping_since.is_some()
-            || worker.unreachable
-            || !self.predates_successor(worker)
-            || self.must_answer_before_start(run.worker, now)
-        {
-            return None;
-        }
+        let run = self.runs.get(key).filter(|_| self.may_launch(key, now))?;
         let job = self.jobs.get(run.job)?;
         let ticket = self
             .stage(run.job, run.task.occurrence, run.task.step)
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -29,6 +29,8 @@
     /// When a lease was last granted to a process that may be another one than the latest answer
     /// came from.
     pub(super) unverified_grant: Option<Instant>,
+    /// When the latest poll was sent that its current process has answered.
+    pub(super) polled_at: Option<Instant>,
     /// When its current process first answered, and when it last did.
     pub(super) first_answered_at: Option<Instant>,
     pub(super) answered_at: Option<Instant>,
@@ -83,6 +85,7 @@
             born_ms: 0,
             lease_until: Instant::default(),
             unverified_grant: None,
+            polled_at: None,
             first_answered_at: None,
             answered_at: None,
             responded_at: None,
@@ -154,6 +157,12 @@
         (self.answered_at.is_some(), self.profile.born_ms)
     }
 
+    /// Returns whether a connection that was opened at a time reaches the process that answered the
+    /// latest poll, or none. A later one may lead to another process with the same id.
+    pub(super) fn is_reached_since(&self, opened_at: Instant) -> bool {
+        self.polled_at.is_some_and(|sent| opened_at <= sent)
+    }
+
     /// Returns the free resources.
     pub(super) fn free_capacity(&self) -> Size {
         self.profile.capacity - self.used
--- /dev/null
+++ b/src/batch/renewal.rs
@@ -0,0 +1,8 @@
+/// What a poll of a worker renews and acknowledges.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Renewal {
+    /// End of the lease on the clock of the worker, in milliseconds; `None` renews nothing.
+    pub deadline_ms: Option<u64>,
+    /// Position up to which ends are acknowledged.
+    pub position: u64,
+}
--- a/src/entry/orders.rs
+++ b/src/entry/orders.rs
@@ -1,15 +1,16 @@
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{self, sleep, sleep_until};
 
 use super::signals::Signals;
 use super::term::Term;
-use crate::batch::{Launch, Order, Reply, RunKey, TaskId, WorkerKey};
-use crate::clock;
+use crate::batch::{Grant, Launch, Order, Renewal, Reply, RunKey, TaskId, WorkerKey};
+use crate::clock::{self, Instant};
 use crate::platform::api::{Fault, Worker};
 use crate::telemetry::{self, OrderInFlight};
 
@@ -19,6 +20,9 @@
 /// Time for which a start order waits for an answer of its worker.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Number of connections that are tried for a start order before the engine decides again.
+const START_ATTEMPTS: u32 = 3;
+
 /// Number of attempts to stop a run; after them the engine decides again.
 const STOP_ATTEMPTS: u32 = 4;
 
@@ -58,7 +62,7 @@
     let mut in_flight = FuturesUnordered::new();
     let mut sent = 0_u64;
     // When the next order is sent although the last one has no answer.
-    let mut next_at = Instant::now();
+    let mut next_at = time::Instant::now();
     let mut is_ready = true;
     loop {
         let may_send = is_ready && in_flight.len() < MAX_IN_FLIGHT;
@@ -69,7 +73,7 @@
                 };
                 sent += 1;
                 let delay = recipient.allowance().mul_f64(HEAD_START);
-                (is_ready, next_at) = (false, Instant::now() + delay);
+                (is_ready, next_at) = (false, time::Instant::now() + delay);
                 let (number, recipient) = (sent, &recipient);
                 in_flight.push(async move {
                     recipient.send(order).await;
@@ -121,26 +125,14 @@
     }
 
     async fn start_run(&self, run: RunKey) {
-        let (launch, deadline) = {
-            let mut engine = self.term.engine();
-            let now = clock::now();
-            let launch = engine
-                .launch(run, now)
-                .filter(|_| self.term.may_send_orders());
-            let deadline = launch
-                .is_some()
-                .then(|| engine.grant_lease(self.key, now))
-                .flatten();
-            (launch, deadline)
-        };
-        let (Some(launch), Some(deadline)) = (launch, deadline) else {
-            telemetry::count_order("start", "unsent");
-            self.term.engine().record_start_not_sent(run, clock::now());
-            self.term.placement_wake.notify_one();
-            return;
+        let launch = self.term.engine().launch(run, clock::now());
+        let Some(launch) = launch else {
+            return self.record_start_not_sent(run);
         };
         let answer_age = self.term.engine().time_since_answer(self.key, clock::now());
-        let (reply, clock_ms) = self.send_start(run, &launch, deadline).await;
+        let Some((reply, clock_ms)) = self.send_verified_start(run, &launch).await else {
+            return self.record_start_not_sent(run);
+        };
         let now = clock::now();
         log::info!(event = "task-started", job = launch.task.job, step = launch.task.step,
             index = launch.task.index, run = launch.number, worker = self.worker.id(),
@@ -161,15 +153,79 @@
         }
     }
 
+    fn record_start_not_sent(&self, run: RunKey) {
+        telemetry::count_order("start", "unsent");
+        self.term.engine().record_start_not_sent(run, clock::now());
+        self.term.placement_wake.notify_one();
+    }
+
+    /// Sends a start order on a connection that leads to the process whose runs are known. For a new
+    /// one, a poll shows that first. Returns `None` if the order was not sent.
+    async fn send_verified_start(
+        &self,
+        run: RunKey,
+        launch: &Launch,
+    ) -> Option<(Reply, Option<u64>)> {
+        for _ in 0..START_ATTEMPTS {
+            let is_unverified = AtomicBool::new(false);
+            let answer = self.send_start(run, launch, &is_unverified).await;
+            if answer.is_some() || !is_unverified.into_inner() {
+                return answer;
+            }
+            if !self.verify_process().await {
+                return None;
+            }
+        }
+        None
+    }
+
+    /// Polls the worker without a lease, on the connection that was opened last. Returns whether the
+    /// process answers whose runs are known.
+    async fn verify_process(&self) -> bool {
+        let sent = clock::now();
+        let renew = |_| self.term.may_send_orders().then(Renewal::default);
+        let answer = self.worker.poll(Duration::ZERO, RESPONSE_TIMEOUT, renew);
+        match answer.await {
+            Ok(snapshot) => {
+                let mut engine = self.term.engine();
+                engine.verify_process(self.key, snapshot.born_ms, sent)
+            }
+            Err(fault) => {
+                log::debug!(event = "process-unverified", worker = self.worker.id(),
+                    fault:% = fault; "");
+                false
+            }
+        }
+    }
+
+    /// Returns the end of the lease that a start order grants on a connection that was opened at a
+    /// time. `None` if the order may not be sent on it: the connection may have taken long to open.
+    fn grant(&self, run: RunKey, opened_at: Instant, is_unverified: &AtomicBool) -> Option<u64> {
+        if !self.term.may_send_orders() {
+            return None;
+        }
+        let grant = self
+            .term
+            .engine()
+            .grant_by_start(run, opened_at, clock::now());
+        is_unverified.store(grant == Grant::Unverified, Ordering::Relaxed);
+        match grant {
+            Grant::Until(deadline) => Some(deadline),
+            Grant::Unverified | Grant::Denied => None,
+        }
+    }
+
     /// Sends a start order. When its answer is late, lets a poll show whether the worker has the run.
+    /// Returns `None` if it was not sent, and sets `is_unverified` if a poll must come first.
     async fn send_start(
         &self,
         run: RunKey,
         launch: &Launch,
-        deadline: u64,
-    ) -> (Reply, Option<u64>) {
+        is_unverified: &AtomicBool,
+    ) -> Option<(Reply, Option<u64>)> {
         let sent = clock::now();
-        let exchange = self.worker.start(launch, deadline, RESPONSE_TIMEOUT);
+        let grant = |opened_at| self.grant(run, opened_at, is_unverified);
+        let exchange = self.worker.start(launch, RESPONSE_TIMEOUT, grant);
         tokio::pin!(exchange);
         let answer = tokio::select! {
             answer = &mut exchange => answer,
@@ -178,14 +234,14 @@
                 self.signals.unverified.notify_one();
                 exchange.await
             }
-        };
+        }?;
         if answer.0 == Reply::Unknown {
             self.term.answer_time().record_missing(clock::now());
         } else {
             let took = clock::now().since(sent);
             self.term.answer_time().record(took);
         }
-        answer
+        Some(answer)
     }
 
     /// Orders the stop of a run until the worker confirms it. The time for an answer begins short and
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -5,7 +5,7 @@
 use super::shared::unix_time_ms;
 use super::signals::Signals;
 use super::term::Term;
-use crate::batch::{Snapshot, WorkerKey};
+use crate::batch::{Renewal, Snapshot, WorkerKey};
 use crate::clock::{self, Instant};
 use crate::platform::api::{Fault, Worker};
 
@@ -39,12 +39,8 @@
 /// Delay after a poll that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// What one poll of a worker asks for.
+/// How long one poll of a worker takes.
 struct Plan {
-    /// End of the lease that it grants, on the clock of the worker.
-    deadline: Option<u64>,
-    /// Position up to which ends are acknowledged.
-    position: u64,
     /// Time for which the worker may hold back its response.
     wait: Duration,
     /// Time that the response may take beyond the wait.
@@ -62,30 +58,30 @@
         sent: Instant,
     ) -> Self {
         let answers_are_missing = term.answer_time().are_missing(sent);
-        let mut engine = term.engine();
-        let deadline = engine.grant_lease(key, sent);
-        let wait = match deadline {
-            None if !engine.answers(key) => Duration::ZERO,
-            _ if is_repeated => Duration::ZERO,
-            _ if engine.must_answer_before_start(key, sent) => Duration::ZERO,
-            _ if engine.has_unverified_run(key, last_sent) => Duration::ZERO,
-            _ if engine.has_uncertain_run(key) => UNCERTAIN_WAIT,
-            _ if engine.has_starting_task(key) => SETTLING_WAIT,
-            _ if engine.has_latency_conflict(key) => CONTENDED_WAIT,
-            _ if answers_are_missing && engine.has_short_run(key) => UNRELIABLE_WAIT,
-            _ => POLL_WAIT,
+        let engine = term.engine();
+        let is_urgent = is_repeated
+            || !engine.answers(key)
+            || engine.must_answer_before_start(key, sent)
+            || engine.has_unverified_run(key, last_sent);
+        let wait = if is_urgent {
+            Duration::ZERO
+        } else if engine.has_uncertain_run(key) {
+            UNCERTAIN_WAIT
+        } else if engine.has_starting_task(key) {
+            SETTLING_WAIT
+        } else if engine.has_latency_conflict(key) {
+            CONTENDED_WAIT
+        } else if answers_are_missing && engine.has_short_run(key) {
+            UNRELIABLE_WAIT
+        } else {
+            POLL_WAIT
         };
         let timeout = if is_repeated || !engine.answers(key) {
             RESPONSE_TIMEOUT
         } else {
             term.answer_time().allowance()
         };
-        Self {
-            deadline,
-            position: engine.acknowledged(key),
-            wait,
-            timeout,
-        }
+        Self { wait, timeout }
     }
 
     /// Returns whether a missing answer shows that the worker does not answer. Otherwise the poll is
@@ -119,7 +115,9 @@
         let sent = clock::now();
         let plan = Plan::new(&term, key, is_repeated, last_sent, sent);
         last_sent = sent;
-        let answer = worker.poll(plan.deadline, plan.position, plan.wait, plan.timeout);
+        let answer = worker.poll(plan.wait, plan.timeout, |opened_at| {
+            renewal(&term, key, opened_at)
+        });
         let answer = tokio::select! {
             answer = answer => answer,
             // Another poll is answered at once.
@@ -150,6 +148,13 @@
     }
 }
 
+/// Returns what a poll renews on a connection that was opened at a time. `None` if orders may no
+/// longer be sent: the connection may have taken long to open.
+fn renewal(term: &Term, key: WorkerKey, opened_at: Instant) -> Option<Renewal> {
+    let may_send = term.may_send_orders();
+    may_send.then(|| term.engine().renewal(key, opened_at, clock::now()))
+}
+
 /// Processes the answer to a poll sent at `sent`. Returns the delay before the next one.
 fn process_answer(term: &Term, key: WorkerKey, snapshot: &Snapshot, sent: Instant) -> Duration {
     let mut engine = term.engine();
--- a/src/platform/api/link.rs
+++ b/src/platform/api/link.rs
@@ -29,6 +29,8 @@
     Unsent(String),
     /// The request was sent, at least in part.
     Sent(String),
+    /// The request may not be sent, or not on this connection.
+    Denied,
 }
 
 impl Link {
@@ -69,8 +71,24 @@
     ///
     /// The [`Fault`] tells whether the request may have taken effect.
     pub(super) async fn exchange(&self, call: Call<'_>) -> Result<Response, Fault> {
+        let body = call.body.clone();
+        self.exchange_after_connect(call, |_| Some(body.clone()))
+            .await
+    }
+
+    /// Sends a request whose body depends on when the connection was opened on which it is sent.
+    /// Sends nothing if there is no body for it.
+    ///
+    /// # Errors
+    ///
+    /// The [`Fault`] tells whether the request may have taken effect.
+    pub(super) async fn exchange_after_connect(
+        &self,
+        call: Call<'_>,
+        body: impl Fn(clock::Instant) -> Option<Bytes> + Sync,
+    ) -> Result<Response, Fault> {
         let (step, started) = (call.step, Instant::now());
-        let result = self.send(call).await;
+        let result = self.send(&call, &body).await;
         let status = match &result {
             Ok(response) => response.status.to_string(),
             Err(Fault::Unsent { .. }) => "unsent".to_owned(),
@@ -84,29 +102,18 @@
     }
 
     /// Sends a request; repeats it on a new connection only if no byte of it was sent.
-    async fn send(&self, call: Call<'_>) -> Result<Response, Fault> {
-        let (step, not_after) = (call.step, call.not_after);
+    async fn send(
+        &self,
+        call: &Call<'_>,
+        body: &(impl Fn(clock::Instant) -> Option<Bytes> + Sync),
+    ) -> Result<Response, Fault> {
+        let step = call.step;
         let deadline = Instant::now() + call.timeout;
-        let mut request = Request::builder()
-            .method(call.method)
-            .uri(call.path)
-            .header("host", &*self.peer);
-        if !call.body.is_empty() {
-            request = request.header("content-type", "application/json");
-        }
-        for (name, value) in call.headers {
-            request = request.header(*name, value);
-        }
-        let request = request
-            .body(Full::new(call.body))
-            .map_err(|e| self.unsent(step, e.to_string()))?;
         if let Ok(Some(connection)) = timeout_at(deadline, self.pool.take()).await {
-            match self
-                .exchange_on(connection, request.clone(), not_after, deadline)
-                .await
-            {
+            match self.exchange_on(connection, call, body, deadline).await {
                 Ok(response) => return Ok(response),
                 Err(Failure::Sent(reason)) => return Err(self.unknown(step, reason)),
+                Err(Failure::Denied) => return Err(self.denied(step)),
                 Err(Failure::Unsent(_)) => {}
             }
         }
@@ -116,12 +123,10 @@
             Ok(Err(error)) => return Err(self.unsent(step, error.to_string())),
             Err(_) => return Err(self.unsent(step, "connect timed out".into())),
         };
-        match self
-            .exchange_on(connection, request, not_after, deadline)
-            .await
-        {
+        match self.exchange_on(connection, call, body, deadline).await {
             Ok(response) => Ok(response),
             Err(Failure::Sent(reason)) => Err(self.unknown(step, reason)),
+            Err(Failure::Denied) => Err(self.denied(step)),
             Err(Failure::Unsent(reason)) => Err(self.unsent(step, reason)),
         }
     }
@@ -130,14 +135,19 @@
     async fn exchange_on(
         &self,
         mut connection: Connection,
-        request: Request<Full<Bytes>>,
-        not_after: Option<clock::Instant>,
+        call: &Call<'_>,
+        body: &(impl Fn(clock::Instant) -> Option<Bytes> + Sync),
         deadline: Instant,
     ) -> Result<Response, Failure> {
         // The connection may have taken long to open, or the process may have been paused.
-        if not_after.is_some_and(|at| clock::now() >= at) {
-            return Err(Failure::Unsent("the permission has ended".into()));
-        }
+        let is_permitted = call.not_after.is_none_or(|at| clock::now() < at);
+        let body = is_permitted.then(|| body(connection.opened_at)).flatten();
+        let Some(body) = body else {
+            // The connection is unused.
+            self.pool.keep(connection);
+            return Err(Failure::Denied);
+        };
+        let request = self.request(call, body).map_err(Failure::Unsent)?;
         let sent_at = Instant::now();
         let exchange = async {
             let sent = connection.sender.try_send_request(request).await;
@@ -163,11 +173,29 @@
         Ok(response)
     }
 
+    fn request(&self, call: &Call<'_>, body: Bytes) -> Result<Request<Full<Bytes>>, String> {
+        let mut request = Request::builder()
+            .method(call.method.clone())
+            .uri(call.path)
+            .header("host", &*self.peer);
+        if !body.is_empty() {
+            request = request.header("content-type", "application/json");
+        }
+        for (name, value) in call.headers {
+            request = request.header(*name, value);
+        }
+        request.body(Full::new(body)).map_err(|e| e.to_string())
+    }
+
     fn absent(&self, step: &'static str) -> Fault {
         let peer = self.peer.clone();
         Fault::Absent { step, peer }
     }
 
+    fn denied(&self, step: &'static str) -> Fault {
+        self.unsent(step, "the request is not permitted".into())
+    }
+
     fn unsent(&self, step: &'static str, reason: String) -> Fault {
         let peer = self.peer.clone();
         Fault::Unsent { step, peer, reason }
--- a/src/platform/api/worker.rs
+++ b/src/platform/api/worker.rs
@@ -1,7 +1,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::Serialize;
 use serde_json::json;
 
@@ -12,7 +14,8 @@
 use super::report::{MAX_NUMBER, Report};
 use super::start::Start;
 use super::{Fault, Link, Response, task_name};
-use crate::batch::{Launch, Reply, Snapshot, TaskId};
+use crate::batch::{Launch, Renewal, Reply, Snapshot, TaskId};
+use crate::clock::Instant;
 
 /// Client of one process of a worker; requests that reach another process are rejected.
 pub struct Worker {
@@ -42,29 +45,37 @@
         &self.id
     }
 
-    /// Starts a run whose lease ends at `deadline_ms` on the clock of the worker.
+    /// Starts a run with the lease that `grant` returns: its end on the clock of the worker in
+    /// milliseconds. `grant` gets the time at which the connection was opened that is used.
     ///
     /// Returns the outcome and, if the worker reported it, the time on its clock in milliseconds.
+    /// `None` if no lease was granted, so that nothing was sent.
     pub async fn start(
         &self,
         launch: &Launch,
-        deadline_ms: u64,
         timeout: Duration,
-    ) -> (Reply, Option<u64>) {
-        let body = Start {
-            task: task_name::encode(&launch.task),
-            run: launch.number,
-            spec: &launch.payload,
-            deadline_ms,
-            fence_token: self.fencing_token,
-            checkpoint: launch.saved.as_deref(),
-            ticket: launch.ticket.as_deref(),
+        grant: impl Fn(Instant) -> Option<u64> + Sync,
+    ) -> Option<(Reply, Option<u64>)> {
+        let is_denied = AtomicBool::new(false);
+        let body = |opened_at| {
+            let deadline_ms = grant(opened_at);
+            is_denied.store(deadline_ms.is_none(), Ordering::Relaxed);
+            encode(&Start {
+                task: task_name::encode(&launch.task),
+                run: launch.number,
+                spec: &launch.payload,
+                deadline_ms: deadline_ms?,
+                fence_token: self.fencing_token,
+                checkpoint: launch.saved.as_deref(),
+                ticket: launch.ticket.as_deref(),
+            })
         };
         match self
-            .send_order("start", "/api/run-start", &body, timeout)
+            .send_order("start", "/api/run-start", timeout, body)
             .await
         {
-            Ok((status, receipt)) => (decode_reply(status, &receipt), receipt.clock_ms),
+            Ok((status, receipt)) => Some((decode_reply(status, &receipt), receipt.clock_ms)),
+            Err(_) if is_denied.into_inner() => None,
             Err(fault) => {
                 log::debug!(event = "start-failed", worker = self.id, fault:% = fault; "");
                 let reply = if fault.had_no_effect() {
@@ -72,7 +83,7 @@
                 } else {
                     Reply::Unknown
                 };
-                (reply, None)
+                Some((reply, None))
             }
         }
     }
@@ -91,7 +102,7 @@
             "fenceToken": self.fencing_token,
         });
         let (status, _) = self
-            .send_order("stop", "/api/run-stop", &body, timeout)
+            .send_order("stop", "/api/run-stop", timeout, |_| encode(&body))
             .await?;
         Ok(status == 200)
     }
@@ -116,33 +127,39 @@
             "percent": percent,
             "fenceToken": self.fencing_token,
         });
-        let (status, _) = self.send_order("pace", "/api/pace", &body, timeout).await?;
+        let (status, _) = self
+            .send_order("pace", "/api/pace", timeout, |_| encode(&body))
+            .await?;
         Ok(status == 200)
     }
 
-    /// Lists running and ended runs, renews the lease until `deadline_ms`, and acknowledges ended
-    /// runs up to `position`. The worker delays its response by up to `wait` until a run ends.
+    /// Lists running and ended runs, and renews and acknowledges what `renew` returns for a
+    /// connection that was opened at a time. The worker delays its response by up to `wait` until a
+    /// run ends.
     ///
     /// # Errors
     ///
     /// [`Fault::Refused`] with status 409 means that the worker has seen a higher fencing token,
-    /// with 421 that another worker process uses the address.
+    /// with 421 that another worker process uses the address. [`Fault::Unsent`] if `renew` returns
+    /// `None`.
     pub async fn poll(
         &self,
-        deadline_ms: Option<u64>,
-        position: u64,
         wait: Duration,
         timeout: Duration,
+        renew: impl Fn(Instant) -> Option<Renewal> + Sync,
     ) -> Result<Snapshot, Fault> {
         let step = "look";
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let body = Poll {
-            deadline_ms,
-            fence_token: self.fencing_token,
-            ack_position: position,
-            wait_ms: (wait_ms > 0).then_some(wait_ms),
+        let body = |opened_at| {
+            let renewal = renew(opened_at)?;
+            encode(&Poll {
+                deadline_ms: renewal.deadline_ms,
+                fence_token: self.fencing_token,
+                ack_position: renewal.position,
+                wait_ms: (wait_ms > 0).then_some(wait_ms),
+            })
         };
-        let response = self.post(step, "/api/hold", &body, wait + timeout).await?;
+        let response = self.post(step, "/api/hold", wait + timeout, body).await?;
         match response.status {
             200 => match serde_json::from_slice::<Report>(&response.body) {
                 Ok(report) if report.is_possible() => Ok(report.into()),
@@ -157,10 +174,10 @@
         &self,
         step: &'static str,
         path: &str,
-        body: &impl Serialize,
         timeout: Duration,
+        body: impl Fn(Instant) -> Option<Bytes> + Sync,
     ) -> Result<(u16, Receipt), Fault> {
-        let response = self.post(step, path, body, timeout).await?;
+        let response = self.post(step, path, timeout, body).await?;
         let receipt = serde_json::from_slice::<Receipt>(&response.body).unwrap_or_default();
         let clock_ms = receipt.clock_ms.filter(|clock| *clock <= MAX_NUMBER);
         let receipt = Receipt {
@@ -174,19 +191,23 @@
         &self,
         step: &'static str,
         path: &str,
-        body: &impl Serialize,
         timeout: Duration,
+        body: impl Fn(Instant) -> Option<Bytes> + Sync,
     ) -> Result<Response, Fault> {
-        let body = serde_json::to_vec(body).map_err(|e| self.link.unknown(step, e.to_string()))?;
         let headers = [(EXPECT_INSTANCE, self.id.to_string())];
         let call = Call {
             headers: &headers,
-            ..Call::post(step, path, body, timeout)
+            ..Call::post(step, path, Bytes::new(), timeout)
         };
-        self.link.exchange(call).await
+        self.link.exchange_after_connect(call, body).await
     }
 }
 
+fn encode(body: &impl Serialize) -> Option<Bytes> {
+    let body = serde_json::to_vec(body).expect("request types serialise to JSON");
+    Some(body.into())
+}
+
 /// Maps the response to a start request to its outcome.
 fn decode_reply(status: u16, receipt: &Receipt) -> Reply {
     match (status, receipt.reason.as_str()) {
--- a/src/platform/http/connection.rs
+++ b/src/platform/http/connection.rs
@@ -7,10 +7,13 @@
 use tokio::net::TcpStream;
 
 use super::stream::Stream;
+use crate::clock::{self, Instant};
 
 /// HTTP/1.1 connection; a spawned task performs its reads and writes.
 pub(in crate::platform) struct Connection {
     pub(in crate::platform) sender: SendRequest<Full<Bytes>>,
+    /// When it was open. The process at the other end had started by then.
+    pub(in crate::platform) opened_at: Instant,
     /// Duplicate handle of the socket that hyper owns, used to detect that the peer closed it.
     probe: std::net::TcpStream,
 }
@@ -20,13 +23,18 @@
         address: SocketAddr,
     ) -> Result<Self, Box<dyn std::error::Error + Send + Sync>> {
         let stream = TcpStream::connect(address).await?;
+        let opened_at = clock::now();
         stream.set_nodelay(true)?;
         let stream = stream.into_std()?;
         let probe = stream.try_clone()?;
         let stream = TcpStream::from_std(stream)?;
         let (sender, connection) = handshake(Stream::new(stream)?).await?;
         tokio::spawn(connection);
-        Ok(Self { sender, probe })
+        Ok(Self {
+            sender,
+            opened_at,
+            probe,
+        })
     }
 
     /// Waits for the end of the previous exchange and returns whether another one can follow.
--- a/tests/batch/lost_workers.rs
+++ b/tests/batch/lost_workers.rs
@@ -5,7 +5,7 @@
 use coriandernotch::clock::Instant;
 
 use crate::pools::machine;
-use crate::simulation::{Simulation, lasting, record, step};
+use crate::simulation::{Simulation, lasting, old_connection, record, step};
 use crate::takeover::{next_leader, running_progress};
 
 /// Guards against waiting for a worker whose machine went down for maintenance between two leaders,
@@ -148,7 +148,11 @@
     let Some((key, Order::Start(run))) = orders.into_iter().next() else {
         panic!("a start order");
     };
-    assert!(sim.engine.grant_lease(key, sim.now).is_some());
+    assert!(
+        sim.engine
+            .grant_lease(key, old_connection(), sim.now)
+            .is_some()
+    );
     sim.engine
         .record_start_outcome(run, &Reply::Unknown, None, sim.now);
     sim.engine.record_no_answer(key);
--- a/tests/batch/restart.rs
+++ b/tests/batch/restart.rs
@@ -1,12 +1,13 @@
 use std::time::Duration;
 
 use coriandernotch::batch::{
-    End, Ended, Order, Profile, Reply, RunKey, Running, Snapshot, Tuning, WorkerKey,
+    End, Ended, Grant, Order, Profile, Reply, RunKey, Running, Snapshot, Tuning, WorkerKey,
 };
 
-use crate::simulation::{Simulation, lasting, profile, record, step};
+use crate::simulation::{Simulation, lasting, old_connection, profile, record, step};
 
-/// Start time of the second process of the worker in these tests, in milliseconds since 1970.
+/// Start times of the two processes of the worker in these tests, in milliseconds since 1970.
+const FIRST_BORN_MS: u64 = 1;
 const SECOND_BORN_MS: u64 = 2;
 
 /// Creates a simulation with one idle worker whose process has been replaced since it last
@@ -54,7 +55,9 @@
     sim.accept("j", record(vec![step(1)]));
     let run = place(&mut sim)[0];
     let launch = sim.engine.launch(run, sim.now).unwrap();
-    sim.engine.grant_lease(key, sim.now).unwrap();
+    sim.engine
+        .grant_lease(key, old_connection(), sim.now)
+        .unwrap();
     answer(&mut sim, key, Vec::new());
     sim.now = sim.now + Duration::from_millis(10);
     sim.engine
@@ -83,12 +86,12 @@
         sim.run(10);
     }
     let key = sim.engine.worker_addresses()[0].0;
-    assert_eq!(sim.engine.acknowledged(key), 1);
+    assert_eq!(sim.engine.acknowledged(key, old_connection()), 1);
     sim.add(Profile {
         born_ms: SECOND_BORN_MS,
         ..profile("i-0", "s")
     });
-    assert_eq!(sim.engine.acknowledged(key), 0);
+    assert_eq!(sim.engine.acknowledged(key, old_connection()), 0);
 }
 
 /// Guards against starting tasks on a worker that may have ended or been replaced since it was last
@@ -156,7 +159,9 @@
         sim.accept("j", record(vec![step(1)]));
         let run = place(&mut sim)[0];
         sim.engine.launch(run, sim.now).unwrap();
-        sim.engine.grant_lease(key, sim.now).unwrap();
+        sim.engine
+            .grant_lease(key, old_connection(), sim.now)
+            .unwrap();
         sim.engine.record_start_outcome(run, &reply, None, sim.now);
         let restarted_after = time_until_restart(&mut sim, key);
         assert!(
@@ -214,11 +219,15 @@
     let wall = sim.wall_ms();
     let new = snapshot(SECOND_BORN_MS, 1);
     sim.engine.process_poll(key, &new, sim.now, wall, sim.now);
-    assert_eq!(sim.engine.acknowledged(key), 0, "the end is not stored");
+    assert_eq!(
+        sim.engine.acknowledged(key, old_connection()),
+        0,
+        "the end is not stored"
+    );
     sim.now = sim.now + Duration::from_millis(10);
     let old = snapshot(1, 57);
     sim.engine.process_poll(key, &old, sent, wall, sim.now);
-    assert_eq!(sim.engine.acknowledged(key), 0);
+    assert_eq!(sim.engine.acknowledged(key, old_connection()), 0);
 }
 
 /// Guards against counting a refusal at the address of the old process, which arrives late, as the
@@ -311,3 +320,56 @@
     answer(&mut sim, key, Vec::new());
     assert!(sim.engine.launch(run, sim.now).is_some());
 }
+
+/// Guards against an acknowledgement on a connection that leads to a new process with the id of the
+/// worker. It forgot the ends of its own that have such positions, and the tasks ran again (rule
+/// TWICE).
+#[test]
+fn acknowledges_no_ends_on_a_connection_that_is_newer_than_the_last_answer() {
+    let mut sim = Simulation::with_workers(1);
+    sim.accept("j", record(vec![step(1)]));
+    while !sim.ended.contains_key("j") {
+        sim.run(10);
+    }
+    let key = sim.engine.worker_addresses()[0].0;
+    let new_connection = sim.now + Duration::from_millis(1);
+    assert_eq!(sim.engine.acknowledged(key, new_connection), 0);
+    assert_eq!(sim.engine.acknowledged(key, old_connection()), 1);
+}
+
+/// Guards against a start order that reaches a new process with the id of the worker, which takes the
+/// lease by another clock and may carry out the order late.
+#[test]
+fn starts_nothing_on_a_connection_that_is_newer_than_the_last_answer() {
+    let mut sim = Simulation::with_workers(1);
+    sim.renew();
+    let key = sim.engine.worker_addresses()[0].0;
+    sim.accept("j", record(vec![step(1)]));
+    let run = place(&mut sim)[0];
+    let opened_at = sim.now + Duration::from_millis(1);
+    sim.now = sim.now + Duration::from_millis(2);
+    let grant = |sim: &mut Simulation| sim.engine.grant_by_start(run, opened_at, sim.now);
+    assert_eq!(grant(&mut sim), Grant::Unverified);
+    assert!(sim.engine.verify_process(key, FIRST_BORN_MS, sim.now));
+    assert!(matches!(grant(&mut sim), Grant::Until(_)));
+    assert!(!sim.engine.verify_process(key, SECOND_BORN_MS, sim.now));
+    assert_eq!(grant(&mut sim), Grant::Denied, "another process answers");
+}
+
+/// Guards against taking the lease of a worker as expired too early whose last poll was sent on a new
+/// connection: a new process takes the end of the lease, which counts by the clock of the old one,
+/// for the longest lease.
+#[test]
+fn a_lease_granted_on_a_new_connection_may_be_the_longest() {
+    let mut sim = Simulation::with_workers(1);
+    sim.renew();
+    let key = sim.engine.worker_addresses()[0].0;
+    sim.accept("j", lasting(1));
+    sim.run(100);
+    assert_eq!(sim.running(), 1);
+    sim.now = sim.now + Duration::from_millis(10);
+    let granted = sim.now;
+    sim.engine.renewal(key, granted, granted);
+    let elapsed = time_until_restart(&mut sim, key);
+    assert!(elapsed > Tuning::default().lease, "{elapsed:?}");
+}
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -15,6 +15,11 @@
 /// Maximum number of ends in one answer of a worker.
 const MAX_LISTED_ENDS: usize = 500;
 
+/// Returns when a connection was opened that leads to the process which answered last, if to any.
+pub(crate) fn old_connection() -> Instant {
+    Instant::default()
+}
+
 /// A run on a simulated worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -235,11 +240,12 @@
             let how = if worker.fails { End::Failed } else { End::Done };
             worker.end(run, how);
         }
-        let acknowledged = self.engine.acknowledged(key);
+        let renewal = self.engine.renewal(key, old_connection(), now);
+        let acknowledged = renewal.position;
         worker.acknowledged = worker.acknowledged.max(acknowledged);
         worker.ended.retain(|ended| ended.position > acknowledged);
-        let lease = self.engine.grant_lease(key, now);
-        worker.lease_ms = worker.lease_ms.max(lease.unwrap_or_default());
+        let lease = renewal.deadline_ms.unwrap_or_default();
+        worker.lease_ms = worker.lease_ms.max(lease);
         let running = worker.running.iter().map(|run| Running {
             task: run.task.clone(),
             number: run.number,
@@ -270,7 +276,7 @@
         match order {
             Order::Start(run) => {
                 let launch = self.engine.launch(run, self.now);
-                let deadline = self.engine.grant_lease(key, self.now);
+                let deadline = self.engine.grant_lease(key, old_connection(), self.now);
                 let (Some(launch), Some(lease)) = (launch, deadline) else {
                     return self.engine.record_start_not_sent(run, self.now);
                 };
--- a/tests/batch/waits.rs
+++ b/tests/batch/waits.rs
@@ -4,7 +4,7 @@
 
 use coriandernotch::batch::{End, Order, Reply, Running, Snapshot, WorkerKey};
 
-use crate::simulation::{Run, Simulation, lasting, record, step};
+use crate::simulation::{Run, Simulation, lasting, old_connection, record, step};
 
 /// Time within which an accepted lasting task must run once nothing disturbs it.
 pub(crate) const MAX_WAIT_MS: u64 = 7_000;
@@ -53,7 +53,7 @@
         has_more_ends: false,
     };
     let (sent, wall) = (sim.now, sim.wall_ms());
-    sim.engine.grant_lease(key, sent);
+    sim.engine.grant_lease(key, old_connection(), sent);
     sim.engine.process_poll(key, &snapshot, sent, wall, sim.now);
 }
 
@@ -101,7 +101,9 @@
             match order {
                 Order::Start(run) => {
                     starts += 1;
-                    sim.engine.grant_lease(key, sim.now).unwrap();
+                    sim.engine
+                        .grant_lease(key, old_connection(), sim.now)
+                        .unwrap();
                     sim.engine
                         .record_start_outcome(run, &Reply::Unknown, None, sim.now);
                 }
--- a/tests/entry/contract.rs
+++ b/tests/entry/contract.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use coriandernotch::batch::{End, Launch, Reply, TaskId};
+use coriandernotch::batch::{End, Launch, Renewal, Reply, Snapshot, TaskId};
 use coriandernotch::platform::api::{
     Fault, Feed, Intent, Outcome, Precondition, Store as Client, Transaction,
     Worker as WorkerClient, decode_intent, decode_registration, decode_submission,
@@ -148,6 +148,25 @@
     }
 }
 
+/// Starts a run of a task with a lease of 1 s on the clock of the worker.
+async fn start(client: &WorkerClient, index: u32) -> (Reply, Option<u64>) {
+    let outcome = client.start(&launch(index), TIMEOUT, |_| Some(1_000)).await;
+    outcome.expect("the lease is granted")
+}
+
+async fn poll(
+    client: &WorkerClient,
+    deadline_ms: Option<u64>,
+    position: u64,
+    wait: Duration,
+) -> Result<Snapshot, Fault> {
+    let renewal = Renewal {
+        deadline_ms,
+        position,
+    };
+    client.poll(wait, TIMEOUT, |_| Some(renewal)).await
+}
+
 /// A worker rejects orders of an older leader and orders for another worker; the client must report
 /// which of these happened.
 #[tokio::test]
@@ -155,25 +174,13 @@
     let worker = Worker::new("i-1");
     let address = worker.start().await;
     let newer = WorkerClient::new(address, "i-1".into(), 5);
-    assert_eq!(
-        newer.start(&launch(0), 1_000, TIMEOUT).await.0,
-        Reply::Started
-    );
+    assert_eq!(start(&newer, 0).await.0, Reply::Started);
     let older = WorkerClient::new(address, "i-1".into(), 4);
-    assert_eq!(
-        older.start(&launch(1), 1_000, TIMEOUT).await.0,
-        Reply::Fenced
-    );
+    assert_eq!(start(&older, 1).await.0, Reply::Fenced);
     let other = WorkerClient::new(address, "i-2".into(), 6);
-    assert_eq!(
-        other.start(&launch(1), 1_000, TIMEOUT).await.0,
-        Reply::Replaced
-    );
+    assert_eq!(start(&other, 1).await.0, Reply::Replaced);
     let unreachable = WorkerClient::new("127.0.0.1:1".parse().unwrap(), "i-1".into(), 6);
-    assert_eq!(
-        unreachable.start(&launch(1), 1_000, TIMEOUT).await.0,
-        Reply::Unsent
-    );
+    assert_eq!(start(&unreachable, 1).await.0, Reply::Unsent);
     assert_eq!(worker.starts().len(), 1);
 }
 
@@ -182,19 +189,16 @@
 async fn reads_present_and_ended_runs() {
     let worker = Worker::new("i-1");
     let client = WorkerClient::new(worker.start().await, "i-1".into(), 1);
-    client.start(&launch(3), 1_000, TIMEOUT).await;
-    let snapshot = client
-        .poll(Some(9_000), 0, Duration::ZERO, TIMEOUT)
-        .await
-        .unwrap();
+    start(&client, 3).await;
+    let snapshot = poll(&client, Some(9_000), 0, Duration::ZERO).await.unwrap();
     assert_eq!((snapshot.running.len(), snapshot.born_ms), (1, 7));
     assert_eq!(snapshot.running[0].task, launch(3).task);
-    let snapshot = client.poll(None, 0, TIMEOUT, TIMEOUT).await.unwrap();
+    let snapshot = poll(&client, None, 0, TIMEOUT).await.unwrap();
     assert_eq!(
         (snapshot.ended[0].position, snapshot.ended[0].how),
         (1, End::Done)
     );
-    let snapshot = client.poll(None, 1, Duration::ZERO, TIMEOUT).await.unwrap();
+    let snapshot = poll(&client, None, 1, Duration::ZERO).await.unwrap();
     assert!(snapshot.ended.is_empty());
 }
 
@@ -205,12 +209,9 @@
     let worker = Worker::new("i-1");
     let client = WorkerClient::new(worker.start().await, "i-1".into(), 1);
     worker.add_ends("5c0e7a21d94b36f8.0.0.0", 501);
-    let snapshot = client.poll(None, 0, Duration::ZERO, TIMEOUT).await.unwrap();
+    let snapshot = poll(&client, None, 0, Duration::ZERO).await.unwrap();
     assert_eq!((snapshot.ended.len(), snapshot.has_more_ends), (500, true));
-    let snapshot = client
-        .poll(None, 500, Duration::ZERO, TIMEOUT)
-        .await
-        .unwrap();
+    let snapshot = poll(&client, None, 500, Duration::ZERO).await.unwrap();
     assert_eq!((snapshot.ended.len(), snapshot.has_more_ends), (1, false));
 }
 
@@ -249,9 +250,9 @@
         }
         let address = serve(move |_| std::future::ready(Some((200, answer.clone())))).await;
         let client = WorkerClient::new(address, "i-1".into(), 1);
-        let snapshot = client.poll(None, 0, Duration::ZERO, TIMEOUT).await;
+        let snapshot = poll(&client, None, 0, Duration::ZERO).await;
         assert_eq!(snapshot.is_ok(), is_valid, "{place}");
-        let (_, clock_ms) = client.start(&launch(3), 1_000, TIMEOUT).await;
+        let (_, clock_ms) = start(&client, 3).await;
         assert_eq!(clock_ms.is_some(), place != "/clockMs", "{place}");
     }
 }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -21,6 +21,7 @@
 mod mode;
 mod moment;
 mod moves;
+mod new_connections;
 mod odd_entries;
 mod odd_entry;
 mod page;
--- a/tests/entry/worker.rs
+++ b/tests/entry/worker.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -44,6 +44,8 @@
     random: Random,
     /// Highest run of each task that was stopped or has ended here.
     past_runs: HashMap<String, u64>,
+    /// First call on each connection: its path and body, by the number of the connection.
+    first_calls: BTreeMap<usize, (String, Value)>,
     /// Its port, from the start of the stand-in.
     server: Option<Server>,
 }
@@ -61,6 +63,7 @@
             lost_percent: 0,
             random: Random::new(0),
             past_runs: HashMap::new(),
+            first_calls: BTreeMap::new(),
             server: None,
         };
         Self {
@@ -154,7 +157,18 @@
         (state.lost_percent, state.random) = (percent, Random::new(seed));
     }
 
+    /// Returns path and body of the first call on each connection.
+    pub(crate) fn first_calls(&self) -> Vec<(String, Value)> {
+        let state = self.state.lock().unwrap();
+        state.first_calls.values().cloned().collect()
+    }
+
     async fn respond(&self, call: Call) -> (u16, Value) {
+        {
+            let mut state = self.state.lock().unwrap();
+            let first_call = state.first_calls.entry(call.connection);
+            first_call.or_insert_with(|| (call.path.clone(), call.body.clone()));
+        }
         if self.state.lock().unwrap().frozen {
             return std::future::pending().await;
         }
--- a/tests/takeover_model/act.rs
+++ b/tests/takeover_model/act.rs
@@ -95,8 +95,9 @@
                 worker,
                 down,
                 keeps_id,
+                silent,
             } => {
-                self.stop_worker(worker, down, keeps_id);
+                self.stop_worker(worker, down, keeps_id, silent);
                 self.expect_fault(down);
             }
         }
--- a/tests/takeover_model/action.rs
+++ b/tests/takeover_model/action.rs
@@ -62,6 +62,9 @@
         down: Duration,
         /// Whether the new process has the id of the old one.
         keeps_id: bool,
+        /// Whether calls get no answer meanwhile. Otherwise they are refused, and those in progress
+        /// fail at once.
+        silent: bool,
     },
 }
 
@@ -72,6 +75,7 @@
             worker,
             down,
             keeps_id: false,
+            silent: false,
         }
     }
 
--- a/tests/takeover_model/dispatch.rs
+++ b/tests/takeover_model/dispatch.rs
@@ -120,8 +120,11 @@
     }
 
     fn handle_worker_reply(&mut self, call: &WorkerCall, answer: &WorkerAnswer) {
+        if matches!(answer, WorkerAnswer::None | WorkerAnswer::Unsent) {
+            self.disconnect(call);
+        }
         match call.request.clone() {
-            WorkerRequest::Poll { .. } => self.finish_poll(call, answer),
+            WorkerRequest::Poll(_) => self.finish_poll(call, answer),
             WorkerRequest::Start { run, .. } => self.finish_start(call, answer, run),
             WorkerRequest::Stop {
                 task,
--- a/tests/takeover_model/incident.rs
+++ b/tests/takeover_model/incident.rs
@@ -137,6 +137,7 @@
             worker,
             down: random.ms(10..1_500),
             keeps_id: random.chance(80),
+            silent: false,
         };
         actions.push((random.ms(0..4_000), restart));
     }
@@ -228,6 +229,7 @@
         worker,
         down: random.ms(10..2_000),
         keeps_id: random.chance(50),
+        silent: false,
     }
 }
 
--- a/tests/takeover_model/main.rs
+++ b/tests/takeover_model/main.rs
@@ -49,6 +49,7 @@
 mod renew;
 mod request;
 mod restart;
+mod restart_before_cut;
 mod row;
 mod scenario;
 mod schedule;
--- a/tests/takeover_model/orders.rs
+++ b/tests/takeover_model/orders.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use coriandernotch::batch::{Order, Reply, RunKey, TaskId, WorkerKey};
+use coriandernotch::batch::{Grant, Order, Reply, RunKey, TaskId, WorkerKey};
+use coriandernotch::clock::Instant;
 
 use crate::timer::Timer;
 use crate::worker_answer::WorkerAnswer;
@@ -30,6 +31,9 @@
     pub(crate) fn send_order(&mut self, instance: usize, key: WorkerKey) {
         let now = self.now;
         let may_send = self.may_send_orders(instance);
+        let Some(opened_at) = self.connect(instance, key, false) else {
+            return;
+        };
         let Some(term) = &mut self.instances[instance].term else {
             return;
         };
@@ -50,13 +54,16 @@
         let request = match order {
             Order::Start(run) => {
                 let launch = term.engine.launch(run, now).filter(|_| may_send);
-                let deadline = launch.is_some().then(|| term.engine.grant_lease(key, now));
-                match (launch, deadline.flatten()) {
-                    (Some(launch), Some(deadline_ms)) => Some(WorkerRequest::Start {
+                match (launch, term.engine.grant_by_start(run, opened_at, now)) {
+                    (Some(launch), Grant::Until(deadline_ms)) => Some(WorkerRequest::Start {
                         run,
                         launch,
                         deadline_ms,
                     }),
+                    (Some(_), Grant::Unverified) => {
+                        handle.orders.push_front(order);
+                        return self.set_timer(instance, ANSWER_CHECK_INTERVAL, Timer::Order(key));
+                    }
                     _ => {
                         term.engine.record_start_not_sent(run, now);
                         self.wake_scheduler(instance);
@@ -77,17 +84,44 @@
                     self.set_timer(instance, ALLOWANCE, Timer::LateAnswer(run));
                 }
                 self.set_timer(instance, NEXT_ORDER_DELAY, Timer::Order(key));
-                self.call(instance, key, request, RESPONSE_TIMEOUT);
+                self.call(instance, key, request, opened_at, RESPONSE_TIMEOUT);
             }
             None => self.set_timer(instance, Duration::ZERO, Timer::Order(key)),
         }
     }
 
+    /// Returns when the connection was opened on which the next poll or order is sent to a worker. One
+    /// whose end the instance has noticed is replaced. `None` if there is no such worker.
+    pub(crate) fn connect(
+        &mut self,
+        instance: usize,
+        key: WorkerKey,
+        is_poll: bool,
+    ) -> Option<Instant> {
+        let term = self.instances[instance].term.as_mut()?;
+        let handle = term.handles.get_mut(&key)?;
+        let worker = &self.workers[handle.worker];
+        let connection = handle.connection(is_poll);
+        connection.take_if(|opened_at| worker.has_closed(*opened_at));
+        Some(*connection.get_or_insert(self.now))
+    }
+
+    /// Drops the connection of a call that failed.
+    pub(crate) fn disconnect(&mut self, call: &WorkerCall) {
+        let is_poll = matches!(call.request, WorkerRequest::Poll(_));
+        let term = self.instances[call.process.instance].term.as_mut();
+        if let Some(handle) = term.and_then(|term| term.handles.get_mut(&call.key)) {
+            let connection = handle.connection(is_poll);
+            connection.take_if(|opened_at| *opened_at == call.opened_at);
+        }
+    }
+
     pub(crate) fn call(
         &mut self,
         instance: usize,
         key: WorkerKey,
         request: WorkerRequest,
+        opened_at: Instant,
         timeout: Duration,
     ) {
         let entry = &self.instances[instance];
@@ -97,7 +131,12 @@
         let Some(handle) = term.handles.get(&key) else {
             return;
         };
+        // Several orders at once need more than one connection.
+        let is_order = !matches!(request, WorkerRequest::Poll(_));
+        let opens_another = is_order && self.random.chance(30);
         let call = WorkerCall {
+            opened_at,
+            opens: opened_at == self.now,
             process: entry.process,
             token: term.engine.token(),
             key,
@@ -108,6 +147,9 @@
             sent: self.now,
             sent_ms: self.wall_ms(),
         };
+        if opens_another {
+            self.disconnect(&call);
+        }
         self.call_worker(call);
     }
 
@@ -165,7 +207,10 @@
                     number,
                     attempt,
                 };
-                return self.call(instance, call.key, request, RESPONSE_TIMEOUT);
+                let Some(opened_at) = self.connect(instance, call.key, false) else {
+                    return;
+                };
+                return self.call(instance, call.key, request, opened_at, RESPONSE_TIMEOUT);
             }
         }
         self.set_timer(instance, STOP_RETRY_DELAY, Timer::Order(call.key));
--- a/tests/takeover_model/platform.rs
+++ b/tests/takeover_model/platform.rs
@@ -54,7 +54,13 @@
         }
     }
 
-    pub(crate) fn stop_worker(&mut self, worker: usize, down: Duration, keeps_id: bool) {
+    pub(crate) fn stop_worker(
+        &mut self,
+        worker: usize,
+        down: Duration,
+        keeps_id: bool,
+        silent: bool,
+    ) {
         let process = &mut self.workers[worker];
         if process.is_lost() {
             return;
@@ -62,8 +68,13 @@
         process.crash(self.now, &mut self.audit);
         let held = process.release_all();
         let (id, born_ms) = (process.id.clone(), process.born_ms);
+        process.silent = silent;
         for call in held {
-            self.answer_worker_call(call, WorkerAnswer::None);
+            if silent {
+                self.time_out_worker_call(call);
+            } else {
+                self.answer_worker_call(call, WorkerAnswer::None);
+            }
         }
         let restart = Event::StartWorker { worker, keeps_id };
         self.queue.push(self.now + down, restart);
@@ -105,10 +116,11 @@
         } else {
             worker_id(worker, born_ms)
         };
-        let unlisted_until = old.unlisted_until;
+        let (unlisted_until, began_silently) = (old.unlisted_until, old.silent);
         let slow = self.random.chance(50);
         self.workers[worker] = Worker::new(worker, &id, born_ms, slow, self.now);
         self.workers[worker].unlisted_until = unlisted_until;
+        self.workers[worker].began_silently = began_silently;
         self.register(worker, born_ms);
     }
 
@@ -121,12 +133,18 @@
         if born_after_call {
             return;
         }
-        if worker.is_lost() {
+        if worker.is_lost() || (!worker.up && worker.silent) {
             if answered {
                 self.time_out_worker_call(call);
             }
             return;
         }
+        if worker.up && !call.opens && worker.has_replaced(call.opened_at) {
+            if answered {
+                self.answer_worker_call(call, WorkerAnswer::None);
+            }
+            return;
+        }
         if !worker.up {
             if answered {
                 self.answer_worker_call(call, WorkerAnswer::Unsent);
@@ -146,15 +164,12 @@
             return;
         }
         match call.request.clone() {
-            WorkerRequest::Poll {
-                deadline_ms,
-                acknowledged,
-            } => {
-                worker.acknowledge(acknowledged, &mut self.audit);
-                if let Some(deadline_ms) = deadline_ms {
+            WorkerRequest::Poll(renewal) => {
+                worker.acknowledge(renewal.position, &mut self.audit);
+                if let Some(deadline_ms) = renewal.deadline_ms {
                     worker.extend_lease(deadline_ms, self.now);
                 }
-                let holds = deadline_ms.is_some() && !worker.lists_ends();
+                let holds = renewal.deadline_ms.is_some() && !worker.lists_ends();
                 self.watch_lease(call.worker);
                 if answered {
                     self.hold_poll(call, holds);
--- a/tests/takeover_model/poll.rs
+++ b/tests/takeover_model/poll.rs
@@ -26,20 +26,18 @@
     pub(crate) fn poll(&mut self, instance: usize, key: WorkerKey) {
         let now = self.now;
         let may_send = self.may_send_orders(instance);
+        let opened_at = self.connect(instance, key, true);
         let Some(term) = &mut self.instances[instance].term else {
             return;
         };
-        if !term.handles.contains_key(&key) {
+        let Some(opened_at) = opened_at else {
             return;
-        }
+        };
         if !may_send || !term.engine.needs_poll(key) {
             return self.set_timer(instance, IDLE_DELAY, Timer::Poll(key));
         }
-        let request = WorkerRequest::Poll {
-            deadline_ms: term.engine.grant_lease(key, now),
-            acknowledged: term.engine.acknowledged(key),
-        };
-        self.call(instance, key, request, POLL_TIMEOUT);
+        let request = WorkerRequest::Poll(term.engine.renewal(key, opened_at, now));
+        self.call(instance, key, request, opened_at, POLL_TIMEOUT);
     }
 
     pub(crate) fn finish_poll(&mut self, call: &WorkerCall, answer: &WorkerAnswer) {
--- a/tests/takeover_model/restart.rs
+++ b/tests/takeover_model/restart.rs
@@ -24,6 +24,7 @@
         worker: RESTARTED,
         down,
         keeps_id: true,
+        silent: false,
     }
 }
 
--- a/tests/takeover_model/schedule.rs
+++ b/tests/takeover_model/schedule.rs
@@ -62,6 +62,8 @@
                 worker,
                 orders: VecDeque::new(),
                 is_sending: false,
+                poll_connection: None,
+                order_connection: None,
             };
             term.handles.insert(key, handle);
             added.push(key);
--- a/tests/takeover_model/worker.rs
+++ b/tests/takeover_model/worker.rs
@@ -55,6 +55,10 @@
     pub(crate) born_ms: u64,
     /// Whether the process runs; calls to the address are refused otherwise.
     pub(crate) up: bool,
+    /// Whether calls to the process get no answer while it does not run.
+    pub(crate) silent: bool,
+    /// Whether that held for the process before it, so that nobody knows of its end.
+    pub(crate) began_silently: bool,
     /// Time until which the store does not list it.
     pub(crate) unlisted_until: Instant,
     /// If the worker is lost for good, the time until which the platform lists its machine.
@@ -82,6 +86,8 @@
             id: id.into(),
             born_ms,
             up: true,
+            silent: false,
+            began_silently: false,
             unlisted_until: Instant::default(),
             machine_listed_until: None,
             started: now,
@@ -104,6 +110,21 @@
         1_000 + elapsed.as_millis() as u64
     }
 
+    /// Returns whether this process has started since a connection was opened, which therefore leads
+    /// to none.
+    pub(crate) fn has_replaced(&self, opened_at: Instant) -> bool {
+        self.started > opened_at
+    }
+
+    /// Returns whether those at the other end know that a connection no longer leads to a process.
+    pub(crate) fn has_closed(&self, opened_at: Instant) -> bool {
+        if self.up {
+            self.has_replaced(opened_at) && !self.began_silently
+        } else {
+            !self.silent
+        }
+    }
+
     /// Returns when the lease expires.
     pub(crate) fn lease_expiry(&self, now: Instant) -> Instant {
         let left_ms = self.deadline_ms.saturating_sub(self.clock_ms(now)) + 1;
--- a/tests/takeover_model/worker_call.rs
+++ b/tests/takeover_model/worker_call.rs
@@ -19,6 +19,10 @@
     /// Id of the worker process that is meant.
     pub(crate) id: Arc<str>,
     pub(crate) request: WorkerRequest,
+    /// When its connection was opened, and whether that was for this call. A new connection leads to
+    /// the process that runs when the call arrives.
+    pub(crate) opened_at: Instant,
+    pub(crate) opens: bool,
     /// Time that the answer may take.
     pub(crate) timeout: Duration,
     pub(crate) sent: Instant,
--- a/tests/takeover_model/worker_request.rs
+++ b/tests/takeover_model/worker_request.rs
@@ -1,14 +1,9 @@
-use coriandernotch::batch::{Launch, RunKey, TaskId};
+use coriandernotch::batch::{Launch, Renewal, RunKey, TaskId};
 
 /// Content of a call to a worker.
 #[derive(Clone, Debug)]
 pub(crate) enum WorkerRequest {
-    Poll {
-        /// Deadline of the lease on the clock of the worker.
-        deadline_ms: Option<u64>,
-        /// Position up to which ends are acknowledged.
-        acknowledged: u64,
-    },
+    Poll(Renewal),
     Start {
         run: RunKey,
         launch: Launch,
