Keep the advice that a removed queue needs for its jobs

Cause: the same as for the attempts of such jobs: whether starts need a ticket was looked up in the present configuration, where the queue is gone.

Change: the advice settings of the queue are part of what the record of a job holds.

After: the test passes, as do all tests of tests/batch.

--- a/src/batch/engine/advise.rs
+++ b/src/batch/engine/advise.rs
@@ -45,7 +45,7 @@
         }
         stage.asked_at = Some(now);
         let job = &self.jobs[stage_key.job];
-        let advice = self.config.route_named(&job.record.route)?.advice?;
+        let advice = job.terms.advice?;
         let count = u32::try_from(workers.len()).unwrap_or(u32::MAX);
         Some(Question {
             task: TaskId {
--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -120,9 +120,7 @@
 
     /// Returns whether the workers that may run a step are known by tickets only.
     pub(super) fn needs_ticket(&self, stage_key: StageKey) -> bool {
-        let job = &self.jobs[stage_key.job];
-        let route = self.config.route_named(&job.record.route);
-        route.is_some_and(|route| route.advice.is_some())
+        self.jobs[stage_key.job].terms.advice.is_some()
     }
 
     /// Returns why a worker on which tasks may be started cannot take one of a step, if that is so.
--- a/src/batch/route.rs
+++ b/src/batch/route.rs
@@ -42,6 +42,7 @@
             priority: self.priority,
             max_attempts: self.max_attempts.max(1),
             objective: spec.critical_path().mul_f64(self.stretch.max(1.0)) + self.allowance,
+            advice: self.advice,
         }
     }
 }
--- a/src/batch/terms.rs
+++ b/src/batch/terms.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Advice;
+
 /// Number of failures of one task after which its job fails, if its queue is unknown. A record that
 /// an older version wrote does not contain the number.
 const DEFAULT_MAX_ATTEMPTS: u32 = 3;
@@ -22,6 +24,9 @@
     pub max_attempts: u32,
     /// Time from arrival within which the job should complete.
     pub objective: Duration,
+    /// Advice service settings, if only workers with a ticket may run a step.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub advice: Option<Advice>,
 }
 
 impl Default for Terms {
@@ -30,6 +35,7 @@
             priority: 0,
             max_attempts: DEFAULT_MAX_ATTEMPTS,
             objective: Duration::ZERO,
+            advice: None,
         }
     }
 }
--- a/tests/batch/removed_queues.rs
+++ b/tests/batch/removed_queues.rs
@@ -1,6 +1,8 @@
 //! Queues that operators remove while jobs of them are in progress.
 
-use coriandernotch::batch::{Config, Record, State, Terms};
+use std::sync::Arc;
+
+use coriandernotch::batch::{Advice, Config, Record, Route, State, Terms};
 
 use crate::simulation::{Simulation, config, profile, record, route, step};
 use crate::takeover::running_progress;
@@ -11,7 +13,7 @@
 /// Creates a job of one task that its queue granted fewer attempts than other queues do.
 fn accepted() -> Record {
     let spec = record(vec![step(1)]).spec;
-    let queue = coriandernotch::batch::Route {
+    let queue = Route {
         max_attempts: MAX_ATTEMPTS,
         ..route("q", "s")
     };
@@ -21,14 +23,19 @@
     }
 }
 
+/// Returns a later configuration without the queue of these jobs.
+fn without_queue() -> Config {
+    Config {
+        version: 2,
+        routes: vec![route("r", "t")],
+        ..config()
+    }
+}
+
 /// Creates the simulation of a leader that reads a stored job of which all runs fail, and finds its
 /// queue removed.
 fn successor(job: Record) -> Simulation {
-    let removed = Config {
-        routes: vec![route("r", "t")],
-        ..config()
-    };
-    let mut sim = Simulation::new(2, removed);
+    let mut sim = Simulation::new(2, without_queue());
     sim.add(profile("i-0", "s"));
     sim.workers.get_mut("i-0").unwrap().fails = true;
     let (wall, now) = (sim.wall_ms(), sim.now);
@@ -56,3 +63,32 @@
     assert_eq!(sim.starts.len(), attempts as usize);
     assert_eq!(sim.ended["j"].0, State::Failed);
 }
+
+/// Guards against starts without a ticket, which workers reject: a job whose queue had been removed
+/// counted as one that needs no advice (rule LOST).
+#[test]
+fn a_job_whose_queue_is_removed_still_needs_advice() {
+    let queue = Route {
+        advice: Some(Advice::default()),
+        ..route("q", "s")
+    };
+    let with_queue = Config {
+        routes: vec![queue.clone()],
+        ..config()
+    };
+    let spec = record(vec![step(1)]).spec;
+    let job = Record {
+        terms: queue.terms(&spec),
+        ..record(vec![step(1)])
+    };
+    for config in [with_queue, without_queue()] {
+        let mut sim = Simulation::new(1, config);
+        sim.add(profile("i-0", "s"));
+        sim.run(50);
+        sim.accept("j", job.clone());
+        sim.engine.set_config(&Arc::new(without_queue()));
+        sim.run(100);
+        assert!(sim.starts.is_empty(), "{:?}", sim.starts);
+        assert!(sim.engine.next_question(sim.now).is_some());
+    }
+}
