Show a job as running once a worker has a run of it

Cause: a job became running with the decision to start a task.

If workers refuse the starts for long, the job stays queued and counts as waiting.

Measured before: a_job_waits_until_a_worker_has_a_run_of_it fails.

--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -227,7 +227,6 @@
                     let worker = self.runs[run].worker;
                     self.orders.push((worker, Order::Start(run)));
                 }
-                self.mark_started(stage_key.job);
                 return;
             }
             for run in runs {
@@ -254,7 +253,6 @@
         let saved = saved.or_else(|| task.saved.clone());
         let run = self.reserve_run(stage_key, index, step, worker, number, saved, now);
         self.orders.push((worker, Order::Start(run)));
-        self.mark_started(stage_key.job);
     }
 
     /// Returns the next run number. Each leader uses its own range of numbers, so none of them has
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -119,13 +119,15 @@
             (run.percent, run.progressed_at) = (running.percent, now);
         }
         run.load = running.load;
+        let job = run.job;
         if !running.saved.is_empty() {
             run.saved = Some(running.saved.clone());
-            let (job, task) = (run.job, run.task.clone());
+            let task = run.task.clone();
             if let Some(task) = self.task_mut(job, &task) {
                 task.saved = Some(running.saved.clone());
             }
         }
+        self.mark_started(job);
     }
 
     /// Adopts a run started by a previous leader, or stops it if it is not wanted. Returns whether
--- a/src/batch/engine/reply.rs
+++ b/src/batch/engine/reply.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::Engine;
+use super::{Engine, Job};
 use crate::batch::{JobKey, Launch, Reply, RunKey, State, TaskId, WorkerKey};
 use crate::clock::Instant;
 
@@ -93,6 +93,7 @@
                 run.confirmed_at = Some(now);
                 run.progressed_at = now;
                 run.uncertain_since = None;
+                self.mark_started(job);
             }
             Reply::Unknown => self.record_late_answer(key, now),
             Reply::Fenced => {
@@ -177,10 +178,10 @@
         }
     }
 
-    /// Marks a job as running once it has its first run.
+    /// Marks a job as running once a worker is known to have a run of it, or to have had one.
     pub(super) fn mark_started(&mut self, key: JobKey) {
-        let job = &mut self.jobs[key];
-        if job.state == State::Queued {
+        let queued = |job: &&mut Job| job.state == State::Queued;
+        if let Some(job) = self.jobs.get_mut(key).filter(queued) {
             job.state = State::Running;
             self.mark_changed(key, false);
         }
--- a/tests/batch/waits.rs
+++ b/tests/batch/waits.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use coriandernotch::batch::{End, Order, Reply, Running, Snapshot, WorkerKey};
+use coriandernotch::batch::{End, Order, Reply, Running, Snapshot, State, WorkerKey};
 
 use crate::simulation::{Run, Simulation, lasting, old_connection, record, step};
 
@@ -195,3 +195,23 @@
     let started = (0..16).filter(|index| sim.starts_of("good", 0, *index) > 0);
     assert_eq!(started.count(), 16);
 }
+
+/// Guards against a job that is shown as running, and not counted as waiting, before a worker has a
+/// run of it: the start order may be refused (rule MIXED).
+#[test]
+fn a_job_waits_until_a_worker_has_a_run_of_it() {
+    let mut sim = Simulation::with_workers(1);
+    sim.accept("j", record(vec![step(1)]));
+    let wall = sim.wall_ms();
+    sim.engine.place(sim.now, wall);
+    let orders = sim.engine.take_orders();
+    let Some((_, Order::Start(run))) = orders.first() else {
+        panic!("{orders:?}");
+    };
+    assert_eq!(sim.engine.state(&"j".into()), Some(State::Queued));
+    assert_eq!(sim.engine.unstarted_jobs().count(), 1);
+    sim.engine
+        .record_start_outcome(*run, &Reply::Started, None, sim.now);
+    assert_eq!(sim.engine.state(&"j".into()), Some(State::Running));
+    assert_eq!(sim.engine.unstarted_jobs().count(), 0);
+}
