--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -5,22 +5,14 @@
 
 use super::candidate::Candidate;
 use super::handover::Handover;
-use super::row::{self, LEADERS, MEMBERS};
+use super::row::{self, LEADERS};
 use super::schedule;
 use super::shared::{STORE_TIMEOUT, Shared, sleep_jittered};
 use super::term::Term;
-use crate::batch::{Leader, MemberChanges, Occupancy, Role, Transfer};
-use crate::clock::{self, Instant};
+use crate::batch::{Leader, Occupancy, Transfer};
+use crate::clock;
 use crate::platform::api::{Fault, Feed, Transaction};
 
-/// Time between two renewals of the leadership.
-pub(super) const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
-
-/// Timeout of a renewal that follows a successful one. It is short so that, after a lost response,
-/// there is time for another attempt before other instances take over. That attempt gets
-/// [`STORE_TIMEOUT`].
-pub(super) const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Time for which one call of the change feed waits for changes of the leader row.
 const FEED_WAIT: Duration = Duration::from_millis(900);
 
@@ -181,72 +173,6 @@
         self.leadership.end(clock::now());
     }
 
-    /// Renews the leadership until the term ends, this instance stops or a stronger one asks for the
-    /// lead. Returns that request.
-    async fn renew_until_end(&mut self, term: &Term) -> Option<Transfer> {
-        let loaded_at = clock::now();
-        let mut timeout = STORE_TIMEOUT;
-        while !term.has_ended() && !self.shared.is_stopping() {
-            let sent = clock::now();
-            let leader = self.next_row(term);
-            let changes = member_transaction(&term.engine().take_member_changes());
-            timeout = match self.write(leader, changes, timeout).await {
-                Ok(true) => {
-                    self.record_renewal(term, sent);
-                    let is_behind = term.is_behind(clock::now());
-                    if let Some(request) = self.granted_request(is_behind, Some(loaded_at)) {
-                        return Some(request);
-                    }
-                    if term.engine().has_unstored_members()
-                        || term.engine().has_unstored_queue_services()
-                    {
-                        continue;
-                    }
-                    RENEWAL_TIMEOUT
-                }
-                Ok(false) => {
-                    term.end("another instance leads");
-                    return None;
-                }
-                Err(fault) => {
-                    log::warn!(event = "renewal-failed", fault:% = fault; "");
-                    STORE_TIMEOUT
-                }
-            };
-            if term.engine().is_fenced() {
-                term.end("a worker knows a newer leader");
-            }
-            if self.leadership.standing(clock::now()) != Role::Leader {
-                term.end("no renewal for too long");
-            }
-            tokio::select! {
-                () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
-                () = term.renewal_wake.notified() => {}
-                () = term.end_signal.notified() => {}
-                () = self.shared.stop.notified() => {}
-            }
-        }
-        None
-    }
-
-    fn record_renewal(&mut self, term: &Term, sent: Instant) {
-        self.leadership.renew(sent);
-        *term.leadership.lock().expect("leadership lock") = self.leadership;
-        term.engine().record_renewal(sent);
-        // Members that are stored now may get tasks.
-        term.placement_wake.notify_one();
-    }
-
-    /// Returns the leader row for the next renewal.
-    fn next_row(&self, term: &Term) -> Leader {
-        let now = clock::now();
-        let now_ms = self.shared.store.clock_ms(now).unwrap_or_default();
-        Leader {
-            strength: (self.contender).strength_as_leader(term.is_behind(now), now),
-            ..self.leader.renewed(&mut term.engine(), now_ms, now)
-        }
-    }
-
     /// Gives up the leadership, so that the instance that asked for it, or else any other one, can
     /// take over without waiting for its expiry.
     async fn resign(&mut self, term: &Term, granted: Option<Transfer>) {
@@ -289,16 +215,3 @@
     }
     std::future::pending::<()>().await;
 }
-
-/// Returns the changes of the stored members as changes of rows.
-fn member_transaction(changes: &MemberChanges) -> Transaction {
-    let added = changes.added.iter();
-    let removed = changes.removed.iter();
-    Transaction {
-        puts: added
-            .map(|member| (MEMBERS, member.worker.to_string(), row::encode(member)))
-            .collect(),
-        deletes: removed.map(|id| (MEMBERS, id.to_string())).collect(),
-        ..Transaction::default()
-    }
-}
--- a/src/entry/load_term.rs
+++ b/src/entry/load_term.rs
@@ -3,8 +3,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::candidate::Candidate;
-use super::lead::{RENEWAL_INTERVAL, RENEWAL_TIMEOUT};
 use super::load;
+use super::renew::{RENEWAL_INTERVAL, RENEWAL_TIMEOUT};
 use super::shared::STORE_TIMEOUT;
 use super::term::Term;
 use crate::batch::{Leader, Occupancy, Role};
--- a/tests/takeover_model/orders.rs
+++ b/tests/takeover_model/orders.rs
@@ -1,4 +1,5 @@
-//! How a leader sends orders to workers, as `src/entry/orders.rs` does.
+//! How a leader sends orders to workers, as `src/entry/orders.rs` and
+//! `src/entry/start_run.rs` do.
 
 use std::time::Duration;
 
--- a/tests/takeover_model/renew.rs
+++ b/tests/takeover_model/renew.rs
@@ -1,4 +1,5 @@
-//! How a leader renews its leadership and resigns, as `src/entry/lead.rs` does.
+//! How a leader renews its leadership and resigns, as `src/entry/renew.rs` and
+//! `src/entry/lead.rs` do.
 
 use std::sync::Arc;
 use std::time::Duration;
