Count a start that waits for the check of its connection as late

A start on a new connection waits for a poll that shows the process. While a worker leaves that poll unanswered, the start did not count as late, so its task waited up to 0.7 s before it started elsewhere, and the worker was not excluded after three of them. The time for an answer now covers the whole exchange; the time that is learned from answers covers the start order alone, as before.

--- a/src/entry/start_run.rs
+++ b/src/entry/start_run.rs
@@ -21,7 +21,7 @@
             return self.record_start_not_sent(run);
         };
         let answer_age = self.term.engine().time_since_answer(self.key, clock::now());
-        let Some((reply, clock_ms)) = self.send_verified_start(run, &launch).await else {
+        let Some((reply, clock_ms)) = self.send_start(run, &launch).await else {
             return self.record_start_not_sent(run);
         };
         let now = clock::now();
@@ -50,26 +50,50 @@
         self.term.placement_wake.notify_one();
     }
 
-    /// Sends a start order on a connection that leads to the process whose runs are known. For a new
-    /// one, a poll shows that first. Returns `None` if the order was not sent.
-    async fn send_verified_start(
-        &self,
-        run: RunKey,
-        launch: &Launch,
-    ) -> Option<(Reply, Option<u64>)> {
+    /// Sends a start order. When its answer is late, lets a poll show whether the worker has the run.
+    /// Returns `None` if it was not sent.
+    async fn send_start(&self, run: RunKey, launch: &Launch) -> Option<(Reply, Option<u64>)> {
+        let exchange = self.exchange_start(run, launch);
+        tokio::pin!(exchange);
+        tokio::select! {
+            answer = &mut exchange => answer,
+            () = sleep(self.allowance()) => {
+                self.term.engine().record_late_answer(run, clock::now());
+                self.signals.unverified.notify_one();
+                exchange.await
+            }
+        }
+    }
+
+    /// Sends a start order on a connection that leads to the process whose runs are known, and waits
+    /// for the answer. For a new connection, a poll shows that first. Returns `None` if the order was
+    /// not sent.
+    async fn exchange_start(&self, run: RunKey, launch: &Launch) -> Option<(Reply, Option<u64>)> {
         for _ in 0..START_ATTEMPTS {
             let is_unverified = AtomicBool::new(false);
-            let answer = self.send_start(run, launch, &is_unverified).await;
-            if answer.is_some() || !is_unverified.into_inner() {
-                return answer;
+            let grant = |opened_at| self.grant(run, opened_at, &is_unverified);
+            let sent = clock::now();
+            let answer = self.worker.start(launch, RESPONSE_TIMEOUT, grant).await;
+            if let Some((reply, clock_ms)) = answer {
+                self.record_answer_time(&reply, sent);
+                return Some((reply, clock_ms));
             }
-            if !self.verify_process().await {
+            if !is_unverified.into_inner() || !self.verify_process().await {
                 return None;
             }
         }
         None
     }
 
+    fn record_answer_time(&self, reply: &Reply, sent: Instant) {
+        let now = clock::now();
+        if *reply == Reply::Unknown {
+            self.term.answer_time().record_missing(now);
+        } else {
+            self.term.answer_time().record(now.since(sent));
+        }
+    }
+
     /// Polls the worker without a lease, on the connection that was opened last. Returns whether the
     /// process answers whose runs are known.
     async fn verify_process(&self) -> bool {
@@ -105,33 +129,4 @@
             Grant::Unverified | Grant::Denied => None,
         }
     }
-
-    /// Sends a start order. When its answer is late, lets a poll show whether the worker has the run.
-    /// Returns `None` if it was not sent, and sets `is_unverified` if a poll must come first.
-    async fn send_start(
-        &self,
-        run: RunKey,
-        launch: &Launch,
-        is_unverified: &AtomicBool,
-    ) -> Option<(Reply, Option<u64>)> {
-        let sent = clock::now();
-        let grant = |opened_at| self.grant(run, opened_at, is_unverified);
-        let exchange = self.worker.start(launch, RESPONSE_TIMEOUT, grant);
-        tokio::pin!(exchange);
-        let answer = tokio::select! {
-            answer = &mut exchange => answer,
-            () = sleep(self.allowance()) => {
-                self.term.engine().record_late_answer(run, clock::now());
-                self.signals.unverified.notify_one();
-                exchange.await
-            }
-        }?;
-        if answer.0 == Reply::Unknown {
-            self.term.answer_time().record_missing(clock::now());
-        } else {
-            let took = clock::now().since(sent);
-            self.term.answer_time().record(took);
-        }
-        Some(answer)
-    }
 }
