--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -11,6 +11,7 @@
 mod maintenance;
 mod members;
 mod moved_queues;
+mod new_connections;
 mod occurrences;
 mod odd_config;
 mod odd_jobs;
