--- a/tests/batch/maintenance.rs
+++ b/tests/batch/maintenance.rs
@@ -3,7 +3,7 @@
 
 use coriandernotch::batch::Wave;
 
-use crate::pools::machine;
+use crate::pools::{fleet_config, machine};
 use crate::simulation::{Simulation, lasting, profile, record, step};
 use crate::takeover::{next_leader, running_progress};
 
@@ -250,3 +250,91 @@
     }
     assert_eq!(sim.engine.maintenance_due().len(), 1);
 }
+
+/// Runs a wave over all workers, whose machines are back `down_for` after their maintenance began.
+/// Returns when the maintenance of each machine began, in milliseconds after the start of the wave.
+fn run_wave(sim: &mut Simulation, wave: Wave, down_for: Duration) -> Vec<u64> {
+    let (start_ms, end) = (sim.wall_ms(), wave.due);
+    sim.engine.set_waves(vec![wave]);
+    let (mut begun_ms, mut down) = (Vec::new(), Vec::new());
+    while sim.now < end {
+        sim.run(100);
+        for (number, machine) in sim.engine.maintenance_due() {
+            sim.engine
+                .record_maintenance_start(number, &machine, sim.now);
+            let id = machine.strip_prefix("m-").unwrap_or_default().to_owned();
+            sim.engine.mark_delisted(&id);
+            let worker = sim.workers.get_mut(&*id).unwrap();
+            worker.silent = true;
+            down.push((sim.now + down_for, id));
+            begun_ms.push(sim.wall_ms() - start_ms);
+        }
+        let now = sim.now;
+        for (_, id) in down.extract_if(.., |(until, _)| *until <= now) {
+            let mut new = profile(&format!("{id}-again"), "s");
+            (new.machine, new.born_ms) = (format!("m-{id}").into(), sim.wall_ms());
+            sim.add(new);
+        }
+    }
+    begun_ms
+}
+
+/// Guards against a wave that slows down towards its end, so that its last machine begins within the
+/// last second: any delay of that one, such as a move to another pool, then makes the wave late.
+#[test]
+fn begins_the_last_machine_well_before_the_end_of_a_wave() {
+    let mut sim = Simulation::with_workers(60);
+    let machines: Vec<String> = (0..60).map(|n| format!("m-i-{n}")).collect();
+    let machines: Vec<&str> = machines.iter().map(String::as_str).collect();
+    let within = Duration::from_secs(60);
+    let wave = wave(&sim, &machines, 60, within);
+    let begun_ms = run_wave(&mut sim, wave, Duration::from_millis(3_500));
+    assert_eq!(begun_ms.len(), 60);
+    let limit_ms = within.mul_f64(0.9).as_millis() as u64;
+    let last_ms = begun_ms.iter().max();
+    assert!(last_ms < Some(&limit_ms), "{last_ms:?} ms");
+}
+
+/// Guards against an order to maintain a machine that is on its way to another pool: the platform
+/// refuses it, and the machine loses its turn.
+#[test]
+fn maintains_no_machine_on_its_way_to_another_pool() {
+    let mut sim = Simulation::with_workers(2);
+    list_machines(&mut sim, &["i-0", "i-1"]);
+    sim.run(100);
+    sim.engine.record_move(&"m-i-0".into(), &"t".into(), sim.now);
+    let wave = wave(&sim, &["m-i-0", "m-i-1"], 2, Duration::from_secs(2));
+    sim.engine.set_waves(vec![wave]);
+    sim.run(100);
+    let due = sim.engine.maintenance_due();
+    assert_eq!(due, [(1, Arc::from("m-i-1"))]);
+    // Without news of its worker, the move counts as over after 6 s.
+    sim.run(6_000);
+    sim.engine.plan_moves(sim.now);
+    sim.run(100);
+    assert!(sim.engine.maintenance_due().contains(&(1, "m-i-0".into())));
+}
+
+/// Guards against moving a machine to another pool so late that its maintenance begins after the end
+/// of the wave.
+#[test]
+fn moves_no_machine_whose_wave_is_about_to_end() {
+    let moves_with_wave_within = |within: Duration| {
+        let mut sim = Simulation::new(1, fleet_config());
+        let spares = (0..4).map(|n| machine(&format!("x-{n}"), "spare"));
+        sim.add(profile("i-0", "s"));
+        sim.engine
+            .set_machines(spares.chain([machine("m-i-0", "s")]).collect());
+        sim.run(100);
+        // The maximum of one keeps the other machines from being chosen at once.
+        let wave = wave(&sim, &["x-0", "x-1", "x-2", "x-3"], 1, within);
+        sim.engine.set_waves(vec![wave]);
+        for number in 0..20 {
+            sim.accept(&format!("j{number}"), record(vec![step(4)]));
+        }
+        sim.run(300);
+        sim.engine.plan_moves(sim.now).len()
+    };
+    assert!(moves_with_wave_within(Duration::from_secs(60)) > 0);
+    assert_eq!(moves_with_wave_within(Duration::from_secs(5)), 0);
+}
--- a/tests/batch/pools.rs
+++ b/tests/batch/pools.rs
@@ -12,7 +12,7 @@
 /// Services of the queues that take turns.
 const SERVICES: [&str; 4] = ["s", "t", "u", "v"];
 
-fn fleet_config() -> Config {
+pub(crate) fn fleet_config() -> Config {
     let mut config = config();
     let routes = SERVICES.map(|service| route(service, service));
     config.routes.extend(routes);
