Finish a wave with a quarter of its time left, and move no machine of it at the end

Cause: the number of machines down at once followed the time left, so a wave slowed down towards its end and the last machine began within its last second. A machine in transit was ordered and refused, and a machine still due was moved shortly before the end (one machine moved at 22.0 and 26.5 s, refused at 23.4 and 26.8 s, begun at 28.7 s of a wave due at 27.7 s). Change: the reserve of a quarter is a share of the whole time of the wave; a machine in transit is not chosen; a due machine is not moved once the time left does not suffice for both.

--- a/src/batch/engine/emptying.rs
+++ b/src/batch/engine/emptying.rs
@@ -7,7 +7,7 @@
 use crate::clock::Instant;
 
 /// Time after which short tasks are stopped on a machine that is due.
-const STOP_SHORT_TASKS_AFTER: Duration = Duration::from_secs(5);
+pub(super) const STOP_SHORT_TASKS_AFTER: Duration = Duration::from_secs(5);
 
 /// Age of the latest answer of a worker from which its tasks count as down.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(1_500);
--- a/src/batch/engine/maintenance.rs
+++ b/src/batch/engine/maintenance.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::emptying::STOP_SHORT_TASKS_AFTER;
 use super::wave_progress::{Maintenance, WaveProgress};
 use super::{Engine, Worker};
 use crate::batch::WorkerKey;
@@ -94,7 +95,9 @@
         let used_fractions = self.used_fractions();
         let mut best: Option<(f64, Arc<str>, Maintenance)> = None;
         for machine in &progress.wave.machines {
-            if !progress.may_be_chosen(machine, now) {
+            // The platform refuses the maintenance of a machine in transit.
+            let in_transit = self.pools.transfers.contains_key(machine);
+            if in_transit || !progress.may_be_chosen(machine, now) {
                 continue;
             }
             let on_machine = self
@@ -123,13 +126,27 @@
         best.map(|(_, machine, maintenance)| (machine, maintenance))
     }
 
+    /// Returns whether a machine is still due in a wave that ends too soon for a move before its
+    /// maintenance.
+    pub(super) fn must_stay_for_maintenance(&self, machine: &Arc<str>, now: Instant) -> bool {
+        let move_time = self.tuning.relocation + EMPTY_AND_RETURN_TIME;
+        let empty_time = STOP_SHORT_TASKS_AFTER + self.tuning.stop;
+        self.waves.iter().any(|progress| {
+            let left = progress.wave.due.since(now);
+            progress.is_due(machine) && left > Duration::ZERO && left < move_time + empty_time
+        })
+    }
+
     fn machines_at_once(&self, progress: &WaveProgress, now: Instant) -> usize {
         let remaining = progress
             .wave
             .machines
             .len()
             .saturating_sub(progress.done.len());
-        let planned_time = progress.wave.due.since(now).mul_f64(PLANNED_FRACTION);
+        // The reserve is a share of the whole time: a share of what is left would shrink with it, and
+        // the last machine would begin just before the end.
+        let reserve = progress.wave.within.mul_f64(1.0 - PLANNED_FRACTION);
+        let planned_time = progress.wave.due.since(now).saturating_sub(reserve);
         let time_per_machine = self.tuning.upkeep + EMPTY_AND_RETURN_TIME;
         let needed =
             time_per_machine.as_secs_f64() * remaining as f64 / planned_time.as_secs_f64().max(1.0);
--- a/src/batch/engine/relocate.rs
+++ b/src/batch/engine/relocate.rs
@@ -239,7 +239,7 @@
         let movable = self.pools.machines.values().filter(|m| {
             let blocked = self.pools.is_blocked(&m.name, now);
             let maintained = self.waves.iter().any(|wave| wave.is_in_progress(&m.name));
-            m.up && !blocked && !maintained
+            m.up && !blocked && !maintained && !self.must_stay_for_maintenance(&m.name, now)
         });
         let mut candidates: Vec<Candidate> = movable
             .filter_map(|m| {
--- a/tests/batch/maintenance.rs
+++ b/tests/batch/maintenance.rs
@@ -302,8 +302,9 @@
     let mut sim = Simulation::with_workers(2);
     list_machines(&mut sim, &["i-0", "i-1"]);
     sim.run(100);
-    sim.engine.record_move(&"m-i-0".into(), &"t".into(), sim.now);
-    let wave = wave(&sim, &["m-i-0", "m-i-1"], 2, Duration::from_secs(2));
+    sim.engine
+        .record_move(&"m-i-0".into(), &"t".into(), sim.now);
+    let wave = wave(&sim, &["m-i-0", "m-i-1"], 6, Duration::from_secs(2));
     sim.engine.set_waves(vec![wave]);
     sim.run(100);
     let due = sim.engine.maintenance_due();
