--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -26,6 +26,7 @@
 mod odd_entry;
 mod page;
 mod pages;
+mod partitions;
 mod platform;
 mod port;
 mod process;
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -140,6 +140,15 @@
         serde_json::from_slice(&STANDARD.decode(&row.1.0).unwrap()).ok()
     }
 
+    /// Returns the names of the partitions of a table that have rows, in their order.
+    pub(crate) fn partitions(&self, table: &str) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        let parts = state.rows.keys().filter(|(t, ..)| t == table);
+        let mut parts: Vec<String> = parts.map(|(_, part, _)| part.clone()).collect();
+        parts.dedup();
+        parts
+    }
+
     /// Returns all writes of the leader row, in their order.
     pub(crate) fn leader_writes(&self) -> Vec<LeaderWrite> {
         self.state.lock().unwrap().leader_writes.clone()
--- /dev/null
+++ b/tests/intake/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the partitions of jobs and of what is sent to them, without a network.
+
+mod partition;
