Keep jobs in 256 partitions of the store

A partition carries out one transaction after the other, so two of them stored about five jobs a second while the store was 52 times slower. Jobs and their cancellations now lie in s000 to s255; progress and fences stay in j0 and j1. The task that stores the jobs of a partition exists only while there are any.

A takeover fences j0 and j1 first and then reads all partitions, 88 at a time, also the jobs that earlier versions have stored in j0 and j1. Jobs and progress can no longer be deleted in one transaction: jobs go first, in batches of 20 to 30 of a partition, on condition of the version of their rows; their progress follows with the fence. A new leader deletes progress without a job.

The retention tests wait for the deletion in place of a further write, because it no longer rides on one; that progress outlives its job is checked in addition. The tests with pages keep their jobs in one of the new partitions.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -9,11 +9,11 @@
 use metrics::{counter, histogram};
 
 use super::acceptance::Acceptance;
-use super::partition;
 use super::row::{self, JOBS, PROGRESS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use crate::batch::{Config, Progress, Record, Route, State};
 use crate::clock;
+use crate::intake::Partition;
 use crate::platform::api::{Fault, Operation, Outcome, Protocol, Transaction, decode_submission};
 
 /// Maximum size of a body when the configuration sets none.
@@ -64,7 +64,7 @@
     response
 }
 
-async fn handle(shared: &Shared, request: Request<Incoming>) -> HttpResponse {
+async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> HttpResponse {
     let (head, body) = request.into_parts();
     let arrived_ms = unix_time_ms();
     let Some(config) = fresh_config(shared) else {
@@ -110,7 +110,7 @@
 }
 
 async fn submit_job(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     route: &Route,
     workspace: Arc<str>,
     id: &str,
@@ -129,7 +129,10 @@
         arrived_ms,
         spec,
     };
-    let committed = shared.committer.commit(id, row::encode(&record)).await;
+    let committed = shared
+        .committer
+        .commit(shared, id, row::encode(&record))
+        .await;
     log::info!(event = "job-submitted", job = id, route = route.name, workspace = record.workspace,
         result:? = committed; "");
     match committed {
@@ -149,26 +152,32 @@
     if let Some(state) = active {
         return Ok(Some(state));
     }
-    let partition = partition::of(id);
-    let end_key = format!("{id}.");
-    let (rows, _) = shared
-        .store
-        .read(PROGRESS, &partition, id, &end_key, STORE_TIMEOUT)
-        .await?;
-    let progress = rows
-        .iter()
-        .find(|r| &*r.key == id)
-        .and_then(|r| r.content.as_ref());
-    if let Some(content) = progress {
-        let progress: Option<Progress> = row::decode(id, content);
+    let progress_partition = Partition::of_progress(id);
+    if let Some(content) = read_row(shared, PROGRESS, progress_partition, id).await? {
+        let progress: Option<Progress> = row::decode(id, &content);
         return Ok(Some(progress.unwrap_or_default().state));
     }
-    let (rows, _) = shared
-        .store
-        .read(JOBS, &partition, id, &end_key, STORE_TIMEOUT)
-        .await?;
-    let exists = rows.iter().any(|r| &*r.key == id && r.content.is_some());
-    Ok(exists.then_some(State::Queued))
+    // Instances of earlier versions store jobs beside their progress.
+    for partition in [Partition::of_job(id), progress_partition] {
+        if read_row(shared, JOBS, partition, id).await?.is_some() {
+            return Ok(Some(State::Queued));
+        }
+    }
+    Ok(None)
+}
+
+/// Reads the content of the row of a job. `None` if there is none.
+async fn read_row(
+    shared: &Shared,
+    table: &str,
+    partition: Partition,
+    id: &str,
+) -> Result<Option<Vec<u8>>, Fault> {
+    let (partition, end_key) = (partition.name(), format!("{id}."));
+    let read = (shared.store).read(table, &partition, id, &end_key, STORE_TIMEOUT);
+    let (rows, _) = read.await?;
+    let mut rows = rows.into_iter();
+    Ok(rows.find(|row| &*row.key == id).and_then(|row| row.content))
 }
 
 async fn query_job(shared: &Shared, id: &str) -> HttpResponse {
@@ -193,7 +202,7 @@
         }
     };
     let transaction = Transaction {
-        part: partition::of(id),
+        part: Partition::of_job(id).name(),
         puts: vec![(JOBS, row::cancel_key(id), b"{}".to_vec())],
         ..Transaction::default()
     };
--- a/src/entry/commit.rs
+++ b/src/entry/commit.rs
@@ -1,13 +1,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::acceptance::Acceptance;
 use super::row::{self, JOBS};
 use super::shared::{STORE_TIMEOUT, Shared};
 use super::submission::Submission;
+use crate::intake::Partition;
 use crate::platform::api::{Outcome, Precondition, Row, Transaction};
 
 /// Maximum number of jobs in one transaction.
@@ -19,16 +19,17 @@
 /// Time for which a transaction with unknown outcome is retried.
 const RETRY_FOR: Duration = Duration::from_millis(2_600);
 
-/// Stores the jobs submitted to one partition, batching those that wait into one transaction.
-pub(super) async fn store(
-    shared: Arc<Shared>,
-    partition: String,
-    mut receiver: mpsc::Receiver<Submission>,
-) {
-    let mut batch = Vec::new();
-    while receiver.recv_many(&mut batch, MAX_BATCH_JOBS).await > 0 {
+/// Stores the jobs that wait for one partition, batching them into transactions, until none are
+/// left.
+pub(super) async fn store(shared: Arc<Shared>, partition: Partition) {
+    let name = partition.name();
+    loop {
+        let mut batch = shared.committer.take(partition, MAX_BATCH_JOBS);
+        if batch.is_empty() {
+            return;
+        }
         while !batch.is_empty() {
-            store_batch(&shared, &partition, &mut batch).await;
+            store_batch(&shared, &name, &mut batch).await;
         }
     }
 }
--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -1,45 +1,70 @@
-use tokio::sync::{mpsc, oneshot};
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::oneshot;
 
 use super::acceptance::Acceptance;
-use super::partition;
+use super::commit;
+use super::shared::Shared;
 use super::submission::Submission;
 use crate::collections::Map;
-
-/// Channels to the tasks that store jobs, one for each partition.
-pub(super) struct Committer(Map<String, mpsc::Sender<Submission>>);
+use crate::intake::Partition;
 
 /// Maximum number of submissions that wait for one partition; further ones are refused.
 const MAX_WAITING: usize = 512;
 
-/// Receiving ends of the channels, with the names of their partitions.
-pub(super) type Receivers = Vec<(String, mpsc::Receiver<Submission>)>;
+/// Submissions that wait for the task that stores those of their partition. Such a task exists only
+/// while there are any.
+#[derive(Default)]
+pub(super) struct Committer(Mutex<Map<Partition, Vec<Submission>>>);
 
 impl Committer {
-    pub(super) fn new() -> (Self, Receivers) {
-        let mut senders = Map::default();
-        let mut receivers = Vec::new();
-        for partition in partition::all() {
-            let (sender, receiver) = mpsc::channel(MAX_WAITING);
-            senders.insert(partition.clone(), sender);
-            receivers.push((partition, receiver));
-        }
-        (Self(senders), receivers)
-    }
-
     /// Stores a job unless it is already stored.
-    pub(super) async fn commit(&self, key: &str, content: Vec<u8>) -> Acceptance {
+    pub(super) async fn commit(
+        &self,
+        shared: &Arc<Shared>,
+        key: &str,
+        content: Vec<u8>,
+    ) -> Acceptance {
         let (reply, result) = oneshot::channel();
         let submission = Submission {
             key: key.to_owned(),
             content,
             reply,
         };
-        let Some(sender) = self.0.get(&partition::of(key)) else {
-            return Acceptance::Refused;
-        };
-        if sender.try_send(submission).is_err() {
+        if !self.add(shared, submission) {
             return Acceptance::Refused;
         }
         result.await.unwrap_or(Acceptance::Unknown)
     }
+
+    /// Adds a submission and spawns the task of its partition if there is none. Returns false if too
+    /// many wait.
+    fn add(&self, shared: &Arc<Shared>, submission: Submission) -> bool {
+        let partition = Partition::of_job(&submission.key);
+        let mut partitions = self.0.lock().expect("committer lock");
+        if let Some(waiting) = partitions.get_mut(&partition) {
+            if waiting.len() >= MAX_WAITING {
+                return false;
+            }
+            waiting.push(submission);
+        } else {
+            partitions.insert(partition, vec![submission]);
+            tokio::spawn(commit::store(shared.clone(), partition));
+        }
+        true
+    }
+
+    /// Takes up to `limit` submissions of a partition. None are left if the result is empty, and the
+    /// next one spawns another task.
+    pub(super) fn take(&self, partition: Partition, limit: usize) -> Vec<Submission> {
+        let mut partitions = self.0.lock().expect("committer lock");
+        let Some(waiting) = partitions.get_mut(&partition) else {
+            return Vec::new();
+        };
+        if waiting.is_empty() {
+            partitions.remove(&partition);
+            return Vec::new();
+        }
+        waiting.drain(..waiting.len().min(limit)).collect()
+    }
 }
--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -1,18 +1,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::partition;
 use super::row::{self, JOBS, OWNER_KEY, PROGRESS, TERMS};
-use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
+use super::shared::{STORE_TIMEOUT, Shared};
 use super::term::Term;
 use crate::batch::{Fence, JobKey, Resolution, Writer};
+use crate::intake;
 use crate::platform::api::{Fault, Outcome, Precondition, Transaction};
 
 /// Maximum number of jobs in one transaction.
 const MAX_BATCH_JOBS: usize = 60;
 
-/// Maximum number of ended jobs whose rows one transaction deletes.
-const MAX_DELETED_JOBS: usize = 12;
+/// Maximum number of rows that one transaction changes, without the fence row and its condition.
+const MAX_ROWS: usize = 98;
+
+/// Number of rows of an ended job in a partition of progress: its progress and, if an instance of an
+/// earlier version has stored it, the job and its cancellation.
+const ROWS_OF_JOB: usize = 3;
 
 /// Delay before changes that callers wait for are stored, so that several share a transaction.
 const URGENT_FLUSH_DELAY: Duration = Duration::from_millis(15);
@@ -25,6 +29,7 @@
 
 /// One partition as the leader writes it.
 struct Partition {
+    key: intake::Partition,
     name: String,
     writer: Writer,
 }
@@ -34,8 +39,8 @@
     transaction: Transaction,
     /// Changed jobs, with the number of each change.
     jobs: Vec<(JobKey, u64)>,
-    /// Ended jobs whose rows are deleted.
-    deleted: Vec<Arc<str>>,
+    /// Ended jobs whose progress is deleted, with the version at which their other rows were.
+    deleted: Vec<(Arc<str>, u64)>,
 }
 
 /// Stores changes of jobs while this instance leads.
@@ -43,6 +48,7 @@
     let mut partitions = all_partitions(&term);
     loop {
         let urgent = term.engine().has_changes_to_store();
+        let urgent = urgent.or_else(|| term.deletions().has_cleared().then_some(false));
         match urgent {
             Some(true) => tokio::time::sleep(URGENT_FLUSH_DELAY).await,
             Some(false) => tokio::time::sleep(FLUSH_DELAY).await,
@@ -74,8 +80,13 @@
 
 fn all_partitions(term: &Term) -> Vec<Partition> {
     let writer = Writer::new(term.token);
-    let names = partition::all();
-    names.map(|name| Partition { name, writer }).collect()
+    let keys = intake::Partition::all_of_progress();
+    let partitions = keys.map(|key| Partition {
+        key,
+        name: key.name(),
+        writer,
+    });
+    partitions.collect()
 }
 
 impl Partition {
@@ -91,7 +102,17 @@
                     for (job, change) in changes.jobs {
                         engine.record_stored_change(job, change);
                     }
-                    engine.record_deletion(changes.deleted, self.writer.version());
+                    let mut deletions = term.deletions();
+                    for (job, version) in changes.deleted {
+                        let is_earlier = deletions.place(&job).is_earlier;
+                        let version = if is_earlier {
+                            self.writer.version()
+                        } else {
+                            version
+                        };
+                        deletions.forget(&job);
+                        engine.record_deletion(vec![job], version);
+                    }
                     return;
                 }
                 Ok(false) => return term.end("a newer leader writes"),
@@ -103,9 +124,11 @@
 
     fn take_changes(&self, term: &Term) -> Option<Changes> {
         let mut engine = term.engine();
-        let is_here = |job: &str| partition::of(job) == self.name;
+        let is_here = |job: &str| intake::Partition::of_progress(job) == self.key;
         let rows = engine.take_unstored(MAX_BATCH_JOBS, is_here);
-        if rows.is_empty() {
+        let mut deletions = term.deletions();
+        let deleted = deletions.take_cleared(self.key, (MAX_ROWS - rows.len()) / ROWS_OF_JOB);
+        if rows.is_empty() && deleted.is_empty() {
             return None;
         }
         let mut transaction = Transaction {
@@ -119,12 +142,12 @@
                 .push((PROGRESS, id.to_string(), row::encode(&progress)));
             jobs.push((key, change));
         }
-        // Outdated jobs beyond the limit are deleted with later writes.
-        let deleted = engine.take_outdated(unix_time_ms(), MAX_DELETED_JOBS, is_here);
-        for id in &deleted {
-            transaction.deletes.push((JOBS, id.to_string()));
-            transaction.deletes.push((JOBS, row::cancel_key(id)));
+        for (id, _) in &deleted {
             transaction.deletes.push((PROGRESS, id.to_string()));
+            if deletions.place(id).is_earlier {
+                transaction.deletes.push((JOBS, id.to_string()));
+                transaction.deletes.push((JOBS, row::cancel_key(id)));
+            }
         }
         Some(Changes {
             transaction,
--- a/src/entry/follow_jobs.rs
+++ b/src/entry/follow_jobs.rs
@@ -1,13 +1,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::try_join_all;
+use futures_util::stream::{self, StreamExt, TryStreamExt};
 
-use super::load;
-use super::partition;
+use super::load::{self, Jobs, MAX_CONCURRENT_READS};
 use super::row::JOBS;
 use super::shared::Shared;
 use super::term::Term;
+use crate::intake::Partition;
 use crate::platform::api::{Fault, Feed, Row};
 
 /// Time for which one call of the change feed waits for new jobs.
@@ -55,24 +55,26 @@
 /// Passes the changes up to `version` to the engine.
 fn apply_changes(term: &Term, rows: &[Row], version: u64) {
     let mut engine = term.engine();
-    rows.iter()
-        .for_each(|row| load::apply_job_row(&mut engine, row, None));
+    let mut deletions = term.deletions();
+    for row in rows {
+        load::apply_job_row(&mut engine, &mut deletions, row, &row.part, None);
+    }
     engine.forget_deleted(version);
 }
 
 /// Reads all jobs again, because the engine may have missed some. The others are unchanged: the
 /// engine knows those in progress and all ended ones that may still be read.
 async fn read_all(shared: &Shared, term: &Term) -> Result<u64, Fault> {
-    let names: Vec<String> = partition::all().collect();
-    let reads = names.iter().map(|name| load::read_jobs(shared, name));
-    let partitions = try_join_all(reads).await?;
-    partitions
-        .iter()
-        .for_each(|jobs| load::load_jobs(&mut term.engine(), jobs));
+    let partitions: Vec<Jobs> = stream::iter(Partition::all_of_jobs())
+        .map(|partition| load::read_jobs(shared, partition))
+        .buffer_unordered(MAX_CONCURRENT_READS)
+        .try_collect()
+        .await?;
+    {
+        let mut engine = term.engine();
+        load::load_jobs(&mut engine, &mut term.deletions(), &partitions, &[]);
+    }
     term.placement_wake.notify_one();
-    Ok(partitions
-        .iter()
-        .map(|jobs| jobs.version)
-        .min()
-        .unwrap_or_default())
+    let versions = partitions.iter().map(|jobs| jobs.version);
+    Ok(versions.min().unwrap_or_default())
 }
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -8,7 +8,6 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 
-use super::commit;
 use super::committer::Committer;
 use super::drain::Drain;
 use super::settings::Settings;
@@ -40,12 +39,11 @@
         ),
         None => None,
     };
-    let (committer, receivers) = Committer::new();
     let shared = Arc::new(Shared {
         incarnation: unix_time_ms(),
         store: Store::new(settings.store),
         desired: Mutex::default(),
-        committer,
+        committer: Committer::default(),
         leader: Mutex::default(),
         term: Mutex::default(),
         stopping: AtomicBool::new(false),
@@ -54,9 +52,6 @@
     });
     log::info!(event = "instance-started", name = shared.settings.name,
         data_centre = shared.settings.data_centre; "");
-    for (partition, receiver) in receivers {
-        tokio::spawn(commit::store(shared.clone(), partition, receiver));
-    }
     let (close, closing) = watch::channel(false);
     tokio::spawn(supervise("follow-desired", {
         let shared = shared.clone();
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -1,16 +1,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::{join, join_all, join3};
+use futures_util::StreamExt;
+use futures_util::future::{join_all, join4};
+use futures_util::stream;
 use tokio::time::sleep;
 
-use super::partition;
 use super::row::{self, JOBS, MEMBERS, OWNER_KEY, PROGRESS, TERMS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use super::term::Term;
 use crate::batch::{Engine, Fence, Leader, Leadership, Progress, Record, Tuning};
 use crate::clock::{self, Instant};
-use crate::collections::Map;
+use crate::collections::{Map, Set};
+use crate::intake::{Deletions, Partition};
 use crate::platform::api::{
     Fault, Outcome, Precondition, Row, Store, Transaction, decode_registration,
 };
@@ -18,6 +20,13 @@
 /// Delay after a call that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Maximum number of partitions of jobs that are read at the same time. All of them then take three
+/// times the duration of a call.
+pub(super) const MAX_CONCURRENT_READS: usize = 88;
+
+/// Maximum number of rows that one transaction deletes besides its condition.
+const MAX_DELETED_ROWS: usize = 98;
+
 /// Fences the partitions, reads all jobs and workers and returns the new term. `None` if a newer
 /// leader has fenced a partition or no configuration is known.
 ///
@@ -34,17 +43,30 @@
     let mut engine = Engine::new(tuning(shared), leader.token, config);
     engine.record_renewal(leadership.last_renewal());
     engine.set_excluded_data_centres(desired.excluded());
-    let loads = partition::all().map(|name| load_partition(shared, name, leader.token));
+    let fences = Partition::all_of_progress().map(|partition| {
+        let name = partition.name();
+        async move { retry(|| fence(shared, &name, leader.token)).await }
+    });
+    // From here on no progress is written: older leaders cannot, and this one has not begun. So each
+    // job whose progress is read is stored, unless it has been deleted.
+    let fences: Option<Vec<u64>> = join_all(fences).await.into_iter().collect();
+    let fences = fences?;
+    let progress = Partition::all_of_progress().map(|partition| {
+        let name = partition.name();
+        async move { retry(|| read(shared, PROGRESS, &name)).await.0 }
+    });
+    let jobs = stream::iter(Partition::all_of_jobs())
+        .map(|partition| async move { retry(|| read_jobs(shared, partition)).await })
+        .buffer_unordered(MAX_CONCURRENT_READS)
+        .collect::<Vec<_>>();
     let workers = retry(|| read(shared, Store::WORKERS, ""));
     let members = retry(|| read(shared, MEMBERS, ""));
-    let reads = join3(join_all(loads), workers, members);
-    let (partitions, (rows, _), (members, _)) = reads.await;
-    let mut version = u64::MAX;
-    for jobs in partitions {
-        let jobs = jobs?;
-        version = version.min(jobs.version);
-        load_jobs(&mut engine, &jobs);
-    }
+    let reads = join4(join_all(progress), jobs, workers, members);
+    let (progress, jobs, (rows, _), (members, _)) = reads.await;
+    let mut deletions = Deletions::new(tuning(shared).retention);
+    let version = jobs.iter().map(|jobs| jobs.version).min();
+    load_jobs(&mut engine, &mut deletions, &jobs, &progress);
+    delete_orphans(shared, &fences, &jobs, &progress).await;
     let profiles = rows
         .iter()
         .filter_map(|row| decode_registration(&row.key, row.content.as_ref()?).ok());
@@ -62,7 +84,8 @@
     log::info!(event = "state-loaded", token = leader.token, workers = rows.len(),
         silent = leader.busy.len(), awaited = engine.uncontacted_count(), resigned,
         took_ms = clock::now().since(begun).as_millis(); "");
-    Some(Term::new(engine, leadership, version))
+    let version = version.unwrap_or_default();
+    Some(Term::new(engine, deletions, leadership, version))
 }
 
 fn tuning(shared: &Shared) -> Tuning {
@@ -100,8 +123,8 @@
 }
 
 /// Writes the fencing token of this leader into a partition, so that writes of older leaders fail.
-/// Returns false if a newer leader has done so before.
-async fn fence(shared: &Shared, partition: &str, token: u64) -> Result<bool, Fault> {
+/// Returns the version of the fence row, or `None` if a newer leader has done so before.
+async fn fence(shared: &Shared, partition: &str, token: u64) -> Result<Option<u64>, Fault> {
     let (rows, _) = read(shared, TERMS, partition).await?;
     let row = rows.iter().find(|r| &*r.key == OWNER_KEY);
     let (version, content) = row.map_or((0, None), |r| (r.version, r.content.as_ref()));
@@ -109,7 +132,7 @@
         .and_then(|c| row::decode::<Fence>(OWNER_KEY, c))
         .unwrap_or_default();
     let Some(raised) = stored.raised(token) else {
-        return Ok(false);
+        return Ok(None);
     };
     let transaction = Transaction {
         part: partition.to_owned(),
@@ -122,66 +145,88 @@
         deletes: Vec::new(),
     };
     match shared.store.transact(&transaction, STORE_TIMEOUT).await? {
-        Outcome::Applied(_) => Ok(true),
+        Outcome::Applied(version) => Ok(Some(version)),
         // A late write of the previous leader came first, so the fence row is read again.
         Outcome::Conflict(_) => Box::pin(fence(shared, partition, token)).await,
     }
 }
 
-/// Rows of the jobs of one partition and of their progress.
+/// Rows of the jobs of one partition.
 pub(super) struct Jobs {
+    partition: String,
     rows: Vec<Row>,
-    progress: Vec<Row>,
     /// Version of the store up to which all changes are included.
     pub(super) version: u64,
 }
 
-/// Fences a partition and reads its jobs and their progress. `None` if a newer leader has fenced it.
-///
-/// No progress is written and no job deleted meanwhile: the partition is fenced, and this leader has
-/// not begun to write.
-async fn load_partition(shared: &Shared, partition: String, token: u64) -> Option<Jobs> {
-    if !retry(|| fence(shared, &partition, token)).await {
-        return None;
-    }
-    let jobs = retry(|| read(shared, JOBS, &partition));
-    let progress = retry(|| read(shared, PROGRESS, &partition));
-    let ((rows, version), (progress, _)) = join(jobs, progress).await;
-    Some(Jobs {
-        rows,
-        progress,
-        version,
-    })
-}
-
-/// Reads the jobs of a partition without their progress, for a leader that has loaded all jobs
-/// with progress before.
-pub(super) async fn read_jobs(shared: &Shared, partition: &str) -> Result<Jobs, Fault> {
-    let (rows, version) = read(shared, JOBS, partition).await?;
+/// Reads the jobs of a partition without their progress.
+pub(super) async fn read_jobs(shared: &Shared, partition: Partition) -> Result<Jobs, Fault> {
+    let partition = partition.name();
+    let (rows, version) = read(shared, JOBS, &partition).await?;
     Ok(Jobs {
+        partition,
         rows,
-        progress: Vec::new(),
         version,
     })
 }
 
-/// Passes the jobs of a partition to the engine, cancellations after the jobs that they cancel.
-pub(super) fn load_jobs(engine: &mut Engine, jobs: &Jobs) {
+/// Passes jobs to the engine, cancellations after the jobs that they cancel.
+pub(super) fn load_jobs(
+    engine: &mut Engine,
+    deletions: &mut Deletions,
+    jobs: &[Jobs],
+    progress: &[Vec<Row>],
+) {
     let decode = |row: &Row| row::decode(&row.key, row.content.as_ref()?);
-    let progress = jobs.progress.iter();
-    let progress: Map<&Arc<str>, Progress> = progress
+    let progress: Map<&Arc<str>, Progress> = (progress.iter().flatten())
         .filter_map(|row| Some((&row.key, decode(row)?)))
         .collect();
-    let is_cancellation = |row: &&Row| row::cancelled_job(&row.key).is_some();
-    let (cancellations, submissions): (Vec<&Row>, Vec<&Row>) =
-        jobs.rows.iter().partition(is_cancellation);
-    for row in submissions.into_iter().chain(cancellations) {
-        apply_job_row(engine, row, progress.get(&row.key).cloned());
+    let rows = jobs.iter();
+    let rows = rows.flat_map(|jobs| jobs.rows.iter().map(|row| (row, &*jobs.partition)));
+    // A cancellation may be in another partition than its job.
+    let is_cancellation = |(row, _): &(&Row, &str)| row::cancelled_job(&row.key).is_some();
+    let (cancellations, submissions): (Vec<_>, Vec<_>) = rows.partition(is_cancellation);
+    for (row, partition) in submissions.into_iter().chain(cancellations) {
+        let progress = progress.get(&row.key).cloned();
+        apply_job_row(engine, deletions, row, partition, progress);
+    }
+}
+
+/// Deletes the progress of jobs that are not stored: the last leader has ended after it had deleted
+/// the jobs. Without this, the progress would be taken for that of a later job of the same id.
+async fn delete_orphans(shared: &Shared, fences: &[u64], jobs: &[Jobs], progress: &[Vec<Row>]) {
+    let rows = jobs.iter().flat_map(|jobs| &jobs.rows);
+    let stored: Set<&Arc<str>> = rows.map(|row| &row.key).collect();
+    for ((partition, version), rows) in Partition::all_of_progress().zip(fences).zip(progress) {
+        let orphans = rows.iter().filter(|row| !stored.contains(&row.key));
+        let orphans: Vec<String> = orphans.map(|row| row.key.to_string()).collect();
+        for keys in orphans.chunks(MAX_DELETED_ROWS) {
+            let transaction = Transaction {
+                part: partition.name(),
+                expected: vec![Precondition {
+                    table: TERMS,
+                    key: OWNER_KEY.into(),
+                    version: *version,
+                }],
+                puts: Vec::new(),
+                deletes: keys.iter().map(|key| (PROGRESS, key.clone())).collect(),
+            };
+            let result = shared.store.transact(&transaction, STORE_TIMEOUT).await;
+            // The next leader deletes what is left.
+            log::info!(event = "progress-without-job-deleted", rows = keys.len(),
+                applied = matches!(result, Ok(Outcome::Applied(_))); "");
+        }
     }
 }
 
 /// Passes a row of the table of jobs to the engine: a job or a cancellation.
-pub(super) fn apply_job_row(engine: &mut Engine, row: &Row, progress: Option<Progress>) {
+pub(super) fn apply_job_row(
+    engine: &mut Engine,
+    deletions: &mut Deletions,
+    row: &Row,
+    partition: &str,
+    progress: Option<Progress>,
+) {
     let Some(content) = &row.content else {
         return;
     };
@@ -194,6 +239,7 @@
             log::error!(event = "job-invalid", job = row.key; "");
             return;
         }
+        deletions.record_row(&row.key, partition, row.version);
         engine.load_job(&row.key, record, progress, unix_time_ms(), clock::now());
     }
 }
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -7,6 +7,7 @@
 use crate::batch::{AnswerTime, Engine, Lag, Leadership, Order, State, WorkerKey};
 use crate::clock::{self, Instant};
 use crate::collections::Map;
+use crate::intake::Deletions;
 
 /// Connects the scheduler to the tasks of one worker.
 pub(super) struct Handle {
@@ -19,6 +20,8 @@
 /// A term of leadership: the time from taking over until the leadership ends.
 pub(super) struct Term {
     engine: Mutex<Engine>,
+    /// Ended jobs whose rows are to be deleted; locked after the engine.
+    deletions: Mutex<Deletions>,
     pub(super) token: u64,
     /// Version of the store up to which the jobs were loaded at the start of the term.
     pub(super) loaded_version: u64,
@@ -40,11 +43,17 @@
 }
 
 impl Term {
-    pub(super) fn new(engine: Engine, leadership: Leadership, loaded_version: u64) -> Self {
+    pub(super) fn new(
+        engine: Engine,
+        deletions: Deletions,
+        leadership: Leadership,
+        loaded_version: u64,
+    ) -> Self {
         Self {
             token: engine.token(),
             loaded_version,
             engine: Mutex::new(engine),
+            deletions: Mutex::new(deletions),
             leadership: Mutex::new(leadership),
             lag: Mutex::default(),
             answer_time: Mutex::default(),
@@ -61,6 +70,10 @@
         self.engine.lock().expect("engine lock")
     }
 
+    pub(super) fn deletions(&self) -> MutexGuard<'_, Deletions> {
+        self.deletions.lock().expect("deletion lock")
+    }
+
     /// Returns whether a worker still has the handle with the given signals.
     pub(super) fn has_handle(&self, key: WorkerKey, signals: &Arc<Signals>) -> bool {
         let handles = self.handles.lock().expect("handle lock");
--- a/tests/entry/partitions.rs
+++ b/tests/entry/partitions.rs
@@ -1,7 +1,11 @@
 use std::collections::BTreeSet;
 
-use crate::instance::start_instance;
-use crate::platform::{ONE, start_platform};
+use coriandernotch::batch::{Progress, State};
+use coriandernotch::intake::Partition;
+use serde_json::json;
+
+use crate::instance::{send_request, start_instance, wait_until};
+use crate::platform::{ONE, TWO, id, start_platform, store_job_in, store_progress};
 
 /// Number of jobs that a test submits, and of the partitions in which they must be at least.
 const JOBS: u64 = 60;
@@ -24,3 +28,58 @@
     // One fence for each partition of progress.
     assert_eq!(store.partitions("terms"), ["j0", "j1"]);
 }
+
+/// Guards against losing or doubling the jobs that an instance of an earlier version has stored: by a
+/// takeover, a query, a repeated submission or a cancellation.
+#[tokio::test(flavor = "multi_thread")]
+async fn finds_the_jobs_of_an_earlier_version() {
+    let (store, address, worker) = start_platform().await;
+    for path in [ONE, TWO] {
+        store_job_in(&store, Partition::of_progress(id(path)), path, "lasting");
+    }
+    let mut first = start_instance("earlier-1", address);
+    for path in [ONE, TWO] {
+        first.wait_for_state(path, "running").await;
+        first.submit(path, "lasting").await;
+    }
+    let second = start_instance("earlier-2", address);
+    second.wait_for_state(ONE, "running").await;
+    let (status, _) = send_request(second.callers, "DELETE", TWO, &json!({})).await;
+    assert_eq!(status, 200);
+    second.wait_for_state(TWO, "cancelled").await;
+    first.child.kill().unwrap();
+    wait_until("the other instance leads", || {
+        store
+            .read("leaders", "owner")
+            .is_some_and(|row| row["token"] == 2)
+    })
+    .await;
+    second.submit("/q/00000000000000a5", "10").await;
+    second
+        .wait_for_state("/q/00000000000000a5", "completed")
+        .await;
+    second.wait_for_state(ONE, "running").await;
+    second.wait_for_state(TWO, "cancelled").await;
+    assert_eq!([ONE, TWO].map(|path| worker.starts_of(id(path))), [1, 1]);
+}
+
+/// Guards against the progress of a deleted job that is left when its leader ends halfway: a later
+/// job of the same id was taken for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn deletes_the_progress_of_a_job_that_is_gone() {
+    let (store, address, worker) = start_platform().await;
+    let progress = Progress {
+        state: State::Completed,
+        ended_ms: 1,
+        ..Progress::default()
+    };
+    store_progress(&store, ONE, &progress);
+    let instance = start_instance("orphan", address);
+    wait_until("the progress is deleted", || {
+        store.read("progress", id(ONE)).is_none()
+    })
+    .await;
+    instance.submit(ONE, "10").await;
+    instance.wait_for_state(ONE, "completed").await;
+    assert_eq!(worker.starts_of(id(ONE)), 1);
+}
--- a/tests/intake/main.rs
+++ b/tests/intake/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the partitions of jobs and of what is sent to them, without a network.
 
+mod deletions;
 mod partition;
