Decide what is sent to a slow store next

A queue of submissions, without a network and with the time as an argument, decides what is sent next and what is refused. A window of calls in flight follows the time and the refusals of the store. Nothing uses it yet.

--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -2,10 +2,28 @@
 //!
 //! All decisions take the time as an argument and use neither the network nor the runtime.
 
+mod acceptance;
+mod action;
+mod answer;
+mod batch;
+mod class;
 mod deletions;
+mod lane;
 mod partition;
 mod place;
+mod queue;
+mod submission_key;
+mod waiting;
+mod window;
 
+pub use acceptance::Acceptance;
+pub use action::Action;
+pub use answer::Answer;
+pub use batch::Batch;
+pub use class::Class;
 pub use deletions::Deletions;
 pub use partition::Partition;
 pub use place::Place;
+pub use queue::Queue;
+pub use submission_key::SubmissionKey;
+pub use window::Window;
--- /dev/null
+++ b/src/intake/queue.rs
@@ -0,0 +1,305 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use super::lane::Lane;
+use super::waiting::Waiting;
+use super::{Acceptance, Action, Answer, Batch, Class, Partition, SubmissionKey, Window};
+use crate::clock::Instant;
+use crate::collections::{Map, Set};
+
+/// Maximum number of submissions that wait at an instance; further ones are refused.
+const MAX_WAITING: usize = 1_024;
+
+/// Maximum number of jobs in one transaction. Each takes two conditions and a row, and a transaction
+/// has at most 100 of these.
+const MAX_BATCH_JOBS: usize = 20;
+
+/// Maximum size of the rows in one transaction. The store takes 1 MB, in which they are Base64.
+const MAX_BATCH_BYTES: usize = 640 << 10;
+
+/// Time before the deadline of a caller at which it is refused at the latest.
+const MARGIN: Duration = Duration::from_millis(50);
+
+/// Bounds of the time for which an answer is awaited. The shorter one leaves time for a second call
+/// within the 3 s for which callers wait.
+const MIN_TIMEOUT: Duration = Duration::from_millis(1_200);
+const MAX_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Duration of a call, as a multiple of the mean, after which it is given up.
+const TIMEOUT_FACTOR: u32 = 3;
+
+/// Time for which a transaction without an answer may take effect.
+const UNCERTAIN_FOR: Duration = Duration::from_secs(30);
+
+/// Submissions that wait to be stored: decides what is sent when and which ones are refused.
+#[derive(Debug, Default)]
+pub struct Queue {
+    submissions: SlotMap<SubmissionKey, Waiting>,
+    lanes: Map<Partition, Lane>,
+    /// Calls of this instance that write to the store.
+    pub window: Window,
+    /// Ids of transactions without an answer, and until when these may take effect.
+    uncertain: Map<Arc<str>, Instant>,
+}
+
+impl Queue {
+    /// Adds a submission whose caller must have a reply by a time. `None` if too many wait.
+    pub fn submit(
+        &mut self,
+        id: &str,
+        bytes: usize,
+        answer_by: Instant,
+        now: Instant,
+    ) -> Option<SubmissionKey> {
+        if self.submissions.len() >= MAX_WAITING {
+            return None;
+        }
+        let partition = Partition::of_job(id);
+        let key = self.submissions.insert(Waiting {
+            id: id.into(),
+            partition,
+            bytes,
+            arrived: now,
+            answer_by,
+            may_be_stored: false,
+        });
+        let lane = self.lanes.entry(partition).or_default();
+        lane.fresh.push_back(key);
+        Some(key)
+    }
+
+    /// Returns whether an earlier transaction with a job may take effect, so that no submission of it
+    /// may be called refused.
+    pub fn is_uncertain(&self, id: &str, now: Instant) -> bool {
+        self.uncertain.get(id).is_some_and(|until| now < *until)
+    }
+
+    /// Returns how many submissions wait or are being stored.
+    ///
+    /// ```
+    /// assert_eq!(coriandernotch::intake::Queue::default().len(), 0);
+    /// ```
+    pub fn len(&self) -> usize {
+        self.submissions.len()
+    }
+
+    /// Returns whether no submissions wait.
+    ///
+    /// ```
+    /// assert!(coriandernotch::intake::Queue::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.submissions.is_empty()
+    }
+
+    /// Decides what is to be done next. The answer to a transaction must be recorded.
+    pub fn next(&mut self, now: Instant) -> Action {
+        if let Some((key, acceptance)) = self.take_overdue(now) {
+            return Action::Reply(key, acceptance);
+        }
+        let may_send = self.window.may_send(Class::Awaited);
+        let due = self.due_lane(now).filter(|_| may_send);
+        if let Some((partition, is_uncertain)) = due {
+            return Action::Send(self.begin(partition, is_uncertain, now));
+        }
+        let lanes = self.lanes.values();
+        let times = lanes.filter_map(Lane::next_time).filter(|at| *at > now);
+        let refusals = self.idle_keys().map(|key| self.reply_time(key, now).0);
+        Action::Wait(times.chain(refusals).min())
+    }
+
+    /// Records the answer to a transaction that took a time. Returns the submissions that no longer
+    /// wait.
+    pub fn record(
+        &mut self,
+        batch: &Batch,
+        answer: &Answer,
+        took: Duration,
+        now: Instant,
+    ) -> Vec<(SubmissionKey, Acceptance)> {
+        let spread = f64::from(now.as_nanos() as u32 % 1_024) / 1_024.0;
+        let Some(lane) = self.lanes.get_mut(&batch.partition) else {
+            return Vec::new();
+        };
+        let keys = &batch.submissions;
+        let all = |acceptance| keys.iter().map(move |key| (*key, acceptance)).collect();
+        let replies: Vec<_> = match answer {
+            Answer::Applied | Answer::Conflict { .. } => {
+                self.window.record_success(took, now);
+                lane.record_success();
+                match answer {
+                    Answer::Conflict { stored, cancelled } => {
+                        let stored = stored.iter().map(|key| (*key, Acceptance::Stored));
+                        let cancelled = cancelled.iter().map(|key| (*key, Acceptance::Cancelled));
+                        let known: Vec<_> = stored.chain(cancelled).collect();
+                        if known.is_empty() {
+                            all(Acceptance::Unknown)
+                        } else {
+                            known
+                        }
+                    }
+                    _ => all(Acceptance::Stored),
+                }
+            }
+            Answer::Busy => {
+                self.window.record_refusal(now);
+                lane.record_refusal(spread, now);
+                Vec::new()
+            }
+            // One of several jobs may be the cause, so each is sent alone.
+            Answer::Rejected => {
+                self.window.record_success(took, now);
+                lane.record_success();
+                lane.is_single = true;
+                if keys.len() == 1 {
+                    all(Acceptance::Refused)
+                } else {
+                    Vec::new()
+                }
+            }
+            Answer::Unknown => {
+                self.window.record_silence(took, now);
+                lane.record_silence(now);
+                for key in keys {
+                    if let Some(waiting) = self.submissions.get_mut(*key) {
+                        waiting.may_be_stored = true;
+                        let until = now + UNCERTAIN_FOR;
+                        self.uncertain.insert(waiting.id.clone(), until);
+                    }
+                }
+                self.uncertain.retain(|_, until| now < *until);
+                Vec::new()
+            }
+        };
+        for key in keys.iter().rev() {
+            let (Some(lane), Some(waiting)) = (
+                self.lanes.get_mut(&batch.partition),
+                self.submissions.get(*key),
+            ) else {
+                continue;
+            };
+            if waiting.may_be_stored {
+                lane.uncertain.push_front(*key);
+            } else {
+                lane.fresh.push_front(*key);
+            }
+        }
+        let replies = replies.into_iter();
+        replies
+            .filter_map(|(key, acceptance)| self.settle(key, acceptance, now))
+            .collect()
+    }
+
+    /// Removes a submission whose result is known, and returns the true result.
+    fn settle(
+        &mut self,
+        key: SubmissionKey,
+        acceptance: Acceptance,
+        now: Instant,
+    ) -> Option<(SubmissionKey, Acceptance)> {
+        let waiting = self.submissions.remove(key)?;
+        if let Some(lane) = self.lanes.get_mut(&waiting.partition) {
+            lane.remove(key);
+            if lane.is_empty() {
+                self.lanes.remove(&waiting.partition);
+            }
+        }
+        let may_be_stored = waiting.may_be_stored || self.is_uncertain(&waiting.id, now);
+        let acceptance = match acceptance {
+            Acceptance::Refused if may_be_stored => Acceptance::Unknown,
+            Acceptance::Stored | Acceptance::Cancelled => {
+                self.uncertain.remove(&waiting.id);
+                acceptance
+            }
+            other => other,
+        };
+        Some((key, acceptance))
+    }
+
+    /// Returns the submissions that are not in a transaction.
+    fn idle_keys(&self) -> impl Iterator<Item = SubmissionKey> {
+        let lanes = self.lanes.values();
+        lanes.flat_map(|lane| lane.fresh.iter().chain(&lane.uncertain).copied())
+    }
+
+    /// Returns when a submission that is not in a transaction gets a reply, and which.
+    fn reply_time(&self, key: SubmissionKey, now: Instant) -> (Instant, Acceptance) {
+        let waiting = &self.submissions[key];
+        let latest = waiting.answer_by - MARGIN;
+        if waiting.may_be_stored {
+            return (latest, Acceptance::Unknown);
+        }
+        // A transaction that is sent later would be answered after the caller has gone.
+        let latest = waiting.answer_by - self.window.expected(now).max(MARGIN);
+        if self.window.has_succeeded_since(waiting.arrived) {
+            return (latest, Acceptance::Refused);
+        }
+        // The store may refuse this instance only, so the caller is sent elsewhere while it has time.
+        let wait = waiting.answer_by.since(waiting.arrived);
+        (latest.min(waiting.arrived + wait / 2), Acceptance::Refused)
+    }
+
+    fn take_overdue(&mut self, now: Instant) -> Option<(SubmissionKey, Acceptance)> {
+        let overdue = self.idle_keys().find_map(|key| {
+            let (at, acceptance) = self.reply_time(key, now);
+            (at <= now).then_some((key, acceptance))
+        });
+        let (key, acceptance) = overdue?;
+        self.settle(key, acceptance, now)
+    }
+
+    /// Returns the partition whose submissions have the least time, and whether uncertain ones are
+    /// sent.
+    fn due_lane(&self, now: Instant) -> Option<(Partition, bool)> {
+        let lanes = self.lanes.iter();
+        let due = lanes.filter_map(|(partition, lane)| {
+            let is_uncertain = lane.next_kind(now)?;
+            let keys = if is_uncertain {
+                &lane.uncertain
+            } else {
+                &lane.fresh
+            };
+            let first = self.submissions[*keys.front()?].answer_by;
+            Some((first, *partition, is_uncertain))
+        });
+        let (_, partition, is_uncertain) = due.min()?;
+        Some((partition, is_uncertain))
+    }
+
+    /// Takes the next transaction of a partition.
+    fn begin(&mut self, partition: Partition, is_uncertain: bool, now: Instant) -> Batch {
+        let lane = self.lanes.entry(partition).or_default();
+        let keys = if is_uncertain {
+            &mut lane.uncertain
+        } else {
+            &mut lane.fresh
+        };
+        let limit = if lane.is_single { 1 } else { MAX_BATCH_JOBS };
+        let (mut ids, mut bytes) = (Set::default(), 0);
+        let mut submissions = Vec::new();
+        let mut answer_by = now;
+        for key in std::mem::take(keys) {
+            let waiting = &self.submissions[key];
+            let fits = submissions.is_empty() || bytes + waiting.bytes <= MAX_BATCH_BYTES;
+            // A repeat of a submission waits for the outcome of the one before.
+            if submissions.len() < limit && fits && ids.insert(waiting.id.clone()) {
+                bytes += waiting.bytes;
+                answer_by = answer_by.max(waiting.answer_by);
+                submissions.push(key);
+            } else {
+                keys.push_back(key);
+            }
+        }
+        lane.begin(is_uncertain);
+        self.window.begin();
+        let timeout = self.window.expected(now) * TIMEOUT_FACTOR;
+        let timeout = timeout.clamp(MIN_TIMEOUT, MAX_TIMEOUT);
+        Batch {
+            partition,
+            submissions,
+            timeout: timeout.min(answer_by.since(now).max(MARGIN)),
+        }
+    }
+}
--- a/tests/intake/main.rs
+++ b/tests/intake/main.rs
@@ -2,3 +2,5 @@
 
 mod deletions;
 mod partition;
+mod queue;
+mod replay;
--- /dev/null
+++ b/tests/intake/queue.rs
@@ -0,0 +1,152 @@
+use std::time::Duration;
+
+use coriandernotch::clock::Instant;
+use coriandernotch::intake::{Acceptance, Action, Answer, Batch, Queue};
+
+/// Time within which callers of these tests need a reply.
+const WAIT: Duration = Duration::from_millis(2_880);
+
+/// Time that a call takes which is answered.
+const CALL: Duration = Duration::from_millis(8);
+
+fn start() -> Instant {
+    Instant::from_start(Duration::from_secs(1_000))
+}
+
+/// Returns the next transaction at a time, which must be due.
+fn next_batch(queue: &mut Queue, now: Instant) -> Batch {
+    match queue.next(now) {
+        Action::Send(batch) => batch,
+        other => panic!("{other:?} in place of a transaction"),
+    }
+}
+
+/// Advances to the next time at which something is due, and returns what.
+fn advance(queue: &mut Queue, now: &mut Instant) -> Action {
+    for _ in 0..1_000 {
+        match queue.next(*now) {
+            Action::Wait(Some(at)) => *now = at.max(*now + Duration::from_millis(1)),
+            action => return action,
+        }
+    }
+    panic!("nothing is due");
+}
+
+/// Guards against one id in two transactions at once, and against calling a repeat refused whose first
+/// submission may be stored.
+#[test]
+fn never_refuses_a_repeat_of_a_submission_that_may_be_stored() {
+    let (mut queue, mut now) = (Queue::default(), start());
+    queue.submit("a", 1, now + WAIT, now).unwrap();
+    let first = next_batch(&mut queue, now);
+    let repeat = queue.submit("a", 1, now + WAIT * 2, now).unwrap();
+    assert!(
+        matches!(queue.next(now), Action::Wait(Some(_))),
+        "the id is in flight"
+    );
+    now = now + first.timeout;
+    let replies = queue.record(&first, &Answer::Unknown, first.timeout, now);
+    assert!(replies.is_empty(), "the first is tried again");
+    // From here on the store refuses all calls.
+    let mut replies = Vec::new();
+    while replies.len() < 2 {
+        match advance(&mut queue, &mut now) {
+            Action::Send(batch) => {
+                assert_eq!(batch.submissions.len(), 1, "one id twice in a transaction");
+                now = now + CALL;
+                replies.extend(queue.record(&batch, &Answer::Busy, CALL, now));
+            }
+            Action::Reply(key, acceptance) => replies.push((key, acceptance)),
+            Action::Wait(_) => unreachable!(),
+        }
+    }
+    assert!(
+        replies
+            .iter()
+            .all(|(_, acceptance)| *acceptance == Acceptance::Unknown)
+    );
+    assert!(replies.iter().any(|(key, _)| *key == repeat));
+    assert!(queue.is_empty());
+}
+
+/// Guards against a caller that gets no refusal in time, and against one refusal of the store that
+/// ends a submission although its caller has time.
+#[test]
+fn tries_a_refused_submission_again_and_refuses_it_in_time() {
+    let (mut queue, mut now) = (Queue::default(), start());
+    let key = queue.submit("a", 1, now + WAIT, now).unwrap();
+    let mut calls = 0;
+    let reply = loop {
+        match advance(&mut queue, &mut now) {
+            Action::Send(batch) => {
+                calls += 1;
+                now = now + CALL;
+                assert!(queue.record(&batch, &Answer::Busy, CALL, now).is_empty());
+            }
+            other => break other,
+        }
+    };
+    assert_eq!(reply, Action::Reply(key, Acceptance::Refused));
+    assert!((3..12).contains(&calls), "{calls} calls");
+    // The store may refuse this instance only: the caller has time to go elsewhere.
+    assert!(now.since(start()) <= WAIT / 2, "{:?}", now.since(start()));
+}
+
+/// Guards against a batch of unknown outcome that holds up those behind it for 2.6 s.
+#[test]
+fn an_unknown_outcome_holds_up_others_for_one_call() {
+    let (mut queue, mut now) = (Queue::default(), start());
+    queue.submit("a", 1, now + WAIT, now).unwrap();
+    let first = next_batch(&mut queue, now);
+    // An id in the same partition.
+    let other = (0..).map(|n| format!("b{n}")).find(|id| {
+        let partition = coriandernotch::intake::Partition::of_job(id);
+        partition == first.partition
+    });
+    let other = queue.submit(&other.unwrap(), 1, now + WAIT, now).unwrap();
+    now = now + first.timeout;
+    queue.record(&first, &Answer::Unknown, first.timeout, now);
+    let second = next_batch(&mut queue, now);
+    assert_eq!(second.submissions, [other], "the one behind goes next");
+    now = now + CALL;
+    queue.record(&second, &Answer::Applied, CALL, now);
+    let third = next_batch(&mut queue, now);
+    assert_eq!(third.submissions, first.submissions);
+    let answer = Answer::Conflict {
+        stored: third.submissions.clone(),
+        cancelled: Vec::new(),
+    };
+    let replies = queue.record(&third, &answer, CALL, now + CALL);
+    assert_eq!(replies, [(first.submissions[0], Acceptance::Stored)]);
+}
+
+/// Guards against a job that the store does not take and that ends others of its transaction, and
+/// against calling it again without end.
+#[test]
+fn a_rejected_job_does_not_end_those_beside_it() {
+    let (mut queue, now) = (Queue::default(), start());
+    let bad = queue.submit("a", 1, now + WAIT, now).unwrap();
+    let lead = next_batch(&mut queue, now);
+    queue.record(&lead, &Answer::Busy, CALL, now);
+    let good = (0..).map(|n| format!("b{n}")).find(|id| {
+        let partition = coriandernotch::intake::Partition::of_job(id);
+        partition == lead.partition
+    });
+    let good = queue.submit(&good.unwrap(), 1, now + WAIT, now).unwrap();
+    let (mut now, mut replies, mut calls) = (now, Vec::new(), 0);
+    while replies.len() < 2 {
+        let Action::Send(batch) = advance(&mut queue, &mut now) else {
+            panic!("no submission is given up");
+        };
+        calls += 1;
+        let answer = match batch.submissions.contains(&bad) {
+            true => Answer::Rejected,
+            false => Answer::Applied,
+        };
+        now = now + CALL;
+        replies.extend(queue.record(&batch, &answer, CALL, now));
+    }
+    assert!(replies.contains(&(bad, Acceptance::Refused)));
+    assert!(replies.contains(&(good, Acceptance::Stored)));
+    assert_eq!(calls, 3);
+}
