Test a store that refuses and one that answers no writes

tries_again_what_the_store_refuses fails: 503 at once, although the caller waits for 3 s and the store takes the job after 0.5 s.

ends_within_its_grace_time_while_the_store_does_not_answer fails: the process takes 5.54 s of its 6 s, and 5.1 s are allowed.

--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -97,6 +97,16 @@
     )
 }
 
+/// Starts an instance that must end within `grace_s` seconds after SIGTERM.
+pub(crate) fn start_with_grace(name: &str, store: SocketAddr, grace_s: f64) -> Instance {
+    let log = Log::new(name);
+    let outputs = [log.create(), Stdio::inherit()];
+    let bounds = json!({"grace-s": grace_s});
+    let mut instance = start_with_outputs(name, store, None, &bounds, outputs);
+    instance.log = Some(log);
+    instance
+}
+
 /// Returns the bounds in the settings of an instance.
 fn bounds() -> Value {
     json!({"grace-s": 1.0})
--- a/tests/entry/mode.rs
+++ b/tests/entry/mode.rs
@@ -16,6 +16,8 @@
     Unanswered,
     /// Has no effect and sends no response.
     Unresponsive,
+    /// Sends no response to transactions, which have no effect. All other calls are without faults.
+    SilentWrites,
     /// Closes the connection and applies a transaction some time later.
     AppliedLate,
 }
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -179,6 +179,10 @@
                 tokio::time::sleep(Duration::from_secs(60)).await;
                 return None;
             }
+            Mode::SilentWrites if call.path == "/api/rows-tx" => {
+                tokio::time::sleep(Duration::from_secs(60)).await;
+                return None;
+            }
             Mode::AppliedLate if call.path == "/api/rows-tx" => {
                 let store = self.clone();
                 tokio::spawn(async move {
@@ -190,6 +194,7 @@
             Mode::ShortOfWrites if self.refuses_write(&call) => return Some((429, "{}".into())),
             Mode::Normal
             | Mode::ShortOfWrites
+            | Mode::SilentWrites
             | Mode::ResponseLost
             | Mode::Unanswered
             | Mode::AppliedLate => {}
