Follow the answers of the store when jobs are stored

A batch of unknown outcome was tried for 2.6 s while the next ones of its partition waited, and one refusal of the store (429, 503) refused all jobs of a batch.

Submissions now wait in one queue for each instance. Refusals are tried again while the caller has time; what was not sent is refused with 503 before the caller's deadline, or after half of its time when the store has done nothing for this instance; what was sent is never called refused, nor is a repeat of it. The next batch of a partition goes first after an unknown outcome. Progress that nobody waits for and deletions wait for at most 1 s while calls that store jobs use up a quarter of the window.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -8,12 +8,11 @@
 use hyper::{Request, Response, StatusCode};
 use metrics::{counter, histogram};
 
-use super::acceptance::Acceptance;
 use super::row::{self, JOBS, PROGRESS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use crate::batch::{Config, Progress, Record, Route, State};
-use crate::clock;
-use crate::intake::Partition;
+use crate::clock::{self, Instant};
+use crate::intake::{Acceptance, Partition};
 use crate::platform::api::{Fault, Operation, Outcome, Protocol, Transaction, decode_submission};
 
 /// Maximum size of a body when the configuration sets none.
@@ -32,6 +31,15 @@
 #[derive(Clone)]
 struct Reason(String);
 
+/// Times of a request.
+#[derive(Clone, Copy)]
+struct Arrival {
+    /// Arrival in milliseconds since 1970.
+    unix_ms: u64,
+    /// When the caller must have a response.
+    answer_by: Instant,
+}
+
 /// Response to a caller.
 pub(super) type HttpResponse = Response<Full<Bytes>>;
 
@@ -44,7 +52,7 @@
     let wait = header_text(request.headers(), header_name).and_then(|text| text.parse().ok());
     let wait = wait.map_or(DEFAULT_DEADLINE, Duration::from_millis);
     let wait = wait.saturating_sub(DEADLINE_MARGIN).max(DEADLINE_MARGIN);
-    let response = match tokio::time::timeout(wait, handle(&shared, request)).await {
+    let response = match tokio::time::timeout(wait, handle(&shared, request, begun + wait)).await {
         Ok(response) => response,
         Err(_) => failure(
             StatusCode::GATEWAY_TIMEOUT,
@@ -64,9 +72,12 @@
     response
 }
 
-async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> HttpResponse {
+async fn handle(shared: &Shared, request: Request<Incoming>, answer_by: Instant) -> HttpResponse {
     let (head, body) = request.into_parts();
-    let arrived_ms = unix_time_ms();
+    let arrival = Arrival {
+        unix_ms: unix_time_ms(),
+        answer_by,
+    };
     let Some(config) = fresh_config(shared) else {
         return unavailable("the configuration is not known");
     };
@@ -95,7 +106,7 @@
             let Ok(body) = body else {
                 return failure(StatusCode::PAYLOAD_TOO_LARGE, "body too long or broken off");
             };
-            submit_job(shared, route, workspace, rest, &body.to_bytes(), arrived_ms).await
+            submit_job(shared, route, workspace, rest, &body.to_bytes(), arrival).await
         }
         Some(Operation::Ask) => query_job(shared, rest).await,
         Some(Operation::Cancel) => cancel_job(shared, rest).await,
@@ -110,12 +121,12 @@
 }
 
 async fn submit_job(
-    shared: &Arc<Shared>,
+    shared: &Shared,
     route: &Route,
     workspace: Arc<str>,
     id: &str,
     body: &[u8],
-    arrived_ms: u64,
+    arrival: Arrival,
 ) -> HttpResponse {
     let spec = match decode_submission(body) {
         Ok(spec) => spec,
@@ -126,12 +137,12 @@
         service: route.service.clone(),
         terms: route.terms(&spec),
         workspace,
-        arrived_ms,
+        arrived_ms: arrival.unix_ms,
         spec,
     };
     let committed = shared
         .committer
-        .commit(shared, id, row::encode(&record))
+        .commit(id, row::encode(&record), arrival.answer_by)
         .await;
     log::info!(event = "job-submitted", job = id, route = route.name, workspace = record.workspace,
         result:? = committed; "");
--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -1,70 +1,183 @@
-use std::sync::{Arc, Mutex};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
 
-use tokio::sync::oneshot;
+use metrics::counter;
+use tokio::sync::{Notify, oneshot};
 
-use super::acceptance::Acceptance;
-use super::commit;
-use super::shared::Shared;
+use super::row::{self, JOBS};
 use super::submission::Submission;
+use crate::clock::{self, Instant};
 use crate::collections::Map;
-use crate::intake::Partition;
+use crate::intake::{Acceptance, Action, Answer, Batch, Class, Queue, SubmissionKey};
+use crate::platform::api::{Fault, Outcome, Precondition, Row, Store, Transaction};
 
-/// Maximum number of submissions that wait for one partition; further ones are refused.
-const MAX_WAITING: usize = 512;
+/// Shortest wait for a time at which something is due.
+const MIN_WAIT: Duration = Duration::from_millis(1);
 
-/// Submissions that wait for the task that stores those of their partition. Such a task exists only
-/// while there are any.
+/// HTTP statuses with which the store refuses a call that it may carry out later.
+const BUSY_STATUSES: [u16; 2] = [429, 503];
+
+/// Submissions that wait to be stored, with what is to be stored and the callers that wait.
 #[derive(Default)]
-pub(super) struct Committer(Mutex<Map<Partition, Vec<Submission>>>);
+pub(super) struct Committer {
+    state: Mutex<State>,
+    /// Notified when there is something new to decide.
+    wake: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    queue: Queue,
+    submissions: Map<SubmissionKey, Submission>,
+}
 
 impl Committer {
-    /// Stores a job unless it is already stored.
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("committer lock")
+    }
+
+    /// Stores a job unless it is already stored. The result is known shortly before a time, unless a
+    /// transaction is still in flight.
     pub(super) async fn commit(
         &self,
-        shared: &Arc<Shared>,
-        key: &str,
+        id: &str,
         content: Vec<u8>,
+        answer_by: Instant,
     ) -> Acceptance {
+        let now = clock::now();
         let (reply, result) = oneshot::channel();
-        let submission = Submission {
-            key: key.to_owned(),
-            content,
-            reply,
-        };
-        if !self.add(shared, submission) {
-            return Acceptance::Refused;
+        {
+            let mut state = self.state();
+            let Some(key) = state.queue.submit(id, content.len(), answer_by, now) else {
+                let is_uncertain = state.queue.is_uncertain(id, now);
+                return if is_uncertain {
+                    Acceptance::Unknown
+                } else {
+                    Acceptance::Refused
+                };
+            };
+            let key_text = id.to_owned();
+            let submission = Submission {
+                key: key_text,
+                content,
+                reply,
+            };
+            state.submissions.insert(key, submission);
         }
+        self.wake.notify_one();
         result.await.unwrap_or(Acceptance::Unknown)
     }
 
-    /// Adds a submission and spawns the task of its partition if there is none. Returns false if too
-    /// many wait.
-    fn add(&self, shared: &Arc<Shared>, submission: Submission) -> bool {
-        let partition = Partition::of_job(&submission.key);
-        let mut partitions = self.0.lock().expect("committer lock");
-        if let Some(waiting) = partitions.get_mut(&partition) {
-            if waiting.len() >= MAX_WAITING {
-                return false;
+    /// Waits until a transaction is to be sent, and replies to the submissions that are given up
+    /// meanwhile.
+    pub(super) async fn next_batch(&self) -> Batch {
+        loop {
+            let action = self.state().queue.next(clock::now());
+            match action {
+                Action::Send(batch) => return batch,
+                Action::Reply(key, acceptance) => self.state().reply(key, acceptance),
+                Action::Wait(None) => self.wake.notified().await,
+                Action::Wait(Some(at)) => {
+                    let wait = at.since(clock::now()).max(MIN_WAIT);
+                    let _ = tokio::time::timeout(wait, self.wake.notified()).await;
+                }
             }
-            waiting.push(submission);
-        } else {
-            partitions.insert(partition, vec![submission]);
-            tokio::spawn(commit::store(shared.clone(), partition));
         }
-        true
     }
 
-    /// Takes up to `limit` submissions of a partition. None are left if the result is empty, and the
-    /// next one spawns another task.
-    pub(super) fn take(&self, partition: Partition, limit: usize) -> Vec<Submission> {
-        let mut partitions = self.0.lock().expect("committer lock");
-        let Some(waiting) = partitions.get_mut(&partition) else {
-            return Vec::new();
+    /// Sends the transaction of a batch and replies to the submissions whose result is known.
+    pub(super) async fn send(&self, store: &Store, batch: &Batch) {
+        let transaction = self.state().transaction(batch);
+        let sent = clock::now();
+        let result = store.transact(&transaction, batch.timeout).await;
+        let now = clock::now();
+        let mut state = self.state();
+        let answer = match result {
+            Ok(Outcome::Applied(_)) => Answer::Applied,
+            Ok(Outcome::Conflict(rows)) => state.conflict(batch, &rows),
+            Err(fault) => {
+                let jobs = batch.submissions.len();
+                log::warn!(event = "jobs-not-stored", jobs, part = transaction.part,
+                    fault:% = fault; "");
+                match fault {
+                    Fault::Refused { status, .. } if !BUSY_STATUSES.contains(&status) => {
+                        Answer::Rejected
+                    }
+                    fault if fault.had_no_effect() => Answer::Busy,
+                    _ => Answer::Unknown,
+                }
+            }
         };
-        if waiting.is_empty() {
-            partitions.remove(&partition);
-            return Vec::new();
+        let took = now.since(sent);
+        let replies = state.queue.record(batch, &answer, took, now);
+        for (key, acceptance) in replies {
+            state.reply(key, acceptance);
+        }
+        drop(state);
+        self.wake.notify_one();
+    }
+
+    /// Returns whether a call of a kind may be sent now, beside those that are in flight.
+    pub(super) fn may_send(&self, class: Class) -> bool {
+        self.state().queue.window.may_send(class)
+    }
+
+    /// Returns how many submissions wait, how many calls are in flight, and their limit.
+    pub(super) fn counts(&self) -> [usize; 3] {
+        let state = self.state();
+        let window = &state.queue.window;
+        [state.queue.len(), window.in_flight(), window.limit()]
+    }
+}
+
+impl State {
+    fn reply(&mut self, key: SubmissionKey, acceptance: Acceptance) {
+        let Some(submission) = self.submissions.remove(&key) else {
+            return;
+        };
+        counter!("submissions_total", "result" => <&'static str>::from(acceptance)).increment(1);
+        // Fails when the caller has disconnected and needs no result.
+        let _ = submission.reply.send(acceptance);
+    }
+
+    /// Returns the transaction that stores jobs unless they or their cancellations are stored. It may
+    /// be carried out late, so it also depends on the cancellations.
+    fn transaction(&self, batch: &Batch) -> Transaction {
+        let submissions = batch.submissions.iter();
+        let submissions = submissions.filter_map(|key| self.submissions.get(key));
+        let mut transaction = Transaction {
+            part: batch.partition.name(),
+            ..Transaction::default()
+        };
+        for submission in submissions {
+            let keys = [submission.key.clone(), row::cancel_key(&submission.key)];
+            let expected = keys.map(|key| Precondition {
+                table: JOBS,
+                key,
+                version: 0,
+            });
+            transaction.expected.extend(expected);
+            let content = submission.content.clone();
+            transaction
+                .puts
+                .push((JOBS, submission.key.clone(), content));
+        }
+        transaction
+    }
+
+    /// Returns what the rows of a conflict show.
+    fn conflict(&self, batch: &Batch, rows: &[Row]) -> Answer {
+        let exists = |key: &str| rows.iter().any(|row| &*row.key == key && row.version > 0);
+        let (mut stored, mut cancelled) = (Vec::new(), Vec::new());
+        for key in &batch.submissions {
+            match self.submissions.get(key) {
+                Some(submission) if exists(&submission.key) => stored.push(*key),
+                Some(submission) if exists(&row::cancel_key(&submission.key)) => {
+                    cancelled.push(*key);
+                }
+                _ => {}
+            }
         }
-        waiting.drain(..waiting.len().min(limit)).collect()
+        Answer::Conflict { stored, cancelled }
     }
 }
--- a/src/entry/delete.rs
+++ b/src/entry/delete.rs
@@ -9,7 +9,7 @@
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use super::term::Term;
 use crate::clock;
-use crate::intake::Partition;
+use crate::intake::{Class, Partition};
 use crate::platform::api::{Outcome, Precondition, Row, Transaction};
 
 /// Time between two looks for ended jobs whose rows are no longer needed.
@@ -32,7 +32,9 @@
         sleep(INTERVAL).await;
         let found = (term.engine()).take_outdated(unix_time_ms(), MAX_FOUND_JOBS, |_| true);
         term.deletions().add(found, clock::now());
-        while let Some(batch) = take_batch(&term) {
+        while shared.committer.may_send(Class::Background)
+            && let Some(batch) = take_batch(&term)
+        {
             batch.delete(&shared, &term).await;
             term.flush_wake.notify_one();
         }
--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -5,7 +5,8 @@
 use super::shared::{STORE_TIMEOUT, Shared};
 use super::term::Term;
 use crate::batch::{Fence, JobKey, Resolution, Writer};
-use crate::intake;
+use crate::clock::{self, Instant};
+use crate::intake::{self, Class};
 use crate::platform::api::{Fault, Outcome, Precondition, Transaction};
 
 /// Maximum number of jobs in one transaction.
@@ -24,6 +25,9 @@
 /// Delay before other changes are stored.
 const FLUSH_DELAY: Duration = Duration::from_millis(45);
 
+/// Maximum time for which changes that nobody waits for are held back by submissions of jobs.
+const MAX_HELD_BACK: Duration = Duration::from_secs(1);
+
 /// Delay after a transaction that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
 
@@ -46,6 +50,7 @@
 /// Stores changes of jobs while this instance leads.
 pub(super) async fn flush(shared: Arc<Shared>, term: Arc<Term>) {
     let mut partitions = all_partitions(&term);
+    let mut held_back_since: Option<Instant> = None;
     loop {
         let urgent = term.engine().has_changes_to_store();
         let urgent = urgent.or_else(|| term.deletions().has_cleared().then_some(false));
@@ -58,6 +63,13 @@
                 continue;
             }
         }
+        if urgent == Some(false) && !shared.committer.may_send(Class::Background) {
+            let now = clock::now();
+            if now.since(*held_back_since.get_or_insert(now)) < MAX_HELD_BACK {
+                continue;
+            }
+        }
+        held_back_since = None;
         let flushes = partitions
             .iter_mut()
             .map(|partition| partition.flush(&shared, &term));
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -8,6 +8,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 
+use super::commit;
 use super::committer::Committer;
 use super::drain::Drain;
 use super::settings::Settings;
@@ -52,6 +53,10 @@
     });
     log::info!(event = "instance-started", name = shared.settings.name,
         data_centre = shared.settings.data_centre; "");
+    tokio::spawn(supervise("store-jobs", {
+        let shared = shared.clone();
+        move || commit::store(shared.clone())
+    }));
     let (close, closing) = watch::channel(false);
     tokio::spawn(supervise("follow-desired", {
         let shared = shared.clone();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,7 +5,6 @@
 //! runs one loop or serves one connection. Decisions are in [`crate::batch`], the protocols of the
 //! platform in [`crate::platform::api`].
 
-mod acceptance;
 mod admin_port;
 mod advise;
 mod call;
--- a/src/entry/submission.rs
+++ b/src/entry/submission.rs
@@ -1,6 +1,6 @@
 use tokio::sync::oneshot;
 
-use super::acceptance::Acceptance;
+use crate::intake::Acceptance;
 
 /// A job to store, with the channel for the result.
 pub(super) struct Submission {
--- a/src/entry/telemetry.rs
+++ b/src/entry/telemetry.rs
@@ -48,6 +48,10 @@
     let now = clock::now();
     let flag = |value: bool| f64::from(u8::from(value));
     gauge!("instance_ready").set(flag(shared.has_fresh_config(now) && !shared.is_stopping()));
+    let [waiting, in_flight, limit] = shared.committer.counts();
+    gauge!("submissions_waiting").set(waiting as f64);
+    gauge!("store_writes_in_flight").set(in_flight as f64);
+    gauge!("store_writes_limit").set(limit as f64);
     let term = shared.term();
     gauge!("instance_leads").set(flag(term.is_some()));
     let config = shared.desired.lock().expect("desired lock").config();
