--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -8,12 +8,11 @@
 use hyper::{Request, Response, StatusCode};
 use metrics::{counter, histogram};
 
-use super::acceptance::Acceptance;
-use super::partition;
 use super::row::{self, JOBS, PROGRESS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use crate::batch::{Config, Progress, Record, Route, State};
-use crate::clock;
+use crate::clock::{self, Instant};
+use crate::intake::{Acceptance, Partition};
 use crate::platform::api::{Fault, Operation, Outcome, Protocol, Transaction, decode_submission};
 
 /// Maximum size of a body when the configuration sets none.
@@ -32,6 +31,15 @@
 #[derive(Clone)]
 struct Reason(String);
 
+/// Times of a request.
+#[derive(Clone, Copy)]
+struct Arrival {
+    /// Arrival in milliseconds since 1970.
+    unix_ms: u64,
+    /// When the caller must have a response.
+    answer_by: Instant,
+}
+
 /// Response to a caller.
 pub(super) type HttpResponse = Response<Full<Bytes>>;
 
@@ -44,7 +52,7 @@
     let wait = header_text(request.headers(), header_name).and_then(|text| text.parse().ok());
     let wait = wait.map_or(DEFAULT_DEADLINE, Duration::from_millis);
     let wait = wait.saturating_sub(DEADLINE_MARGIN).max(DEADLINE_MARGIN);
-    let response = match tokio::time::timeout(wait, handle(&shared, request)).await {
+    let response = match tokio::time::timeout(wait, handle(&shared, request, begun + wait)).await {
         Ok(response) => response,
         Err(_) => failure(
             StatusCode::GATEWAY_TIMEOUT,
@@ -64,9 +72,12 @@
     response
 }
 
-async fn handle(shared: &Shared, request: Request<Incoming>) -> HttpResponse {
+async fn handle(shared: &Shared, request: Request<Incoming>, answer_by: Instant) -> HttpResponse {
     let (head, body) = request.into_parts();
-    let arrived_ms = unix_time_ms();
+    let arrival = Arrival {
+        unix_ms: unix_time_ms(),
+        answer_by,
+    };
     let Some(config) = fresh_config(shared) else {
         return unavailable("the configuration is not known");
     };
@@ -95,7 +106,7 @@
             let Ok(body) = body else {
                 return failure(StatusCode::PAYLOAD_TOO_LARGE, "body too long or broken off");
             };
-            submit_job(shared, route, workspace, rest, &body.to_bytes(), arrived_ms).await
+            submit_job(shared, route, workspace, rest, &body.to_bytes(), arrival).await
         }
         Some(Operation::Ask) => query_job(shared, rest).await,
         Some(Operation::Cancel) => cancel_job(shared, rest).await,
@@ -115,7 +126,7 @@
     workspace: Arc<str>,
     id: &str,
     body: &[u8],
-    arrived_ms: u64,
+    arrival: Arrival,
 ) -> HttpResponse {
     let spec = match decode_submission(body) {
         Ok(spec) => spec,
@@ -126,10 +137,13 @@
         service: route.service.clone(),
         terms: route.terms(&spec),
         workspace,
-        arrived_ms,
+        arrived_ms: arrival.unix_ms,
         spec,
     };
-    let committed = shared.committer.commit(id, row::encode(&record)).await;
+    let committed = shared
+        .committer
+        .commit(id, row::encode(&record), arrival.answer_by)
+        .await;
     log::info!(event = "job-submitted", job = id, route = route.name, workspace = record.workspace,
         result:? = committed; "");
     match committed {
@@ -149,26 +163,32 @@
     if let Some(state) = active {
         return Ok(Some(state));
     }
-    let partition = partition::of(id);
-    let end_key = format!("{id}.");
-    let (rows, _) = shared
-        .store
-        .read(PROGRESS, &partition, id, &end_key, STORE_TIMEOUT)
-        .await?;
-    let progress = rows
-        .iter()
-        .find(|r| &*r.key == id)
-        .and_then(|r| r.content.as_ref());
-    if let Some(content) = progress {
-        let progress: Option<Progress> = row::decode(id, content);
+    let progress_partition = Partition::of_progress(id);
+    if let Some(content) = read_row(shared, PROGRESS, progress_partition, id).await? {
+        let progress: Option<Progress> = row::decode(id, &content);
         return Ok(Some(progress.unwrap_or_default().state));
     }
-    let (rows, _) = shared
-        .store
-        .read(JOBS, &partition, id, &end_key, STORE_TIMEOUT)
-        .await?;
-    let exists = rows.iter().any(|r| &*r.key == id && r.content.is_some());
-    Ok(exists.then_some(State::Queued))
+    // Instances of earlier versions store jobs beside their progress.
+    for partition in [Partition::of_job(id), progress_partition] {
+        if read_row(shared, JOBS, partition, id).await?.is_some() {
+            return Ok(Some(State::Queued));
+        }
+    }
+    Ok(None)
+}
+
+/// Reads the content of the row of a job. `None` if there is none.
+async fn read_row(
+    shared: &Shared,
+    table: &str,
+    partition: Partition,
+    id: &str,
+) -> Result<Option<Vec<u8>>, Fault> {
+    let (partition, end_key) = (partition.name(), format!("{id}."));
+    let read = (shared.store).read(table, &partition, id, &end_key, STORE_TIMEOUT);
+    let (rows, _) = read.await?;
+    let mut rows = rows.into_iter();
+    Ok(rows.find(|row| &*row.key == id).and_then(|row| row.content))
 }
 
 async fn query_job(shared: &Shared, id: &str) -> HttpResponse {
@@ -193,7 +213,7 @@
         }
     };
     let transaction = Transaction {
-        part: partition::of(id),
+        part: Partition::of_job(id).name(),
         puts: vec![(JOBS, row::cancel_key(id), b"{}".to_vec())],
         ..Transaction::default()
     };
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -40,12 +40,11 @@
         ),
         None => None,
     };
-    let (committer, receivers) = Committer::new();
     let shared = Arc::new(Shared {
         incarnation: unix_time_ms(),
         store: Store::new(settings.store),
         desired: Mutex::default(),
-        committer,
+        committer: Committer::default(),
         leader: Mutex::default(),
         term: Mutex::default(),
         stopping: AtomicBool::new(false),
@@ -54,9 +53,10 @@
     });
     log::info!(event = "instance-started", name = shared.settings.name,
         data_centre = shared.settings.data_centre; "");
-    for (partition, receiver) in receivers {
-        tokio::spawn(commit::store(shared.clone(), partition, receiver));
-    }
+    tokio::spawn(supervise("store-jobs", {
+        let shared = shared.clone();
+        move || commit::store(shared.clone())
+    }));
     let (close, closing) = watch::channel(false);
     tokio::spawn(supervise("follow-desired", {
         let shared = shared.clone();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,7 +5,6 @@
 //! runs one loop or serves one connection. Decisions are in [`crate::batch`], the protocols of the
 //! platform in [`crate::platform::api`].
 
-mod acceptance;
 mod admin_port;
 mod advise;
 mod call;
@@ -13,6 +12,7 @@
 mod candidate;
 mod commit;
 mod committer;
+mod delete;
 mod desired;
 mod drain;
 mod flush;
@@ -28,7 +28,6 @@
 mod load_term;
 mod maintenance;
 mod orders;
-mod partition;
 mod poll;
 mod reach;
 mod readiness;
--- a/src/entry/acceptance.rs
+++ b/src/intake/acceptance.rs
@@ -1,6 +1,7 @@
 /// Result of submitting a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Acceptance {
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Acceptance {
     /// The job is stored, by this request or an earlier one.
     Stored,
     /// The job is not stored and this request will not store it.
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -140,6 +140,15 @@
         serde_json::from_slice(&STANDARD.decode(&row.1.0).unwrap()).ok()
     }
 
+    /// Returns the names of the partitions of a table that have rows, in their order.
+    pub(crate) fn partitions(&self, table: &str) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        let parts = state.rows.keys().filter(|(t, ..)| t == table);
+        let mut parts: Vec<String> = parts.map(|(_, part, _)| part.clone()).collect();
+        parts.dedup();
+        parts
+    }
+
     /// Returns all writes of the leader row, in their order.
     pub(crate) fn leader_writes(&self) -> Vec<LeaderWrite> {
         self.state.lock().unwrap().leader_writes.clone()
@@ -170,6 +179,10 @@
                 tokio::time::sleep(Duration::from_secs(60)).await;
                 return None;
             }
+            Mode::SilentWrites if call.path == "/api/rows-tx" => {
+                tokio::time::sleep(Duration::from_secs(60)).await;
+                return None;
+            }
             Mode::AppliedLate if call.path == "/api/rows-tx" => {
                 let store = self.clone();
                 tokio::spawn(async move {
@@ -181,6 +194,7 @@
             Mode::ShortOfWrites if self.refuses_write(&call) => return Some((429, "{}".into())),
             Mode::Normal
             | Mode::ShortOfWrites
+            | Mode::SilentWrites
             | Mode::ResponseLost
             | Mode::Unanswered
             | Mode::AppliedLate => {}
