End a stopping process well within its grace time

The phases of a shutdown took 0.92 of the grace time one after the other, and the last lines of the log up to 0.6 s more. While the store is slow each phase takes its whole time: callers wait for theirs, and a leader whose changes are not stored tries until its phase is over. A process with a fraction of a processor was then killed.

The leader, which begins to resign at SIGTERM, now has until the end of the phase of the callers, which is at 0.75 of the grace time, and submissions that are not sent by then are refused.

--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -117,6 +117,12 @@
         self.wake.notify_one();
     }
 
+    /// Refuses what is not sent before a time at which the instance ends.
+    pub(super) fn close(&self, ends_at: Instant) {
+        self.state().queue.close(ends_at);
+        self.wake.notify_one();
+    }
+
     /// Returns whether a call of a kind may be sent now, beside those that are in flight.
     pub(super) fn may_send(&self, class: Class) -> bool {
         self.state().queue.window.may_send(class)
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -15,6 +15,7 @@
 use super::shared::{Shared, unix_time_ms};
 use super::supervise::supervise;
 use super::{caller_port, follow_desired, lead, readiness, telemetry};
+use crate::clock;
 use crate::platform::api::Store;
 
 /// Runs an entry instance until SIGTERM or SIGINT, with settings that were read from `path`.
@@ -92,12 +93,16 @@
     shared.stopping.store(true, Ordering::Release);
     shared.stop.notify_waiters();
     shared.stop.notify_one();
+    shared
+        .committer
+        .close(clock::now() + drain.accept + drain.finish);
     tokio::time::sleep(drain.accept).await;
     // Connections close after their current request.
     let _ = close.send(true);
-    let closed = tokio::time::timeout(drain.finish, close.closed()).await;
+    let closed = tokio::time::timeout(drain.finish, close.closed());
     // A leader resigns and hands its runs over to the next one.
-    let resigned = tokio::time::timeout(drain.resign, lead_task).await;
+    let resigned = tokio::time::timeout(drain.finish, lead_task);
+    let (closed, resigned) = tokio::join!(closed, resigned);
     log::info!(event = "instance-stopped", all_served = closed.is_ok(),
         resigned = resigned.is_ok(); "");
     accept_task
--- a/src/intake/queue.rs
+++ b/src/intake/queue.rs
@@ -42,6 +42,8 @@
     pub window: Window,
     /// Ids of transactions without an answer, and until when these may take effect.
     uncertain: Map<Arc<str>, Instant>,
+    /// When the instance ends, if it stops.
+    ends_at: Option<Instant>,
 }
 
 impl Queue {
@@ -76,6 +78,11 @@
         self.uncertain.get(id).is_some_and(|until| now < *until)
     }
 
+    /// Sets when the instance ends. Submissions that are not sent are refused before that.
+    pub fn close(&mut self, ends_at: Instant) {
+        self.ends_at = Some(ends_at);
+    }
+
     /// Returns how many submissions wait or are being stored.
     ///
     /// ```
@@ -227,12 +234,15 @@
     /// Returns when a submission that is not in a transaction gets a reply, and which.
     fn reply_time(&self, key: SubmissionKey, now: Instant) -> (Instant, Acceptance) {
         let waiting = &self.submissions[key];
-        let latest = waiting.answer_by - MARGIN;
+        let answer_by = self
+            .ends_at
+            .map_or(waiting.answer_by, |at| at.min(waiting.answer_by));
+        let latest = answer_by - MARGIN;
         if waiting.may_be_stored {
             return (latest, Acceptance::Unknown);
         }
         // A transaction that is sent later would be answered after the caller has gone.
-        let latest = waiting.answer_by - self.window.expected(now).max(MARGIN);
+        let latest = answer_by - self.window.expected(now).max(MARGIN);
         if self.window.has_succeeded_since(waiting.arrived) {
             return (latest, Acceptance::Refused);
         }
--- a/tests/intake/queue.rs
+++ b/tests/intake/queue.rs
@@ -120,6 +120,35 @@
     assert_eq!(replies, [(first.submissions[0], Acceptance::Stored)]);
 }
 
+/// Guards against callers that get a broken connection because their instance stops.
+#[test]
+fn refuses_what_is_not_sent_before_the_instance_ends() {
+    let (mut queue, mut now) = (Queue::default(), start());
+    let sent = queue.submit("a", 1, now + WAIT, now).unwrap();
+    let batch = next_batch(&mut queue, now);
+    let key = queue.submit("a", 1, now + WAIT, now).unwrap();
+    assert_eq!(batch.submissions, [sent]);
+    queue.record(&batch, &Answer::Busy, CALL, now);
+    let ends_at = now + Duration::from_secs(1);
+    queue.close(ends_at);
+    let mut replies = Vec::new();
+    while replies.len() < 2 {
+        match advance(&mut queue, &mut now) {
+            Action::Send(batch) => {
+                queue.record(&batch, &Answer::Busy, CALL, now);
+            }
+            Action::Reply(key, acceptance) => replies.push((key, acceptance)),
+            Action::Wait(_) => unreachable!(),
+        }
+    }
+    replies.sort_by_key(|(key, _)| *key);
+    assert_eq!(
+        replies,
+        [(sent, Acceptance::Refused), (key, Acceptance::Refused)]
+    );
+    assert!(now < ends_at, "{:?}", now.since(start()));
+}
+
 /// Guards against a job that the store does not take and that ends others of its transaction, and
 /// against calling it again without end.
 #[test]
