Store jobs where earlier versions find them, where that is set

An instance of an earlier version that takes over reads only j0 and j1. With spread-jobs false, jobs are stored there as before, and found in all partitions, so that an upgrade can go in two steps. Default: true.

A submission that is refused or of unknown outcome is logged under the events of before, jobs-refused and jobs-unknown, now one line each with the job.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -213,7 +213,7 @@
         }
     };
     let transaction = Transaction {
-        part: Partition::of_job(id).name(),
+        part: Partition::to_store(id, shared.settings.spread_jobs).name(),
         puts: vec![(JOBS, row::cancel_key(id), b"{}".to_vec())],
         ..Transaction::default()
     };
--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -18,20 +18,29 @@
 const BUSY_STATUSES: [u16; 2] = [429, 503];
 
 /// Submissions that wait to be stored, with what is to be stored and the callers that wait.
-#[derive(Default)]
 pub(super) struct Committer {
     state: Mutex<State>,
     /// Notified when there is something new to decide.
     wake: Notify,
 }
 
-#[derive(Default)]
 struct State {
     queue: Queue,
     submissions: Map<SubmissionKey, Submission>,
 }
 
 impl Committer {
+    /// Creates a committer of jobs that are spread over all partitions or are not.
+    pub(super) fn new(spread_jobs: bool) -> Self {
+        Self {
+            state: Mutex::new(State {
+                queue: Queue::new(spread_jobs),
+                submissions: Map::default(),
+            }),
+            wake: Notify::new(),
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("committer lock")
     }
@@ -141,6 +150,12 @@
         let Some(submission) = self.submissions.remove(&key) else {
             return;
         };
+        let job = &*submission.key;
+        match acceptance {
+            Acceptance::Refused => log::warn!(event = "jobs-refused", jobs = 1, job; ""),
+            Acceptance::Unknown => log::warn!(event = "jobs-unknown", jobs = 1, job; ""),
+            Acceptance::Stored | Acceptance::Cancelled => {}
+        }
         counter!("submissions_total", "result" => <&'static str>::from(acceptance)).increment(1);
         // Fails when the caller has disconnected and needs no result.
         let _ = submission.reply.send(acceptance);
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -45,7 +45,7 @@
         incarnation: unix_time_ms(),
         store: Store::new(settings.store),
         desired: Mutex::default(),
-        committer: Committer::default(),
+        committer: Committer::new(settings.spread_jobs),
         leader: Mutex::default(),
         term: Mutex::default(),
         stopping: AtomicBool::new(false),
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -32,6 +32,10 @@
     /// Processor time of the instance as a share of one processor.
     #[serde(default = "whole_processor")]
     pub processor_share: f64,
+    /// Whether jobs are spread over all partitions. Instances of versions before 2026-12-07 find only
+    /// jobs that are not, so this is false until the last of them has ended.
+    #[serde(default = "spread_jobs")]
+    pub spread_jobs: bool,
     /// Durations that the platform guarantees or requires.
     #[serde(default)]
     pub bounds: Bounds,
@@ -63,6 +67,10 @@
     pub grace_s: f64,
 }
 
+fn spread_jobs() -> bool {
+    true
+}
+
 fn whole_processor() -> f64 {
     1.0
 }
--- a/src/intake/partition.rs
+++ b/src/intake/partition.rs
@@ -36,6 +36,23 @@
         Self::Jobs((folded ^ (folded >> 16) ^ (folded >> 8)) as u8)
     }
 
+    /// Returns the partition in which a job is stored: that of the job, or that of its progress for the
+    /// sake of instances of earlier versions.
+    ///
+    /// ```
+    /// use coriandernotch::intake::Partition;
+    ///
+    /// assert_eq!(Partition::to_store("a", true), Partition::of_job("a"));
+    /// assert_eq!(Partition::to_store("a", false), Partition::of_progress("a"));
+    /// ```
+    pub fn to_store(id: &str, is_spread: bool) -> Self {
+        if is_spread {
+            Self::of_job(id)
+        } else {
+            Self::of_progress(id)
+        }
+    }
+
     /// Returns the partition of the progress of a job.
     ///
     /// ```
--- a/src/intake/queue.rs
+++ b/src/intake/queue.rs
@@ -34,8 +34,10 @@
 const UNCERTAIN_FOR: Duration = Duration::from_secs(30);
 
 /// Submissions that wait to be stored: decides what is sent when and which ones are refused.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Queue {
+    /// Whether jobs are spread over all partitions.
+    is_spread: bool,
     submissions: SlotMap<SubmissionKey, Waiting>,
     lanes: Map<Partition, Lane>,
     /// Calls of this instance that write to the store.
@@ -46,7 +48,30 @@
     ends_at: Option<Instant>,
 }
 
+impl Default for Queue {
+    fn default() -> Self {
+        Self::new(true)
+    }
+}
+
 impl Queue {
+    /// Creates a queue of jobs that are spread over all partitions, or are not for the sake of
+    /// instances of earlier versions.
+    ///
+    /// ```
+    /// assert!(coriandernotch::intake::Queue::new(false).is_empty());
+    /// ```
+    pub fn new(is_spread: bool) -> Self {
+        Self {
+            is_spread,
+            submissions: SlotMap::default(),
+            lanes: Map::default(),
+            window: Window::default(),
+            uncertain: Map::default(),
+            ends_at: None,
+        }
+    }
+
     /// Adds a submission whose caller must have a reply by a time. `None` if too many wait.
     pub fn submit(
         &mut self,
@@ -58,7 +83,7 @@
         if self.submissions.len() >= MAX_WAITING {
             return None;
         }
-        let partition = Partition::of_job(id);
+        let partition = Partition::to_store(id, self.is_spread);
         let key = self.submissions.insert(Waiting {
             id: id.into(),
             partition,
--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -84,6 +84,16 @@
     instance
 }
 
+/// Starts an instance that stores jobs where instances of earlier versions find them, and deletes them
+/// after `retention_s` seconds.
+pub(crate) fn start_for_earlier(name: &str, store: SocketAddr, retention_s: u64) -> Instance {
+    let mut bounds = bounds();
+    bounds["status-s"] = json!(retention_s);
+    let mut settings = settings(name, store, None, &bounds);
+    settings["spread-jobs"] = json!(false);
+    start_with_settings(name, store, &settings, [Stdio::null(), Stdio::inherit()])
+}
+
 /// Starts an instance that deletes ended jobs after `retention_s` seconds.
 pub(crate) fn start_with_retention(name: &str, store: SocketAddr, retention_s: u64) -> Instance {
     let mut bounds = bounds();
--- a/tests/entry/partitions.rs
+++ b/tests/entry/partitions.rs
@@ -4,8 +4,9 @@
 use coriandernotch::intake::Partition;
 use serde_json::json;
 
-use crate::instance::{send_request, start_instance, wait_until};
-use crate::platform::{ONE, TWO, id, start_platform, store_job_in, store_progress};
+use crate::instance::{send_request, start_for_earlier, start_instance, wait_until};
+use crate::platform::{ONE, THREE, TWO, id, start_platform, store_job_in, store_progress};
+use crate::retention::RETENTION_S;
 
 /// Number of jobs that a test submits, and of the partitions in which they must be at least.
 const JOBS: u64 = 60;
@@ -83,3 +84,31 @@
     instance.wait_for_state(ONE, "completed").await;
     assert_eq!(worker.starts_of(id(ONE)), 1);
 }
+
+/// Guards against jobs that instances of earlier versions do not find while both run: they read only
+/// the partitions of progress. Their rows are deleted there as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn stores_jobs_for_earlier_versions_where_set() {
+    let (store, address, worker) = start_platform().await;
+    let instance = start_for_earlier("for-earlier", address, RETENTION_S);
+    for path in [ONE, TWO] {
+        instance.submit(path, "10").await;
+        instance.wait_for_state(path, "completed").await;
+    }
+    assert_eq!(store.partitions("jobs"), ["j0", "j1"]);
+    let (status, _) = send_request(instance.callers, "DELETE", THREE, &json!({})).await;
+    assert_eq!(status, 410);
+    assert_eq!(store.partitions("jobs"), ["j0", "j1"]);
+    wait_until("the ended jobs are deleted", || {
+        [ONE, TWO]
+            .iter()
+            .all(|path| store.read("progress", id(path)).is_none())
+    })
+    .await;
+    assert!(
+        [ONE, TWO]
+            .iter()
+            .all(|path| store.read("jobs", id(path)).is_none())
+    );
+    assert_eq!([ONE, TWO].map(|path| worker.starts_of(id(path))), [1, 1]);
+}
