Delete cancellations that lie beside the progress of their job

A cancellation of an unknown job that was stored with spread-jobs false stayed in j0 or j1 for good. stores_jobs_for_earlier_versions_where_set now waits for its deletion.

--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -231,7 +231,9 @@
         return;
     };
     if let Some(job) = row::cancelled_job(&row.key) {
-        engine.cancel_job(&job.into(), unix_time_ms(), clock::now());
+        let job = job.into();
+        deletions.record_cancellation(&job, partition);
+        engine.cancel_job(&job, unix_time_ms(), clock::now());
         return;
     }
     if let Some(record) = row::decode::<Record>(&row.key, content) {
--- a/src/intake/deletions.rs
+++ b/src/intake/deletions.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// Records the cancellation of a job that was read from a partition.
+    pub fn record_cancellation(&mut self, job: &Arc<str>, partition: &str) {
+        if Partition::of_job(job).name() != partition {
+            self.places.entry(job.clone()).or_default().is_earlier = true;
+        }
+    }
+
     /// Returns where the rows of a job are.
     pub fn place(&self, job: &str) -> Place {
         self.places.get(job).copied().unwrap_or_default()
--- a/src/intake/place.rs
+++ b/src/intake/place.rs
@@ -3,6 +3,7 @@
 pub struct Place {
     /// Version of the row of the job in its partition of jobs; 0 if there is none.
     pub version: u64,
-    /// Whether an instance of an earlier version has stored a row in the partition of progress.
+    /// Whether a row of the job or its cancellation is in the partition of its progress, where earlier
+    /// versions store them.
     pub is_earlier: bool,
 }
--- a/tests/entry/partitions.rs
+++ b/tests/entry/partitions.rs
@@ -105,10 +105,9 @@
             .all(|path| store.read("progress", id(path)).is_none())
     })
     .await;
-    assert!(
-        [ONE, TWO]
-            .iter()
-            .all(|path| store.read("jobs", id(path)).is_none())
-    );
+    wait_until("the jobs and the cancellation are deleted", || {
+        store.partitions("jobs").is_empty()
+    })
+    .await;
     assert_eq!([ONE, TWO].map(|path| worker.starts_of(id(path))), [1, 1]);
 }
--- a/tests/intake/replay/world.rs
+++ b/tests/intake/replay/world.rs
@@ -7,7 +7,6 @@
 use super::event::Event;
 use super::instance::{Instance, Steps};
 use super::load::{INSTANCES, SLOW_FROM, SLOW_TO, arrivals, id_and_instance, start};
-use super::present::Present;
 use super::previous::Previous;
 use super::result::Tally;
 use super::store::{Outcome, Store, Trouble};
@@ -33,7 +32,7 @@
 impl World {
     pub(super) fn new(is_present: bool) -> Self {
         let instance = || match is_present {
-            true => Instance::Present(Box::new(Present::default())),
+            true => Instance::Present(Box::default()),
             false => Instance::Previous(Previous::default()),
         };
         Self {
