--- a/src/intake/queue.rs
+++ b/src/intake/queue.rs
@@ -34,17 +34,44 @@
 const UNCERTAIN_FOR: Duration = Duration::from_secs(30);
 
 /// Submissions that wait to be stored: decides what is sent when and which ones are refused.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Queue {
+    /// Whether jobs are spread over all partitions.
+    is_spread: bool,
     submissions: SlotMap<SubmissionKey, Waiting>,
     lanes: Map<Partition, Lane>,
     /// Calls of this instance that write to the store.
     pub window: Window,
     /// Ids of transactions without an answer, and until when these may take effect.
     uncertain: Map<Arc<str>, Instant>,
+    /// When the instance ends, if it stops.
+    ends_at: Option<Instant>,
+}
+
+impl Default for Queue {
+    fn default() -> Self {
+        Self::new(true)
+    }
 }
 
 impl Queue {
+    /// Creates a queue of jobs that are spread over all partitions, or are not for the sake of
+    /// instances of earlier versions.
+    ///
+    /// ```
+    /// assert!(coriandernotch::intake::Queue::new(false).is_empty());
+    /// ```
+    pub fn new(is_spread: bool) -> Self {
+        Self {
+            is_spread,
+            submissions: SlotMap::default(),
+            lanes: Map::default(),
+            window: Window::default(),
+            uncertain: Map::default(),
+            ends_at: None,
+        }
+    }
+
     /// Adds a submission whose caller must have a reply by a time. `None` if too many wait.
     pub fn submit(
         &mut self,
@@ -56,7 +83,7 @@
         if self.submissions.len() >= MAX_WAITING {
             return None;
         }
-        let partition = Partition::of_job(id);
+        let partition = Partition::to_store(id, self.is_spread);
         let key = self.submissions.insert(Waiting {
             id: id.into(),
             partition,
@@ -76,6 +103,11 @@
         self.uncertain.get(id).is_some_and(|until| now < *until)
     }
 
+    /// Sets when the instance ends. Submissions that are not sent are refused before that.
+    pub fn close(&mut self, ends_at: Instant) {
+        self.ends_at = Some(ends_at);
+    }
+
     /// Returns how many submissions wait or are being stored.
     ///
     /// ```
@@ -227,12 +259,15 @@
     /// Returns when a submission that is not in a transaction gets a reply, and which.
     fn reply_time(&self, key: SubmissionKey, now: Instant) -> (Instant, Acceptance) {
         let waiting = &self.submissions[key];
-        let latest = waiting.answer_by - MARGIN;
+        let answer_by = self
+            .ends_at
+            .map_or(waiting.answer_by, |at| at.min(waiting.answer_by));
+        let latest = answer_by - MARGIN;
         if waiting.may_be_stored {
             return (latest, Acceptance::Unknown);
         }
         // A transaction that is sent later would be answered after the caller has gone.
-        let latest = waiting.answer_by - self.window.expected(now).max(MARGIN);
+        let latest = answer_by - self.window.expected(now).max(MARGIN);
         if self.window.has_succeeded_since(waiting.arrived) {
             return (latest, Acceptance::Refused);
         }
