Let the engine learn run times, with the setting learn-estimates

The engine tells the estimator of runs that succeeded if their time is that of their image: not of copies, adopted, resumed, lasting or best-effort runs, of runs far from their data or their gang, or of runs whose start or end is not known well. The setting is off by default, and no decision uses the result yet.

--- a/src/batch/engine/adopt.rs
+++ b/src/batch/engine/adopt.rs
@@ -39,6 +39,7 @@
             workspace: known_job.record.workspace.clone(),
             size: step.size,
             reserved: step.reserved(),
+            whole: false,
             decided_at: now,
             confirmed_at: Some(now),
             uncertain_since: None,
--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -64,6 +64,11 @@
         let run = self.find_run(worker, ended);
         let released = run.and_then(|r| self.remove_run(r));
         let lasting = released.as_ref().is_some_and(|r| r.lasting);
+        if ended.how == End::Done
+            && let Some(run) = &released
+        {
+            self.learn(run, now);
+        }
         self.mark_started(job);
         let Some(task) = self.task_mut(job, &ended.task) else {
             return;
--- /dev/null
+++ b/src/batch/engine/learn.rs
@@ -0,0 +1,102 @@
+//! Run times that ended runs teach.
+
+use std::time::Duration;
+
+use super::{Engine, Run};
+use crate::batch::Step;
+use crate::batch::estimate::{Error, Estimates, Observation};
+use crate::clock::Instant;
+
+/// Time between two answers of a worker up to which the end of a run between them is known well
+/// enough, whatever the run took.
+const MAX_GAP: Duration = Duration::from_millis(250);
+
+impl Engine {
+    /// Learns from a run that was just removed because it has succeeded.
+    ///
+    /// A run teaches nothing about its image if it is lasting, best-effort (its speed depends on its
+    /// neighbours), resumed, a copy, adopted, away from its data or its gang, or if its start or end
+    /// is not known well.
+    pub(super) fn learn(&mut self, run: &Run, now: Instant) {
+        if !self.tuning.learn_estimates || !run.whole || run.lasting || run.filling {
+            return;
+        }
+        let Some(job) = self.jobs.get(run.job) else {
+            return;
+        };
+        let Some(step) = job.record.spec.steps.get(run.task.step as usize) else {
+            return;
+        };
+        let Some(image) = step.image.clone() else {
+            return;
+        };
+        let is_done = self.task(run.job, &run.task).is_none_or(|task| task.done);
+        if is_done || !self.is_near(run, step) {
+            return;
+        }
+        let Some(took) = self.run_time(run, now) else {
+            return;
+        };
+        let observation = Observation {
+            declared: step.estimate(),
+            took,
+            worker: run.worker,
+        };
+        self.estimator.observe(&image, observation);
+    }
+
+    /// Returns how long a run took that was first listed as ended at `now`, if that is known well.
+    fn run_time(&self, run: &Run, now: Instant) -> Option<Duration> {
+        let began = run.confirmed_at?;
+        let answered_before = self.workers.get(run.worker)?.answered_before?;
+        let longest = now.since(began);
+        // It ended between the two latest answers of the worker.
+        let gap = now.since(answered_before).min(longest);
+        let took = longest - gap / 2;
+        (gap <= MAX_GAP || gap <= took / 2).then_some(took)
+    }
+
+    /// Returns whether a run is in the rack of its data and in that of its gang, if it has any.
+    fn is_near(&self, run: &Run, step: &Step) -> bool {
+        let Some(worker) = self.workers.get(run.worker) else {
+            return false;
+        };
+        let data_rack = step.data_rack.as_ref();
+        if data_rack.is_some_and(|rack| !worker.has_label(rack)) {
+            return false;
+        }
+        if !step.gang || !step.same_rack {
+            return true;
+        }
+        let rack = worker.profile.labels.last();
+        let Some(stage) = self.stage(run.job, run.task.occurrence, run.task.step) else {
+            return false;
+        };
+        let runs = stage.tasks.iter().flat_map(|task| &task.runs);
+        let mut workers = runs.filter_map(|run| self.workers.get(self.runs.get(*run)?.worker));
+        workers.all(|other| other.profile.labels.last() == rack)
+    }
+
+    /// Takes over the run times that an earlier leader has stored.
+    pub fn restore_estimates(&mut self, estimates: &Estimates) {
+        if self.tuning.learn_estimates {
+            self.estimator.restore(estimates);
+        }
+    }
+
+    /// Returns the learned run times if they must be stored again.
+    pub fn take_outdated_estimates(&mut self, now: Instant) -> Option<Estimates> {
+        self.estimator.take_outdated(now)
+    }
+
+    /// Records that the run times that were taken last may not be stored.
+    pub fn record_unstored_estimates(&mut self) {
+        self.estimator.record_unstored();
+    }
+
+    /// Returns the number of images with learned run times, and the errors of declared and learned
+    /// ones.
+    pub fn estimate_error(&self) -> (usize, Error) {
+        (self.estimator.image_count(), self.estimator.error())
+    }
+}
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -20,6 +20,7 @@
 mod inherit;
 mod inherited_worker;
 mod job;
+mod learn;
 mod lease;
 mod listing;
 mod load;
@@ -54,6 +55,7 @@
 
 use slotmap::SlotMap;
 
+use super::estimate::Estimator;
 use super::{Config, JobKey, Order, RunKey, TaskId, Tuning, Wave, WorkerKey};
 use crate::clock::Instant;
 use crate::collections::{Map, Set};
@@ -112,6 +114,8 @@
     /// Work that arrived recently, by service.
     demand: Map<Arc<str>, Demand>,
     pools: Pools,
+    /// Run times learned from ended runs.
+    estimator: Estimator,
     /// Jobs that are deferred because of overload, by service.
     deferrals: Map<Arc<str>, Deferral>,
     orders: Vec<(WorkerKey, Order)>,
@@ -161,6 +165,7 @@
             submissions: Submissions::default(),
             demand: Map::default(),
             pools: Pools::default(),
+            estimator: Estimator::default(),
             deferrals: Map::default(),
             orders: Vec::new(),
             dirty: Vec::new(),
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -92,6 +92,7 @@
         worker.born_ms = snapshot.born_ms;
         worker.clock = Some((snapshot.clock_ms, now));
         worker.first_answered_at.get_or_insert(now);
+        worker.answered_before = worker.answered_at;
         (worker.answered_at, worker.responded_at) = (Some(now), Some(now));
         worker.unreachable = false;
         worker.answered_address = Some(worker.profile.address.clone());
--- a/src/batch/engine/reply.rs
+++ b/src/batch/engine/reply.rs
@@ -95,7 +95,11 @@
                 run.uncertain_since = None;
                 self.mark_started(job);
             }
-            Reply::Unknown => self.record_late_answer(key, now),
+            Reply::Unknown => {
+                // It is not known when the run began.
+                run.whole = false;
+                self.record_late_answer(key, now);
+            }
             Reply::Fenced => {
                 self.fenced = true;
                 self.drop_run(key, Duration::ZERO, now);
--- a/src/batch/engine/run.rs
+++ b/src/batch/engine/run.rs
@@ -16,6 +16,9 @@
     pub(super) size: Size,
     /// Resources taken from the capacity of its worker.
     pub(super) reserved: Size,
+    /// Whether it began its task anew, by order of this leader, while there was no other run, so that
+    /// its time is that of the task.
+    pub(super) whole: bool,
     /// When the start was decided.
     pub(super) decided_at: Instant,
     /// When the worker was first known to have the run.
--- a/src/batch/engine/start.rs
+++ b/src/batch/engine/start.rs
@@ -57,6 +57,9 @@
             step: stage_key.step,
             index,
         };
+        let is_only_run = self
+            .task(stage_key.job, &task)
+            .is_some_and(|task| task.runs.is_empty());
         let run = Run {
             job: stage_key.job,
             task: task.clone(),
@@ -65,6 +68,7 @@
             workspace: job.record.workspace.clone(),
             size: step.size,
             reserved: step.reserved(),
+            whole: is_only_run && saved.is_none(),
             decided_at: now,
             confirmed_at: None,
             uncertain_since: None,
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -35,6 +35,8 @@
     /// When its current process first answered, and when it last did.
     pub(super) first_answered_at: Option<Instant>,
     pub(super) answered_at: Option<Instant>,
+    /// When it answered the poll before the one that it last answered.
+    pub(super) answered_before: Option<Instant>,
     /// When it last responded to a poll or a start order.
     pub(super) responded_at: Option<Instant>,
     /// Address that the registration had when it last answered.
@@ -90,6 +92,7 @@
             polled_at: None,
             first_answered_at: None,
             answered_at: None,
+            answered_before: None,
             responded_at: None,
             answered_address: None,
             unreachable: false,
--- a/src/batch/tuning.rs
+++ b/src/batch/tuning.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-/// Durations used by an [`super::Engine`].
+/// Durations and choices used by an [`super::Engine`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Tuning {
     /// Longest lease that workers grant.
@@ -15,6 +15,8 @@
     pub relocation: Duration,
     /// Time for which ended jobs can be queried.
     pub retention: Duration,
+    /// Whether run times are learned from ended runs and used in place of the declared ones.
+    pub learn_estimates: bool,
 }
 
 impl Default for Tuning {
@@ -26,6 +28,7 @@
             upkeep: Duration::from_secs(2),
             relocation: Duration::from_millis(1_500),
             retention: Duration::from_secs(120),
+            learn_estimates: false,
         }
     }
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -32,6 +32,9 @@
     /// Processor time of the instance as a share of one processor.
     #[serde(default = "whole_processor")]
     pub processor_share: f64,
+    /// Whether run times are learned from ended runs and used in place of the declared ones.
+    #[serde(default)]
+    pub learn_estimates: bool,
     /// Durations that the platform guarantees or requires.
     #[serde(default)]
     pub bounds: Bounds,
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -8,6 +8,7 @@
 mod estimator;
 mod handover;
 mod history;
+mod learning;
 mod lost_workers;
 mod maintenance;
 mod members;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -65,6 +65,8 @@
     pub(crate) stored: Map<Arc<str>, Progress>,
     /// Run time of a task in milliseconds.
     pub(crate) run_ms: u64,
+    /// Run times of tasks that differ from that, by the description of their work.
+    pub(crate) run_ms_of: Map<Arc<str>, u64>,
 }
 
 pub(crate) fn route(name: &str, service: &str) -> Route {
@@ -140,6 +142,19 @@
             ended: Map::default(),
             stored: Map::default(),
             run_ms: 500,
+            run_ms_of: Map::default(),
+        }
+    }
+
+    /// Creates a simulation whose engine learns run times, or not.
+    pub(crate) fn learning(token: u64, config: Config, learn_estimates: bool) -> Self {
+        let tuning = Tuning {
+            learn_estimates,
+            ..Tuning::default()
+        };
+        Self {
+            engine: Engine::new(tuning, token, Arc::new(config.clone())),
+            ..Self::new(token, config)
         }
     }
 
@@ -287,7 +302,8 @@
                 }
                 worker.lease_ms = worker.lease_ms.max(lease);
                 let lasting = launch.payload.contains("lasting");
-                let duration = Duration::from_millis(if worker.fails { 20 } else { self.run_ms });
+                let run_ms = self.run_ms_of.get(&launch.payload).unwrap_or(&self.run_ms);
+                let duration = Duration::from_millis(if worker.fails { 20 } else { *run_ms });
                 worker.running.push(Run {
                     task: launch.task.clone(),
                     number: launch.number,
