--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -3,11 +3,13 @@
 mod advice;
 mod contender;
 mod cost;
+mod declared_sizes;
 mod emptying;
 mod ends;
 mod estimator;
 mod handover;
 mod history;
+mod learned;
 mod learning;
 mod lost_workers;
 mod maintenance;
