Use learned run times for the order, deferral and machines of jobs

Cause: rank, selection of deferred jobs, objectives and the demand of pools take the declared run time, which is off by 0.2 to 0.9 of itself. Change: with learn-estimates they take the expected time of the image. The objective that the leader uses follows from the expected chain of work; the stored and logged one stays as granted.

The tests of order, selection and machines in tests/batch/learned.rs pass now. With the correction of the objective taken out, the_objective_follows_the_learned_times fails.

--- a/src/batch/engine/accept.rs
+++ b/src/batch/engine/accept.rs
@@ -35,6 +35,7 @@
             over_rate,
             service: record.service.clone(),
             terms: record.terms,
+            stretch: None,
             occurrences: Vec::new(),
             next_occurrence: 0,
             complete_occurrences: Ranges::default(),
@@ -91,6 +92,7 @@
             return;
         };
         job.terms = route.terms(&job.record.spec);
+        job.stretch = Some(route.stretch());
         if job.service == route.service {
             return;
         }
--- a/src/batch/engine/job.rs
+++ b/src/batch/engine/job.rs
@@ -4,10 +4,6 @@
 use crate::batch::{Progress, Ranges, Record, State, Terms};
 use crate::clock::Instant;
 
-/// Largest work of a job that is counted, in thousandths of a processor times milliseconds. The sum
-/// over a million jobs fits into 64 bits.
-const MAX_WORK: u64 = 1 << 44;
-
 /// A job in progress.
 #[derive(Clone, Debug)]
 pub(super) struct Job {
@@ -19,6 +15,8 @@
     pub(super) service: Arc<str>,
     /// What its queue grants, or granted before it was removed.
     pub(super) terms: Terms,
+    /// Factor of its critical path in its objective; `None` if its queue is unknown.
+    pub(super) stretch: Option<f64>,
     /// Occurrences that have begun and are not complete.
     pub(super) occurrences: Vec<Occurrence>,
     /// Number of the next occurrence.
@@ -46,14 +44,6 @@
         self.state != State::Queued
     }
 
-    /// Returns the declared work of all tasks except lasting ones, in thousandths of a processor
-    /// times milliseconds, at most [`MAX_WORK`].
-    pub(super) fn declared_work(&self) -> u64 {
-        let steps = self.record.spec.steps.iter().filter(|step| !step.lasting);
-        let work = steps.map(|step| step.task_work() * f64::from(step.count));
-        (work.sum::<f64>() as u64).min(MAX_WORK)
-    }
-
     /// Returns whether the next scheduled occurrence is due. A job that has ended begins no further
     /// ones, although it is kept until its runs have stopped and its end is stored.
     pub(super) fn is_occurrence_due(&self, wall_ms: u64) -> bool {
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -14,6 +14,7 @@
 mod emptying;
 mod end;
 mod exclusion;
+mod expectation;
 mod history;
 mod hold;
 mod idle_tasks;
--- a/src/batch/engine/need.rs
+++ b/src/batch/engine/need.rs
@@ -23,7 +23,7 @@
     /// Counts the work of an arrived job.
     pub(super) fn count_arrival(&mut self, key: JobKey, now: Instant) {
         let job = &self.jobs[key];
-        let (service, work) = (job.service.clone(), job.declared_work());
+        let (service, work) = (job.service.clone(), self.expected_work(job));
         self.demand
             .entry(service)
             .or_default()
@@ -75,7 +75,7 @@
     fn waiting_work(&self) -> Map<Arc<str>, u64> {
         let mut sums: Map<Arc<str>, u64> = Map::default();
         for job in self.jobs.values().filter(|job| job.state == State::Queued) {
-            *sums.entry(job.service.clone()).or_default() += job.declared_work();
+            *sums.entry(job.service.clone()).or_default() += self.expected_work(job);
         }
         sums
     }
--- a/src/batch/engine/overload.rs
+++ b/src/batch/engine/overload.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Deferral, Engine, Job};
+use super::{Deferral, Engine};
 use crate::batch::JobKey;
 use crate::clock::Instant;
 use crate::collections::Set;
@@ -84,40 +84,16 @@
             if job.record.spec.occurrences > 0 || job.record.spec.steps.iter().any(|s| s.lasting) {
                 return None;
             }
-            let due_ms = job.record.arrived_ms as f64 + job.terms.objective.as_secs_f64() * 1_000.0;
+            let due_ms = job.record.arrived_ms as f64 + self.objective(job).as_secs_f64() * 1_000.0;
             let left_ms = due_ms - wall_ms as f64;
-            let remaining_ms = job.remaining_time().as_secs_f64() * 1_000.0;
+            let remaining_ms = self.remaining_time(job).as_secs_f64() * 1_000.0;
             (left_ms >= remaining_ms).then(|| WaitingJob {
                 key,
                 left_ms,
-                work: job.remaining_work(),
+                work: self.remaining_work(job),
                 started: job.is_started(),
             })
         });
         jobs.collect()
     }
 }
-
-impl Job {
-    /// Returns the sum of the declared times of all incomplete steps.
-    fn remaining_time(&self) -> Duration {
-        let stages = self
-            .occurrences
-            .iter()
-            .flat_map(|occurrence| &occurrence.stages);
-        let steps = stages.zip(self.record.spec.steps.iter().cycle());
-        let unfinished = steps.filter(|(stage, _)| stage.unfinished > 0);
-        unfinished.map(|(_, step)| step.estimate()).sum()
-    }
-
-    /// Returns the declared work of all unfinished tasks.
-    fn remaining_work(&self) -> f64 {
-        let stages = self
-            .occurrences
-            .iter()
-            .flat_map(|occurrence| &occurrence.stages);
-        let steps = stages.zip(self.record.spec.steps.iter().cycle());
-        let work = steps.map(|(stage, step)| step.task_work() * stage.unfinished as f64);
-        work.sum()
-    }
-}
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -107,10 +107,10 @@
         let start_ms = spec
             .due_ms(stage_key.occurrence)
             .unwrap_or(job.record.arrived_ms);
-        let objective_ms = u64::try_from(job.terms.objective.as_millis()).unwrap_or(u64::MAX / 4);
+        let objective_ms = u64::try_from(self.objective(job).as_millis()).unwrap_or(u64::MAX / 4);
         let remaining: Duration = spec.steps[stage_key.step as usize..]
             .iter()
-            .map(Step::estimate)
+            .map(|step| self.forecast(step).expected)
             .sum();
         let remaining_ms = i64::try_from(remaining.mul_f64(REMAINING_TIME_FACTOR).as_millis())
             .unwrap_or(i64::MAX / 4);
--- a/src/batch/route.rs
+++ b/src/batch/route.rs
@@ -29,6 +29,11 @@
 }
 
 impl Route {
+    /// Returns the factor of the critical path of a job in its objective, at least 1.
+    pub(super) fn stretch(&self) -> f64 {
+        self.stretch.max(1.0)
+    }
+
     /// Returns what the queue grants to a job.
     ///
     /// ```
@@ -41,7 +46,7 @@
         Terms {
             priority: self.priority,
             max_attempts: self.max_attempts.max(1),
-            objective: spec.critical_path().mul_f64(self.stretch.max(1.0)) + self.allowance,
+            objective: spec.critical_path().mul_f64(self.stretch()) + self.allowance,
             advice: self.advice,
         }
     }
--- a/src/batch/spec.rs
+++ b/src/batch/spec.rs
@@ -41,11 +41,17 @@
     /// assert_eq!(spec.critical_path().as_millis(), 50);
     /// ```
     pub fn critical_path(&self) -> Duration {
+        self.critical_path_by(Step::estimate)
+    }
+
+    /// Returns the time of the longest chain of dependent steps if a task of a step takes
+    /// `duration`.
+    pub(super) fn critical_path_by(&self, duration: impl Fn(&Step) -> Duration) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let dependencies = step.after.iter().filter_map(|s| ends.get(*s as usize));
             let start = dependencies.max().copied().unwrap_or_default();
-            ends.push(start + step.estimate());
+            ends.push(start + duration(step));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/src/batch/step.rs
+++ b/src/batch/step.rs
@@ -64,11 +64,6 @@
         }
     }
 
-    /// Returns the declared work of a task, in thousandths of a processor times milliseconds.
-    pub(super) fn task_work(&self) -> f64 {
-        self.reserved().processors as f64 * self.estimate_ms as f64
-    }
-
     /// Returns the declared run time of a task.
     pub fn estimate(&self) -> Duration {
         Duration::from_millis(self.estimate_ms)
