Use learned run times for stalled and slow runs

Cause: the age of a stalled run and of one that is copied follows the declared run time. Too short a one causes copies that never win, too long a one hides runs that stand still. Change: with learn-estimates a run is slow by the expected time and the tail of its image, and stalled by the smaller of the declared time and the tail, so that no stalled run is found later than before.

--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -3,6 +3,7 @@
 use slotmap::{Key, SlotMap};
 
 use super::{Engine, Run, StageKey};
+use crate::batch::estimate::Forecast;
 use crate::batch::{JobKey, RunKey, Step, TaskId, WorkerKey};
 use crate::clock::Instant;
 
@@ -15,9 +16,13 @@
 /// Age of the latest answer of a worker from which nothing follows about its runs.
 const MAX_ANSWER_AGE: Duration = Duration::from_secs(1);
 
-/// Age of a run, as a multiple of its estimate, from which a copy of it may be started.
+/// Age of a run, as a multiple of its expected time, from which a copy of it may be started.
 const COPY_AGE_FACTOR: f64 = 2.0;
 
+/// Age of a run, as a multiple of the time within which nearly all runs of its image end, from which
+/// a copy of it may be started. It matters for images whose run times differ much.
+const COPY_TAIL_FACTOR: f64 = 1.5;
+
 /// Age from which a run counts as slow if its step has a single task.
 const SINGLE_TASK_SLOW_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -113,7 +118,10 @@
         if run.lasting {
             run.percent < 100 && unchanged_for > self.tuning.notice
         } else {
-            unchanged_for > step.estimate().mul_f64(STALL_FACTOR).max(MIN_STALL_TIME)
+            // A task that takes longer than declared makes progress meanwhile, so a learned time
+            // never delays this.
+            let time = step.estimate().min(self.forecast(step).tail);
+            unchanged_for > time.mul_f64(STALL_FACTOR).max(MIN_STALL_TIME)
         }
     }
 
@@ -153,7 +161,7 @@
         worker.is_some_and(|w| w.answered_at.is_none_or(|at| now.since(at) > SILENT_AFTER))
     }
 
-    /// Starts copies of runs that take much longer than declared, or whose worker does not answer.
+    /// Starts copies of runs that take much longer than expected, or whose worker does not answer.
     fn copy_slow_runs(&mut self, now: Instant) {
         let used_fractions = self.used_fractions();
         let needs_copy = |run: &&Run| {
@@ -180,12 +188,14 @@
             && self.task(run.job, &run.task).is_some_and(is_only_run)
     }
 
-    /// Returns whether a run takes much longer than declared and than other tasks of its step.
+    /// Returns whether a run takes much longer than expected and than other tasks of its step.
     fn is_slow(&self, run: &Run, now: Instant) -> bool {
         let age = now.since(run.decided_at);
-        let step = self.step_of(run);
-        step.is_some_and(|step| age > step.estimate().mul_f64(COPY_AGE_FACTOR))
-            && self.is_straggler(run, age)
+        let forecast = self.step_of(run).map(|step| self.forecast(step));
+        forecast.is_some_and(|Forecast { expected, tail }| {
+            let slow_after = expected.mul_f64(COPY_AGE_FACTOR);
+            age > slow_after.max(tail.mul_f64(COPY_TAIL_FACTOR))
+        }) && self.is_straggler(run, age)
     }
 
     /// Starts a second run of a task on another worker than the given one.
