--- a/tests/entry/handover.rs
+++ b/tests/entry/handover.rs
@@ -50,7 +50,7 @@
 }
 
 /// Sends SIGTERM to an instance and waits until it has ended.
-async fn terminate(instance: &mut Instance) {
+pub(crate) async fn terminate(instance: &mut Instance) {
     kill_process(Pid::from_child(&instance.child), Signal::TERM).unwrap();
     let begun = Instant::now();
     while instance.child.try_wait().unwrap().is_none() {
--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -84,6 +84,17 @@
     instance
 }
 
+/// Starts an instance that learns run times, whose log is printed if the test fails.
+pub(crate) fn start_with_learning(name: &str, store: SocketAddr) -> Instance {
+    let log = Log::new(name);
+    let outputs = [log.create(), Stdio::inherit()];
+    let mut settings = settings(name, store, None, &bounds());
+    settings["learn-estimates"] = json!(true);
+    let mut instance = start_with_settings(name, store, &settings, outputs);
+    instance.log = Some(log);
+    instance
+}
+
 /// Starts an instance that deletes ended jobs after `retention_s` seconds.
 pub(crate) fn start_with_retention(name: &str, store: SocketAddr, retention_s: u64) -> Instance {
     let mut bounds = bounds();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod cancelled_submissions;
 mod contract;
 mod end;
+mod estimates;
 mod fleet;
 mod handover;
 mod hold;
