--- a/tests/entry/estimates.rs
+++ b/tests/entry/estimates.rs
@@ -43,6 +43,7 @@
     wait_for_row(&store).await;
     terminate(&mut first).await;
     let mut second = start_with_learning("estimates-2", address);
+    second.wait_for_state(ONE, "completed").await;
     wait_for_metric(&second, "instance_leads 1").await;
     wait_for_metric(&second, "estimate_images 1").await;
     terminate(&mut second).await;
@@ -52,6 +53,7 @@
         br#"{"images": [["resize", -3, "x"]]}"#,
     );
     let third = start_with_learning("estimates-3", address);
+    third.wait_for_state(ONE, "completed").await;
     wait_for_metric(&third, "instance_leads 1").await;
     wait_for_metric(&third, "estimate_images 0").await;
     run_job(&third, TWO).await;
