Store learned run times with renewals and read them at a takeover

Cause: a new leader starts from declared run times. A new leader with learn-estimates reads it while it loads the state; a missing or unreadable row means declared times.

--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -1,13 +1,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::{join, join_all, join3};
+use futures_util::future::{join, join_all, join4};
 use tokio::time::sleep;
 
 use super::partition;
-use super::row::{self, JOBS, MEMBERS, OWNER_KEY, PROGRESS, TERMS};
+use super::row::{
+    self, ESTIMATES_END, ESTIMATES_KEY, JOBS, LEADERS, MEMBERS, OWNER_KEY, PROGRESS, TERMS,
+};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use super::term::Term;
+use crate::batch::estimate::Estimates;
 use crate::batch::{Engine, Fence, Leader, Leadership, Progress, Record, Tuning};
 use crate::clock::{self, Instant};
 use crate::collections::Map;
@@ -37,8 +40,9 @@
     let loads = partition::all().map(|name| load_partition(shared, name, leader.token));
     let workers = retry(|| read(shared, Store::WORKERS, ""));
     let members = retry(|| read(shared, MEMBERS, ""));
-    let reads = join3(join_all(loads), workers, members);
-    let (partitions, (rows, _), (members, _)) = reads.await;
+    let estimates = read_estimates(shared);
+    let reads = join4(join_all(loads), workers, members, estimates);
+    let (partitions, (rows, _), (members, _), estimates) = reads.await;
     let mut version = u64::MAX;
     for jobs in partitions {
         let jobs = jobs?;
@@ -56,6 +60,9 @@
     engine.restore_maintained(&leader.maintained);
     engine.restore_lent_machines(&leader.homes);
     engine.restore_queue_services(leader.queue_services.clone());
+    if let Some(estimates) = estimates {
+        engine.restore_estimates(&estimates);
+    }
     if leader.token > 1 {
         engine.inherit(&leader.busy, resigned, begun);
     }
@@ -94,6 +101,19 @@
     }
 }
 
+/// Reads the learned run times, if they are used. `None` if no leader has stored any, or if the row
+/// is not readable: then declared run times hold until this leader has learned others.
+async fn read_estimates(shared: &Shared) -> Option<Estimates> {
+    if !shared.settings.learn_estimates {
+        return None;
+    }
+    let store = &shared.store;
+    let read = || store.read(LEADERS, "", ESTIMATES_KEY, ESTIMATES_END, STORE_TIMEOUT);
+    let (rows, _) = retry(read).await;
+    let row = rows.iter().find(|row| &*row.key == ESTIMATES_KEY)?;
+    row::decode(ESTIMATES_KEY, row.content.as_ref()?)
+}
+
 /// Reads all rows of a partition of a table, and the version of the table before.
 async fn read(shared: &Shared, table: &str, partition: &str) -> Result<(Vec<Row>, u64), Fault> {
     let store = &shared.store;
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::candidate::Candidate;
-use super::row::{self, MEMBERS};
+use super::row::{self, ESTIMATES_KEY, LEADERS, MEMBERS};
 use super::shared::STORE_TIMEOUT;
 use super::term::Term;
 use crate::batch::{Leader, MemberChanges, Role, Transfer};
@@ -27,7 +27,11 @@
         while !term.has_ended() && !self.shared.is_stopping() {
             let sent = clock::now();
             let leader = self.next_row(term);
-            let changes = member_transaction(&term.engine().take_member_changes());
+            let mut changes = member_transaction(&term.engine().take_member_changes());
+            let estimates = term.engine().take_outdated_estimates(sent);
+            let stores_estimates = estimates.is_some();
+            let estimates = estimates.iter().map(row::encode);
+            (changes.puts).extend(estimates.map(|row| (LEADERS, ESTIMATES_KEY.into(), row)));
             timeout = match self.write(leader, changes, timeout).await {
                 Ok(true) => {
                     self.record_renewal(term, sent);
@@ -48,6 +52,9 @@
                 }
                 Err(fault) => {
                     log::warn!(event = "renewal-failed", fault:% = fault; "");
+                    if stores_estimates {
+                        term.engine().record_unstored_estimates();
+                    }
                     STORE_TIMEOUT
                 }
             };
--- a/src/entry/row.rs
+++ b/src/entry/row.rs
@@ -6,7 +6,7 @@
 pub(super) const PROGRESS: &str = "progress";
 /// Table of the rows that fence the partitions.
 pub(super) const TERMS: &str = "terms";
-/// Table of the leader row and of the runs that a leader hands over.
+/// Table of the leader row, of the runs that a leader hands over and of the learned run times.
 pub(super) const LEADERS: &str = "leaders";
 
 /// Table of the workers on which the leader starts tasks.
@@ -15,6 +15,12 @@
 /// Key of the leader row in [`LEADERS`], and of the fence row of each partition in [`TERMS`].
 pub(super) const OWNER_KEY: &str = "owner";
 
+/// Key of the row of learned run times in [`LEADERS`].
+pub(super) const ESTIMATES_KEY: &str = "estimates";
+
+/// Key after [`ESTIMATES_KEY`] and before those of the other rows in [`LEADERS`].
+pub(super) const ESTIMATES_END: &str = "estimates~";
+
 /// Suffix of the keys of cancellations in [`JOBS`].
 const CANCEL_SUFFIX: &str = ".cancel";
 
--- a/src/entry/telemetry.rs
+++ b/src/entry/telemetry.rs
@@ -9,6 +9,7 @@
 
 use super::admin_port::{self, HttpResponse};
 use super::shared::Shared;
+use super::term::Term;
 use crate::batch::Load;
 use crate::{clock, telemetry};
 
@@ -56,11 +57,19 @@
         return;
     };
     gauge!("leader_token").set(term.token as f64);
+    set_estimates(&term);
     for load in term.engine().loads(now) {
         set_load(&load);
     }
 }
 
+fn set_estimates(term: &Term) {
+    let (images, error) = term.engine().estimate_error();
+    gauge!("estimate_images").set(images as f64);
+    gauge!("estimate_error_factor", "source" => "declared").set(error.declared());
+    gauge!("estimate_error_factor", "source" => "learned").set(error.learned());
+}
+
 fn set_load(load: &Load) {
     let service = || load.service.to_string();
     gauge!("workers_usable", "service" => service()).set(load.workers as f64);
