--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -2,13 +2,16 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
-use futures_util::future::{join_all, join4};
+use futures_util::future::{join_all, join5};
 use futures_util::stream;
 use tokio::time::sleep;
 
-use super::row::{self, JOBS, MEMBERS, OWNER_KEY, PROGRESS, TERMS};
+use super::row::{
+    self, ESTIMATES_END, ESTIMATES_KEY, JOBS, LEADERS, MEMBERS, OWNER_KEY, PROGRESS, TERMS,
+};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use super::term::Term;
+use crate::batch::estimate::Estimates;
 use crate::batch::{Engine, Fence, Leader, Leadership, Progress, Record, Tuning};
 use crate::clock::{self, Instant};
 use crate::collections::{Map, Set};
@@ -61,8 +64,9 @@
         .collect::<Vec<_>>();
     let workers = retry(|| read(shared, Store::WORKERS, ""));
     let members = retry(|| read(shared, MEMBERS, ""));
-    let reads = join4(join_all(progress), jobs, workers, members);
-    let (progress, jobs, (rows, _), (members, _)) = reads.await;
+    let estimates = read_estimates(shared);
+    let reads = join5(join_all(progress), jobs, workers, members, estimates);
+    let (progress, jobs, (rows, _), (members, _), estimates) = reads.await;
     let mut deletions = Deletions::new(tuning(shared).retention);
     let version = jobs.iter().map(|jobs| jobs.version).min();
     load_jobs(&mut engine, &mut deletions, &jobs, &progress);
@@ -78,6 +82,9 @@
     engine.restore_maintained(&leader.maintained);
     engine.restore_lent_machines(&leader.homes);
     engine.restore_queue_services(leader.queue_services.clone());
+    if let Some(estimates) = estimates {
+        engine.restore_estimates(&estimates);
+    }
     if leader.token > 1 {
         engine.inherit(&leader.busy, resigned, begun);
     }
@@ -98,6 +105,7 @@
         upkeep: Duration::from_secs_f64(bounds.upkeep_s.max(0.0)),
         relocation: Duration::from_secs_f64(bounds.move_s.max(0.0)),
         retention: Duration::from_secs(bounds.status_s),
+        learn_estimates: shared.settings.learn_estimates,
     }
 }
 
@@ -116,6 +124,19 @@
     }
 }
 
+/// Reads the learned run times, if they are used. `None` if no leader has stored any, or if the row
+/// is not readable: then declared run times hold until this leader has learned others.
+async fn read_estimates(shared: &Shared) -> Option<Estimates> {
+    if !shared.settings.learn_estimates {
+        return None;
+    }
+    let store = &shared.store;
+    let read = || store.read(LEADERS, "", ESTIMATES_KEY, ESTIMATES_END, STORE_TIMEOUT);
+    let (rows, _) = retry(read).await;
+    let row = rows.iter().find(|row| &*row.key == ESTIMATES_KEY)?;
+    row::decode(ESTIMATES_KEY, row.content.as_ref()?)
+}
+
 /// Reads all rows of a partition of a table, and the version of the table before.
 async fn read(shared: &Shared, table: &str, partition: &str) -> Result<(Vec<Row>, u64), Fault> {
     let store = &shared.store;
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -36,6 +36,9 @@
     /// jobs that are not, so this is false until the last of them has ended.
     #[serde(default = "spread_jobs")]
     pub spread_jobs: bool,
+    /// Whether run times are learned from ended runs and used in place of the declared ones.
+    #[serde(default)]
+    pub learn_estimates: bool,
     /// Durations that the platform guarantees or requires.
     #[serde(default)]
     pub bounds: Bounds,
