--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -21,6 +21,7 @@
 mod progress;
 mod removed_queues;
 mod restart;
+mod rows;
 mod shutdown;
 mod simulation;
 mod takeover;
--- /dev/null
+++ b/tests/entry/bounded_rows.rs
@@ -0,0 +1,138 @@
+//! Rows of the store stay within its limits with the largest fleet, and a row that the store refuses
+//! does not hold up others.
+
+use std::time::Duration;
+
+use coriandernotch::batch::{Leader, Occupancy, TaskId};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+
+use crate::instance::{request_until, send_request, start_instance, wait_until};
+use crate::platform::{ONE, THREE, TWO, id, job, start_platform, store_job, store_row};
+use crate::store::Store;
+
+/// Workers that did not answer the previous leader: a third of the target size.
+const SILENT_WORKERS: usize = 767;
+
+/// Tasks that each of them runs.
+const TASKS_EACH: u32 = 12;
+
+/// Remaining time of their leases in milliseconds, longer than a test.
+const LEASE_MS: u64 = 120_000;
+
+/// Token of the leader that resigned.
+const TOKEN: u64 = 5;
+
+/// Number of workers in one row of the list that it left.
+const WORKERS_PER_ROW: usize = 40;
+
+fn silent_worker(number: usize) -> Occupancy {
+    let task = |index| TaskId {
+        job: id(THREE).into(),
+        occurrence: 0,
+        step: 0,
+        index,
+    };
+    let first = u32::try_from(number).unwrap() * TASKS_EACH;
+    Occupancy {
+        worker: format!("i-{number:04}-1700000000000").into(),
+        service: "s".into(),
+        machine: format!("machine-{number:04}").into(),
+        born_ms: 7,
+        silent: true,
+        lease_ms: LEASE_MS,
+        tasks: (first..first + TASKS_EACH).map(task).collect(),
+        unknown: false,
+    }
+}
+
+/// Stores the rows of a leader that resigned while a third of the workers did not answer.
+fn store_resignation(store: &Store) {
+    let leader = Leader {
+        holder: "old".into(),
+        incarnation: 1,
+        token: TOKEN,
+        renewal: 9,
+        vacant: true,
+        ..Leader::default()
+    };
+    let silent: Vec<Occupancy> = (0..SILENT_WORKERS).map(silent_worker).collect();
+    for (number, busy) in silent.chunks(WORKERS_PER_ROW).enumerate() {
+        let row = json!({"token": TOKEN, "busy": busy});
+        store.write("leaders", &format!("runs/{number}"), &row);
+    }
+    store.write("leaders", "owner", &json!(leader));
+}
+
+async fn wait_for_renewals(store: &Store, token: u64) {
+    wait_until("the leader renews", || {
+        let writes = store.leader_writes();
+        writes.iter().filter(|write| write.token == token).count() >= 4
+    })
+    .await;
+}
+
+/// Guards against renewals that the store refuses because the leader row lists a third of the fleet,
+/// against a successor that reads only a part of that list and starts tasks which may run (rule
+/// TWICE), and against a resignation that the store refuses for the same reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn leads_while_a_third_of_the_fleet_is_silent() {
+    let (store, address, worker) = start_platform().await;
+    store_job(&store, THREE, "lasting");
+    store_row(&store, "progress", THREE, &json!({"state": "running"}));
+    store_resignation(&store);
+    let mut first = start_instance("bounded-1", address);
+    wait_for_renewals(&store, TOKEN + 1).await;
+    first.child.kill().unwrap();
+    let mut second = start_instance("bounded-2", address);
+    wait_for_renewals(&store, TOKEN + 2).await;
+    kill_process(Pid::from_child(&second.child), Signal::TERM).unwrap();
+    wait_until("the process ends", || {
+        store.read("leaders", "owner").unwrap()["vacant"] == true
+    })
+    .await;
+    second.child.wait().unwrap();
+    let third = start_instance("bounded-3", address);
+    wait_for_renewals(&store, TOKEN + 3).await;
+    third.submit(TWO, "10").await;
+    assert_eq!(store.refused(), 0, "refused transactions");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(worker.starts_of(id(THREE)), 0, "the task may still run");
+}
+
+/// Guards against a row that the store refuses for good: it was sent again without end, and no
+/// progress of any other job was stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_row_holds_up_no_other() {
+    let (store, address, _worker) = start_platform().await;
+    store.refuse_key(id(ONE));
+    let instance = start_instance("refused-row", address);
+    store_job(&store, ONE, "10");
+    store_job(&store, THREE, "10");
+    instance.wait_for_state(THREE, "completed").await;
+    let refused = store.refused();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(
+        store.refused() <= refused + 4,
+        "the row is sent without end"
+    );
+    assert!(refused > 0);
+}
+
+/// Guards against a job inside the limits of a body whose row the store does not take: its caller was
+/// told to try again, without end, and so were the callers of the jobs in the same transaction.
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_a_job_that_does_not_fit_into_a_row() {
+    let (store, address, _worker) = start_platform().await;
+    let instance = start_instance("large-job", address);
+    instance.submit(ONE, "10").await;
+    let mut body = job("10", 1);
+    let step = body["steps"][0].clone();
+    body["steps"] = json!(vec![step; 3_000]);
+    assert!(body.to_string().len() < 262_144);
+    let (status, _) = send_request(instance.callers, "POST", TWO, &body).await;
+    assert_eq!(status, 413);
+    assert_eq!(store.read("jobs", id(TWO)), None);
+    assert_eq!(store.refused(), 0);
+    request_until(instance.callers, "GET", TWO, &json!({}), |s, _| s == 410).await;
+}
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of entry instances on a stand-in of the platform, and of the clients in `platform::api`.
 
 mod abandoned_calls;
+mod bounded_rows;
 mod cancelled_submissions;
 mod contract;
 mod end;
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -54,6 +54,10 @@
     submission_delay: Option<Duration>,
     /// Writes of the leader row, in their order.
     leader_writes: Vec<LeaderWrite>,
+    /// Key of a row that transactions may not put, or an empty text.
+    refused_key: String,
+    /// Number of transactions that were refused as too large or for their key.
+    refused: u64,
 }
 
 impl Store {
@@ -145,6 +149,16 @@
         self.state.lock().unwrap().leader_writes.clone()
     }
 
+    /// Refuses all transactions that put a row with a key, like rows that are too large.
+    pub(crate) fn refuse_key(&self, key: &str) {
+        key.clone_into(&mut self.state.lock().unwrap().refused_key);
+    }
+
+    /// Returns the number of transactions that were refused for good.
+    pub(crate) fn refused(&self) -> u64 {
+        self.state.lock().unwrap().refused
+    }
+
     pub(crate) fn calls(&self) -> u64 {
         self.state.lock().unwrap().calls
     }
@@ -214,10 +228,14 @@
     }
 
     fn transact(&self, call: &Call) -> (u16, Value) {
-        if !is_within_limits(&call.body) {
+        let mut state = self.state.lock().unwrap();
+        let mut puts = call.body["puts"].as_array().into_iter().flatten();
+        let has_refused_key = !state.refused_key.is_empty()
+            && puts.any(|put| put["table"] != "jobs" && put["key"] == *state.refused_key);
+        if has_refused_key || !is_within_limits(&call.body) {
+            state.refused += 1;
             return (400, json!({}));
         }
-        let mut state = self.state.lock().unwrap();
         let string =
             |value: &Value, name: &str| value[name].as_str().unwrap_or_default().to_owned();
         let key = |e: &Value| (string(e, "table"), string(e, "part"), string(e, "key"));
