Store the progress of any job in a bounded form

Cause: succeeded tasks were listed by ranges and failed ones one by one, so the row of a large job exceeded 64 KiB when tasks ended out of order or failed. Change: when the lists may exceed 32 KiB, the tasks from the first incomplete occurrence on are stored as sets, each as ranges or bits; if there are too many numbers of failed runs, as one digit a task. Further occurrences begin only while this window has at most 100,000 tasks. Short lists keep their form.

--- a/src/batch/engine/job.rs
+++ b/src/batch/engine/job.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
-use super::Occurrence;
-use crate::batch::{Progress, Ranges, Record, State, Terms};
+use super::{Occurrence, Stage};
+use crate::batch::{Progress, Ranges, Record, Spec, State, TaskWindow, Terms};
 use crate::clock::Instant;
 
 /// Largest work of a job that is counted, in thousandths of a processor times milliseconds. The sum
@@ -98,6 +98,69 @@
             }
         }
         progress.list_few_tasks(&self.record.spec);
-        progress
+        if progress.is_short() {
+            return progress;
+        }
+        Progress {
+            state: self.state,
+            complete: Ranges::below(self.first_incomplete()),
+            window: Some(self.window()),
+            ..Progress::default()
+        }
+    }
+
+    /// Returns whether the progress still fits into a row if a further occurrence begins: that of all
+    /// occurrences from the first that is not complete is stored.
+    pub(super) fn has_room_for_occurrence(&self) -> bool {
+        let steps = self.record.spec.steps.iter();
+        let tasks_each: u64 = steps.map(|step| u64::from(step.count)).sum();
+        let begun = u64::from(self.next_occurrence - self.first_incomplete());
+        self.occurrences.is_empty() || (begun + 1).saturating_mul(tasks_each) <= Spec::MAX_TASKS
+    }
+
+    /// Returns a stage of an occurrence that is not complete.
+    pub(super) fn stage_mut(&mut self, occurrence: u32, step: u32) -> Option<&mut Stage> {
+        let found = self
+            .occurrences
+            .binary_search_by_key(&occurrence, |o| o.number);
+        self.occurrences[found.ok()?].stages.get_mut(step as usize)
+    }
+
+    /// Returns the number of the first occurrence that has begun and is not complete, or else of the
+    /// next one.
+    pub(super) fn first_incomplete(&self) -> u32 {
+        let numbers = self.occurrences.iter().map(|occurrence| occurrence.number);
+        numbers.min().unwrap_or(self.next_occurrence)
+    }
+
+    /// Returns the progress of the occurrences from the first that is not complete.
+    fn window(&self) -> TaskWindow {
+        let steps = self.record.spec.steps.iter().map(|step| step.count);
+        let mut window = TaskWindow {
+            first: self.first_incomplete(),
+            occurrences: self.next_occurrence - self.first_incomplete(),
+            steps: steps.collect(),
+            ..TaskWindow::default()
+        };
+        let tasks_each: u32 = window.steps.iter().sum();
+        for position in 0..window.occurrences {
+            let number = window.first + position;
+            let Some(first_task) = position.checked_mul(tasks_each) else {
+                break;
+            };
+            let known = self.occurrences.binary_search_by_key(&number, |o| o.number);
+            if let Ok(known) = known {
+                let stages = self.occurrences[known].stages.iter();
+                for (task, state) in (first_task..).zip(stages.flat_map(|stage| &stage.tasks)) {
+                    window.add(task, state.done, &state.failures);
+                }
+            } else {
+                (first_task..)
+                    .take(tasks_each as usize)
+                    .for_each(|task| window.add(task, true, &[]));
+            }
+        }
+        window.shrink();
+        window
     }
 }
--- a/src/batch/engine/schedule.rs
+++ b/src/batch/engine/schedule.rs
@@ -14,22 +14,22 @@
     /// Creates the occurrences that have begun, and restores the stored progress of their tasks.
     pub(super) fn restore_progress(&mut self, key: JobKey, progress: &Progress) {
         let job = &mut self.jobs[key];
+        let complete = progress.complete_occurrences();
         if job.record.spec.occurrences == 0 {
             job.occurrences.push(Occurrence::new(0, &job.record.spec));
             job.next_occurrence = 1;
         } else {
             let done = progress.done_tasks().map(|(occurrence, ..)| occurrence);
-            let failed = progress.failed.iter().map(|(occurrence, ..)| *occurrence);
-            let begun = done.chain(failed).chain(progress.complete.last()).max();
+            let failed = progress.failed_tasks().map(|(occurrence, ..)| occurrence);
+            let begun = done.chain(failed).chain(complete.last()).max();
             job.next_occurrence = begun.map_or(0, |last| last + 1);
-            for number in (0..job.next_occurrence).filter(|n| !progress.complete.contains(*n)) {
+            for number in (0..job.next_occurrence).filter(|n| !complete.contains(*n)) {
                 job.occurrences
                     .push(Occurrence::new(number, &job.record.spec));
             }
         }
         for (number, step, index) in progress.done_tasks() {
-            let occurrence = job.occurrences.iter_mut().find(|o| o.number == number);
-            let stage = occurrence.and_then(|o| o.stages.get_mut(step as usize));
+            let stage = job.stage_mut(number, step);
             if let Some(stage) = stage
                 && let Some(task) = stage.tasks.get_mut(index as usize)
                 && !task.done
@@ -38,17 +38,16 @@
                 stage.unfinished -= 1;
             }
         }
-        for (number, step, index, failures) in &progress.failed {
-            let occurrence = job.occurrences.iter_mut().find(|o| o.number == *number);
-            let stage = occurrence.and_then(|o| o.stages.get_mut(*step as usize));
-            if let Some(task) = stage.and_then(|s| s.tasks.get_mut(*index as usize)) {
-                task.failures.clone_from(failures);
+        for (number, step, index, failures) in progress.failed_tasks() {
+            let stage = job.stage_mut(number, step);
+            if let Some(task) = stage.and_then(|s| s.tasks.get_mut(index as usize)) {
+                task.failures = failures;
             }
         }
         if job.record.spec.occurrences > 0 {
-            let complete = job.occurrences.extract_if(.., |o| o.is_complete());
-            let complete = complete.map(|o| o.number);
-            job.complete_occurrences = progress.complete.iter().chain(complete).collect();
+            let newly_complete = job.occurrences.extract_if(.., |o| o.is_complete());
+            let newly_complete = newly_complete.map(|o| o.number);
+            job.complete_occurrences = complete.iter().chain(newly_complete).collect();
         }
         self.mark_ready_stages(key);
     }
@@ -66,7 +65,10 @@
         for key in keys {
             let job = &mut self.jobs[key];
             let mut unfinished = job.unfinished_tasks();
-            while unfinished < MAX_UNFINISHED_TASKS && job.is_occurrence_due(wall_ms) {
+            while unfinished < MAX_UNFINISHED_TASKS
+                && job.has_room_for_occurrence()
+                && job.is_occurrence_due(wall_ms)
+            {
                 let occurrence = Occurrence::new(job.next_occurrence, &job.record.spec);
                 unfinished += occurrence.unfinished_tasks();
                 job.occurrences.push(occurrence);
--- a/src/batch/ranges.rs
+++ b/src/batch/ranges.rs
@@ -15,6 +15,23 @@
 pub struct Ranges(Vec<(u32, u32)>);
 
 impl Ranges {
+    /// Returns the numbers below `end`.
+    ///
+    /// ```
+    /// use coriandernotch::batch::Ranges;
+    ///
+    /// assert_eq!(Ranges::below(3).iter().collect::<Vec<_>>(), [0, 1, 2]);
+    /// assert!(Ranges::below(0).is_empty());
+    /// ```
+    pub fn below(end: u32) -> Self {
+        Self(
+            end.checked_sub(1)
+                .map(|last| (0, last))
+                .into_iter()
+                .collect(),
+        )
+    }
+
     /// Adds a number.
     ///
     /// See [`Ranges`] for an example.
--- a/src/batch/spec.rs
+++ b/src/batch/spec.rs
@@ -5,10 +5,6 @@
 
 use super::Step;
 
-/// Largest number of tasks of one occurrence. The progress of more does not fit into a row of the
-/// store.
-const MAX_TASKS: u64 = 100_000;
-
 /// Longest declared run time of a task in milliseconds, about 35 years. The sum over all steps fits
 /// into a [`Duration`] many times.
 const MAX_ESTIMATE_MS: u64 = 1 << 40;
@@ -30,6 +26,10 @@
 }
 
 impl Spec {
+    /// Largest number of tasks of one occurrence, and of all occurrences of which the progress is
+    /// stored. The progress of more does not fit into a row of the store.
+    pub(super) const MAX_TASKS: u64 = 100_000;
+
     /// Returns the declared time of the longest chain of dependent steps.
     ///
     /// ```
@@ -71,6 +71,8 @@
                 && step.after.iter().all(|s| (*s as usize) < position)
         };
         let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
-        !self.steps.is_empty() && tasks <= MAX_TASKS && self.steps.iter().enumerate().all(is_sound)
+        !self.steps.is_empty()
+            && tasks <= Self::MAX_TASKS
+            && self.steps.iter().enumerate().all(is_sound)
     }
 }
--- a/tests/batch/rows.rs
+++ b/tests/batch/rows.rs
@@ -56,6 +56,16 @@
 /// Loads a job with its progress into a new engine, which then reads the failure of one task, and
 /// returns the progress that it stores.
 fn store_after_failure(job: &Record, progress: &Progress, number: u32, run: u64) -> Progress {
+    store_after_end(job, progress, task(number), run)
+}
+
+/// Does the same for the task with an occurrence, a step and an index.
+fn store_after_end(
+    job: &Record,
+    progress: &Progress,
+    (occurrence, step, index): (u32, u32, u32),
+    run: u64,
+) -> Progress {
     let mut sim = Simulation::new(2, config());
     let wall = sim.wall_ms();
     sim.engine.load_job(
@@ -67,7 +77,6 @@
     );
     sim.engine.update_worker(profile("i", "s"));
     let key = sim.engine.worker_addresses()[0].0;
-    let (occurrence, step, index) = task(number);
     let end = Ended {
         position: 1,
         task: TaskId {
@@ -168,3 +177,39 @@
     };
     assert!(row_bytes(&fence) < 100);
 }
+
+/// Guards against a window that forgets which occurrences of a scheduled job are complete, or takes
+/// the tasks of one for those of another.
+#[test]
+fn progress_of_many_occurrences_fits_into_a_row() {
+    const OCCURRENCES: u32 = 10_000;
+    const TASKS_EACH: u32 = 5;
+    let mut job = largest_job(3);
+    job.spec.steps = vec![step(2), step(TASKS_EACH - 2)];
+    job.spec.occurrences = OCCURRENCES + 1;
+    let is_complete = |number: &u32| number % 2 == 1 || *number < 40;
+    let mut progress = Progress {
+        complete: (0..OCCURRENCES).filter(is_complete).collect(),
+        ..Progress::default()
+    };
+    for number in (0..OCCURRENCES).filter(|number| !is_complete(number)) {
+        progress.done.push((number, mixed(number) % 2, 1));
+    }
+    let succeeded = |progress: &Progress| {
+        let complete = progress.complete.iter();
+        let complete = complete.flat_map(|number| {
+            let tasks = [(0, 2), (1, TASKS_EACH - 2)].into_iter();
+            tasks.flat_map(move |(step, count)| (0..count).map(move |index| (number, step, index)))
+        });
+        let tasks: BTreeSet<_> = progress.done_tasks().chain(complete).collect();
+        tasks
+    };
+    let expected = succeeded(&progress);
+    let first = store_after_end(&job, &progress, (44, 0, 0), 7);
+    assert!(first.window.is_some() && row_bytes(&first) <= MAX_ROW_BYTES);
+    assert_eq!(succeeded(&first), expected);
+    let second = store_after_end(&job, &first, (9_998, 1, 2), 7);
+    assert_eq!(succeeded(&second), expected);
+    let failed: Vec<_> = second.failed_tasks().collect();
+    assert_eq!(failed, [(44, 0, 0, vec![7]), (9_998, 1, 2, vec![7])]);
+}
