Bound the changes of members in a renewal

Cause: 90 rows with texts of registrations went into one transaction, whatever their size; with one row too large, all renewals failed. Change: at most 80 changes and 100,000 bytes with one renewal. A worker whose row exceeds 8 KiB gets no starts. After a refusal for good, fewer changes are sent, until the one at fault is alone and given up.

--- a/src/batch/engine/members.rs
+++ b/src/batch/engine/members.rs
@@ -1,12 +1,19 @@
 use std::sync::Arc;
 
 use super::{Engine, Worker};
-use crate::batch::{Member, MemberChanges, Profile, WorkerKey};
+use crate::batch::{Member, MemberChanges, Profile, WorkerKey, row_bytes};
 use crate::collections::{Map, Set};
 
 /// Maximum number of changes that are written with one renewal. A transaction of the store takes
-/// 100 rows, one of which is the leader row.
-const MAX_CHANGES: usize = 90;
+/// 100 entries; the others are for the leader row, its condition and the parts of its lists.
+const MAX_CHANGES: usize = 80;
+
+/// Largest size of the changes that are written with one renewal, in bytes.
+const MAX_CHANGES_BYTES: usize = 100_000;
+
+/// Largest size of the row of a member, in bytes. A usual one takes less than 200; its texts come from
+/// registrations. A worker with a larger row gets no starts.
+const MAX_MEMBER_BYTES: usize = 8_192;
 
 /// Workers recorded in the store for the next leader, which waits for their answers.
 ///
@@ -17,6 +24,10 @@
     entries: Map<Arc<str>, Entry>,
     /// Changes that were taken for the next renewal.
     pending: MemberChanges,
+    /// Number of changes that are taken at most, less than [`MAX_CHANGES`] after a refusal.
+    limit: Option<usize>,
+    /// Workers whose rows the store does not take.
+    refused: Set<Arc<str>>,
 }
 
 /// A worker whose row exists in the store, or may exist.
@@ -40,6 +51,11 @@
         self.entries.contains_key(id)
     }
 
+    /// Returns whether the store certainly holds a row of a worker.
+    pub(super) fn is_stored(&self, id: &Arc<str>) -> bool {
+        self.entries.get(id).is_some_and(|entry| entry.stored)
+    }
+
     fn restore(&mut self, members: &[Member]) {
         let stored = members.iter().map(|member| {
             let entry = Entry {
@@ -60,18 +76,36 @@
     ) -> MemberChanges {
         let mut changes = MemberChanges::default();
         let mut wanted: Set<&Arc<str>> = Set::default();
+        let limit = self.limit.unwrap_or(MAX_CHANGES);
+        let mut bytes = 0;
+        let mut too_large = Vec::new();
         for worker in workers {
             wanted.insert(&worker.profile.id);
-            let is_new = worker.answered_at.is_some() && !self.contains(&worker.profile);
-            if is_new && changes.added.len() < MAX_CHANGES {
-                changes.added.push(Member::from(&worker.profile));
+            let is_new = worker.answered_at.is_some()
+                && !self.contains(&worker.profile)
+                && !self.refused.contains(&worker.profile.id);
+            if !is_new || changes.added.len() >= limit {
+                continue;
+            }
+            let member = Member::from(&worker.profile);
+            let size = row_bytes(&member);
+            if size > MAX_MEMBER_BYTES {
+                too_large.push((worker.profile.id.clone(), size));
+            } else if bytes + size <= MAX_CHANGES_BYTES {
+                bytes += size;
+                changes.added.push(member);
             }
         }
         let outdated = self.entries.keys();
-        let outdated = outdated.filter(|id| !wanted.contains(id) && !kept(id));
+        let outdated =
+            outdated.filter(|id| !wanted.contains(id) && !kept(id) && !self.refused.contains(*id));
         changes
             .removed
-            .extend(outdated.take(MAX_CHANGES - changes.added.len()).cloned());
+            .extend(outdated.take(limit - changes.added.len()).cloned());
+        for (id, bytes) in too_large {
+            log::error!(event = "row-refused", key = id, bytes, reason = "larger than a member"; "");
+            self.refused.insert(id);
+        }
         for member in &changes.added {
             let entry = Entry {
                 member: member.clone(),
@@ -88,9 +122,22 @@
         changes
     }
 
+    /// Records that the store refused the changes taken last for good. Fewer are taken next, and one
+    /// that is refused alone is not sent again.
+    fn refuse(&mut self) {
+        let changes = std::mem::take(&mut self.pending);
+        let count = changes.added.len() + changes.removed.len();
+        self.limit = Some((count / 2).max(1));
+        if count == 1 {
+            let ids = changes.added.iter().map(|member| &member.worker);
+            self.refused.extend(ids.chain(&changes.removed).cloned());
+        }
+    }
+
     /// Records that the changes taken last are stored, and returns them.
     fn confirm(&mut self) -> MemberChanges {
         let changes = std::mem::take(&mut self.pending);
+        self.limit = None;
         for member in &changes.added {
             if let Some(entry) = self.entries.get_mut(&member.worker) {
                 entry.stored = true;
@@ -131,6 +178,12 @@
             .take_changes(self.workers.values(), |id| uncontacted.contains_key(id))
     }
 
+    /// Records that the store refused the changes taken last for good, in a transaction that had no
+    /// effect.
+    pub fn refuse_member_changes(&mut self) {
+        self.members.refuse();
+    }
+
     /// Records that the changes taken last are stored.
     pub(super) fn confirm_members(&mut self) {
         for member in self.members.confirm().added {
@@ -150,15 +203,22 @@
     /// Returns whether a registered worker that has answered is not stored as a member, so that it
     /// gets no starts.
     pub fn has_unstored_members(&self) -> bool {
-        self.workers.values().any(must_be_stored)
+        self.workers
+            .values()
+            .any(|worker| self.must_be_stored(worker))
     }
 
     /// Returns whether that holds for one worker.
     pub fn is_unstored_member(&self, key: WorkerKey) -> bool {
-        self.workers.get(key).is_some_and(must_be_stored)
+        self.workers
+            .get(key)
+            .is_some_and(|worker| self.must_be_stored(worker))
     }
-}
 
-fn must_be_stored(worker: &Worker) -> bool {
-    !worker.delisted && worker.answered_at.is_some() && !worker.is_member
+    fn must_be_stored(&self, worker: &Worker) -> bool {
+        !worker.delisted
+            && worker.answered_at.is_some()
+            && !worker.is_member
+            && !self.members.refused.contains(&worker.profile.id)
+    }
 }
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -6,7 +6,7 @@
 use super::row::{self, MEMBERS};
 use super::shared::STORE_TIMEOUT;
 use super::term::Term;
-use crate::batch::{Leader, MemberChanges, Role, Transfer};
+use crate::batch::{Leader, MemberChanges, Role, Transfer, row_bytes};
 use crate::clock::{self, Instant};
 use crate::platform::api::Transaction;
 
@@ -28,6 +28,7 @@
             let sent = clock::now();
             let leader = self.next_row(term);
             let changes = member_transaction(&term.engine().take_member_changes());
+            let (members, leader_bytes) = (changes.puts.len(), row_bytes(&leader));
             timeout = match self.write(leader, changes, timeout).await {
                 Ok(true) => {
                     self.record_renewal(term, sent);
@@ -47,7 +48,11 @@
                     return None;
                 }
                 Err(fault) => {
-                    log::warn!(event = "renewal-failed", fault:% = fault; "");
+                    if fault.is_permanent() {
+                        term.engine().refuse_member_changes();
+                    }
+                    log::warn!(event = "renewal-failed", fault:% = fault, members,
+                        leader_bytes; "");
                     STORE_TIMEOUT
                 }
             };
--- a/src/platform/api/fault.rs
+++ b/src/platform/api/fault.rs
@@ -48,4 +48,23 @@
     pub fn had_no_effect(&self) -> bool {
         !matches!(self, Self::Unknown { .. })
     }
+
+    /// Returns whether the peer refuses this call whenever it is repeated, as the store does with rows
+    /// that are too large.
+    ///
+    /// ```
+    /// use coriandernotch::platform::api::Fault;
+    ///
+    /// let fault = |status| Fault::Refused { step: "transact", peer: "a:1".into(), status };
+    /// assert!(fault(400).is_permanent() && !fault(503).is_permanent());
+    /// ```
+    pub fn is_permanent(&self) -> bool {
+        matches!(
+            self,
+            Self::Refused {
+                status: 400 | 413 | 422,
+                ..
+            }
+        )
+    }
 }
