Give up a row of progress that the store refuses

Cause: a transaction that the store refuses for good was sent again without end, and one of over 1 MB was such a transaction; no other progress was stored. Change: transactions are limited by bytes. After a refusal each row is sent by itself; one that is refused alone is logged with key and size and waits for the next change of its job.

--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -1,11 +1,14 @@
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
+use metrics::counter;
+
 use super::partition;
 use super::row::{self, JOBS, OWNER_KEY, PROGRESS, TERMS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use super::term::Term;
-use crate::batch::{Fence, JobKey, Resolution, Writer};
+use crate::batch::{Fence, JobKey, MAX_ROW_BYTES, MAX_TRANSACTION_BYTES, Resolution, Writer};
 use crate::platform::api::{Fault, Outcome, Precondition, Transaction};
 
 /// Maximum number of jobs in one transaction.
@@ -36,6 +39,8 @@
     jobs: Vec<(JobKey, u64)>,
     /// Ended jobs whose rows are deleted.
     deleted: Vec<Arc<str>>,
+    /// Sum of the contents of the rows.
+    bytes: usize,
 }
 
 /// Stores changes of jobs while this instance leads.
@@ -78,13 +83,68 @@
     names.map(|name| Partition { name, writer }).collect()
 }
 
+impl Changes {
+    fn new(partition: &str) -> Self {
+        Self {
+            transaction: Transaction {
+                part: partition.to_owned(),
+                ..Transaction::default()
+            },
+            jobs: Vec::new(),
+            deleted: Vec::new(),
+            bytes: 0,
+        }
+    }
+
+    /// Divides changes that the store refused for good into one for each row and one for the
+    /// deletions. A row that was refused alone is logged and given up until its job changes again.
+    fn split(self, fault: &Fault) -> Vec<Self> {
+        let partition = self.transaction.part;
+        let is_row = |(table, ..): &(&str, String, Vec<u8>)| *table == PROGRESS;
+        let rows: Vec<_> = (self.transaction.puts.into_iter())
+            .filter(is_row)
+            .zip(self.jobs)
+            .collect();
+        if rows.len() + usize::from(!self.deleted.is_empty()) <= 1 {
+            for ((_, key, content), _) in rows {
+                log_refused(&key, content.len(), fault);
+            }
+            for id in self.deleted {
+                log_refused(&id, 0, fault);
+            }
+            return Vec::new();
+        }
+        let mut parts: Vec<Self> = rows
+            .into_iter()
+            .map(|(put, job)| {
+                let mut part = Self::new(&partition);
+                part.bytes = put.2.len();
+                part.transaction.puts.push(put);
+                part.jobs.push(job);
+                part
+            })
+            .collect();
+        if !self.deleted.is_empty() {
+            let mut part = Self::new(&partition);
+            part.transaction.deletes = self.transaction.deletes;
+            part.deleted = self.deleted;
+            parts.push(part);
+        }
+        parts
+    }
+}
+
+/// Logs a row of progress that the store does not take.
+fn log_refused(key: &str, bytes: usize, reason: &dyn std::fmt::Display) {
+    counter!("rows_refused_total", "table" => PROGRESS).increment(1);
+    log::error!(event = "row-refused", table = PROGRESS, key, bytes, reason:% = reason; "");
+}
+
 impl Partition {
     /// Retries the changes of this partition until they are stored or the leadership ends.
     async fn flush(&mut self, shared: &Shared, term: &Term) {
-        let Some(mut changes) = self.take_changes(term) else {
-            return;
-        };
-        while !term.has_ended() {
+        let mut waiting = self.take_changes(term);
+        while let Some(mut changes) = waiting.pop_front().filter(|_| !term.has_ended()) {
             match self.send(shared, &mut changes.transaction).await {
                 Ok(true) => {
                     let mut engine = term.engine();
@@ -92,45 +152,57 @@
                         engine.record_stored_change(job, change);
                     }
                     engine.record_deletion(changes.deleted, self.writer.version());
-                    return;
                 }
                 Ok(false) => return term.end("a newer leader writes"),
-                Err(fault) => log::debug!(event = "flush-failed", fault:% = fault; ""),
+                Err(fault) if fault.is_permanent() => {
+                    let parts = changes.split(&fault).into_iter();
+                    parts.rev().for_each(|part| waiting.push_front(part));
+                }
+                Err(fault) => {
+                    log::debug!(event = "flush-failed", fault:% = fault; "");
+                    waiting.push_front(changes);
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
             }
-            tokio::time::sleep(RETRY_DELAY).await;
         }
     }
 
-    fn take_changes(&self, term: &Term) -> Option<Changes> {
+    /// Takes changes in transactions that the store accepts.
+    fn take_changes(&self, term: &Term) -> VecDeque<Changes> {
         let mut engine = term.engine();
         let is_here = |job: &str| partition::of(job) == self.name;
         let rows = engine.take_unstored(MAX_BATCH_JOBS, is_here);
-        if rows.is_empty() {
-            return None;
-        }
-        let mut transaction = Transaction {
-            part: self.name.clone(),
-            ..Transaction::default()
-        };
-        let mut jobs = Vec::new();
+        let mut taken: VecDeque<Changes> = VecDeque::new();
         for (key, id, change, progress) in rows {
-            transaction
-                .puts
-                .push((PROGRESS, id.to_string(), row::encode(&progress)));
-            jobs.push((key, change));
+            let content = row::encode(&progress);
+            let size = content.len();
+            if size > MAX_ROW_BYTES {
+                log_refused(&id, size, &"larger than a row");
+                continue;
+            }
+            let has_room = |changes: &&mut Changes| changes.bytes + size <= MAX_TRANSACTION_BYTES;
+            if taken.back_mut().filter(has_room).is_none() {
+                taken.push_back(Changes::new(&self.name));
+            }
+            let changes = taken.back_mut().expect("there is one with room");
+            let put = (PROGRESS, id.to_string(), content);
+            changes.transaction.puts.push(put);
+            changes.jobs.push((key, change));
+            changes.bytes += size;
         }
+        let Some(changes) = taken.front_mut() else {
+            return taken;
+        };
         // Outdated jobs beyond the limit are deleted with later writes.
         let deleted = engine.take_outdated(unix_time_ms(), MAX_DELETED_JOBS, is_here);
+        let transaction = &mut changes.transaction;
         for id in &deleted {
             transaction.deletes.push((JOBS, id.to_string()));
             transaction.deletes.push((JOBS, row::cancel_key(id)));
             transaction.deletes.push((PROGRESS, id.to_string()));
         }
-        Some(Changes {
-            transaction,
-            jobs,
-            deleted,
-        })
+        changes.deleted = deleted;
+        taken
     }
 
     /// Sends one transaction on condition that the fence row is unchanged. Returns true if it was
