Refuse a job whose record exceeds a row with 413

Cause: the store refuses such a row, so the caller got 503 and tried again without end. Result: refuses_a_job_that_does_not_fit_into_a_row passes.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -12,7 +12,7 @@
 use super::partition;
 use super::row::{self, JOBS, PROGRESS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
-use crate::batch::{Config, Progress, Record, Route, State};
+use crate::batch::{Config, MAX_ROW_BYTES, Progress, Record, Route, State};
 use crate::clock;
 use crate::platform::api::{Fault, Operation, Outcome, Protocol, Transaction, decode_submission};
 
@@ -129,7 +129,14 @@
         arrived_ms,
         spec,
     };
-    let committed = shared.committer.commit(id, row::encode(&record)).await;
+    let content = row::encode(&record);
+    if content.len() > MAX_ROW_BYTES {
+        log::info!(event = "job-too-large", job = id, route = route.name,
+            workspace = record.workspace, bytes = content.len(); "");
+        let reason = "the job takes more room than a row of the store has";
+        return failure(StatusCode::PAYLOAD_TOO_LARGE, reason);
+    }
+    let committed = shared.committer.commit(id, content).await;
     log::info!(event = "job-submitted", job = id, route = route.name, workspace = record.workspace,
         result:? = committed; "");
     match committed {
