--- a/src/batch/tuning.rs
+++ b/src/batch/tuning.rs
@@ -17,6 +17,10 @@
     pub retention: Duration,
     /// Whether run times are learned from ended runs and used in place of the declared ones.
     pub learn_estimates: bool,
+    /// Largest size of the list of silent workers that is written with each renewal, in bytes. A
+    /// worker without its tasks takes about 180 bytes, so a third of 2,300 workers fit into the
+    /// default.
+    pub silent_list_bytes: usize,
 }
 
 impl Default for Tuning {
@@ -29,6 +33,7 @@
             relocation: Duration::from_millis(1_500),
             retention: Duration::from_secs(120),
             learn_estimates: false,
+            silent_list_bytes: 150_000,
         }
     }
 }
