--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -12,7 +12,7 @@
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use crate::batch::{Config, MAX_ROW_BYTES, Progress, Record, Route, State};
 use crate::clock::{self, Instant};
-use crate::intake::{Acceptance, Partition};
+use crate::job_store::{Acceptance, Partition};
 use crate::platform::api::{Fault, Operation, Outcome, Protocol, Transaction, decode_submission};
 
 /// Maximum size of a body when the configuration sets none.
--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -8,7 +8,7 @@
 use super::submission::Submission;
 use crate::clock::{self, Instant};
 use crate::collections::Map;
-use crate::intake::{Acceptance, Action, Answer, Batch, Class, Queue, SubmissionKey};
+use crate::job_store::{Acceptance, Action, Answer, Batch, Class, Queue, SubmissionKey};
 use crate::platform::api::{Fault, Outcome, Precondition, Row, Store, Transaction};
 
 /// Shortest wait for a time at which something is due.
--- a/src/entry/delete.rs
+++ b/src/entry/delete.rs
@@ -9,7 +9,7 @@
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use super::term::Term;
 use crate::clock;
-use crate::intake::{Class, Partition};
+use crate::job_store::{Class, Partition};
 use crate::platform::api::{Outcome, Precondition, Row, Transaction};
 
 /// Time between two looks for ended jobs whose rows are no longer needed.
--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -9,7 +9,7 @@
 use super::term::Term;
 use crate::batch::{Fence, JobKey, MAX_ROW_BYTES, MAX_TRANSACTION_BYTES, Resolution, Writer};
 use crate::clock::{self, Instant};
-use crate::intake::{self, Class};
+use crate::job_store::{self, Class};
 use crate::platform::api::{Fault, Outcome, Precondition, Transaction};
 
 /// Maximum number of jobs in one transaction.
@@ -36,7 +36,7 @@
 
 /// One partition as the leader writes it.
 struct Partition {
-    key: intake::Partition,
+    key: job_store::Partition,
     name: String,
     writer: Writer,
 }
@@ -97,7 +97,7 @@
 
 fn all_partitions(term: &Term) -> Vec<Partition> {
     let writer = Writer::new(term.token);
-    let keys = intake::Partition::all_of_progress();
+    let keys = job_store::Partition::all_of_progress();
     let partitions = keys.map(|key| Partition {
         key,
         name: key.name(),
@@ -203,7 +203,7 @@
     /// Takes changes in transactions that the store accepts.
     fn take_changes(&self, term: &Term) -> VecDeque<Changes> {
         let mut engine = term.engine();
-        let is_here = |job: &str| intake::Partition::of_progress(job) == self.key;
+        let is_here = |job: &str| job_store::Partition::of_progress(job) == self.key;
         let rows = engine.take_unstored(MAX_BATCH_JOBS, is_here);
         let mut deletions = term.deletions();
         let deleted = deletions.take_cleared(self.key, (MAX_ROWS - rows.len()) / ROWS_OF_JOB);
--- a/src/entry/follow_jobs.rs
+++ b/src/entry/follow_jobs.rs
@@ -7,7 +7,7 @@
 use super::row::JOBS;
 use super::shared::Shared;
 use super::term::Term;
-use crate::intake::Partition;
+use crate::job_store::Partition;
 use crate::platform::api::{Fault, Feed, Row};
 
 /// Time for which one call of the change feed waits for new jobs.
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -15,7 +15,7 @@
 use crate::batch::{Engine, Fence, Leader, Leadership, Progress, Record, Tuning};
 use crate::clock::{self, Instant};
 use crate::collections::{Map, Set};
-use crate::intake::{Deletions, Partition};
+use crate::job_store::{Deletions, Partition};
 use crate::platform::api::{
     Fault, Outcome, Precondition, Row, Store, Transaction, decode_registration,
 };
--- a/src/entry/submission.rs
+++ b/src/entry/submission.rs
@@ -1,6 +1,6 @@
 use tokio::sync::oneshot;
 
-use crate::intake::Acceptance;
+use crate::job_store::Acceptance;
 
 /// A job to store, with the channel for the result.
 pub(super) struct Submission {
--- a/src/entry/term.rs
+++ b/src/entry/term.rs
@@ -7,7 +7,7 @@
 use crate::batch::{AnswerTime, Engine, Lag, Leadership, Order, State, WorkerKey};
 use crate::clock::{self, Instant};
 use crate::collections::Map;
-use crate::intake::Deletions;
+use crate::job_store::Deletions;
 
 /// Connects the scheduler to the tasks of one worker.
 pub(super) struct Handle {
--- a/src/intake/deletions.rs
+++ b/src/job_store/deletions.rs
@@ -36,7 +36,7 @@
     ///
     /// ```
     /// let retention = std::time::Duration::from_secs(120);
-    /// assert!(!coriandernotch::intake::Deletions::new(retention).place("a").is_earlier);
+    /// assert!(!coriandernotch::job_store::Deletions::new(retention).place("a").is_earlier);
     /// ```
     pub fn new(retention: Duration) -> Self {
         Self {
@@ -51,7 +51,7 @@
     ///
     /// ```
     /// let retention = std::time::Duration::from_secs(120);
-    /// assert!(!coriandernotch::intake::Deletions::new(retention).has_cleared());
+    /// assert!(!coriandernotch::job_store::Deletions::new(retention).has_cleared());
     /// ```
     pub fn has_cleared(&self) -> bool {
         !self.cleared.is_empty()
--- a/src/intake/partition.rs
+++ b/src/job_store/partition.rs
@@ -21,7 +21,7 @@
     /// Returns the partition of a job and of its cancellation.
     ///
     /// ```
-    /// use coriandernotch::intake::Partition;
+    /// use coriandernotch::job_store::Partition;
     ///
     /// let partition = Partition::of_job("00000000000000a1");
     /// assert_eq!(partition, Partition::of_job("00000000000000a1"));
@@ -40,7 +40,7 @@
     /// sake of instances of earlier versions.
     ///
     /// ```
-    /// use coriandernotch::intake::Partition;
+    /// use coriandernotch::job_store::Partition;
     ///
     /// assert_eq!(Partition::to_store("a", true), Partition::of_job("a"));
     /// assert_eq!(Partition::to_store("a", false), Partition::of_progress("a"));
@@ -56,7 +56,7 @@
     /// Returns the partition of the progress of a job.
     ///
     /// ```
-    /// use coriandernotch::intake::Partition;
+    /// use coriandernotch::job_store::Partition;
     ///
     /// assert_eq!(Partition::of_progress("a").name(), "j1");
     /// ```
@@ -68,7 +68,7 @@
     /// Returns all partitions in which jobs may be, those of earlier versions first.
     ///
     /// ```
-    /// use coriandernotch::intake::Partition;
+    /// use coriandernotch::job_store::Partition;
     ///
     /// let names: Vec<String> = Partition::all_of_jobs().map(Partition::name).collect();
     /// assert_eq!((names.len(), &*names[0], &*names[257]), (258, "j0", "s255"));
@@ -81,7 +81,7 @@
     /// Returns all partitions of progress.
     ///
     /// ```
-    /// assert_eq!(coriandernotch::intake::Partition::all_of_progress().count(), 2);
+    /// assert_eq!(coriandernotch::job_store::Partition::all_of_progress().count(), 2);
     /// ```
     pub fn all_of_progress() -> impl Iterator<Item = Self> {
         (0..PROGRESS_PARTITIONS).map(Self::Progress)
@@ -90,7 +90,7 @@
     /// Returns the name by which the store knows the partition.
     ///
     /// ```
-    /// assert_eq!(coriandernotch::intake::Partition::Jobs(7).name(), "s007");
+    /// assert_eq!(coriandernotch::job_store::Partition::Jobs(7).name(), "s007");
     /// ```
     pub fn name(self) -> String {
         match self {
--- a/src/intake/queue.rs
+++ b/src/job_store/queue.rs
@@ -59,7 +59,7 @@
     /// instances of earlier versions.
     ///
     /// ```
-    /// assert!(coriandernotch::intake::Queue::new(false).is_empty());
+    /// assert!(coriandernotch::job_store::Queue::new(false).is_empty());
     /// ```
     pub fn new(is_spread: bool) -> Self {
         Self {
@@ -111,7 +111,7 @@
     /// Returns how many submissions wait or are being stored.
     ///
     /// ```
-    /// assert_eq!(coriandernotch::intake::Queue::default().len(), 0);
+    /// assert_eq!(coriandernotch::job_store::Queue::default().len(), 0);
     /// ```
     pub fn len(&self) -> usize {
         self.submissions.len()
@@ -120,7 +120,7 @@
     /// Returns whether no submissions wait.
     ///
     /// ```
-    /// assert!(coriandernotch::intake::Queue::default().is_empty());
+    /// assert!(coriandernotch::job_store::Queue::default().is_empty());
     /// ```
     pub fn is_empty(&self) -> bool {
         self.submissions.is_empty()
--- a/src/intake/window.rs
+++ b/src/job_store/window.rs
@@ -69,7 +69,7 @@
     /// Returns whether a call may be sent.
     ///
     /// ```
-    /// use coriandernotch::intake::{Class, Window};
+    /// use coriandernotch::job_store::{Class, Window};
     ///
     /// assert!(Window::default().may_send(Class::Background));
     /// ```
@@ -85,7 +85,7 @@
     /// Returns how many calls may be in flight.
     ///
     /// ```
-    /// assert!(coriandernotch::intake::Window::default().limit() > 1);
+    /// assert!(coriandernotch::job_store::Window::default().limit() > 1);
     /// ```
     pub fn limit(&self) -> usize {
         self.limit as usize
@@ -94,7 +94,7 @@
     /// Returns how many calls are in flight.
     ///
     /// ```
-    /// assert_eq!(coriandernotch::intake::Window::default().in_flight(), 0);
+    /// assert_eq!(coriandernotch::job_store::Window::default().in_flight(), 0);
     /// ```
     pub fn in_flight(&self) -> usize {
         self.in_flight
--- a/tests/entry/pages.rs
+++ b/tests/entry/pages.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use coriandernotch::batch::{Progress, State};
-use coriandernotch::intake::Partition;
+use coriandernotch::job_store::Partition;
 use coriandernotch::platform::api::{Outcome, Precondition, Store as Client, Transaction};
 use serde_json::json;
 
--- a/tests/entry/partitions.rs
+++ b/tests/entry/partitions.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 
 use coriandernotch::batch::{Progress, State};
-use coriandernotch::intake::Partition;
+use coriandernotch::job_store::Partition;
 use serde_json::json;
 
 use crate::instance::{send_request, start_for_earlier, start_instance, wait_until};
--- a/tests/entry/platform.rs
+++ b/tests/entry/platform.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use coriandernotch::batch::{Progress, Record, Spec, Step};
-use coriandernotch::intake::Partition;
+use coriandernotch::job_store::Partition;
 use coriandernotch::jobs::Size;
 use serde::Serialize;
 use serde_json::{Value, json};
--- a/tests/intake/deletions.rs
+++ b/tests/job_store/deletions.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use coriandernotch::clock::{self, Instant};
-use coriandernotch::intake::{Deletions, Partition};
+use coriandernotch::job_store::{Deletions, Partition};
 
 const RETENTION: Duration = Duration::from_secs(120);
 
--- a/tests/intake/partition.rs
+++ b/tests/job_store/partition.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use coriandernotch::intake::Partition;
+use coriandernotch::job_store::Partition;
 
 /// Number of jobs in a partition on average.
 const MEAN: usize = 40;
--- a/tests/intake/queue.rs
+++ b/tests/job_store/queue.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use coriandernotch::clock::Instant;
-use coriandernotch::intake::{Acceptance, Action, Answer, Batch, Queue};
+use coriandernotch::job_store::{Acceptance, Action, Answer, Batch, Queue};
 
 /// Time within which callers of these tests need a reply.
 const WAIT: Duration = Duration::from_millis(2_880);
@@ -100,7 +100,7 @@
     let first = next_batch(&mut queue, now);
     // An id in the same partition.
     let other = (0..).map(|n| format!("b{n}")).find(|id| {
-        let partition = coriandernotch::intake::Partition::of_job(id);
+        let partition = coriandernotch::job_store::Partition::of_job(id);
         partition == first.partition
     });
     let other = queue.submit(&other.unwrap(), 1, now + WAIT, now).unwrap();
@@ -158,7 +158,7 @@
     let lead = next_batch(&mut queue, now);
     queue.record(&lead, &Answer::Busy, CALL, now);
     let good = (0..).map(|n| format!("b{n}")).find(|id| {
-        let partition = coriandernotch::intake::Partition::of_job(id);
+        let partition = coriandernotch::job_store::Partition::of_job(id);
         partition == lead.partition
     });
     let good = queue.submit(&good.unwrap(), 1, now + WAIT, now).unwrap();
--- a/tests/intake/replay/event.rs
+++ b/tests/job_store/replay/event.rs
@@ -1,4 +1,4 @@
-use coriandernotch::intake::Answer;
+use coriandernotch::job_store::Answer;
 
 /// Something that happens at an instance.
 #[derive(Debug)]
--- a/tests/intake/replay/instance.rs
+++ b/tests/job_store/replay/instance.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use coriandernotch::clock::Instant;
-use coriandernotch::intake::{Acceptance, Answer};
+use coriandernotch::job_store::{Acceptance, Answer};
 
 use super::present::Present;
 use super::previous::Previous;
--- a/tests/intake/replay/present.rs
+++ b/tests/job_store/replay/present.rs
@@ -1,7 +1,9 @@
 use std::collections::BTreeMap;
 
 use coriandernotch::clock::Instant;
-use coriandernotch::intake::{Acceptance, Action, Answer, Batch, Partition, Queue, SubmissionKey};
+use coriandernotch::job_store::{
+    Acceptance, Action, Answer, Batch, Partition, Queue, SubmissionKey,
+};
 
 use super::instance::{Call, Steps};
 
--- a/tests/intake/replay/world.rs
+++ b/tests/job_store/replay/world.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use coriandernotch::clock::Instant;
-use coriandernotch::intake::{Acceptance, Answer};
+use coriandernotch::job_store::{Acceptance, Answer};
 
 use super::event::Event;
 use super::instance::{Instance, Steps};
