Bound the size of what waits to be stored, and end rejected deletions

1,024 submissions of a row each are 64 MiB or more, and the smallest instance has 160 MB: at most 16 MiB wait now. A deletion that the store rejects with 400 was sent again each second without end; it is logged and left to the next leader.

--- a/src/entry/delete.rs
+++ b/src/entry/delete.rs
@@ -10,7 +10,7 @@
 use super::term::Term;
 use crate::clock;
 use crate::intake::{Class, Partition};
-use crate::platform::api::{Outcome, Precondition, Row, Transaction};
+use crate::platform::api::{Fault, Outcome, Precondition, Row, Transaction};
 
 /// Time between two looks for ended jobs whose rows are no longer needed.
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -62,6 +62,12 @@
                     return term.deletions().record_cleared(jobs, version);
                 }
                 Ok(Outcome::Conflict(rows)) => self.resolve_conflict(&rows),
+                Err(fault @ Fault::Refused { status: 400, .. }) => {
+                    // Sent again, it would be refused again. The next leader finds these jobs anew.
+                    let (part, jobs) = (transaction.part, self.jobs.len());
+                    log::error!(event = "deletion-rejected", part, jobs, fault:% = fault; "");
+                    return;
+                }
                 Err(fault) => {
                     log::debug!(event = "deletion-failed", fault:% = fault; "");
                     sleep(INTERVAL).await;
--- a/src/intake/queue.rs
+++ b/src/intake/queue.rs
@@ -12,6 +12,9 @@
 /// Maximum number of submissions that wait at an instance; further ones are refused.
 const MAX_WAITING: usize = 1_024;
 
+/// Maximum size of the rows of all submissions that wait. The smallest instance has 160 MB of memory.
+const MAX_WAITING_BYTES: usize = 16 << 20;
+
 /// Maximum number of jobs in one transaction. Each takes two conditions and a row, and a transaction
 /// has at most 100 of these.
 const MAX_BATCH_JOBS: usize = 20;
@@ -39,6 +42,8 @@
     /// Whether jobs are spread over all partitions.
     is_spread: bool,
     submissions: SlotMap<SubmissionKey, Waiting>,
+    /// Size of the rows of all submissions.
+    bytes: usize,
     lanes: Map<Partition, Lane>,
     /// Calls of this instance that write to the store.
     pub window: Window,
@@ -65,6 +70,7 @@
         Self {
             is_spread,
             submissions: SlotMap::default(),
+            bytes: 0,
             lanes: Map::default(),
             window: Window::default(),
             uncertain: Map::default(),
@@ -80,9 +86,10 @@
         answer_by: Instant,
         now: Instant,
     ) -> Option<SubmissionKey> {
-        if self.submissions.len() >= MAX_WAITING {
+        if self.submissions.len() >= MAX_WAITING || self.bytes + bytes > MAX_WAITING_BYTES {
             return None;
         }
+        self.bytes += bytes;
         let partition = Partition::to_store(id, self.is_spread);
         let key = self.submissions.insert(Waiting {
             id: id.into(),
@@ -232,6 +239,7 @@
         now: Instant,
     ) -> Option<(SubmissionKey, Acceptance)> {
         let waiting = self.submissions.remove(key)?;
+        self.bytes = self.bytes.saturating_sub(waiting.bytes);
         if let Some(lane) = self.lanes.get_mut(&waiting.partition) {
             lane.remove(key);
             if lane.is_empty() {
--- a/tests/intake/queue.rs
+++ b/tests/intake/queue.rs
@@ -179,3 +179,19 @@
     assert!(replies.contains(&(good, Acceptance::Stored)));
     assert_eq!(calls, 3);
 }
+
+/// Guards against submissions that fill the memory of a small instance while the store is slow.
+#[test]
+fn bounds_the_size_of_what_waits() {
+    let (mut queue, now) = (Queue::default(), start());
+    let row = 64 << 10;
+    let submit = |queue: &mut Queue, n: u32| queue.submit(&format!("{n}"), row, now + WAIT, now);
+    let accepted = (0..1_000)
+        .filter(|n| submit(&mut queue, *n).is_some())
+        .count();
+    assert_eq!(accepted, 256);
+    let batch = next_batch(&mut queue, now);
+    let replies = queue.record(&batch, &Answer::Applied, CALL, now + CALL);
+    assert!(!replies.is_empty());
+    assert!(submit(&mut queue, 1_000).is_some(), "room is free again");
+}
