--- a/src/intake/window.rs
+++ b/src/intake/window.rs
@@ -146,11 +146,6 @@
         self.reduce(UNANSWERED_FACTOR, 1.0, now);
     }
 
-    /// Records that a call was abandoned before its answer.
-    pub fn record_abandoned(&mut self) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-    }
-
     fn finish(&mut self, took: Duration, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.mean = if self.expected(now).is_zero() {
