Test an entry instance beside 300 callers outside the limits

Nothing bounds what callers occupy. Each test sends one kind of traffic to one process and checks that it lives, that its peak memory is at most 48 MiB and its open descriptors at most 260, and that an ordinary submission is answered while the crowd is connected. The settings `memory-mb` and `max-descriptors` are read and not used yet, so that the tests fail for the bounds and not for unknown fields.

--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -32,6 +32,12 @@
     /// Processor time of the instance as a share of one processor.
     #[serde(default = "whole_processor")]
     pub processor_share: f64,
+    /// Memory of the machine in MiB, of which callers may occupy a part.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
+    /// File descriptors that the process may have open.
+    #[serde(default)]
+    pub max_descriptors: Option<u32>,
     /// Durations that the platform guarantees or requires.
     #[serde(default)]
     pub bounds: Bounds,
--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -98,7 +98,7 @@
 }
 
 /// Returns the bounds in the settings of an instance.
-fn bounds() -> Value {
+pub(crate) fn bounds() -> Value {
     json!({"grace-s": 1.0})
 }
 
@@ -129,7 +129,13 @@
     start_with_settings(name, store, &settings, outputs)
 }
 
-fn settings(name: &str, store: SocketAddr, machines: Option<SocketAddr>, bounds: &Value) -> Value {
+/// Returns the settings of an instance on free ports.
+pub(crate) fn settings(
+    name: &str,
+    store: SocketAddr,
+    machines: Option<SocketAddr>,
+    bounds: &Value,
+) -> Value {
     json!({
         "name": name,
         "data-centre": "a",
@@ -142,7 +148,8 @@
     })
 }
 
-fn start_with_settings(
+/// Starts an instance with settings that [`settings`] built.
+pub(crate) fn start_with_settings(
     name: &str,
     store: SocketAddr,
     settings: &Value,
--- /dev/null
+++ b/tests/flood/scene.rs
@@ -0,0 +1,135 @@
+use std::process::Stdio;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, LazyLock};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use tokio::sync::Mutex;
+
+use crate::crowd::Crowd;
+use crate::instance::{TIMEOUT, bounds, send_request, settings, start_with_settings};
+use crate::kind::Kind;
+use crate::platform::{ONE, TWO, job, start_platform};
+use crate::process::Process;
+
+/// Memory of the machine in the settings, in MiB, which is also the bound on resident memory.
+const MEMORY_MB: u64 = 48;
+
+/// Descriptors in the settings.
+const MAX_DESCRIPTORS: u64 = 800;
+
+/// Bound on open descriptors, below the number of callers.
+const DESCRIPTORS: usize = 260;
+
+/// Time between two looks at the descriptors.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Held by the test that runs: crowds of two tests would disturb each other.
+static RUNNING: LazyLock<Mutex<()>> = LazyLock::new(Mutex::default);
+
+/// Lets a crowd loose on an instance and checks that the instance keeps to its bounds and serves an
+/// ordinary caller while the crowd is connected.
+async fn withstand(kind: Kind) {
+    let _running = RUNNING.lock().await;
+    let (_store, address, _worker) = start_platform().await;
+    let name: &'static str = kind.into();
+    let mut settings = settings(name, address, None, &bounds());
+    settings["memory-mb"] = json!(MEMORY_MB);
+    settings["max-descriptors"] = json!(MAX_DESCRIPTORS);
+    let outputs = [Stdio::null(), Stdio::inherit()];
+    let mut instance = start_with_settings(name, address, &settings, outputs);
+    instance.submit(ONE, "1").await;
+    let process = Process::new(instance.child.id());
+    let before = process.peak_kib();
+    let most = Arc::new(AtomicUsize::new(0));
+    let looks = tokio::spawn({
+        let (process, most) = (Process::new(instance.child.id()), most.clone());
+        async move {
+            loop {
+                most.fetch_max(process.descriptors(), Ordering::Relaxed);
+                tokio::time::sleep(LOOK_INTERVAL).await;
+            }
+        }
+    });
+    let to = match kind {
+        Kind::UnreadAnswers => instance.metrics,
+        _ => instance.callers,
+    };
+    let crowd = Crowd::gather(kind, to).await;
+    let begun = Instant::now();
+    let mut answered = false;
+    while !answered && begun.elapsed() < TIMEOUT {
+        let (status, _) = send_request(instance.callers, "POST", TWO, &job("1", 1)).await;
+        answered = status == 200;
+    }
+    let lives = instance.child.try_wait().unwrap().is_none();
+    assert!(lives, "{name}: the process has ended");
+    looks.abort();
+    let (peak, descriptors) = (process.peak_kib(), most.load(Ordering::Relaxed));
+    println!(
+        "{name}: peak {peak} KiB (before: {before} KiB), descriptors {descriptors}, ordinary \
+         request answered: {answered}, crowd connected: {}",
+        crowd.size()
+    );
+    assert!(answered, "{name}: the ordinary request got no answer");
+    assert!(peak <= MEMORY_MB << 10, "{name}: {peak} KiB");
+    assert!(
+        descriptors <= DESCRIPTORS,
+        "{name}: {descriptors} descriptors"
+    );
+}
+
+/// Guards against heads over the limit whose bytes are all kept.
+#[tokio::test(flavor = "multi_thread")]
+async fn withstands_long_heads() {
+    withstand(Kind::LongHead).await;
+}
+
+/// Guards against heads without end, which grew the read buffers to 400 KiB each.
+#[tokio::test(flavor = "multi_thread")]
+async fn withstands_endless_heads() {
+    withstand(Kind::EndlessHead).await;
+}
+
+/// Guards against empty lines without end, which neither the head's bound nor its timeout covered.
+#[tokio::test(flavor = "multi_thread")]
+async fn withstands_empty_lines() {
+    withstand(Kind::EmptyLines).await;
+}
+
+/// Guards against many bodies of legal size that are held at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn withstands_whole_bodies() {
+    withstand(Kind::WholeBody).await;
+}
+
+/// Guards against bodies that stop just before their end and keep what arrived.
+#[tokio::test(flavor = "multi_thread")]
+async fn withstands_stalled_bodies() {
+    withstand(Kind::StalledBody).await;
+}
+
+/// Guards against chunked bodies that never end, whose length is not declared.
+#[tokio::test(flavor = "multi_thread")]
+async fn withstands_large_chunks() {
+    withstand(Kind::LargeChunks).await;
+}
+
+/// Guards against chunks that keep a read buffer each, which holds far more than they carry.
+#[tokio::test(flavor = "multi_thread")]
+async fn withstands_small_chunks() {
+    withstand(Kind::SmallChunks).await;
+}
+
+/// Guards against answers that are kept for a client that does not read them.
+#[tokio::test(flavor = "multi_thread")]
+async fn withstands_unread_answers() {
+    withstand(Kind::UnreadAnswers).await;
+}
+
+/// Guards against a client that occupies the process with requests whose answers it does not wait
+/// for.
+#[tokio::test(flavor = "multi_thread")]
+async fn withstands_endless_requests() {
+    withstand(Kind::EndlessRequests).await;
+}
