Decide who is admitted and who gives way under one budget of bytes

Nothing bounds the sum of what connections and their requests occupy. intake::Ledger keeps one budget for a process: connections, heads and body buffers are charged as they arrive, and where bytes or places are short, the connection that makes the least progress gives way. Requests that arrived whole never do, and small ones have a reserve. It knows no sockets and takes the time as an argument. Gate, Seat and Stream share it between the tasks of a process; nothing uses them yet.

--- /dev/null
+++ b/src/intake/books.rs
@@ -0,0 +1,36 @@
+use std::task::{Context, Waker};
+
+use slotmap::SecondaryMap;
+use tokio_util::sync::CancellationToken;
+
+use super::{Cause, Key, Ledger, Port};
+
+/// The ledger with the tasks that wait for its decisions.
+#[derive(Debug)]
+pub(super) struct Books {
+    pub(super) ledger: Ledger,
+    /// Port of each connection and what tells it that it must give way.
+    pub(super) seats: SecondaryMap<Key, (Port, CancellationToken)>,
+    /// Tasks that wait for bytes or a place.
+    pub(super) waiting: Vec<Waker>,
+}
+
+impl Books {
+    /// Wakes the task of `cx` when bytes or a place have been given back.
+    pub(super) fn wait(&mut self, cx: &Context<'_>) {
+        if !self.waiting.iter().any(|w| w.will_wake(cx.waker())) {
+            self.waiting.push(cx.waker().clone());
+        }
+    }
+
+    /// Tells the connections that must give way, and returns why.
+    pub(super) fn tell(&mut self) -> Vec<(Port, Cause)> {
+        let evicted = self.ledger.take_evicted();
+        let told = evicted.into_iter().filter_map(|(key, cause)| {
+            let (port, token) = self.seats.get(key)?;
+            token.cancel();
+            Some((*port, cause))
+        });
+        told.collect()
+    }
+}
--- /dev/null
+++ b/src/intake/charge.rs
@@ -0,0 +1,42 @@
+use std::sync::Arc;
+
+use super::Seat;
+
+/// Bytes that are charged to a connection until this is dropped.
+#[derive(Debug)]
+pub struct Charge {
+    seat: Arc<Seat>,
+    bytes: usize,
+    adopted: bool,
+}
+
+impl Charge {
+    pub(super) fn new(seat: Arc<Seat>) -> Self {
+        Self {
+            seat,
+            bytes: 0,
+            adopted: false,
+        }
+    }
+
+    pub(super) fn adopted(seat: Arc<Seat>, bytes: usize) -> Self {
+        Self {
+            seat,
+            bytes,
+            adopted: true,
+        }
+    }
+
+    /// Adds bytes that were charged.
+    pub(super) fn add(&mut self, bytes: usize) {
+        self.bytes += bytes;
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if self.bytes > 0 {
+            self.seat.give_back(self.bytes, self.adopted);
+        }
+    }
+}
--- /dev/null
+++ b/src/intake/guest.rs
@@ -0,0 +1,132 @@
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use super::rank::Rank;
+use super::{CONNECTION_BYTES, Cause, Limits, Port, Progress, Stage};
+use crate::clock::Instant;
+
+/// Share of a request that stands for all of it.
+const WHOLE: usize = 1_024;
+
+/// A request of which less than this share arrived lately has stalled. One of 262,144 bytes that
+/// arrives evenly within the callers' 3 s still has a quarter at its end.
+const STALLED_SHARE: usize = WHOLE / 16;
+
+/// Time without a request after which a connection gives way before any that sends one, and time
+/// after which an answer that is not taken counts as stalled.
+const STALL_TIME: Duration = Duration::from_millis(500);
+
+/// A connection in the arena of the ledger.
+#[derive(Debug)]
+pub(super) struct Guest {
+    pub(super) port: Port,
+    pub(super) stage: Stage,
+    stage_since: Instant,
+    /// Bytes charged beyond those of the connection itself.
+    pub(super) held: usize,
+    /// Bytes of the present request that arrived.
+    pub(super) received: usize,
+    progress: Progress,
+    /// Exchanges that are open.
+    pub(super) exchanges: u32,
+    /// Whether several exchanges may be open at once, as in HTTP/2.
+    pub(super) multiplexed: bool,
+    /// Since when it waits for bytes of the budget.
+    pub(super) waits_since: Option<Instant>,
+    /// Since when the client takes no part of an answer.
+    pub(super) blocked_since: Option<Instant>,
+    /// Set once it must give way.
+    pub(super) leaving: Option<Cause>,
+}
+
+impl Guest {
+    pub(super) fn new(port: Port, now: Instant) -> Self {
+        Self {
+            port,
+            stage: Stage::Idle,
+            stage_since: now,
+            held: 0,
+            received: 0,
+            progress: Progress::new(now),
+            exchanges: 0,
+            multiplexed: false,
+            waits_since: None,
+            blocked_since: None,
+            leaving: None,
+        }
+    }
+
+    /// Returns all bytes that are charged.
+    pub(super) fn bytes(&self) -> usize {
+        CONNECTION_BYTES + self.held
+    }
+
+    pub(super) fn enter(&mut self, stage: Stage, now: Instant) {
+        if stage == Stage::Idle {
+            self.received = 0;
+            self.progress = Progress::new(now);
+        }
+        self.waits_since = None;
+        self.stage = stage;
+        self.stage_since = now;
+    }
+
+    pub(super) fn arrived(&mut self, bytes: usize, now: Instant) {
+        if self.stage == Stage::Idle && !self.multiplexed {
+            self.enter(Stage::Head, now);
+        }
+        self.received = self.received.saturating_add(bytes);
+        self.progress.add(bytes, now);
+    }
+
+    /// Returns the rank, or `None` if it must not give way.
+    pub(super) fn rank(&self, now: Instant) -> Option<Rank> {
+        if self.leaving.is_some() {
+            return None;
+        }
+        if let Some(since) = self.blocked_since
+            && now.since(since) >= STALL_TIME
+        {
+            return Some(Rank::Stalled(0, since));
+        }
+        match self.stage {
+            Stage::Answer => None,
+            Stage::Idle if now.since(self.stage_since) >= STALL_TIME => {
+                Some(Rank::Idle(self.stage_since))
+            }
+            Stage::Idle => Some(Rank::Active(WHOLE, Reverse(self.stage_since))),
+            Stage::Head | Stage::Body => {
+                // A request that waits for bytes of the budget does not stall by itself.
+                let share = self.share(self.waits_since.unwrap_or(now));
+                if share < STALLED_SHARE {
+                    Some(Rank::Stalled(share, self.stage_since))
+                } else {
+                    Some(Rank::Active(share, Reverse(self.stage_since)))
+                }
+            }
+        }
+    }
+
+    /// Returns the share of the request that arrived lately.
+    fn share(&self, now: Instant) -> usize {
+        let lately = self.progress.weigh(now).min(self.received);
+        lately.saturating_mul(WHOLE) / self.received.max(1)
+    }
+
+    /// Returns which limit in time has passed.
+    pub(super) fn overdue(&self, limits: &Limits, now: Instant) -> Option<Cause> {
+        let passed = |limit: Duration| now.since(self.stage_since) >= limit;
+        let blocked = |since: Instant| now.since(since) >= limits.write_time;
+        match self.stage {
+            _ if self.leaving.is_some() => None,
+            _ if self.blocked_since.is_some_and(blocked) => Some(Cause::UnreadAnswer),
+            Stage::Idle if passed(limits.idle_time) => Some(Cause::Idle),
+            Stage::Head if passed(limits.head_time) => Some(Cause::SlowHead),
+            Stage::Body if passed(limits.body_time) => Some(match self.waits_since {
+                Some(_) => Cause::Memory,
+                None => Cause::SlowBody,
+            }),
+            Stage::Idle | Stage::Head | Stage::Body | Stage::Answer => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/intake/rank.rs
@@ -0,0 +1,15 @@
+use std::cmp::Reverse;
+
+use crate::clock::Instant;
+
+/// How much a connection deserves its place; the least gives way first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Rank {
+    /// A request that has stopped arriving or an answer that is not taken: the share that arrived
+    /// lately, and since when.
+    Stalled(usize, Instant),
+    /// No request: since when.
+    Idle(Instant),
+    /// A request that arrives: the share that arrived lately, and since when; the newest first.
+    Active(usize, Reverse<Instant>),
+}
--- /dev/null
+++ b/src/intake/seat.rs
@@ -0,0 +1,160 @@
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
+
+use tokio_util::sync::CancellationToken;
+
+use super::{Charge, Evicted, Exchange, Gate, Key, Stage};
+use crate::clock;
+
+/// Place of a connection at the gate, given back when it is dropped.
+#[derive(Debug)]
+pub struct Seat {
+    gate: Arc<Gate>,
+    key: Key,
+    evicted: CancellationToken,
+    /// Bytes charged for the head of the present request.
+    head: Mutex<usize>,
+    /// Bytes charged for an answer that has not been written.
+    answer: Mutex<usize>,
+}
+
+impl Seat {
+    pub(super) fn new(gate: Arc<Gate>, key: Key, evicted: CancellationToken) -> Self {
+        Self {
+            gate,
+            key,
+            evicted,
+            head: Mutex::default(),
+            answer: Mutex::default(),
+        }
+    }
+
+    /// Waits until the connection must give way.
+    pub async fn evicted(&self) {
+        self.evicted.cancelled().await;
+    }
+
+    /// Returns whether the connection must give way.
+    pub fn is_evicted(&self) -> bool {
+        self.evicted.is_cancelled()
+    }
+
+    /// Returns what the connection is doing.
+    pub fn stage(&self) -> Option<Stage> {
+        self.gate.with(|ledger| ledger.stage(self.key))
+    }
+
+    /// Notes that the head of a request has arrived; the exchange ends when the result is dropped.
+    pub fn open(self: &Arc<Self>) -> Exchange {
+        self.gate.with(|ledger| ledger.open(self.key, clock::now()));
+        Exchange::new(self.clone())
+    }
+
+    /// Notes that the request has arrived whole, or that another part bounds its body.
+    pub fn complete(&self) {
+        self.gate
+            .with(|ledger| ledger.complete(self.key, clock::now()));
+    }
+
+    /// Notes that the connection carries several exchanges at once.
+    pub fn multiplex(&self) {
+        self.gate
+            .with(|ledger| ledger.multiplex(self.key, clock::now()));
+    }
+
+    /// Waits until a request that arrived whole may be decoded.
+    pub async fn may_adopt(&self) {
+        std::future::poll_fn(|cx| self.gate.poll_adopt(cx)).await;
+    }
+
+    /// Charges what a request that arrived whole needs to be carried out, without a limit.
+    pub fn adopt(self: &Arc<Self>, bytes: usize) -> Charge {
+        self.gate.with(|ledger| ledger.adopt(self.key, bytes));
+        Charge::adopted(self.clone(), bytes)
+    }
+
+    /// Adds bytes to a charge of this connection once there is room for them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection gives way.
+    pub async fn charge(&self, charge: &mut Charge, bytes: usize) -> Result<(), Evicted> {
+        std::future::poll_fn(|cx| self.gate.poll_charge(self.key, bytes, cx)).await?;
+        charge.add(bytes);
+        Ok(())
+    }
+
+    /// Charges bytes until the result is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection gives way.
+    pub async fn charge_exchange(self: &Arc<Self>, bytes: usize) -> Result<Charge, Evicted> {
+        let mut charge = Charge::new(self.clone());
+        self.charge(&mut charge, bytes).await?;
+        Ok(charge)
+    }
+
+    /// Charges an answer until it has been written.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection gives way.
+    pub async fn charge_answer(&self, bytes: usize) -> Result<(), Evicted> {
+        std::future::poll_fn(|cx| self.gate.poll_charge(self.key, bytes, cx)).await?;
+        *self.answer.lock().expect("answer lock") += bytes;
+        Ok(())
+    }
+
+    /// Charges bytes of a head that arrived.
+    pub(super) fn poll_charge_head(
+        &self,
+        bytes: usize,
+        cx: &Context<'_>,
+    ) -> Poll<Result<(), Evicted>> {
+        ready!(self.gate.poll_charge(self.key, bytes, cx))?;
+        *self.head.lock().expect("head lock") += bytes;
+        Poll::Ready(Ok(()))
+    }
+
+    /// Notes bytes that arrived, and returns what the connection is doing.
+    pub(super) fn arrived(&self, bytes: usize) -> Option<Stage> {
+        self.gate
+            .with(|ledger| ledger.arrived(self.key, bytes, clock::now()))
+    }
+
+    pub(super) fn set_blocked(&self, blocked: bool) {
+        self.gate
+            .with(|ledger| ledger.set_blocked(self.key, blocked, clock::now()));
+    }
+
+    /// Notes that all that was to be written has been.
+    pub(super) fn flushed(&self) {
+        let bytes = std::mem::take(&mut *self.answer.lock().expect("answer lock"));
+        if bytes > 0 {
+            self.give_back(bytes, false);
+        }
+    }
+
+    /// Ends an exchange, whose head is no longer needed.
+    pub(super) fn close(&self) {
+        let head = std::mem::take(&mut *self.head.lock().expect("head lock"));
+        self.gate.give_back(|ledger| {
+            ledger.release(self.key, head);
+            ledger.close(self.key, clock::now());
+        });
+    }
+
+    pub(super) fn give_back(&self, bytes: usize, adopted: bool) {
+        self.gate.give_back(|ledger| match adopted {
+            true => ledger.disown(self.key, bytes),
+            false => ledger.release(self.key, bytes),
+        });
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.gate.remove(self.key);
+    }
+}
--- /dev/null
+++ b/src/intake/stage.rs
@@ -0,0 +1,12 @@
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No byte of a request has arrived.
+    Idle,
+    /// The head of a request is arriving.
+    Head,
+    /// The body of a request is arriving.
+    Body,
+    /// A request has arrived whole and is served or answered.
+    Answer,
+}
--- /dev/null
+++ b/src/intake/stream.rs
@@ -0,0 +1,116 @@
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::{READ_BYTES, Seat, Stage};
+
+/// Buffers of a head double as they grow, so a byte of a head may take two.
+const HEAD_FACTOR: usize = 2;
+
+/// Socket of a client that charges heads as they arrive, and that reads nothing while the client
+/// takes no answers.
+#[derive(Debug)]
+pub struct Stream {
+    socket: TcpStream,
+    seat: Arc<Seat>,
+    /// Bytes of a head that arrived and are not charged yet.
+    debt: usize,
+    /// Whether the socket did not take all that was written to it.
+    blocked: bool,
+}
+
+impl Stream {
+    /// Makes a stream for a connection with a place at the gate.
+    pub fn new(socket: TcpStream, seat: Arc<Seat>) -> Self {
+        Self {
+            socket,
+            seat,
+            debt: 0,
+            blocked: false,
+        }
+    }
+
+    /// Returns the place of the connection.
+    pub fn seat(&self) -> &Arc<Seat> {
+        &self.seat
+    }
+
+    fn note_write<T>(&mut self, written: &Poll<io::Result<T>>) {
+        let blocked = written.is_pending();
+        if blocked != self.blocked {
+            self.blocked = blocked;
+            self.seat.set_blocked(blocked);
+        }
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        if this.blocked {
+            // The task is woken when the socket takes more.
+            return Poll::Pending;
+        }
+        if this.debt > 0 && this.seat.stage() == Some(Stage::Idle) {
+            // The exchange of the head has ended.
+            this.debt = 0;
+        }
+        if this.debt > 0 {
+            ready!(this.seat.poll_charge_head(this.debt, cx)).map_err(io::Error::other)?;
+            this.debt = 0;
+        }
+        let most = buf.remaining().min(READ_BYTES);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(most));
+        ready!(Pin::new(&mut this.socket).poll_read(cx, &mut part))?;
+        let length = part.filled().len();
+        buf.advance(length);
+        if length > 0 && this.seat.arrived(length) == Some(Stage::Head) {
+            this.debt = length * HEAD_FACTOR;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.socket).poll_write(cx, buf);
+        self.note_write(&written);
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.socket).poll_write_vectored(cx, bufs);
+        self.note_write(&written);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.socket).poll_flush(cx))?;
+        self.seat.flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod explain;
 pub mod fleet;
 pub mod front;
+pub mod intake;
 pub mod jobs;
 pub mod limit;
 pub mod measure;
--- /dev/null
+++ b/tests/intake/places.rs
@@ -0,0 +1,88 @@
+use coriandernotch::intake::{Admission, Cause, Port};
+
+use crate::scene::{BODY, Scene};
+
+/// Guards against a crowd of idle connections that shuts ordinary callers out, and against more
+/// connections than descriptors: the place is free only once the other connection has ended.
+#[test]
+fn an_idle_connection_gives_way_to_a_new_one() {
+    let mut scene = Scene::new(3, 2 * BODY);
+    let idle = scene.admit();
+    scene.wait_ms(1_000);
+    let served = [scene.open(), scene.open()];
+    served
+        .iter()
+        .for_each(|key| scene.ledger.complete(*key, scene.now));
+    assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
+    assert_eq!(scene.evicted(), [(idle, Cause::Connections)]);
+    assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
+    assert_eq!(scene.evicted(), []);
+    scene.ledger.remove(idle);
+    assert!(matches!(
+        scene.try_admit(Port::Callers),
+        Admission::Admitted(_)
+    ));
+}
+
+/// Guards against a connection that has stopped in the middle of a request and stays while an idle
+/// one, which may send a request at any time, gives way.
+#[test]
+fn a_stalled_request_gives_way_before_an_idle_connection() {
+    let mut scene = Scene::new(2, 2 * BODY);
+    let _idle = scene.admit();
+    let stalled = scene.open();
+    scene.wait_ms(5_000);
+    assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
+    assert_eq!(scene.evicted(), [(stalled, Cause::Connections)]);
+}
+
+/// Guards against a client that reads no answers and so keeps its place for ever.
+#[test]
+fn an_answer_that_is_not_taken_gives_way() {
+    let mut scene = Scene::new(2, 2 * BODY);
+    let keys = [scene.open(), scene.open()];
+    keys.iter()
+        .for_each(|key| scene.ledger.complete(*key, scene.now));
+    scene.ledger.set_blocked(keys[1], true, scene.now);
+    assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
+    assert_eq!(scene.evicted(), []);
+    scene.wait_ms(1_000);
+    assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
+    assert_eq!(scene.evicted(), [(keys[1], Cause::Connections)]);
+}
+
+/// Guards against newcomers that drive out requests which are arriving well: among equals, the
+/// newest gives way.
+#[test]
+fn among_equals_the_newest_gives_way() {
+    let mut scene = Scene::new(2, 2 * BODY);
+    let _first = scene.open();
+    scene.wait_ms(10);
+    let second = scene.open();
+    assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
+    assert_eq!(scene.evicted(), [(second, Cause::Connections)]);
+}
+
+/// Guards against callers that take the places of the balancer's questions: the instance would get
+/// no connections any more.
+#[test]
+fn callers_leave_the_places_of_other_ports() {
+    let mut scene = Scene::new(2, 64 * BODY);
+    let keys = [scene.open(), scene.open()];
+    keys.iter()
+        .for_each(|key| scene.ledger.complete(*key, scene.now));
+    let side = scene.ledger.limits().side_connections;
+    for _ in 0..side {
+        assert!(matches!(
+            scene.try_admit(Port::Readiness),
+            Admission::Admitted(_)
+        ));
+    }
+    scene.wait_ms(1_000);
+    assert_eq!(scene.try_admit(Port::Readiness), Admission::Wait);
+    assert!(matches!(
+        scene.try_admit(Port::Metrics),
+        Admission::Admitted(_)
+    ));
+    assert_eq!(scene.evicted().len(), 1);
+}
