Bound what callers of an entry instance on the platform occupy

The port on the platform, readiness and metrics had no limit on connections, on the sum of bodies, or on a head except hyper's 400 KiB; a body was kept as slices of larger read buffers, and the caller's own deadline was the only time limit.

They now share one gate. Bodies are copied into one buffer whose capacity is charged; heads have 32 KiB and 10 s, bodies 10 s, answers 10 s to be taken, deadlines are cut to 30 s. A body that has to give way is answered 503; a submission that has been read stays, and is decoded only while the budget is not exceeded or alone. Settings memory-mb and max-descriptors derive the limits; `limits` sets single ones.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
@@ -14,6 +14,7 @@
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use crate::batch::{Config, Progress, Record, Route, State};
 use crate::clock;
+use crate::intake::{self, Seat, Whole};
 use crate::platform::api::{Fault, Operation, Outcome, Protocol, Transaction, decode_submission};
 
 /// Maximum size of a body when the configuration sets none.
@@ -36,15 +37,23 @@
 pub(super) type HttpResponse = Response<Full<Bytes>>;
 
 /// Serves one request within the deadline of its caller.
-pub(super) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> HttpResponse {
+pub(super) async fn serve(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    seat: Arc<Seat>,
+) -> HttpResponse {
     let begun = clock::now();
     let method = request.method().as_str().to_owned();
     let path = request.uri().path().to_owned();
     let header_name = Protocol::deadline_header();
     let wait = header_text(request.headers(), header_name).and_then(|text| text.parse().ok());
     let wait = wait.map_or(DEFAULT_DEADLINE, Duration::from_millis);
-    let wait = wait.saturating_sub(DEADLINE_MARGIN).max(DEADLINE_MARGIN);
-    let response = match tokio::time::timeout(wait, handle(&shared, request)).await {
+    let longest = Duration::from_millis(shared.settings.limits.deadline_ms);
+    let wait = wait
+        .min(longest)
+        .saturating_sub(DEADLINE_MARGIN)
+        .max(DEADLINE_MARGIN);
+    let response = match tokio::time::timeout(wait, handle(&shared, request, &seat)).await {
         Ok(response) => response,
         Err(_) => failure(
             StatusCode::GATEWAY_TIMEOUT,
@@ -64,7 +73,7 @@
     response
 }
 
-async fn handle(shared: &Shared, request: Request<Incoming>) -> HttpResponse {
+async fn handle(shared: &Shared, request: Request<Incoming>, seat: &Arc<Seat>) -> HttpResponse {
     let (head, body) = request.into_parts();
     let arrived_ms = unix_time_ms();
     let Some(config) = fresh_config(shared) else {
@@ -91,14 +100,25 @@
             } else {
                 DEFAULT_MAX_BODY_BYTES
             };
-            let body = Limited::new(body, max_body).collect().await;
-            let Ok(body) = body else {
-                return failure(StatusCode::PAYLOAD_TOO_LARGE, "body too long or broken off");
+            let body = match intake::read(seat, body, max_body).await {
+                Ok(body) => body,
+                Err(intake::Fault::Evicted(_)) => {
+                    return unavailable("no room for the body, or it was too slow");
+                }
+                Err(intake::Fault::TooLong | intake::Fault::Broken(_)) => {
+                    return failure(StatusCode::PAYLOAD_TOO_LARGE, "body too long or broken off");
+                }
             };
-            submit_job(shared, route, workspace, rest, &body.to_bytes(), arrived_ms).await
+            submit_job(shared, route, workspace, rest, (seat, body), arrived_ms).await
+        }
+        Some(Operation::Ask) => {
+            seat.complete();
+            query_job(shared, rest).await
+        }
+        Some(Operation::Cancel) => {
+            seat.complete();
+            cancel_job(shared, rest).await
         }
-        Some(Operation::Ask) => query_job(shared, rest).await,
-        Some(Operation::Cancel) => cancel_job(shared, rest).await,
         Some(Operation::Count) => count_pending(shared, route),
         None => failure(StatusCode::METHOD_NOT_ALLOWED, "no such call on a queue"),
     }
@@ -114,13 +134,15 @@
     route: &Route,
     workspace: Arc<str>,
     id: &str,
-    body: &[u8],
+    (seat, body): (&Arc<Seat>, Whole),
     arrived_ms: u64,
 ) -> HttpResponse {
-    let spec = match decode_submission(body) {
+    seat.may_adopt().await;
+    let spec = match decode_submission(body.bytes()) {
         Ok(spec) => spec,
         Err(reason) => return failure(StatusCode::BAD_REQUEST, &reason),
     };
+    drop(body);
     let record = Record {
         route: route.name.clone(),
         service: route.service.clone(),
@@ -129,8 +151,12 @@
         arrived_ms,
         spec,
     };
-    let committed = shared.committer.commit(id, row::encode(&record)).await;
-    log::info!(event = "job-submitted", job = id, route = route.name, workspace = record.workspace,
+    let workspace = record.workspace.clone();
+    let content = row::encode(&record);
+    drop(record);
+    let _charge = seat.adopt(content.capacity());
+    let committed = shared.committer.commit(id, content).await;
+    log::info!(event = "job-submitted", job = id, route = route.name, workspace,
         result:? = committed; "");
     match committed {
         Acceptance::Stored => success(Bytes::new()),
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use eyre::{Report, WrapErr, eyre};
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 
@@ -15,6 +14,7 @@
 use super::shared::{Shared, unix_time_ms};
 use super::supervise::supervise;
 use super::{caller_port, follow_desired, lead, readiness, telemetry};
+use crate::intake::{self, Gate};
 use crate::platform::api::Store;
 
 /// Runs an entry instance until SIGTERM or SIGINT, with settings that were read from `path`.
@@ -26,18 +26,10 @@
     let mut terminate = signal(SignalKind::terminate()).wrap_err("step=signal")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("step=signal")?;
     let mut hangup = signal(SignalKind::hangup()).wrap_err("step=signal")?;
-    let caller_listener = TcpListener::bind(settings.callers)
-        .await
-        .wrap_err("step=bind-callers")?;
-    let readiness_listener = TcpListener::bind(settings.readiness)
-        .await
-        .wrap_err("step=bind-readiness")?;
+    let caller_listener = intake::listen(settings.callers).wrap_err("step=bind-callers")?;
+    let readiness_listener = intake::listen(settings.readiness).wrap_err("step=bind-readiness")?;
     let metrics_listener = match settings.metrics {
-        Some(address) => Some(
-            TcpListener::bind(address)
-                .await
-                .wrap_err("step=bind-metrics")?,
-        ),
+        Some(address) => Some(intake::listen(address).wrap_err("step=bind-metrics")?),
         None => None,
     };
     let (committer, receivers) = Committer::new();
@@ -50,6 +42,7 @@
         term: Mutex::default(),
         stopping: AtomicBool::new(false),
         stop: Notify::new(),
+        gate: Gate::new(settings.intake()),
         settings,
     });
     log::info!(event = "instance-started", name = shared.settings.name,
@@ -58,6 +51,7 @@
         tokio::spawn(commit::store(shared.clone(), partition, receiver));
     }
     let (close, closing) = watch::channel(false);
+    tokio::spawn(shared.gate.clone().sweep());
     tokio::spawn(supervise("follow-desired", {
         let shared = shared.clone();
         move || follow_desired::follow_desired(shared.clone())
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -23,6 +23,7 @@
 mod instance;
 mod lag;
 mod lead;
+mod limits;
 mod listing;
 mod load;
 mod load_term;
@@ -47,5 +48,6 @@
 mod transfer;
 
 pub use instance::run;
+pub use limits::Limits;
 pub use settings::{Bounds, Settings};
 pub use supervise::supervise;
--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -8,11 +8,13 @@
 use super::admin_port::{self, HttpResponse};
 use super::shared::Shared;
 use crate::clock;
+use crate::intake::Port;
 use crate::platform::api::READINESS_PATH;
 
 /// Serves the port at which the balancer asks whether this instance takes new connections.
 pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    admin_port::serve("readiness", listener, move |request| {
+    let gate = shared.gate.clone();
+    admin_port::serve(gate, Port::Readiness, listener, move |request| {
         respond(&shared, request.uri().path())
     })
     .await;
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,6 +3,8 @@
 
 use serde::Deserialize;
 
+use super::limits::Limits;
+use crate::intake;
 use crate::settings::Level;
 
 /// Settings of an entry instance.
@@ -38,6 +40,9 @@
     /// File descriptors that the process may have open.
     #[serde(default)]
     pub max_descriptors: Option<u32>,
+    /// Single limits on callers, in place of those that follow from memory and descriptors.
+    #[serde(default)]
+    pub limits: Limits,
     /// Durations that the platform guarantees or requires.
     #[serde(default)]
     pub bounds: Bounds,
@@ -89,6 +94,22 @@
 }
 
 impl Settings {
+    /// Returns the limits of what connections may occupy.
+    ///
+    /// ```
+    /// use coriandernotch::entry::Settings;
+    ///
+    /// let text = r#"{"name": "e", "data-centre": "a", "callers": "127.0.0.1:1",
+    ///     "readiness": "127.0.0.1:2", "store": "127.0.0.1:3", "memory-mb": 160,
+    ///     "limits": {"connections": 7}}"#;
+    /// let limits = Settings::parse(text).unwrap().intake();
+    /// assert_eq!((limits.bytes, limits.connections), (80 << 20, 7));
+    /// ```
+    pub fn intake(&self) -> intake::Limits {
+        let derived = intake::Limits::new(self.memory_mb, self.max_descriptors);
+        self.limits.apply(derived)
+    }
+
     /// Parses settings in JSON with comments.
     ///
     /// # Errors
--- a/src/entry/telemetry.rs
+++ b/src/entry/telemetry.rs
@@ -10,6 +10,7 @@
 use super::admin_port::{self, HttpResponse};
 use super::shared::Shared;
 use crate::batch::Load;
+use crate::intake::Port;
 use crate::{clock, telemetry};
 
 /// Path at which metrics are served.
@@ -27,7 +28,8 @@
             telemetry::render();
         }
     });
-    admin_port::serve("metrics", listener, move |request| {
+    let gate = shared.gate.clone();
+    admin_port::serve(gate, Port::Metrics, listener, move |request| {
         respond(&shared, request.uri().path())
     })
     .await;
@@ -45,6 +47,7 @@
 
 /// Sets the gauges from the current state, at each request for the metrics.
 fn set_gauges(shared: &Shared) {
+    shared.gate.set_gauges();
     let now = clock::now();
     let flag = |value: bool| f64::from(u8::from(value));
     gauge!("instance_ready").set(flag(shared.has_fresh_config(now) && !shared.is_stopping()));
