Let connections without a request give way before ones that send one

Among equals the newest gives way. Now the age is that of the connection, and newcomers without a request come before requests that arrive.

--- a/src/intake/guest.rs
+++ b/src/intake/guest.rs
@@ -20,6 +20,7 @@
 #[derive(Debug)]
 pub(super) struct Guest {
     pub(super) port: Port,
+    admitted: Instant,
     pub(super) stage: Stage,
     stage_since: Instant,
     /// Bytes charged beyond those of the connection itself.
@@ -43,6 +44,7 @@
     pub(super) fn new(port: Port, now: Instant) -> Self {
         Self {
             port,
+            admitted: now,
             stage: Stage::Idle,
             stage_since: now,
             held: 0,
@@ -94,14 +96,14 @@
             Stage::Idle if now.since(self.stage_since) >= STALL_TIME => {
                 Some(Rank::Idle(self.stage_since))
             }
-            Stage::Idle => Some(Rank::Active(WHOLE, Reverse(self.stage_since))),
+            Stage::Idle => Some(Rank::New(Reverse(self.admitted))),
             Stage::Head | Stage::Body => {
                 // A request that waits for bytes of the budget does not stall by itself.
                 let share = self.share(self.waits_since.unwrap_or(now));
                 if share < STALLED_SHARE {
                     Some(Rank::Stalled(share, self.stage_since))
                 } else {
-                    Some(Rank::Active(share, Reverse(self.stage_since)))
+                    Some(Rank::Active(share, Reverse(self.admitted)))
                 }
             }
         }
--- a/src/intake/rank.rs
+++ b/src/intake/rank.rs
@@ -10,6 +10,9 @@
     Stalled(usize, Instant),
     /// No request: since when.
     Idle(Instant),
-    /// A request that arrives: the share that arrived lately, and since when; the newest first.
+    /// A new connection without a request: its admission; the newest first.
+    New(Reverse<Instant>),
+    /// A request that arrives: the share that arrived lately, and the admission of its connection;
+    /// the newest first.
     Active(usize, Reverse<Instant>),
 }
--- a/src/intake/stream.rs
+++ b/src/intake/stream.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Returns the socket and its place, for what is read without being kept.
+    pub fn into_parts(self) -> (TcpStream, Arc<Seat>) {
+        (self.socket, self.seat)
+    }
+
     /// Returns the place of the connection.
     pub fn seat(&self) -> &Arc<Seat> {
         &self.seat
