--- a/src/front/callers/jobs/handler.rs
+++ b/src/front/callers/jobs/handler.rs
@@ -13,6 +13,7 @@
 use crate::front::callers::body::Body;
 use crate::front::callers::reply::Reply;
 use crate::front::callers::request::{check_head, read_key};
+use crate::intake::Seat;
 use crate::peer::Hub;
 use crate::platform::Table;
 
@@ -38,24 +39,32 @@
     pub(in crate::front::callers) async fn answer(
         &self,
         request: Request<Incoming>,
+        seat: &Arc<Seat>,
     ) -> Response<Body> {
-        match self.run(request).await {
+        match self.run(request, seat).await {
             Ok(response) => response,
             Err(reply) => reply.into_response(),
         }
     }
 
-    async fn run(&self, request: Request<Incoming>) -> Result<Response<Body>, Reply> {
+    async fn run(
+        &self,
+        request: Request<Incoming>,
+        seat: &Arc<Seat>,
+    ) -> Result<Response<Body>, Reply> {
         let (parts, body) = request.into_parts();
         check_head(&parts)?;
         let request = Request::from_parts(parts, body);
         let unknown = Reply::not_run(StatusCode::NOT_FOUND, "unknown path");
         let path = Path::read(request.uri()).ok_or(unknown)?;
         let caller = self.enter(&request)?;
+        if request.method() != Method::POST {
+            seat.complete();
+        }
         match (request.method(), path) {
             (&Method::POST, Path::Queue { queue, .. }) => {
                 caller.check_queue(&queue)?;
-                submit(&self.context, &caller, &queue, request).await
+                submit(&self.context, &caller, &queue, request, seat).await
             }
             (
                 &Method::GET,
--- a/src/front/callers/jobs/submit.rs
+++ b/src/front/callers/jobs/submit.rs
@@ -1,7 +1,6 @@
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
@@ -14,6 +13,7 @@
 use crate::front::callers::body::Body;
 use crate::front::callers::claimed::IDEMPOTENCY_KEY;
 use crate::front::callers::reply::Reply;
+use crate::intake::{self, Fault, Seat, Whole};
 use crate::jobs::{Reason, Record, State, unix_time_ms};
 use crate::platform::{Condition, Error, Row, Write};
 
@@ -29,6 +29,7 @@
     caller: &Caller,
     queue: &str,
     request: Request<Incoming>,
+    seat: &Arc<Seat>,
 ) -> Result<Response<Body>, Reply> {
     let bad = |reason| Reply::not_run(StatusCode::BAD_REQUEST, reason);
     let id = match read_idempotency(request.headers())? {
@@ -36,8 +37,8 @@
         Some(key) => derive(&format!("{}\n{key}", caller.workspace)),
         None => context.new_id(),
     };
-    let body = read_body(request).await?;
-    let submission = Submission::read(&body).map_err(bad)?;
+    let body = read_body(request, seat).await?;
+    let submission = Submission::read(body.bytes()).map_err(bad)?;
     let now = unix_time_ms();
     let record = Record {
         workspace: caller.workspace.clone(),
@@ -46,7 +47,7 @@
         urgent: submission.urgent,
         checkpoints: submission.checkpoints,
         payload: submission.payload,
-        request: Digest::of(&body),
+        request: Digest::of(body.bytes()),
         state: State::Queued,
         reason: Reason::Submitted,
         submitted: now,
@@ -125,15 +126,19 @@
         .ok_or(Reply::not_run(StatusCode::BAD_REQUEST, wrong))
 }
 
-async fn read_body(request: Request<Incoming>) -> Result<Bytes, Reply> {
-    let body = Limited::new(request.into_body(), Submission::MAX).collect();
+async fn read_body(request: Request<Incoming>, seat: &Arc<Seat>) -> Result<Whole, Reply> {
+    let body = intake::read(seat, request.into_body(), Submission::MAX);
     match tokio::time::timeout(BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reply::not_run(
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(Fault::TooLong)) => Err(Reply::not_run(
             StatusCode::PAYLOAD_TOO_LARGE,
             "submission is larger than 16 KiB",
         )),
-        Ok(Err(_)) => Err(Reply::not_run(StatusCode::BAD_REQUEST, "body broke off")),
+        Ok(Err(Fault::Evicted(_))) => Err(Reply::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no memory for the body",
+        )),
+        Ok(Err(Fault::Broken(_))) => Err(Reply::not_run(StatusCode::BAD_REQUEST, "body broke off")),
         Err(_) => Err(Reply::not_run(
             StatusCode::REQUEST_TIMEOUT,
             "body did not arrive within 5 s",
--- a/src/front/callers/limits.rs
+++ b/src/front/callers/limits.rs
@@ -1,7 +1,12 @@
 use std::time::Duration;
 
+use crate::intake;
 use crate::settings::Bounds;
 
+/// How much later than [`super::activity::Activity`] the gate ends a connection, which does so at
+/// once; the first lets HTTP/2 callers know.
+const GATE_FACTOR: u32 = 2;
+
 /// Bounds of the callers' port.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -21,6 +26,10 @@
     pub stall_timeout: Duration,
     /// Time for a connection to a target to be made.
     pub connect_timeout: Duration,
+    /// Memory of the machine in MiB, if it bounds connections.
+    pub memory_mb: Option<u32>,
+    /// Descriptors of the process, if they bound connections.
+    pub max_descriptors: Option<u32>,
 }
 
 impl Default for Limits {
@@ -34,6 +43,8 @@
             idle_timeout: Duration::from_secs(60),
             stall_timeout: Duration::from_secs(10),
             connect_timeout: Duration::from_secs(1),
+            memory_mb: None,
+            max_descriptors: None,
         }
     }
 }
@@ -46,12 +57,37 @@
             header_timeout: Duration::from_millis(bounds.header_read_ms.into()),
             body_bytes: bounds.body_bytes,
             idle_timeout: Duration::from_millis(bounds.idle_ms.into()),
+            memory_mb: bounds.memory_mb,
+            max_descriptors: bounds.max_descriptors,
             ..Self::default()
         }
     }
 }
 
 impl Limits {
+    /// Returns the limits of the gate. Without the memory in the settings, the budget has room for
+    /// small requests on all connections.
+    pub(super) fn intake(&self) -> intake::Limits {
+        let derived = intake::Limits::new(self.memory_mb, self.max_descriptors);
+        let connections = match (self.memory_mb, self.max_descriptors) {
+            (None, None) => self.connections,
+            _ => self.connections.min(derived.connections),
+        };
+        let each = 4 * (intake::CONNECTION_BYTES + intake::SMALL_BYTES);
+        let limits = match self.memory_mb {
+            Some(_) => derived,
+            None => derived.with_bytes(derived.bytes.max(connections * each)),
+        };
+        intake::Limits {
+            connections,
+            head_bytes: self.header_bytes.max(8 << 10),
+            head_time: self.header_timeout * GATE_FACTOR,
+            idle_time: self.idle_timeout * GATE_FACTOR,
+            write_time: self.stall_timeout * GATE_FACTOR,
+            ..limits
+        }
+    }
+
     /// Returns the time between two looks at a connection, half of the shortest bound.
     pub(super) fn look_every(&self) -> Duration {
         let shortest = self.idle_timeout.min(self.stall_timeout);
--- a/src/front/callers/port.rs
+++ b/src/front/callers/port.rs
@@ -4,6 +4,7 @@
 use super::{Connections, Limits, jobs};
 use crate::call::Dispatcher;
 use crate::claim;
+use crate::intake::Gate;
 
 /// What the connections of the callers' port share.
 pub struct Port {
@@ -12,6 +13,7 @@
     pub(super) connections: Arc<Connections>,
     pub(super) meters: Meters,
     pub(super) limits: Limits,
+    gate: Arc<Gate>,
     pub(super) jobs: Option<Arc<jobs::Handler>>,
 }
 
@@ -30,6 +32,7 @@
             connections: Arc::default(),
             meters: Meters::default(),
             limits,
+            gate: Gate::new(limits.intake()),
         })
     }
 
@@ -38,6 +41,11 @@
         &self.claims
     }
 
+    /// Returns what bounds the connections of the process.
+    pub fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
     /// Returns the idle connections to targets.
     pub fn connections(&self) -> &Connections {
         &self.connections
--- a/src/front/callers/serve.rs
+++ b/src/front/callers/serve.rs
@@ -1,5 +1,3 @@
-use std::convert::Infallible;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -9,7 +7,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::activity::Activity;
@@ -19,22 +17,26 @@
 use super::port::Port;
 use super::stream::Stream;
 use super::tracked::Tracked;
+use crate::intake::{self, Evicted, Seat};
+
+/// Bytes that one HTTP/2 connection may have sent ahead.
+const WINDOW_BYTES: u32 = 64 << 10;
 
 /// Streams of one HTTP/2 connection.
 const MAX_STREAMS: u32 = 256;
 
 /// Accepts callers until `stop` becomes true, then lets open requests end.
 pub async fn serve(port: Arc<Port>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-    let slots = Arc::new(Semaphore::new(port.limits.connections));
+    let sweep = tokio::spawn(port.gate().clone().sweep());
     loop {
         let accepted = tokio::select! {
-            accepted = accept(&listener, &slots) => accepted,
+            accepted = accept(&port, &listener) => accepted,
             () = stopped(&mut stop) => break,
         };
         match accepted {
-            Ok((slot, stream, peer)) => {
+            Ok((seat, stream, peer)) => {
                 let (port, stop) = (port.clone(), stop.clone());
-                tokio::spawn(serve_connection(port, stream, slot, peer, stop));
+                tokio::spawn(serve_connection(port, stream, seat, peer, stop));
             }
             Err(error) => {
                 log::warn!(event = "accept-failed", error:% = error; "");
@@ -44,30 +46,24 @@
         }
     }
     drop(listener);
-    let all = u32::try_from(port.limits.connections).unwrap_or(u32::MAX);
-    drop(slots.acquire_many(all).await);
+    port.gate().emptied(intake::Port::Callers).await;
+    sweep.abort();
 }
 
-/// Accepts a connection once there is room for it; above the limit connections wait in the listen
-/// backlog.
+/// Accepts a connection and waits until it has a place; the next ones wait in the listen backlog.
 async fn accept(
+    port: &Port,
     listener: &TcpListener,
-    slots: &Arc<Semaphore>,
-) -> io::Result<(OwnedSemaphorePermit, TcpStream, SocketAddr)> {
-    let slot = slots
-        .clone()
-        .acquire_owned()
-        .await
-        .map_err(io::Error::other)?;
+) -> std::io::Result<(Arc<Seat>, TcpStream, SocketAddr)> {
     let (stream, peer) = listener.accept().await?;
-    Ok((slot, stream, peer))
+    Ok((port.gate().admit(intake::Port::Callers).await, stream, peer))
 }
 
 /// The task of one caller's connection.
 async fn serve_connection(
     port: Arc<Port>,
     stream: TcpStream,
-    slot: OwnedSemaphorePermit,
+    seat: Arc<Seat>,
     peer: SocketAddr,
     mut stop: watch::Receiver<bool>,
 ) {
@@ -87,23 +83,35 @@
         .http2()
         .timer(TokioTimer::new())
         .max_concurrent_streams(MAX_STREAMS)
+        // Parts that arrived and are not passed on stay within the charge for a connection.
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
         .keep_alive_interval(limits.header_timeout)
         .keep_alive_timeout(limits.header_timeout);
     let activity = Activity::new();
     let service = service_fn(|request: Request<Incoming>| {
         let (port, open) = (port.clone(), activity.open());
+        let (seat, place) = (seat.clone(), seat.open());
         async move {
+            let head = seat.charge_exchange(head_bytes(&request)).await?;
             let jobs = port.jobs.clone();
             let jobs = jobs.filter(|_| Jobs::takes(request.uri().path()));
             let response = match jobs {
-                Some(jobs) => jobs.answer(request).await,
-                None => exchange(port, request).await,
+                Some(jobs) => jobs.answer(request, &seat).await,
+                None => {
+                    // `Guard` bounds the body, which is passed on in parts.
+                    seat.complete();
+                    exchange(port, request).await
+                }
             };
-            Ok::<_, Infallible>(response.map(|body| Tracked::new(body, open)))
+            Ok::<_, Evicted>(response.map(|body| Tracked::new(body, open, (place, head))))
         }
     });
-    let stream = TokioIo::new(Stream::new(stream, slot, activity.clone()));
+    let stream = TokioIo::new(Stream::new(
+        intake::Stream::new(stream, seat.clone()),
+        activity.clone(),
+    ));
     let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
     let mut looks = tokio::time::interval(limits.look_every());
     let mut stopping = false;
@@ -116,6 +124,7 @@
                 stopping = true;
                 connection.as_mut().graceful_shutdown();
             }
+            () = seat.evicted() => return,
             _ = looks.tick() => match activity.check(&limits) {
                 Bound::Kept => {}
                 Bound::Idle if closing.is_none() => {
@@ -135,6 +144,14 @@
     }
 }
 
+/// Returns the size of a head, which one connection may have many of in HTTP/2.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    let headers = request.headers().iter();
+    headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum()
+}
+
 /// Waits until `stop` becomes true or its sender is gone.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     drop(stop.wait_for(|stop| *stop).await);
--- a/src/front/callers/stream.rs
+++ b/src/front/callers/stream.rs
@@ -6,10 +6,10 @@
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::timeout;
 
 use super::activity::Activity;
+use crate::intake;
 
 /// First bytes of HTTP/2 (RFC 9113, section 3.4); no HTTP/1 method begins with them.
 const PREFACE: &[u8] = b"PRI ";
@@ -21,30 +21,24 @@
 /// Socket of a caller that notes when the bytes of a request begin to arrive.
 #[derive(Debug)]
 pub(super) struct Stream {
-    inner: Socket,
+    /// Socket with its place at the gate, until the stream is dropped.
+    inner: Option<intake::Stream>,
     activity: Arc<Activity>,
     /// How many bytes were equal to the preface; `None` when one was not.
     matched: Option<usize>,
 }
 
-/// Socket with its place among the connections, until the stream is dropped.
-type Socket = Option<(TcpStream, OwnedSemaphorePermit)>;
-
 impl Stream {
-    pub(super) fn new(
-        inner: TcpStream,
-        slot: OwnedSemaphorePermit,
-        activity: Arc<Activity>,
-    ) -> Self {
+    pub(super) fn new(inner: intake::Stream, activity: Arc<Activity>) -> Self {
         Self {
-            inner: Some((inner, slot)),
+            inner: Some(inner),
             activity,
             matched: Some(0),
         }
     }
 
-    fn socket(&mut self) -> io::Result<Pin<&mut TcpStream>> {
-        let (socket, _) = self.inner.as_mut().ok_or(io::ErrorKind::NotConnected)?;
+    fn socket(&mut self) -> io::Result<Pin<&mut intake::Stream>> {
+        let socket = self.inner.as_mut().ok_or(io::ErrorKind::NotConnected)?;
         Ok(Pin::new(socket))
     }
 
@@ -60,6 +54,9 @@
         }
         if self.matched == Some(PREFACE.len()) {
             self.activity.forget_head();
+            if let Some(socket) = &self.inner {
+                socket.seat().multiplex();
+            }
         }
     }
 }
@@ -96,7 +93,7 @@
 
     fn is_write_vectored(&self) -> bool {
         let socket = self.inner.as_ref();
-        socket.is_some_and(|(socket, _)| socket.is_write_vectored())
+        socket.is_some_and(AsyncWrite::is_write_vectored)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -110,12 +107,19 @@
 
 impl Drop for Stream {
     fn drop(&mut self) {
-        if let Some((socket, slot)) = self.inner.take() {
-            tokio::spawn(async move {
-                let _ = timeout(LINGER, linger(socket)).await;
-                drop(slot);
-            });
+        let Some((socket, seat)) = self.inner.take().map(intake::Stream::into_parts) else {
+            return;
+        };
+        // The place of a connection that gives way is needed at once.
+        if seat.is_evicted() {
+            return;
         }
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = timeout(LINGER, linger(socket)) => {}
+                () = seat.evicted() => {}
+            }
+        });
     }
 }
 
--- a/src/node/node.rs
+++ b/src/node/node.rs
@@ -14,6 +14,7 @@
 use crate::config::Voter;
 use crate::control::Control;
 use crate::front::{callers, operators};
+use crate::intake;
 use crate::peer::{Member, listen};
 use crate::platform::Platform;
 use crate::settings::Settings;
@@ -36,9 +37,11 @@
     ///
     /// A port cannot be bound. While the store is down, this waits instead of failing.
     pub async fn start(settings: Settings, platform: Platform) -> Result<Self, Report> {
-        let callers = bind("callers", settings.listen.callers).await?;
-        let peers = bind("peers", settings.listen.peers).await?;
-        let operators = bind("operators", settings.listen.operators).await?;
+        let callers = bind("callers", settings.listen.callers)?;
+        let peers = TcpListener::bind(settings.listen.peers).await;
+        let peers = peers
+            .wrap_err_with(|| format!("step=bind port=peers peer={}", settings.listen.peers))?;
+        let operators = bind("operators", settings.listen.operators)?;
         let member = make_member(&settings, &callers, &peers, &operators)?;
         let member = join::join(&platform, member).await?;
         let own = Voter::new(&member.name, member.incarnation);
@@ -98,10 +101,8 @@
     }
 }
 
-async fn bind(port: &'static str, address: SocketAddr) -> Result<TcpListener, Report> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("step=bind port={port} peer={address}"))
+fn bind(port: &'static str, address: SocketAddr) -> Result<TcpListener, Report> {
+    intake::listen(address).wrap_err_with(|| format!("step=bind port={port} peer={address}"))
 }
 
 fn make_member(
--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -16,6 +16,12 @@
     pub header_read_ms: u32,
     /// Milliseconds that running calls get to finish after SIGTERM.
     pub shutdown_grace_ms: u32,
+    /// Memory of the machine in MiB, of which connections may occupy half.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<u32>,
+    /// Descriptors of the process, of which callers may occupy a quarter.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_descriptors: Option<u32>,
 }
 
 impl Default for Bounds {
@@ -28,6 +34,8 @@
             header_read_ms: 10_000,
             // The default longest run of a call plus 5 s to retire and close.
             shutdown_grace_ms: 35_000,
+            memory_mb: None,
+            max_descriptors: None,
         }
     }
 }
--- a/src/settings/shape.rs
+++ b/src/settings/shape.rs
@@ -137,6 +137,18 @@
             Default("35000"),
             "Milliseconds that running calls get to finish after SIGTERM.",
         ),
+        field(
+            "memory-mb",
+            Integer(32, 1 << 24),
+            Optional("room for small requests on all connections"),
+            "Memory of the machine in MiB, of which connections may occupy half.",
+        ),
+        field(
+            "max-descriptors",
+            Integer(64, 1 << 24),
+            Optional("`connections` alone"),
+            "Descriptors of the process, of which callers may occupy a quarter.",
+        ),
     ],
 };
 
