Test an ordinary request while the crowd sends, a legal body and the stop

The crowd of four kinds is refused altogether by the time it has sent everything, so the ordinary request after it met no crowd any more. Each test now sends one more a second after the crowd has begun. Two more tests: a body of 262,144 bytes on a calm instance, and SIGTERM beside a crowd. Crowds and bounds are unchanged.

--- a/tests/flood/main.rs
+++ b/tests/flood/main.rs
@@ -9,10 +9,12 @@
     reason = "the stand-ins of tests/entry are used only in part"
 )]
 
+mod body;
 mod crowd;
 mod kind;
 mod process;
 mod scene;
+mod stop;
 mod traffic;
 
 #[path = "../entry/end.rs"]
--- a/tests/flood/scene.rs
+++ b/tests/flood/scene.rs
@@ -7,10 +7,12 @@
 use tokio::sync::Mutex;
 
 use crate::crowd::Crowd;
-use crate::instance::{TIMEOUT, bounds, send_request, settings, start_with_settings};
+use crate::instance::{Instance, TIMEOUT, bounds, send_request, settings, start_with_settings};
 use crate::kind::Kind;
-use crate::platform::{ONE, TWO, job, start_platform};
+use crate::platform::{ONE, THREE, TWO, job, start_platform};
 use crate::process::Process;
+use crate::store::Store;
+use crate::worker::Worker;
 
 /// Memory of the machine in the settings, in MiB, which is also the bound on resident memory.
 const MEMORY_MB: u64 = 48;
@@ -24,21 +26,30 @@
 /// Time between two looks at the descriptors.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after which the crowd is connected and still sends.
+const EARLY: Duration = Duration::from_secs(1);
+
 /// Held by the test that runs: crowds of two tests would disturb each other.
-static RUNNING: LazyLock<Mutex<()>> = LazyLock::new(Mutex::default);
+pub(crate) static RUNNING: LazyLock<Mutex<()>> = LazyLock::new(Mutex::default);
 
-/// Lets a crowd loose on an instance and checks that the instance keeps to its bounds and serves an
-/// ordinary caller while the crowd is connected.
-async fn withstand(kind: Kind) {
-    let _running = RUNNING.lock().await;
-    let (_store, address, _worker) = start_platform().await;
-    let name: &'static str = kind.into();
+/// Starts an instance with lowered limits, which serves when this returns.
+pub(crate) async fn start(name: &str) -> ((Store, Worker), Instance) {
+    let (store, address, worker) = start_platform().await;
     let mut settings = settings(name, address, None, &bounds());
     settings["memory-mb"] = json!(MEMORY_MB);
     settings["max-descriptors"] = json!(MAX_DESCRIPTORS);
     let outputs = [Stdio::null(), Stdio::inherit()];
-    let mut instance = start_with_settings(name, address, &settings, outputs);
+    let instance = start_with_settings(name, address, &settings, outputs);
     instance.submit(ONE, "1").await;
+    ((store, worker), instance)
+}
+
+/// Lets a crowd loose on an instance and checks that the instance keeps to its bounds and serves an
+/// ordinary caller while the crowd is connected.
+async fn withstand(kind: Kind) {
+    let _running = RUNNING.lock().await;
+    let name: &'static str = kind.into();
+    let (_platform, mut instance) = start(name).await;
     let process = Process::new(instance.child.id());
     let before = process.peak_kib();
     let most = Arc::new(AtomicUsize::new(0));
@@ -55,13 +66,12 @@
         Kind::UnreadAnswers => instance.metrics,
         _ => instance.callers,
     };
-    let crowd = Crowd::gather(kind, to).await;
-    let begun = Instant::now();
-    let mut answered = false;
-    while !answered && begun.elapsed() < TIMEOUT {
-        let (status, _) = send_request(instance.callers, "POST", TWO, &job("1", 1)).await;
-        answered = status == 200;
-    }
+    let early = async {
+        tokio::time::sleep(EARLY).await;
+        submit(&instance, THREE).await
+    };
+    let (crowd, answered_early) = tokio::join!(Crowd::gather(kind, to), early);
+    let answered = submit(&instance, TWO).await;
     let lives = instance.child.try_wait().unwrap().is_none();
     assert!(lives, "{name}: the process has ended");
     looks.abort();
@@ -71,6 +81,7 @@
          request answered: {answered}, crowd connected: {}",
         crowd.size()
     );
+    assert!(answered_early, "{name}: no answer while the crowd sends");
     assert!(answered, "{name}: the ordinary request got no answer");
     assert!(peak <= MEMORY_MB << 10, "{name}: {peak} KiB");
     assert!(
@@ -79,6 +90,18 @@
     );
 }
 
+/// Submits an ordinary job, again until it is accepted, and returns whether it was.
+async fn submit(instance: &Instance, path: &str) -> bool {
+    let begun = Instant::now();
+    while begun.elapsed() < TIMEOUT {
+        let (status, _) = send_request(instance.callers, "POST", path, &job("1", 1)).await;
+        if status == 200 {
+            return true;
+        }
+    }
+    false
+}
+
 /// Guards against heads over the limit whose bytes are all kept.
 #[tokio::test(flavor = "multi_thread")]
 async fn withstands_long_heads() {
