Count adopted bytes of a connection that gives way

A connection whose client takes no answers may give way while its next request, which arrived whole, is about to be carried out. The bytes that it adopted were subtracted from what connections are about to give back without having been added: overflow in a debug build, a wrong budget in a release build.

--- a/src/intake/ledger.rs
+++ b/src/intake/ledger.rs
@@ -141,6 +141,9 @@
             guest.held += bytes;
             self.used += bytes;
             self.adopted += bytes;
+            if guest.leaving.is_some() {
+                self.leaving += bytes;
+            }
         }
     }
 
--- a/tests/intake/bytes.rs
+++ b/tests/intake/bytes.rs
@@ -221,3 +221,23 @@
     assert_eq!(scene.send(third, 150_000), Verdict::Refused);
     assert_eq!(scene.evicted(), [(third, Cause::Memory)]);
 }
+
+/// Guards against a sum that falls below zero: a connection whose client takes no answers gives way
+/// while its next request, which has arrived whole, is about to be carried out.
+#[test]
+fn a_request_is_adopted_on_a_connection_that_gives_way() {
+    let mut scene = Scene::new(1, 2 * BODY);
+    let key = scene.begin(1_000);
+    scene.ledger.complete(key, scene.now);
+    scene.ledger.set_blocked(key, true, scene.now);
+    scene.wait_ms(60_000);
+    scene.ledger.sweep(scene.now);
+    assert_eq!(scene.evicted(), [(key, Cause::UnreadAnswer)]);
+    scene.ledger.adopt(key, 5_000);
+    scene.ledger.release(key, 1_000);
+    scene.ledger.disown(key, 5_000);
+    scene.ledger.remove(key);
+    let next = scene.begin(BODY);
+    assert_eq!(scene.ledger.used(), BODY + CONNECTION_BYTES);
+    scene.ledger.remove(next);
+}
