--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HOST, HeaderMap, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
@@ -12,6 +12,7 @@
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use crate::batch::{Config, MAX_ROW_BYTES, Progress, Record, Route, State};
 use crate::clock::{self, Instant};
+use crate::intake::{self, Seat, Whole};
 use crate::job_store::{Acceptance, Partition};
 use crate::platform::api::{Fault, Operation, Outcome, Protocol, Transaction, decode_submission};
 
@@ -44,15 +45,24 @@
 pub(super) type HttpResponse = Response<Full<Bytes>>;
 
 /// Serves one request within the deadline of its caller.
-pub(super) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> HttpResponse {
+pub(super) async fn serve(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    seat: Arc<Seat>,
+) -> HttpResponse {
     let begun = clock::now();
     let method = request.method().as_str().to_owned();
     let path = request.uri().path().to_owned();
     let header_name = Protocol::deadline_header();
     let wait = header_text(request.headers(), header_name).and_then(|text| text.parse().ok());
     let wait = wait.map_or(DEFAULT_DEADLINE, Duration::from_millis);
-    let wait = wait.saturating_sub(DEADLINE_MARGIN).max(DEADLINE_MARGIN);
-    let response = match tokio::time::timeout(wait, handle(&shared, request, begun + wait)).await {
+    let longest = Duration::from_millis(shared.settings.limits.deadline_ms);
+    let wait = wait
+        .min(longest)
+        .saturating_sub(DEADLINE_MARGIN)
+        .max(DEADLINE_MARGIN);
+    let response = handle(&shared, request, &seat, begun + wait);
+    let response = match tokio::time::timeout(wait, response).await {
         Ok(response) => response,
         Err(_) => failure(
             StatusCode::GATEWAY_TIMEOUT,
@@ -72,7 +82,12 @@
     response
 }
 
-async fn handle(shared: &Shared, request: Request<Incoming>, answer_by: Instant) -> HttpResponse {
+async fn handle(
+    shared: &Shared,
+    request: Request<Incoming>,
+    seat: &Arc<Seat>,
+    answer_by: Instant,
+) -> HttpResponse {
     let (head, body) = request.into_parts();
     let arrival = Arrival {
         unix_ms: unix_time_ms(),
@@ -102,14 +117,25 @@
             } else {
                 DEFAULT_MAX_BODY_BYTES
             };
-            let body = Limited::new(body, max_body).collect().await;
-            let Ok(body) = body else {
-                return failure(StatusCode::PAYLOAD_TOO_LARGE, "body too long or broken off");
+            let body = match intake::read(seat, body, max_body).await {
+                Ok(body) => body,
+                Err(intake::Fault::Evicted(_)) => {
+                    return unavailable("no room for the body, or it was too slow");
+                }
+                Err(intake::Fault::TooLong | intake::Fault::Broken(_)) => {
+                    return failure(StatusCode::PAYLOAD_TOO_LARGE, "body too long or broken off");
+                }
             };
-            submit_job(shared, route, workspace, rest, &body.to_bytes(), arrival).await
+            submit_job(shared, route, workspace, rest, (seat, body), arrival).await
+        }
+        Some(Operation::Ask) => {
+            seat.complete();
+            query_job(shared, rest).await
+        }
+        Some(Operation::Cancel) => {
+            seat.complete();
+            cancel_job(shared, rest).await
         }
-        Some(Operation::Ask) => query_job(shared, rest).await,
-        Some(Operation::Cancel) => cancel_job(shared, rest).await,
         Some(Operation::Count) => count_pending(shared, route),
         None => failure(StatusCode::METHOD_NOT_ALLOWED, "no such call on a queue"),
     }
@@ -125,13 +151,15 @@
     route: &Route,
     workspace: Arc<str>,
     id: &str,
-    body: &[u8],
+    (seat, body): (&Arc<Seat>, Whole),
     arrival: Arrival,
 ) -> HttpResponse {
-    let spec = match decode_submission(body) {
+    seat.may_adopt().await;
+    let spec = match decode_submission(body.bytes()) {
         Ok(spec) => spec,
         Err(reason) => return failure(StatusCode::BAD_REQUEST, &reason),
     };
+    drop(body);
     let record = Record {
         route: route.name.clone(),
         service: route.service.clone(),
@@ -140,18 +168,21 @@
         arrived_ms: arrival.unix_ms,
         spec,
     };
+    let workspace = record.workspace.clone();
     let content = row::encode(&record);
+    drop(record);
     if content.len() > MAX_ROW_BYTES {
-        log::info!(event = "job-too-large", job = id, route = route.name,
-            workspace = record.workspace, bytes = content.len(); "");
+        log::info!(event = "job-too-large", job = id, route = route.name, workspace,
+            bytes = content.len(); "");
         let reason = "the job takes more room than a row of the store has";
         return failure(StatusCode::PAYLOAD_TOO_LARGE, reason);
     }
+    let _charge = seat.adopt(content.capacity());
     let committed = shared
         .committer
         .commit(id, content, arrival.answer_by)
         .await;
-    log::info!(event = "job-submitted", job = id, route = route.name, workspace = record.workspace,
+    log::info!(event = "job-submitted", job = id, route = route.name, workspace,
         result:? = committed; "");
     match committed {
         Acceptance::Stored => success(Bytes::new()),
--- a/src/entry/telemetry.rs
+++ b/src/entry/telemetry.rs
@@ -11,6 +11,7 @@
 use super::shared::Shared;
 use super::term::Term;
 use crate::batch::Load;
+use crate::intake::Port;
 use crate::{clock, telemetry};
 
 /// Path at which metrics are served.
@@ -28,7 +29,8 @@
             telemetry::render();
         }
     });
-    admin_port::serve("metrics", listener, move |request| {
+    let gate = shared.gate.clone();
+    admin_port::serve(gate, Port::Metrics, listener, move |request| {
         respond(&shared, request.uri().path())
     })
     .await;
@@ -46,6 +48,7 @@
 
 /// Sets the gauges from the current state, at each request for the metrics.
 fn set_gauges(shared: &Shared) {
+    shared.gate.set_gauges();
     let now = clock::now();
     let flag = |value: bool| f64::from(u8::from(value));
     gauge!("instance_ready").set(flag(shared.has_fresh_config(now) && !shared.is_stopping()));
