Test that callers leave readiness its connections

Both tests fail: with the whole budget held by requests that wait for the store, a connection of the readiness port is not admitted, and an idle one gives way to a caller that needs bytes.

--- a/tests/intake/places.rs
+++ b/tests/intake/places.rs
@@ -1,4 +1,4 @@
-use coriandernotch::intake::{Admission, Cause, Limits, Port};
+use coriandernotch::intake::{Admission, CONNECTION_BYTES, Cause, Limits, Port};
 
 use crate::scene::{BODY, Scene};
 
@@ -155,3 +155,38 @@
         assert_eq!(limits.connections, connections, "{memory_mb} {descriptors}");
     }
 }
+
+/// Guards against an instance that is taken for dead: callers hold the whole budget with requests that
+/// wait for the store, and the balancer's question for readiness is not accepted.
+#[test]
+fn readiness_is_admitted_when_callers_hold_the_whole_budget() {
+    let mut scene = Scene::new(4, 0);
+    for _ in 0..4 {
+        let key = scene.open();
+        scene.ledger.complete(key, scene.now);
+    }
+    let Admission::Admitted(key) = scene.try_admit(Port::Readiness) else {
+        panic!("there is a place");
+    };
+    assert_eq!(scene.ledger.used(), 5 * CONNECTION_BYTES);
+    scene.ledger.remove(key);
+    assert_eq!(scene.ledger.used(), 4 * CONNECTION_BYTES);
+    assert_eq!(scene.evicted(), []);
+}
+
+/// Guards against health checks that fail because callers need bytes: a connection of another port
+/// was closed between two questions.
+#[test]
+fn callers_do_not_drive_out_connections_of_other_ports() {
+    let mut scene = Scene::new(4, 0);
+    let Admission::Admitted(_readiness) = scene.try_admit(Port::Readiness) else {
+        panic!("there is a place");
+    };
+    scene.wait_ms(1_000);
+    for _ in 0..3 {
+        let key = scene.open();
+        scene.ledger.complete(key, scene.now);
+    }
+    assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
+    assert_eq!(scene.evicted(), []);
+}
