--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -38,6 +38,7 @@
 mod run;
 mod short_store;
 mod silent_connections;
+mod slow_bodies;
 mod slow_load;
 mod standin;
 mod store;
