Keep connections of the platform and of operators when callers need bytes

Where callers held the whole budget with requests that wait for a slow store, a health check was not accepted, and its idle connection was closed for a caller. The instance would be taken for dead.

--- a/src/intake/guest.rs
+++ b/src/intake/guest.rs
@@ -109,6 +109,12 @@
         }
     }
 
+    /// Returns whether the connection is closed where others need bytes. Idle ones of the platform and
+    /// of operators are kept, since a health check on a closed connection counts as failed.
+    pub(super) fn gives_way_for_bytes(&self) -> bool {
+        self.port == Port::Callers || self.stage != Stage::Idle
+    }
+
     /// Returns the share of the request that arrived lately.
     fn share(&self, now: Instant) -> usize {
         let lately = self.progress.weigh(now).min(self.received);
--- a/src/intake/ledger.rs
+++ b/src/intake/ledger.rs
@@ -9,7 +9,8 @@
 /// Decides which connections are admitted, which bytes they get and which of them give way.
 ///
 /// Bytes of a connection that gives way count until it has given them back, so what is charged
-/// never exceeds the limit, except by what [`Ledger::adopt`] adds for requests that arrived whole.
+/// never exceeds the limit, except by what [`Ledger::adopt`] adds for requests that arrived whole and
+/// by the connections of other ports than callers', which have a limit of their own.
 #[derive(Debug)]
 pub struct Ledger {
     limits: Limits,
@@ -88,7 +89,9 @@
             }
             return Admission::Wait;
         }
-        if !self.make_room(CONNECTION_BYTES, self.limits.bytes, now, None) {
+        // Without answers to the platform's questions, the instance is taken for dead.
+        if port == Port::Callers && !self.make_room(CONNECTION_BYTES, self.limits.bytes, now, None)
+        {
             return Admission::Wait;
         }
         self.used += CONNECTION_BYTES;
@@ -239,13 +242,13 @@
     /// and returns whether `bytes` fit at once. Stops at the connection that asks.
     fn make_room(&mut self, bytes: usize, limit: usize, now: Instant, asks: Option<Key>) -> bool {
         while self.used - self.leaving + bytes > limit {
-            let Some(victim) = self.least(now, |_| true) else {
+            let Some(victim) = self.least(now, Guest::gives_way_for_bytes) else {
                 return false;
             };
             if asks == Some(victim) {
                 // Whole requests, which hold the rest, end soon.
-                let contenders = self.guests.values().filter(|g| g.rank(now).is_some());
-                if contenders.count() > 1 {
+                let contenders = self.guests.values().filter(|g| g.gives_way_for_bytes());
+                if contenders.filter(|g| g.rank(now).is_some()).count() > 1 {
                     self.evict(victim, Cause::Memory);
                 }
                 return false;
