Refuse a submission with 503 when its body is late

A body that had not arrived when the response was due, or a job for whose decoding there was no room, was answered 504. It was never tried, so 503 is true and tells the caller to go elsewhere. The refusal comes 20 ms earlier, with which the store could not answer any more.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -25,6 +25,10 @@
 /// Time before the deadline of the caller at which it gets a response at the latest.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(120);
 
+/// Time before the response is due at which a submission must have arrived and been decoded. With
+/// less, the store has no time to answer.
+const STORE_MARGIN: Duration = Duration::from_millis(20);
+
 /// Value of the `Retry-After` header, in seconds.
 const RETRY_AFTER_S: u32 = 1;
 
@@ -117,7 +121,11 @@
             } else {
                 DEFAULT_MAX_BODY_BYTES
             };
-            let body = match intake::read(seat, body, max_body).await {
+            let read = intake::read(seat, body, max_body);
+            let Some(read) = before(answer_by, read).await else {
+                return unavailable("the body did not arrive before the deadline");
+            };
+            let body = match read {
                 Ok(body) => body,
                 Err(intake::Fault::Evicted(_)) => {
                     return unavailable("no room for the body, or it was too slow");
@@ -141,6 +149,14 @@
     }
 }
 
+/// Waits for a step of a submission that comes before it is stored. `None` if there is no time left
+/// to store it.
+async fn before<T>(answer_by: Instant, step: impl Future<Output = T>) -> Option<T> {
+    let left = answer_by.since(clock::now());
+    let left = left.saturating_sub(STORE_MARGIN);
+    tokio::time::timeout(left, step).await.ok()
+}
+
 fn fresh_config(shared: &Shared) -> Option<Arc<Config>> {
     let desired = shared.desired.lock().expect("desired lock");
     desired.fresh_config(clock::now(), shared.max_config_age())
@@ -154,7 +170,9 @@
     (seat, body): (&Arc<Seat>, Whole),
     arrival: Arrival,
 ) -> HttpResponse {
-    seat.may_adopt().await;
+    if before(arrival.answer_by, seat.may_adopt()).await.is_none() {
+        return unavailable("no room to decode the job before the deadline");
+    }
     let spec = match decode_submission(body.bytes()) {
         Ok(spec) => spec,
         Err(reason) => return failure(StatusCode::BAD_REQUEST, &reason),
