--- a/tests/intake/places.rs
+++ b/tests/intake/places.rs
@@ -190,3 +190,17 @@
     assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
     assert_eq!(scene.evicted(), []);
 }
+
+/// Guards against a caller that loses the rest of its answer on a slow link: the answer was written in
+/// part, and the connection counted as one without a request.
+#[test]
+fn a_connection_that_is_being_answered_does_not_give_way() {
+    let mut scene = Scene::new(1, 2 * BODY);
+    let key = scene.open();
+    scene.ledger.complete(key, scene.now);
+    scene.ledger.close(key, scene.now);
+    scene.ledger.set_blocked(key, true, scene.now);
+    scene.wait_ms(100);
+    assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
+    assert_eq!(scene.evicted(), []);
+}
