--- a/src/intake/gate.rs
+++ b/src/intake/gate.rs
@@ -54,7 +54,8 @@
     pub async fn sweep(self: Arc<Self>) {
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
-            self.with(|ledger| ledger.sweep(clock::now()));
+            // An answer stalls by the passing of time, of which no other event tells those that wait.
+            self.give_back(|ledger| ledger.sweep(clock::now()));
         }
     }
 
