Keep a connection while its answer is being written

An answer in hyper's buffer whose exchange had ended counted as a connection without a request, the first to give way. A caller on a slow link lost the rest of its answer.

--- a/src/intake/guest.rs
+++ b/src/intake/guest.rs
@@ -86,10 +86,10 @@
         if self.leaving.is_some() {
             return None;
         }
-        if let Some(since) = self.blocked_since
-            && now.since(since) >= STALL_TIME
-        {
-            return Some(Rank::Stalled(0, since));
+        if let Some(since) = self.blocked_since {
+            // An answer is being written, also after its exchange has ended.
+            let stalled = now.since(since) >= STALL_TIME;
+            return stalled.then_some(Rank::Stalled(0, since));
         }
         match self.stage {
             Stage::Answer => None,
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -1,4 +1,4 @@
-//! Tests of the decision who is admitted and who gives way, without sockets.
+//! Tests of the decision who is admitted and who gives way, most of them without sockets.
 
 #[path = "intake/bytes.rs"]
 mod bytes;
@@ -10,3 +10,5 @@
 mod scene;
 #[path = "intake/times.rs"]
 mod times;
+#[path = "intake/unread_answers.rs"]
+mod unread_answers;
