Log at most one line a second for each kind of closed connection

Each connection that gave way had a line, so a crowd that reconnects at once wrote as many lines as it made connections. A line now tells how many of its port and cause got none since the last one; the counter counts all.

--- a/src/intake/books.rs
+++ b/src/intake/books.rs
@@ -3,7 +3,8 @@
 use slotmap::SecondaryMap;
 use tokio_util::sync::CancellationToken;
 
-use super::{Cause, Key, Ledger, Port};
+use super::{Cause, Key, Ledger, LogThrottle, Port};
+use crate::clock;
 
 /// The ledger with the tasks that wait for its decisions.
 #[derive(Debug)]
@@ -13,6 +14,7 @@
     pub(super) seats: SecondaryMap<Key, (Port, CancellationToken)>,
     /// Tasks that wait for bytes or a place.
     pub(super) waiting: Vec<Waker>,
+    pub(super) throttle: LogThrottle,
 }
 
 impl Books {
@@ -23,13 +25,15 @@
         }
     }
 
-    /// Tells the connections that must give way, and returns why.
-    pub(super) fn tell(&mut self) -> Vec<(Port, Cause)> {
+    /// Tells the connections that must give way, and returns why, with what the log line of each says
+    /// about earlier ones.
+    pub(super) fn tell(&mut self) -> Vec<(Port, Cause, Option<u64>)> {
         let evicted = self.ledger.take_evicted();
         let told = evicted.into_iter().filter_map(|(key, cause)| {
             let (port, token) = self.seats.get(key)?;
             token.cancel();
-            Some((*port, cause))
+            let unlogged = self.throttle.note(*port, cause, clock::now());
+            Some((*port, cause, unlogged))
         });
         told.collect()
     }
--- a/src/intake/cause.rs
+++ b/src/intake/cause.rs
@@ -1,5 +1,5 @@
 /// Why a connection had to give way.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Cause {
     /// Another connection needed its place.
--- a/src/intake/gate.rs
+++ b/src/intake/gate.rs
@@ -8,7 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::books::Books;
-use super::{Admission, Cause, Evicted, Key, Ledger, Limits, Port, Seat, Verdict};
+use super::{Admission, Cause, Evicted, Key, Ledger, Limits, LogThrottle, Port, Seat, Verdict};
 use crate::clock;
 
 /// Time between two looks for connections whose time is over.
@@ -35,6 +35,7 @@
                 ledger: Ledger::new(limits),
                 seats: SecondaryMap::new(),
                 waiting: Vec::new(),
+                throttle: LogThrottle::default(),
             }),
             limits,
         })
@@ -153,6 +154,15 @@
         self.give_back(|ledger| ledger.remove(key));
     }
 
+    /// Counts and logs a connection whose head hyper found to be too long.
+    pub(super) fn report_long_head(&self, port: Port) {
+        let mut books = self.books.lock().expect("intake lock");
+        let unlogged = books.throttle.note(port, Cause::LongHead, clock::now());
+        let used = books.ledger.used();
+        drop(books);
+        report(port, Cause::LongHead, unlogged, used);
+    }
+
     fn books_with<R>(&self, change: impl FnOnce(&mut Books) -> R) -> R {
         let mut books = self.books.lock().expect("intake lock");
         let result = change(&mut books);
@@ -165,22 +175,26 @@
         let used = books.ledger.used();
         drop(books);
         woken.into_iter().for_each(std::task::Waker::wake);
-        for (port, cause) in told {
-            report(port, cause, used);
+        for (port, cause, unlogged) in told {
+            report(port, cause, unlogged, used);
         }
         result
     }
 }
 
-/// Counts and logs a connection that is closed for a limit.
-pub(super) fn report(port: Port, cause: Cause, used: usize) {
+/// Counts a connection that is closed for a limit, and logs it if it gets a line.
+fn report(port: Port, cause: Cause, unlogged: Option<u64>, used: usize) {
     counter!("connections_evicted_total", "port" => port.name(), "cause" => cause.name())
         .increment(1);
+    let Some(unlogged) = unlogged else {
+        return;
+    };
+    let (port, cause_name) = (port.name(), cause.name());
     match cause {
         Cause::Idle => {
-            log::debug!(event = "connection-evicted", port = port.name(), cause = cause.name(); "");
+            log::debug!(event = "connection-evicted", port, cause = cause_name, unlogged; "");
         }
-        _ => log::warn!(event = "connection-evicted", port = port.name(), cause = cause.name(),
+        _ => log::warn!(event = "connection-evicted", port, cause = cause_name, unlogged,
             used; ""),
     }
 }
--- a/src/intake/port.rs
+++ b/src/intake/port.rs
@@ -1,5 +1,5 @@
 /// Port of a process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr, strum::EnumIter)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::IntoStaticStr, strum::EnumIter)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Port {
     /// Callers of services and jobs.
--- a/src/intake/serve.rs
+++ b/src/intake/serve.rs
@@ -12,9 +12,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::gate::report;
 use super::held::Held;
-use super::{Cause, Evicted, Gate, Port, Seat, Stage, Stream};
+use super::{Evicted, Gate, Port, Seat, Stage, Stream};
 
 /// Delay after a connection that could not be accepted.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -148,7 +147,7 @@
         };
         if let Err(error) = result {
             if error.is_parse_too_large() {
-                report(self.port, Cause::LongHead, self.gate.used());
+                self.gate.report_long_head(self.port);
             }
             log::debug!(event = "connection-ended", port, error:% = error; "");
         }
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -4,6 +4,8 @@
 mod bytes;
 #[path = "intake/exact.rs"]
 mod exact;
+#[path = "intake/log_lines.rs"]
+mod log_lines;
 #[path = "intake/places.rs"]
 mod places;
 #[path = "intake/scene.rs"]
