Refuse a request whose last part arrives after its connection was evicted

Between the decision that a connection gives way and its task's hearing of it, the last part of a body could arrive. The request was then carried out while its connection was closed without an answer.

--- a/src/intake/body.rs
+++ b/src/intake/body.rs
@@ -53,6 +53,8 @@
         }
         bytes.extend_from_slice(&part);
     }
-    seat.complete();
+    if !seat.complete() {
+        return Err(Evicted.into());
+    }
     Ok(Whole { bytes, charge })
 }
--- a/src/intake/ledger.rs
+++ b/src/intake/ledger.rs
@@ -182,11 +182,15 @@
         }
     }
 
-    /// Notes that a request has arrived whole, or that another part bounds its body.
-    pub fn complete(&mut self, key: Key, now: Instant) {
-        if let Some(guest) = self.guests.get_mut(key) {
-            guest.enter(Stage::Answer, now);
-        }
+    /// Notes that a request has arrived whole, or that another part bounds its body. Returns false if
+    /// the connection gives way: the request is still counted as arriving, and must not run.
+    pub fn complete(&mut self, key: Key, now: Instant) -> bool {
+        let guest = self.guests.get_mut(key);
+        let Some(guest) = guest.filter(|guest| guest.leaving.is_none()) else {
+            return false;
+        };
+        guest.enter(Stage::Answer, now);
+        true
     }
 
     /// Notes that the exchange of a request has ended.
--- a/src/intake/seat.rs
+++ b/src/intake/seat.rs
@@ -50,10 +50,11 @@
         Exchange::new(self.clone())
     }
 
-    /// Notes that the request has arrived whole, or that another part bounds its body.
-    pub fn complete(&self) {
+    /// Notes that the request has arrived whole, or that another part bounds its body. Returns false
+    /// if the connection gives way, so that the request must not have an effect.
+    pub fn complete(&self) -> bool {
         self.gate
-            .with(|ledger| ledger.complete(self.key, clock::now()));
+            .with(|ledger| ledger.complete(self.key, clock::now()))
     }
 
     /// Notes that the connection carries several exchanges at once.
--- a/tests/intake/bytes.rs
+++ b/tests/intake/bytes.rs
@@ -1,4 +1,4 @@
-use coriandernotch::intake::{Admission, CONNECTION_BYTES, Cause, Limits, Port, Verdict};
+use coriandernotch::intake::{Admission, CONNECTION_BYTES, Cause, Limits, Port, Stage, Verdict};
 
 use crate::scene::{BODY, Scene};
 
@@ -102,7 +102,7 @@
     // These wait for the answers of others.
     large
         .iter()
-        .for_each(|key| scene.ledger.complete(*key, scene.now));
+        .for_each(|key| assert!(scene.ledger.complete(*key, scene.now)));
     let next = scene.open();
     assert_eq!(scene.send(next, 100_000), Verdict::Wait);
     let small = scene.open();
@@ -134,7 +134,7 @@
     let mut scene = Scene::new(4, 2 * BODY);
     let keys = [scene.begin(150_000), scene.begin(150_000)];
     keys.iter()
-        .for_each(|key| scene.ledger.complete(*key, scene.now));
+        .for_each(|key| assert!(scene.ledger.complete(*key, scene.now)));
     assert!(scene.ledger.may_adopt());
     scene.ledger.adopt(keys[0], 4 * BODY);
     assert!(!scene.ledger.may_adopt());
@@ -209,7 +209,7 @@
     keys.iter()
         .for_each(|key| scene.ledger.open(*key, scene.now));
     keys.iter()
-        .for_each(|key| scene.ledger.complete(*key, scene.now));
+        .for_each(|key| assert!(scene.ledger.complete(*key, scene.now)));
     assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
     assert_eq!(scene.evicted(), []);
 }
@@ -260,3 +260,18 @@
     assert_eq!(scene.send(key, 490_000), Verdict::Refused);
     assert_eq!(scene.evicted(), [], "nobody gives way to it");
 }
+
+/// Guards against a submission that is stored while its connection is closed without an answer: the
+/// last part of the body arrived at the moment at which the connection gave way.
+#[test]
+fn a_request_that_ends_after_it_gave_way_is_refused() {
+    let mut scene = Scene::new(2, 2 * BODY);
+    let key = scene.begin(1_000);
+    scene.wait_ms(60_000);
+    scene.ledger.sweep(scene.now);
+    assert_eq!(scene.evicted(), [(key, Cause::SlowBody)]);
+    assert!(!scene.ledger.complete(key, scene.now));
+    assert_eq!(scene.ledger.stage(key), Some(Stage::Body));
+    let other = scene.begin(1_000);
+    assert!(scene.ledger.complete(other, scene.now));
+}
--- a/tests/intake/exact.rs
+++ b/tests/intake/exact.rs
@@ -37,7 +37,9 @@
                     }
                 }
                 (5, Some(key)) => scene.ledger.open(key, scene.now),
-                (6, Some(key)) => scene.ledger.complete(key, scene.now),
+                (6, Some(key)) => {
+                    scene.ledger.complete(key, scene.now);
+                }
                 (7, Some(key)) => {
                     let bytes = random.below(held[&key] as u64 + 1) as usize;
                     scene.ledger.release(key, bytes);
--- a/tests/intake/places.rs
+++ b/tests/intake/places.rs
@@ -12,7 +12,7 @@
     let served = [scene.open(), scene.open()];
     served
         .iter()
-        .for_each(|key| scene.ledger.complete(*key, scene.now));
+        .for_each(|key| assert!(scene.ledger.complete(*key, scene.now)));
     assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
     assert_eq!(scene.evicted(), [(idle, Cause::Connections)]);
     assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
@@ -42,7 +42,7 @@
     let mut scene = Scene::new(2, 2 * BODY);
     let keys = [scene.open(), scene.open()];
     keys.iter()
-        .for_each(|key| scene.ledger.complete(*key, scene.now));
+        .for_each(|key| assert!(scene.ledger.complete(*key, scene.now)));
     scene.ledger.set_blocked(keys[1], true, scene.now);
     assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
     assert_eq!(scene.evicted(), []);
@@ -70,7 +70,7 @@
     let mut scene = Scene::new(2, 64 * BODY);
     let keys = [scene.open(), scene.open()];
     keys.iter()
-        .for_each(|key| scene.ledger.complete(*key, scene.now));
+        .for_each(|key| assert!(scene.ledger.complete(*key, scene.now)));
     let side = scene.ledger.limits().side_connections;
     for _ in 0..side {
         assert!(matches!(
