--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -12,7 +12,7 @@
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use crate::batch::{Config, MAX_ROW_BYTES, Progress, Record, Route, State};
 use crate::clock::{self, Instant};
-use crate::intake::{self, Seat, Whole};
+use crate::intake::{self, CompleteBody, Connection};
 use crate::job_store::{Acceptance, Partition};
 use crate::platform::api::{Fault, Operation, Outcome, Protocol, Transaction, decode_submission};
 
@@ -52,7 +52,7 @@
 pub(super) async fn serve(
     shared: Arc<Shared>,
     request: Request<Incoming>,
-    seat: Arc<Seat>,
+    connection: Arc<Connection>,
 ) -> HttpResponse {
     let begun = clock::now();
     let method = request.method().as_str().to_owned();
@@ -65,7 +65,7 @@
         .min(longest)
         .saturating_sub(DEADLINE_MARGIN)
         .max(DEADLINE_MARGIN);
-    let response = handle(&shared, request, &seat, begun + wait);
+    let response = handle(&shared, request, &connection, begun + wait);
     let response = match tokio::time::timeout(wait, response).await {
         Ok(response) => response,
         Err(_) => failure(
@@ -89,7 +89,7 @@
 async fn handle(
     shared: &Shared,
     request: Request<Incoming>,
-    seat: &Arc<Seat>,
+    connection: &Arc<Connection>,
     answer_by: Instant,
 ) -> HttpResponse {
     let (head, body) = request.into_parts();
@@ -121,7 +121,7 @@
             } else {
                 DEFAULT_MAX_BODY_BYTES
             };
-            let read = intake::read(seat, body, max_body);
+            let read = intake::read(connection, body, max_body);
             let Some(read) = before(answer_by, read).await else {
                 return unavailable("the body did not arrive before the deadline");
             };
@@ -134,14 +134,14 @@
                     return failure(StatusCode::PAYLOAD_TOO_LARGE, "body too long or broken off");
                 }
             };
-            submit_job(shared, route, workspace, rest, (seat, body), arrival).await
+            submit_job(shared, route, workspace, rest, (connection, body), arrival).await
         }
         Some(Operation::Ask) => {
-            seat.complete();
+            connection.complete();
             query_job(shared, rest).await
         }
         Some(Operation::Cancel) => {
-            seat.complete();
+            connection.complete();
             cancel_job(shared, rest).await
         }
         Some(Operation::Count) => count_pending(shared, route),
@@ -167,10 +167,13 @@
     route: &Route,
     workspace: Arc<str>,
     id: &str,
-    (seat, body): (&Arc<Seat>, Whole),
+    (connection, body): (&Arc<Connection>, CompleteBody),
     arrival: Arrival,
 ) -> HttpResponse {
-    if before(arrival.answer_by, seat.may_adopt()).await.is_none() {
+    if before(arrival.answer_by, connection.may_decode())
+        .await
+        .is_none()
+    {
         return unavailable("no room to decode the job before the deadline");
     }
     let spec = match decode_submission(body.bytes()) {
@@ -195,7 +198,7 @@
         let reason = "the job takes more room than a row of the store has";
         return failure(StatusCode::PAYLOAD_TOO_LARGE, reason);
     }
-    let _charge = seat.adopt(content.capacity());
+    let _charge = connection.charge_decoded(content.capacity());
     let committed = shared
         .committer
         .commit(id, content, arrival.answer_by)
--- a/src/entry/caller_port.rs
+++ b/src/entry/caller_port.rs
@@ -13,13 +13,13 @@
     listener: TcpListener,
     closing: watch::Receiver<bool>,
 ) {
-    let gate = shared.gate.clone();
+    let registry = shared.registry.clone();
     intake::serve_until(
-        gate,
+        registry,
         Port::Callers,
         listener,
         closing,
-        move |request, seat| call::serve(shared.clone(), request, seat),
+        move |request, connection| call::serve(shared.clone(), request, connection),
     )
     .await;
 }
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -15,7 +15,7 @@
 use super::supervise::supervise;
 use super::{caller_port, follow_desired, lead, readiness, telemetry};
 use crate::clock;
-use crate::intake::{self, Gate};
+use crate::intake::{self, Registry};
 use crate::platform::api::Store;
 
 /// Runs an entry instance until SIGTERM or SIGINT, with settings that were read from `path`.
@@ -42,7 +42,7 @@
         term: Mutex::default(),
         stopping: AtomicBool::new(false),
         stop: Notify::new(),
-        gate: Gate::new(settings.intake()),
+        registry: Registry::new(settings.intake()),
         settings,
     });
     log::info!(event = "instance-started", name = shared.settings.name,
@@ -52,7 +52,7 @@
         move || commit::store(shared.clone())
     }));
     let (close, closing) = watch::channel(false);
-    tokio::spawn(shared.gate.clone().sweep());
+    tokio::spawn(shared.registry.clone().sweep());
     tokio::spawn(supervise("follow-desired", {
         let shared = shared.clone();
         move || follow_desired::follow_desired(shared.clone())
--- a/src/entry/readiness.rs
+++ b/src/entry/readiness.rs
@@ -13,8 +13,8 @@
 
 /// Serves the port at which the balancer asks whether this instance takes new connections.
 pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let gate = shared.gate.clone();
-    admin_port::serve(gate, Port::Readiness, listener, move |request| {
+    let registry = shared.registry.clone();
+    admin_port::serve(registry, Port::Readiness, listener, move |request| {
         respond(&shared, request.uri().path())
     })
     .await;
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -10,7 +10,7 @@
 use super::term::Term;
 use crate::batch::Leader;
 use crate::clock::{self, Instant};
-use crate::intake::Gate;
+use crate::intake::Registry;
 use crate::platform::api::Store;
 
 /// Default timeout of calls to the store.
@@ -24,7 +24,7 @@
 pub(super) struct Shared {
     pub(super) settings: Settings,
     /// Bounds what the connections of this process occupy.
-    pub(super) gate: Arc<Gate>,
+    pub(super) registry: Arc<Registry>,
     /// Start time of the process in milliseconds since 1970.
     pub(super) incarnation: u64,
     pub(super) store: Store,
--- a/src/entry/telemetry.rs
+++ b/src/entry/telemetry.rs
@@ -29,8 +29,8 @@
             telemetry::render();
         }
     });
-    let gate = shared.gate.clone();
-    admin_port::serve(gate, Port::Metrics, listener, move |request| {
+    let registry = shared.registry.clone();
+    admin_port::serve(registry, Port::Metrics, listener, move |request| {
         respond(&shared, request.uri().path())
     })
     .await;
@@ -48,7 +48,7 @@
 
 /// Sets the gauges from the current state, at each request for the metrics.
 fn set_gauges(shared: &Shared) {
-    shared.gate.set_gauges();
+    shared.registry.set_gauges();
     let now = clock::now();
     let flag = |value: bool| f64::from(u8::from(value));
     gauge!("instance_ready").set(flag(shared.has_fresh_config(now) && !shared.is_stopping()));
--- a/src/front/callers/jobs/handler.rs
+++ b/src/front/callers/jobs/handler.rs
@@ -13,7 +13,7 @@
 use crate::front::callers::body::Body;
 use crate::front::callers::reply::Reply;
 use crate::front::callers::request::{check_head, read_key};
-use crate::intake::Seat;
+use crate::intake::Connection;
 use crate::peer::Hub;
 use crate::platform::Table;
 
@@ -39,9 +39,9 @@
     pub(in crate::front::callers) async fn answer(
         &self,
         request: Request<Incoming>,
-        seat: &Arc<Seat>,
+        connection: &Arc<Connection>,
     ) -> Response<Body> {
-        match self.run(request, seat).await {
+        match self.run(request, connection).await {
             Ok(response) => response,
             Err(reply) => reply.into_response(),
         }
@@ -50,7 +50,7 @@
     async fn run(
         &self,
         request: Request<Incoming>,
-        seat: &Arc<Seat>,
+        connection: &Arc<Connection>,
     ) -> Result<Response<Body>, Reply> {
         let (parts, body) = request.into_parts();
         check_head(&parts)?;
@@ -59,12 +59,12 @@
         let path = Path::read(request.uri()).ok_or(unknown)?;
         let caller = self.enter(&request)?;
         if request.method() != Method::POST {
-            seat.complete();
+            connection.complete();
         }
         match (request.method(), path) {
             (&Method::POST, Path::Queue { queue, .. }) => {
                 caller.check_queue(&queue)?;
-                submit(&self.context, &caller, &queue, request, seat).await
+                submit(&self.context, &caller, &queue, request, connection).await
             }
             (
                 &Method::GET,
--- a/src/front/callers/jobs/submit.rs
+++ b/src/front/callers/jobs/submit.rs
@@ -13,7 +13,7 @@
 use crate::front::callers::body::Body;
 use crate::front::callers::claimed::IDEMPOTENCY_KEY;
 use crate::front::callers::reply::Reply;
-use crate::intake::{self, Fault, Seat, Whole};
+use crate::intake::{self, CompleteBody, Connection, Fault};
 use crate::jobs::{Reason, Record, State, unix_time_ms};
 use crate::platform::{Condition, Error, Row, Write};
 
@@ -29,7 +29,7 @@
     caller: &Caller,
     queue: &str,
     request: Request<Incoming>,
-    seat: &Arc<Seat>,
+    connection: &Arc<Connection>,
 ) -> Result<Response<Body>, Reply> {
     let bad = |reason| Reply::not_run(StatusCode::BAD_REQUEST, reason);
     let id = match read_idempotency(request.headers())? {
@@ -37,7 +37,7 @@
         Some(key) => derive(&format!("{}\n{key}", caller.workspace)),
         None => context.new_id(),
     };
-    let body = read_body(request, seat).await?;
+    let body = read_body(request, connection).await?;
     let submission = Submission::read(body.bytes()).map_err(bad)?;
     let now = unix_time_ms();
     let record = Record {
@@ -126,8 +126,11 @@
         .ok_or(Reply::not_run(StatusCode::BAD_REQUEST, wrong))
 }
 
-async fn read_body(request: Request<Incoming>, seat: &Arc<Seat>) -> Result<Whole, Reply> {
-    let body = intake::read(seat, request.into_body(), Submission::MAX);
+async fn read_body(
+    request: Request<Incoming>,
+    connection: &Arc<Connection>,
+) -> Result<CompleteBody, Reply> {
+    let body = intake::read(connection, request.into_body(), Submission::MAX);
     match tokio::time::timeout(BODY_TIMEOUT, body).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(Fault::TooLong)) => Err(Reply::not_run(
--- a/src/front/callers/limits.rs
+++ b/src/front/callers/limits.rs
@@ -3,7 +3,7 @@
 use crate::intake;
 use crate::settings::Bounds;
 
-/// How much later than [`super::activity::Activity`] the gate ends a connection, which does so at
+/// How much later than [`super::activity::Activity`] the registry ends a connection, which does so at
 /// once; the first lets HTTP/2 callers know.
 const GATE_FACTOR: u32 = 2;
 
@@ -65,7 +65,7 @@
 }
 
 impl Limits {
-    /// Returns the limits of the gate. Without the memory in the settings, the budget has room for
+    /// Returns the limits of the registry. Without the memory in the settings, the budget has room for
     /// small requests on all connections.
     pub(super) fn intake(&self) -> intake::Limits {
         let derived = intake::Limits::new(self.memory_mb, self.max_descriptors);
--- a/src/front/callers/port.rs
+++ b/src/front/callers/port.rs
@@ -4,7 +4,7 @@
 use super::{Connections, Limits, jobs};
 use crate::call::Dispatcher;
 use crate::claim;
-use crate::intake::Gate;
+use crate::intake::Registry;
 
 /// What the connections of the callers' port share.
 pub struct Port {
@@ -13,7 +13,7 @@
     pub(super) connections: Arc<Connections>,
     pub(super) meters: Meters,
     pub(super) limits: Limits,
-    gate: Arc<Gate>,
+    registry: Arc<Registry>,
     pub(super) jobs: Option<Arc<jobs::Handler>>,
 }
 
@@ -32,7 +32,7 @@
             connections: Arc::default(),
             meters: Meters::default(),
             limits,
-            gate: Gate::new(limits.intake()),
+            registry: Registry::new(limits.intake()),
         })
     }
 
@@ -42,8 +42,8 @@
     }
 
     /// Returns what bounds the connections of the process.
-    pub fn gate(&self) -> &Arc<Gate> {
-        &self.gate
+    pub fn registry(&self) -> &Arc<Registry> {
+        &self.registry
     }
 
     /// Returns the idle connections to targets.
--- a/src/front/callers/serve.rs
+++ b/src/front/callers/serve.rs
@@ -17,7 +17,7 @@
 use super::port::Port;
 use super::stream::Stream;
 use super::tracked::Tracked;
-use crate::intake::{self, Evicted, Seat};
+use crate::intake::{self, Connection, Evicted};
 
 /// Bytes that one HTTP/2 connection may have sent ahead.
 const WINDOW_BYTES: u32 = 64 << 10;
@@ -27,16 +27,16 @@
 
 /// Accepts callers until `stop` becomes true, then lets open requests end.
 pub async fn serve(port: Arc<Port>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-    let sweep = tokio::spawn(port.gate().clone().sweep());
+    let sweep = tokio::spawn(port.registry().clone().sweep());
     loop {
         let accepted = tokio::select! {
             accepted = accept(&port, &listener) => accepted,
             () = stopped(&mut stop) => break,
         };
         match accepted {
-            Ok((seat, stream, peer)) => {
+            Ok((connection, stream, peer)) => {
                 let (port, stop) = (port.clone(), stop.clone());
-                tokio::spawn(serve_connection(port, stream, seat, peer, stop));
+                tokio::spawn(serve_connection(port, stream, connection, peer, stop));
             }
             Err(error) => {
                 log::warn!(event = "accept-failed", error:% = error; "");
@@ -46,7 +46,7 @@
         }
     }
     drop(listener);
-    port.gate().emptied(intake::Port::Callers).await;
+    port.registry().emptied(intake::Port::Callers).await;
     sweep.abort();
 }
 
@@ -54,16 +54,20 @@
 async fn accept(
     port: &Port,
     listener: &TcpListener,
-) -> std::io::Result<(Arc<Seat>, TcpStream, SocketAddr)> {
+) -> std::io::Result<(Arc<Connection>, TcpStream, SocketAddr)> {
     let (stream, peer) = listener.accept().await?;
-    Ok((port.gate().admit(intake::Port::Callers).await, stream, peer))
+    Ok((
+        port.registry().admit(intake::Port::Callers).await,
+        stream,
+        peer,
+    ))
 }
 
 /// The task of one caller's connection.
 async fn serve_connection(
     port: Arc<Port>,
     stream: TcpStream,
-    seat: Arc<Seat>,
+    connection: Arc<Connection>,
     peer: SocketAddr,
     mut stop: watch::Receiver<bool>,
 ) {
@@ -92,16 +96,16 @@
     let activity = Activity::new();
     let service = service_fn(|request: Request<Incoming>| {
         let (port, open) = (port.clone(), activity.open());
-        let (seat, place) = (seat.clone(), seat.open());
+        let (connection, place) = (connection.clone(), connection.open());
         async move {
-            let head = seat.charge_exchange(head_bytes(&request)).await?;
+            let head = connection.charge_exchange(head_bytes(&request)).await?;
             let jobs = port.jobs.clone();
             let jobs = jobs.filter(|_| Jobs::takes(request.uri().path()));
             let response = match jobs {
-                Some(jobs) => jobs.answer(request, &seat).await,
+                Some(jobs) => jobs.answer(request, &connection).await,
                 None => {
                     // `Guard` bounds the body, which is passed on in parts.
-                    seat.complete();
+                    connection.complete();
                     exchange(port, request).await
                 }
             };
@@ -109,27 +113,27 @@
         }
     });
     let stream = TokioIo::new(Stream::new(
-        intake::Stream::new(stream, seat.clone()),
+        intake::Stream::new(stream, connection.clone()),
         activity.clone(),
     ));
-    let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
+    let mut http = std::pin::pin!(builder.serve_connection(stream, service));
     let mut looks = tokio::time::interval(limits.look_every());
     let mut stopping = false;
     // Set when the connection takes no new requests, with the time for open ones to end.
     let mut closing: Option<Instant> = None;
     let result = loop {
         tokio::select! {
-            result = connection.as_mut() => break result,
+            result = http.as_mut() => break result,
             () = stopped(&mut stop), if !stopping => {
                 stopping = true;
-                connection.as_mut().graceful_shutdown();
+                http.as_mut().graceful_shutdown();
             }
-            () = seat.evicted() => return,
+            () = connection.evicted() => return,
             _ = looks.tick() => match activity.check(&limits) {
                 Bound::Kept => {}
                 Bound::Idle if closing.is_none() => {
                     closing = Some(Instant::now());
-                    connection.as_mut().graceful_shutdown();
+                    http.as_mut().graceful_shutdown();
                 }
                 Bound::Idle if closing.is_some_and(|s| s.elapsed() < limits.stall_timeout) => {}
                 bound @ (Bound::Idle | Bound::Stalled) => {
--- a/src/front/callers/stream.rs
+++ b/src/front/callers/stream.rs
@@ -21,7 +21,7 @@
 /// Socket of a caller that notes when the bytes of a request begin to arrive.
 #[derive(Debug)]
 pub(super) struct Stream {
-    /// Socket with its place at the gate, until the stream is dropped.
+    /// Socket with its admitted connection, until the stream is dropped.
     inner: Option<intake::Stream>,
     activity: Arc<Activity>,
     /// How many bytes were equal to the preface; `None` when one was not.
@@ -55,7 +55,7 @@
         if self.matched == Some(PREFACE.len()) {
             self.activity.forget_head();
             if let Some(socket) = &self.inner {
-                socket.seat().multiplex();
+                socket.connection().multiplex();
             }
         }
     }
@@ -107,17 +107,17 @@
 
 impl Drop for Stream {
     fn drop(&mut self) {
-        let Some((socket, seat)) = self.inner.take().map(intake::Stream::into_parts) else {
+        let Some((socket, connection)) = self.inner.take().map(intake::Stream::into_parts) else {
             return;
         };
-        // The place of a connection that gives way is needed at once.
-        if seat.is_evicted() {
+        // The place of a connection that is evicted is needed at once.
+        if connection.is_evicted() {
             return;
         }
         tokio::spawn(async move {
             tokio::select! {
                 _ = timeout(LINGER, linger(socket)) => {}
-                () = seat.evicted() => {}
+                () = connection.evicted() => {}
             }
         });
     }
--- a/src/front/callers/tracked.rs
+++ b/src/front/callers/tracked.rs
@@ -14,7 +14,7 @@
 pub(super) struct Tracked {
     body: Body,
     exchange: Exchange,
-    /// Place of the exchange at the gate, with the charge for its head.
+    /// Place of the exchange at the registry, with the charge for its head.
     _place: (intake::Exchange, Charge),
 }
 
--- a/src/front/operators/serve.rs
+++ b/src/front/operators/serve.rs
@@ -13,7 +13,7 @@
 use super::Route;
 use super::guard::Guard;
 use crate::document::MAX_BYTES;
-use crate::intake::{self, Fault, Port, Seat};
+use crate::intake::{self, Connection, Fault, Port};
 use crate::node::Shared;
 
 /// Serves the operators' port until the process ends.
@@ -25,11 +25,14 @@
             return;
         }
     };
-    let gate = shared.port.gate().clone();
+    let registry = shared.port.registry().clone();
     let service = Arc::new(Service::new(make_router(&shared)));
-    intake::serve(gate, Port::Operators, listener, move |request, seat| {
-        respond(service.clone(), address, request, seat)
-    })
+    intake::serve(
+        registry,
+        Port::Operators,
+        listener,
+        move |request, connection| respond(service.clone(), address, request, connection),
+    )
     .await;
 }
 
@@ -38,11 +41,11 @@
     service: Arc<Service>,
     address: SocketAddr,
     request: Request<Incoming>,
-    seat: Arc<Seat>,
+    connection: Arc<Connection>,
 ) -> Response<ResBody> {
     let (parts, body) = request.into_parts();
     // One byte more than a document may have: the route says what it accepts.
-    let body = match intake::read(&seat, body, MAX_BYTES + 1).await {
+    let body = match intake::read(&connection, body, MAX_BYTES + 1).await {
         Ok(body) => body,
         Err(fault) => return refuse(&fault),
     };
--- a/src/intake/body.rs
+++ b/src/intake/body.rs
@@ -3,7 +3,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes};
 
-use super::{Charge, Evicted, Fault, Seat, Whole};
+use super::{Charge, CompleteBody, Connection, Evicted, Fault};
 
 /// Capacity with which the buffer of a body begins.
 const FIRST_BYTES: usize = 4 << 10;
@@ -14,9 +14,13 @@
 ///
 /// # Errors
 ///
-/// Fails when the connection gives way, the body is too long or the client breaks off. The request
+/// Fails when the connection is evicted, the body is too long or the client breaks off. The request
 /// has not run.
-pub async fn read<B>(seat: &Arc<Seat>, body: B, limit: usize) -> Result<Whole, Fault>
+pub async fn read<B>(
+    connection: &Arc<Connection>,
+    body: B,
+    limit: usize,
+) -> Result<CompleteBody, Fault>
 where
     B: Body<Data = Bytes, Error = hyper::Error>,
 {
@@ -26,12 +30,12 @@
     }
     let most = hint.exact().map_or(limit, |length| length as usize);
     let mut body = std::pin::pin!(body);
-    let mut charge = Charge::new(seat.clone());
+    let mut charge = Charge::new(connection.clone());
     let mut bytes: Vec<u8> = Vec::new();
     loop {
         let frame = tokio::select! {
             biased;
-            () = seat.evicted() => return Err(Evicted.into()),
+            () = connection.evicted() => return Err(Evicted.into()),
             frame = body.frame() => frame,
         };
         let Some(frame) = frame else {
@@ -47,14 +51,15 @@
         if length > bytes.capacity() {
             let grown = length.max(bytes.capacity() * 2).max(FIRST_BYTES);
             let capacity = grown.min(most.max(length));
-            seat.charge(&mut charge, capacity - bytes.capacity())
+            connection
+                .charge(&mut charge, capacity - bytes.capacity())
                 .await?;
             bytes.reserve_exact(capacity - bytes.len());
         }
         bytes.extend_from_slice(&part);
     }
-    if !seat.complete() {
+    if !connection.complete() {
         return Err(Evicted.into());
     }
-    Ok(Whole { bytes, charge })
+    Ok(CompleteBody { bytes, charge })
 }
--- a/src/intake/cause.rs
+++ b/src/intake/cause.rs
@@ -1,4 +1,4 @@
-/// Why a connection had to give way.
+/// Why a connection was evicted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Cause {
--- a/src/intake/charge.rs
+++ b/src/intake/charge.rs
@@ -1,17 +1,20 @@
 use std::sync::Arc;
 
-use super::Seat;
+use super::Connection;
 
 /// Bytes that are charged to a connection until this is dropped.
 #[derive(Debug)]
 pub struct Charge {
-    seat: Arc<Seat>,
+    connection: Arc<Connection>,
     bytes: usize,
 }
 
 impl Charge {
-    pub(super) fn new(seat: Arc<Seat>) -> Self {
-        Self { seat, bytes: 0 }
+    pub(super) fn new(connection: Arc<Connection>) -> Self {
+        Self {
+            connection,
+            bytes: 0,
+        }
     }
 
     /// Adds bytes that were charged.
@@ -23,7 +26,7 @@
 impl Drop for Charge {
     fn drop(&mut self) {
         if self.bytes > 0 {
-            self.seat.give_back(self.bytes);
+            self.connection.give_back(self.bytes);
         }
     }
 }
--- a/src/intake/whole.rs
+++ b/src/intake/complete_body.rs
@@ -1,13 +1,13 @@
 use super::Charge;
 
-/// Body of a request that arrived whole, with the charge for its buffer.
+/// Body of a request that arrived completely, with the charge for its buffer.
 #[derive(Debug)]
-pub struct Whole {
+pub struct CompleteBody {
     pub(super) bytes: Vec<u8>,
     pub(super) charge: Charge,
 }
 
-impl Whole {
+impl CompleteBody {
     /// Returns the body.
     pub fn bytes(&self) -> &[u8] {
         &self.bytes
--- a/src/intake/seat.rs
+++ b/src/intake/connection.rs
@@ -3,13 +3,13 @@
 
 use tokio_util::sync::CancellationToken;
 
-use super::{Charge, Evicted, Exchange, Gate, Key, Stage};
+use super::{Charge, Evicted, Exchange, Key, Registry, Stage};
 use crate::clock;
 
-/// Place of a connection at the gate, given back when it is dropped.
+/// A connection in the registry, removed when this is dropped.
 #[derive(Debug)]
-pub struct Seat {
-    gate: Arc<Gate>,
+pub struct Connection {
+    registry: Arc<Registry>,
     key: Key,
     evicted: CancellationToken,
     /// Bytes charged for the head of the present request.
@@ -18,10 +18,10 @@
     answer: Mutex<usize>,
 }
 
-impl Seat {
-    pub(super) fn new(gate: Arc<Gate>, key: Key, evicted: CancellationToken) -> Self {
+impl Connection {
+    pub(super) fn new(registry: Arc<Registry>, key: Key, evicted: CancellationToken) -> Self {
         Self {
-            gate,
+            registry,
             key,
             evicted,
             head: Mutex::default(),
@@ -29,48 +29,50 @@
         }
     }
 
-    /// Waits until the connection must give way.
+    /// Waits until the connection must be closed.
     pub async fn evicted(&self) {
         self.evicted.cancelled().await;
     }
 
-    /// Returns whether the connection must give way.
+    /// Returns whether the connection must be closed.
     pub fn is_evicted(&self) -> bool {
         self.evicted.is_cancelled()
     }
 
     /// Returns what the connection is doing.
     pub fn stage(&self) -> Option<Stage> {
-        self.gate.with(|ledger| ledger.stage(self.key))
+        self.registry.with(|ledger| ledger.stage(self.key))
     }
 
     /// Notes that the head of a request has arrived; the exchange ends when the result is dropped.
     pub fn open(self: &Arc<Self>) -> Exchange {
-        self.gate.with(|ledger| ledger.open(self.key, clock::now()));
+        self.registry
+            .with(|ledger| ledger.open(self.key, clock::now()));
         Exchange::new(self.clone())
     }
 
-    /// Notes that the request has arrived whole, or that another part bounds its body. Returns false
-    /// if the connection gives way, so that the request must not have an effect.
+    /// Notes that the request has arrived completely, or that another part bounds its body. Returns false
+    /// if the connection is evicted, so that the request must not have an effect.
     pub fn complete(&self) -> bool {
-        self.gate
+        self.registry
             .with(|ledger| ledger.complete(self.key, clock::now()))
     }
 
     /// Notes that the connection carries several exchanges at once.
     pub fn multiplex(&self) {
-        self.gate
+        self.registry
             .with(|ledger| ledger.multiplex(self.key, clock::now()));
     }
 
-    /// Waits until a request that arrived whole may be decoded.
-    pub async fn may_adopt(&self) {
-        std::future::poll_fn(|cx| self.gate.poll_adopt(cx)).await;
+    /// Waits until a request that arrived completely may be decoded.
+    pub async fn may_decode(&self) {
+        std::future::poll_fn(|cx| self.registry.poll_may_decode(cx)).await;
     }
 
-    /// Charges what a request that arrived whole needs to be carried out, without a limit.
-    pub fn adopt(self: &Arc<Self>, bytes: usize) -> Charge {
-        self.gate.with(|ledger| ledger.adopt(self.key, bytes));
+    /// Charges what a request that arrived completely needs to be carried out, without a limit.
+    pub fn charge_decoded(self: &Arc<Self>, bytes: usize) -> Charge {
+        self.registry
+            .with(|ledger| ledger.charge_decoded(self.key, bytes));
         let mut charge = Charge::new(self.clone());
         charge.add(bytes);
         charge
@@ -80,9 +82,9 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection gives way.
+    /// Fails when the connection is evicted.
     pub async fn charge(&self, charge: &mut Charge, bytes: usize) -> Result<(), Evicted> {
-        std::future::poll_fn(|cx| self.gate.poll_charge(self.key, bytes, cx)).await?;
+        std::future::poll_fn(|cx| self.registry.poll_charge(self.key, bytes, cx)).await?;
         charge.add(bytes);
         Ok(())
     }
@@ -91,7 +93,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection gives way.
+    /// Fails when the connection is evicted.
     pub async fn charge_exchange(self: &Arc<Self>, bytes: usize) -> Result<Charge, Evicted> {
         let mut charge = Charge::new(self.clone());
         self.charge(&mut charge, bytes).await?;
@@ -102,9 +104,9 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection gives way.
+    /// Fails when the connection is evicted.
     pub async fn charge_answer(&self, bytes: usize) -> Result<(), Evicted> {
-        std::future::poll_fn(|cx| self.gate.poll_charge(self.key, bytes, cx)).await?;
+        std::future::poll_fn(|cx| self.registry.poll_charge(self.key, bytes, cx)).await?;
         *self.answer.lock().expect("answer lock") += bytes;
         Ok(())
     }
@@ -115,19 +117,19 @@
         bytes: usize,
         cx: &Context<'_>,
     ) -> Poll<Result<(), Evicted>> {
-        ready!(self.gate.poll_charge(self.key, bytes, cx))?;
+        ready!(self.registry.poll_charge(self.key, bytes, cx))?;
         *self.head.lock().expect("head lock") += bytes;
         Poll::Ready(Ok(()))
     }
 
     /// Notes bytes that arrived, and returns what the connection is doing.
     pub(super) fn arrived(&self, bytes: usize) -> Option<Stage> {
-        self.gate
+        self.registry
             .with(|ledger| ledger.arrived(self.key, bytes, clock::now()))
     }
 
     pub(super) fn set_blocked(&self, blocked: bool) {
-        self.gate
+        self.registry
             .with(|ledger| ledger.set_blocked(self.key, blocked, clock::now()));
     }
 
@@ -142,20 +144,20 @@
     /// Ends an exchange, whose head is no longer needed.
     pub(super) fn close(&self) {
         let head = std::mem::take(&mut *self.head.lock().expect("head lock"));
-        self.gate.give_back(|ledger| {
+        self.registry.give_back(|ledger| {
             ledger.release(self.key, head);
             ledger.close(self.key, clock::now());
         });
     }
 
     pub(super) fn give_back(&self, bytes: usize) {
-        self.gate
+        self.registry
             .give_back(|ledger| ledger.release(self.key, bytes));
     }
 }
 
-impl Drop for Seat {
+impl Drop for Connection {
     fn drop(&mut self) {
-        self.gate.remove(self.key);
+        self.registry.remove(self.key);
     }
 }
--- a/src/intake/guest.rs
+++ b/src/intake/entry.rs
@@ -1,24 +1,24 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use super::rank::Rank;
+use super::priority::Priority;
 use super::{CONNECTION_BYTES, Cause, Limits, Port, Progress, Stage};
 use crate::clock::Instant;
 
 /// Share of a request that stands for all of it.
-const WHOLE: usize = 1_024;
+const FULL_SHARE: usize = 1_024;
 
 /// A request of which less than this share arrived lately has stalled. One of 262,144 bytes that
 /// arrives evenly within the callers' 3 s still has a quarter at its end.
-const STALLED_SHARE: usize = WHOLE / 16;
+const STALLED_SHARE: usize = FULL_SHARE / 16;
 
-/// Time without a request after which a connection gives way before any that sends one, and time
+/// Time without a request after which a connection is evicted before any that sends one, and time
 /// after which an answer that is not taken counts as stalled.
 const STALL_TIME: Duration = Duration::from_millis(500);
 
 /// A connection in the arena of the ledger.
 #[derive(Debug)]
-pub(super) struct Guest {
+pub(super) struct Entry {
     pub(super) port: Port,
     admitted: Instant,
     pub(super) stage: Stage,
@@ -36,11 +36,11 @@
     pub(super) waits_since: Option<Instant>,
     /// Since when the client takes no part of an answer.
     pub(super) blocked_since: Option<Instant>,
-    /// Set once it must give way.
+    /// Set once it must be closed.
     pub(super) leaving: Option<Cause>,
 }
 
-impl Guest {
+impl Entry {
     pub(super) fn new(port: Port, now: Instant) -> Self {
         Self {
             port,
@@ -81,29 +81,29 @@
         self.progress.add(bytes, now);
     }
 
-    /// Returns the rank, or `None` if it must not give way.
-    pub(super) fn rank(&self, now: Instant) -> Option<Rank> {
+    /// Returns the priority, or `None` if it must not be evicted.
+    pub(super) fn priority(&self, now: Instant) -> Option<Priority> {
         if self.leaving.is_some() {
             return None;
         }
         if let Some(since) = self.blocked_since {
             // An answer is being written, also after its exchange has ended.
             let stalled = now.since(since) >= STALL_TIME;
-            return stalled.then_some(Rank::Stalled(0, since));
+            return stalled.then_some(Priority::Stalled(0, since));
         }
         match self.stage {
             Stage::Answer => None,
             Stage::Idle if now.since(self.stage_since) >= STALL_TIME => {
-                Some(Rank::Idle(self.stage_since))
+                Some(Priority::Idle(self.stage_since))
             }
-            Stage::Idle => Some(Rank::New(Reverse(self.admitted))),
+            Stage::Idle => Some(Priority::New(Reverse(self.admitted))),
             Stage::Head | Stage::Body => {
                 // A request that waits for bytes of the budget does not stall by itself.
                 let share = self.share(self.waits_since.unwrap_or(now));
                 if share < STALLED_SHARE {
-                    Some(Rank::Stalled(share, self.stage_since))
+                    Some(Priority::Stalled(share, self.stage_since))
                 } else {
-                    Some(Rank::Active(share, Reverse(self.admitted)))
+                    Some(Priority::Active(share, Reverse(self.admitted)))
                 }
             }
         }
@@ -111,14 +111,14 @@
 
     /// Returns whether the connection is closed where others need bytes. Idle ones of the platform and
     /// of operators are kept, since a health check on a closed connection counts as failed.
-    pub(super) fn gives_way_for_bytes(&self) -> bool {
+    pub(super) fn is_evictable_for_bytes(&self) -> bool {
         self.port == Port::Callers || self.stage != Stage::Idle
     }
 
     /// Returns the share of the request that arrived lately.
     fn share(&self, now: Instant) -> usize {
         let lately = self.progress.weigh(now).min(self.received);
-        lately.saturating_mul(WHOLE) / self.received.max(1)
+        lately.saturating_mul(FULL_SHARE) / self.received.max(1)
     }
 
     /// Returns which limit in time has passed.
--- a/src/intake/exchange.rs
+++ b/src/intake/exchange.rs
@@ -1,18 +1,18 @@
 use std::sync::Arc;
 
-use super::Seat;
+use super::Connection;
 
 /// A request and its answer, which end when this is dropped.
 #[derive(Debug)]
-pub struct Exchange(Arc<Seat>);
+pub struct Exchange(Arc<Connection>);
 
 impl Exchange {
-    pub(super) fn new(seat: Arc<Seat>) -> Self {
-        Self(seat)
+    pub(super) fn new(connection: Arc<Connection>) -> Self {
+        Self(connection)
     }
 
     /// Returns the place of its connection.
-    pub fn seat(&self) -> &Arc<Seat> {
+    pub fn connection(&self) -> &Arc<Connection> {
         &self.0
     }
 }
--- a/src/intake/fault.rs
+++ b/src/intake/fault.rs
@@ -3,7 +3,7 @@
 /// Failure to read the body of a request. The request has not run.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
-    /// The connection gives way to others.
+    /// The connection is closed in favour of others.
     #[error(transparent)]
     Evicted(#[from] Evicted),
     /// The body is longer than the limit.
--- a/src/intake/ledger.rs
+++ b/src/intake/ledger.rs
@@ -1,26 +1,26 @@
 use slotmap::SlotMap;
 
-use super::guest::Guest;
+use super::entry::Entry;
 use super::{
-    Admission, CONNECTION_BYTES, Cause, Key, Limits, Port, READ_BYTES, SMALL_BYTES, Stage, Verdict,
+    Admission, CONNECTION_BYTES, Cause, Decision, Key, Limits, Port, READ_BYTES, SMALL_BYTES, Stage,
 };
 use crate::clock::Instant;
 
-/// Decides which connections are admitted, which bytes they get and which of them give way.
+/// Decides which connections are admitted, which bytes they get and which of them are evicted.
 ///
-/// Bytes of a connection that gives way count until it has given them back, so what is charged
-/// never exceeds the limit, except by what [`Ledger::adopt`] adds for requests that arrived whole and
+/// Bytes of a connection that is evicted count until it has given them back, so what is charged
+/// never exceeds the limit, except by what [`Ledger::charge_decoded`] adds for requests that arrived completely and
 /// by the connections of other ports than callers', which have a limit of their own.
 #[derive(Debug)]
 pub struct Ledger {
     limits: Limits,
-    guests: SlotMap<Key, Guest>,
+    entries: SlotMap<Key, Entry>,
     /// Bytes of all connections.
     used: usize,
-    /// Part of `used` that connections which give way are about to give back.
+    /// Part of `used` that connections which are evicted are about to give back.
     leaving: usize,
-    /// Connections that give way and have not been told.
-    untold: Vec<(Key, Cause)>,
+    /// Connections that are evicted and have not been told.
+    unreported: Vec<(Key, Cause)>,
 }
 
 impl Ledger {
@@ -28,22 +28,22 @@
     ///
     /// ```
     /// use coriandernotch::clock;
-    /// use coriandernotch::intake::{Admission, Ledger, Limits, Port, Verdict};
+    /// use coriandernotch::intake::{Admission, Ledger, Limits, Port, Decision};
     ///
     /// let now = clock::now();
     /// let mut ledger = Ledger::new(Limits::new(Some(160), None));
     /// let Admission::Admitted(key) = ledger.admit(Port::Callers, now) else { panic!() };
-    /// assert_eq!(ledger.charge(key, 262_144, now), Verdict::Granted);
+    /// assert_eq!(ledger.charge(key, 262_144, now), Decision::Granted);
     /// ledger.remove(key);
     /// assert_eq!(ledger.used(), 0);
     /// ```
     pub fn new(limits: Limits) -> Self {
         Self {
             limits,
-            guests: SlotMap::with_key(),
+            entries: SlotMap::with_key(),
             used: 0,
             leaving: 0,
-            untold: Vec::new(),
+            unreported: Vec::new(),
         }
     }
 
@@ -59,23 +59,23 @@
 
     /// Returns the number of connections of a port.
     pub fn connections(&self, port: Port) -> usize {
-        self.guests.values().filter(|g| g.port == port).count()
+        self.entries.values().filter(|g| g.port == port).count()
     }
 
     /// Returns what a connection is doing.
     pub fn stage(&self, key: Key) -> Option<Stage> {
-        self.guests.get(key).map(|guest| guest.stage)
+        self.entries.get(key).map(|entry| entry.stage)
     }
 
-    /// Takes the connections that must give way since the last call.
+    /// Takes the connections that must be closed since the last call.
     pub fn take_evicted(&mut self) -> Vec<(Key, Cause)> {
-        std::mem::take(&mut self.untold)
+        std::mem::take(&mut self.unreported)
     }
 
-    /// Asks for a place for a new connection. Where there is none, the one that makes the least
-    /// progress gives way.
+    /// Asks for a place for a new connection. Where there is none, the one with the least
+    /// progress is evicted.
     pub fn admit(&mut self, port: Port, now: Instant) -> Admission {
-        let ours = || self.guests.values().filter(|g| g.port == port);
+        let ours = || self.entries.values().filter(|g| g.port == port);
         let (present, leaving) = (
             ours().count(),
             ours().filter(|g| g.leaving.is_some()).count(),
@@ -83,7 +83,7 @@
         let max = self.limits.connections_of(port);
         if present >= max {
             if present - leaving >= max
-                && let Some(victim) = self.least(now, |guest| guest.port == port)
+                && let Some(victim) = self.lowest_priority(now, |entry| entry.port == port)
             {
                 self.evict(victim, Cause::Connections);
             }
@@ -95,52 +95,52 @@
             return Admission::Wait;
         }
         self.used += CONNECTION_BYTES;
-        Admission::Admitted(self.guests.insert(Guest::new(port, now)))
+        Admission::Admitted(self.entries.insert(Entry::new(port, now)))
     }
 
-    /// Asks for bytes. Where there are none, the connections that make the least progress give way,
+    /// Asks for bytes. Where there are none, the connections that make the least progress are evicted,
     /// which may be the one that asks. The last part of the budget goes to small requests only.
-    pub fn charge(&mut self, key: Key, bytes: usize, now: Instant) -> Verdict {
-        let Some(guest) = self.guests.get(key).filter(|g| g.leaving.is_none()) else {
-            return Verdict::Refused;
+    pub fn charge(&mut self, key: Key, bytes: usize, now: Instant) -> Decision {
+        let Some(entry) = self.entries.get(key).filter(|g| g.leaving.is_none()) else {
+            return Decision::Refused;
         };
-        let held = guest.held + bytes;
+        let held = entry.held + bytes;
         let limit = match held <= SMALL_BYTES {
             true => self.limits.bytes,
             false => self.limits.bytes - self.limits.reserved_bytes,
         };
         if held + CONNECTION_BYTES > limit {
             self.evict(key, Cause::Memory);
-            return Verdict::Refused;
+            return Decision::Refused;
         }
         let fits = self.make_room(bytes, limit, now, Some(key));
-        let guest = &mut self.guests[key];
-        if guest.leaving.is_some() {
-            return Verdict::Refused;
+        let entry = &mut self.entries[key];
+        if entry.leaving.is_some() {
+            return Decision::Refused;
         }
         if !fits {
-            guest.waits_since.get_or_insert(now);
-            return Verdict::Wait;
+            entry.waits_since.get_or_insert(now);
+            return Decision::Wait;
         }
-        guest.waits_since = None;
-        guest.held = held;
+        entry.waits_since = None;
+        entry.held = held;
         self.used += bytes;
-        Verdict::Granted
+        Decision::Granted
     }
 
-    /// Returns whether a request that arrived whole may be decoded, which takes memory that is known
+    /// Returns whether a request that arrived completely may be decoded, which takes memory that is known
     /// only afterwards. Only requests that were decoded before exceed the budget, and they end.
-    pub fn may_adopt(&self) -> bool {
+    pub fn may_decode(&self) -> bool {
         self.used <= self.limits.bytes
     }
 
-    /// Charges bytes that a request which arrived whole needs to be carried out, also over the
+    /// Charges bytes that a request which arrived completely needs to be carried out, also over the
     /// limit: it is not refused any more.
-    pub fn adopt(&mut self, key: Key, bytes: usize) {
-        if let Some(guest) = self.guests.get_mut(key) {
-            guest.held += bytes;
+    pub fn charge_decoded(&mut self, key: Key, bytes: usize) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.held += bytes;
             self.used += bytes;
-            if guest.leaving.is_some() {
+            if entry.leaving.is_some() {
                 self.leaving += bytes;
             }
         }
@@ -148,23 +148,23 @@
 
     /// Gives charged or adopted bytes back.
     pub fn release(&mut self, key: Key, bytes: usize) {
-        let Some(guest) = self.guests.get_mut(key) else {
+        let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
-        let bytes = bytes.min(guest.held);
-        guest.held -= bytes;
+        let bytes = bytes.min(entry.held);
+        entry.held -= bytes;
         self.used -= bytes;
-        if guest.leaving.is_some() {
+        if entry.leaving.is_some() {
             self.leaving -= bytes;
         }
     }
 
     /// Notes bytes that arrived on a connection, and returns what it is doing.
     pub fn arrived(&mut self, key: Key, bytes: usize, now: Instant) -> Option<Stage> {
-        let guest = self.guests.get_mut(key)?;
-        guest.arrived(bytes, now);
-        let stage = guest.stage;
-        if stage == Stage::Head && guest.received > self.limits.head_bytes + READ_BYTES {
+        let entry = self.entries.get_mut(key)?;
+        entry.arrived(bytes, now);
+        let stage = entry.stage;
+        if stage == Stage::Head && entry.received > self.limits.head_bytes + READ_BYTES {
             self.evict(key, Cause::LongHead);
         }
         Some(stage)
@@ -172,60 +172,60 @@
 
     /// Notes that the head of a request has arrived.
     pub fn open(&mut self, key: Key, now: Instant) {
-        if let Some(guest) = self.guests.get_mut(key) {
-            guest.exchanges += 1;
-            let stage = match guest.multiplexed {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.exchanges += 1;
+            let stage = match entry.multiplexed {
                 true => Stage::Answer,
                 false => Stage::Body,
             };
-            guest.enter(stage, now);
+            entry.enter(stage, now);
         }
     }
 
-    /// Notes that a request has arrived whole, or that another part bounds its body. Returns false if
-    /// the connection gives way: the request is still counted as arriving, and must not run.
+    /// Notes that a request has arrived completely, or that another part bounds its body. Returns false if
+    /// the connection is evicted: the request is still counted as arriving, and must not run.
     pub fn complete(&mut self, key: Key, now: Instant) -> bool {
-        let guest = self.guests.get_mut(key);
-        let Some(guest) = guest.filter(|guest| guest.leaving.is_none()) else {
+        let entry = self.entries.get_mut(key);
+        let Some(entry) = entry.filter(|entry| entry.leaving.is_none()) else {
             return false;
         };
-        guest.enter(Stage::Answer, now);
+        entry.enter(Stage::Answer, now);
         true
     }
 
     /// Notes that the exchange of a request has ended.
     pub fn close(&mut self, key: Key, now: Instant) {
-        if let Some(guest) = self.guests.get_mut(key) {
-            guest.exchanges = guest.exchanges.saturating_sub(1);
-            if guest.exchanges == 0 {
-                guest.enter(Stage::Idle, now);
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.exchanges = entry.exchanges.saturating_sub(1);
+            if entry.exchanges == 0 {
+                entry.enter(Stage::Idle, now);
             }
         }
     }
 
     /// Notes that a connection carries several exchanges at once, whose heads another part bounds.
     pub fn multiplex(&mut self, key: Key, now: Instant) {
-        if let Some(guest) = self.guests.get_mut(key) {
-            guest.multiplexed = true;
-            if guest.exchanges == 0 {
-                guest.enter(Stage::Idle, now);
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.multiplexed = true;
+            if entry.exchanges == 0 {
+                entry.enter(Stage::Idle, now);
             }
         }
     }
 
     /// Notes whether the client leaves a part of an answer untaken.
     pub fn set_blocked(&mut self, key: Key, blocked: bool, now: Instant) {
-        if let Some(guest) = self.guests.get_mut(key) {
-            let since = guest.blocked_since.unwrap_or(now);
-            guest.blocked_since = blocked.then_some(since);
+        if let Some(entry) = self.entries.get_mut(key) {
+            let since = entry.blocked_since.unwrap_or(now);
+            entry.blocked_since = blocked.then_some(since);
         }
     }
 
-    /// Makes the connections give way whose time is over.
+    /// Evicts the connections whose time is over.
     pub fn sweep(&mut self, now: Instant) {
-        let guests = self.guests.iter();
-        let overdue: Vec<(Key, Cause)> = guests
-            .filter_map(|(key, guest)| Some((key, guest.overdue(&self.limits, now)?)))
+        let entries = self.entries.iter();
+        let overdue: Vec<(Key, Cause)> = entries
+            .filter_map(|(key, entry)| Some((key, entry.overdue(&self.limits, now)?)))
             .collect();
         for (key, cause) in overdue {
             self.evict(key, cause);
@@ -234,25 +234,25 @@
 
     /// Removes a connection that has ended, with all of its bytes.
     pub fn remove(&mut self, key: Key) {
-        if let Some(guest) = self.guests.remove(key) {
-            self.used -= guest.bytes();
-            if guest.leaving.is_some() {
-                self.leaving -= guest.bytes();
+        if let Some(entry) = self.entries.remove(key) {
+            self.used -= entry.bytes();
+            if entry.leaving.is_some() {
+                self.leaving -= entry.bytes();
             }
         }
     }
 
-    /// Makes connections give way until `bytes` fit under `limit` once those have given theirs back,
+    /// Evicts connections until `bytes` fit under `limit` once those have given theirs back,
     /// and returns whether `bytes` fit at once. Stops at the connection that asks.
     fn make_room(&mut self, bytes: usize, limit: usize, now: Instant, asks: Option<Key>) -> bool {
         while self.used - self.leaving + bytes > limit {
-            let Some(victim) = self.least(now, Guest::gives_way_for_bytes) else {
+            let Some(victim) = self.lowest_priority(now, Entry::is_evictable_for_bytes) else {
                 return false;
             };
             if asks == Some(victim) {
-                // Whole requests, which hold the rest, end soon.
-                let contenders = self.guests.values().filter(|g| g.gives_way_for_bytes());
-                if contenders.filter(|g| g.rank(now).is_some()).count() > 1 {
+                // CompleteBody requests, which hold the rest, end soon.
+                let contenders = self.entries.values().filter(|g| g.is_evictable_for_bytes());
+                if contenders.filter(|g| g.priority(now).is_some()).count() > 1 {
                     self.evict(victim, Cause::Memory);
                 }
                 return false;
@@ -263,22 +263,22 @@
     }
 
     /// Returns the connection that makes the least progress.
-    fn least(&self, now: Instant, considered: impl Fn(&Guest) -> bool) -> Option<Key> {
-        let guests = self.guests.iter().filter(|(_, guest)| considered(guest));
-        guests
-            .filter_map(|(key, guest)| Some((guest.rank(now)?, key)))
+    fn lowest_priority(&self, now: Instant, considered: impl Fn(&Entry) -> bool) -> Option<Key> {
+        let entries = self.entries.iter().filter(|(_, entry)| considered(entry));
+        entries
+            .filter_map(|(key, entry)| Some((entry.priority(now)?, key)))
             .min()
             .map(|(_, key)| key)
     }
 
     fn evict(&mut self, key: Key, cause: Cause) {
-        let Some(guest) = self.guests.get_mut(key) else {
+        let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
-        if guest.leaving.is_none() {
-            guest.leaving = Some(cause);
-            self.leaving += guest.bytes();
-            self.untold.push((key, cause));
+        if entry.leaving.is_none() {
+            entry.leaving = Some(cause);
+            self.leaving += entry.bytes();
+            self.unreported.push((key, cause));
         }
     }
 }
--- a/src/intake/rank.rs
+++ b/src/intake/priority.rs
@@ -2,9 +2,9 @@
 
 use crate::clock::Instant;
 
-/// How much a connection deserves its place; the least gives way first.
+/// Order of eviction: the connection with the lowest priority is evicted first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Rank {
+pub(super) enum Priority {
     /// A request that has stopped arriving or an answer that is not taken: the share that arrived
     /// lately, and since when.
     Stalled(usize, Instant),
--- a/src/intake/gate.rs
+++ b/src/intake/registry.rs
@@ -7,8 +7,10 @@
 use strum::IntoEnumIterator;
 use tokio_util::sync::CancellationToken;
 
-use super::books::Books;
-use super::{Admission, Cause, Evicted, Key, Ledger, Limits, LogThrottle, Port, Seat, Verdict};
+use super::state::State;
+use super::{
+    Admission, Cause, Connection, Decision, Evicted, Key, Ledger, Limits, LogThrottle, Port,
+};
 use crate::clock;
 
 /// Time between two looks for connections whose time is over.
@@ -16,24 +18,24 @@
 
 /// The ledger of a process, shared by the tasks of its connections.
 #[derive(Debug)]
-pub struct Gate {
-    books: Mutex<Books>,
+pub struct Registry {
+    state: Mutex<State>,
     limits: Limits,
 }
 
-impl Gate {
-    /// Makes a gate without connections.
+impl Registry {
+    /// Makes a registry without connections.
     ///
     /// ```
-    /// use coriandernotch::intake::{Gate, Limits};
+    /// use coriandernotch::intake::{Registry, Limits};
     ///
-    /// assert_eq!(Gate::new(Limits::new(Some(160), None)).used(), 0);
+    /// assert_eq!(Registry::new(Limits::new(Some(160), None)).used(), 0);
     /// ```
     pub fn new(limits: Limits) -> Arc<Self> {
         Arc::new(Self {
-            books: Mutex::new(Books {
+            state: Mutex::new(State {
                 ledger: Ledger::new(limits),
-                seats: SecondaryMap::new(),
+                connections: SecondaryMap::new(),
                 waiting: Vec::new(),
                 throttle: LogThrottle::default(),
             }),
@@ -48,10 +50,10 @@
 
     /// Returns the bytes that are charged.
     pub fn used(&self) -> usize {
-        self.books.lock().expect("intake lock").ledger.used()
+        self.state.lock().expect("intake lock").ledger.used()
     }
 
-    /// Makes connections give way whose time is over, until the process ends.
+    /// Evicts connections whose time is over, until the process ends.
     pub async fn sweep(self: Arc<Self>) {
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
@@ -62,19 +64,19 @@
 
     /// Sets the gauges of what is in use.
     pub fn set_gauges(&self) {
-        let books = self.books.lock().expect("intake lock");
-        gauge!("intake_bytes").set(books.ledger.used() as f64);
+        let state = self.state.lock().expect("intake lock");
+        gauge!("intake_bytes").set(state.ledger.used() as f64);
         gauge!("intake_bytes_limit").set(self.limits.bytes as f64);
         for port in Port::iter() {
-            let connections = books.ledger.connections(port);
+            let connections = state.ledger.connections(port);
             gauge!("connections", "port" => port.name()).set(connections as f64);
         }
     }
 
     /// Waits until a new connection has a place.
-    pub async fn admit(self: &Arc<Self>, port: Port) -> Arc<Seat> {
+    pub async fn admit(self: &Arc<Self>, port: Port) -> Arc<Connection> {
         let (key, evicted) = std::future::poll_fn(|cx| self.poll_admit(port, cx)).await;
-        Arc::new(Seat::new(self.clone(), key, evicted))
+        Arc::new(Connection::new(self.clone(), key, evicted))
     }
 
     /// Waits until a port has no connections.
@@ -83,23 +85,23 @@
     }
 
     fn poll_emptied(&self, port: Port, cx: &Context<'_>) -> Poll<()> {
-        let mut books = self.books.lock().expect("intake lock");
-        if books.ledger.connections(port) == 0 {
+        let mut state = self.state.lock().expect("intake lock");
+        if state.ledger.connections(port) == 0 {
             return Poll::Ready(());
         }
-        books.wait(cx);
+        state.wait(cx);
         Poll::Pending
     }
 
     fn poll_admit(&self, port: Port, cx: &Context<'_>) -> Poll<(Key, CancellationToken)> {
-        self.books_with(|books| match books.ledger.admit(port, clock::now()) {
+        self.with_state(|state| match state.ledger.admit(port, clock::now()) {
             Admission::Admitted(key) => {
                 let token = CancellationToken::new();
-                books.seats.insert(key, (port, token.clone()));
+                state.connections.insert(key, (port, token.clone()));
                 Poll::Ready((key, token))
             }
             Admission::Wait => {
-                books.wait(cx);
+                state.wait(cx);
                 Poll::Pending
             }
         })
@@ -111,69 +113,69 @@
         bytes: usize,
         cx: &Context<'_>,
     ) -> Poll<Result<(), Evicted>> {
-        self.books_with(
-            |books| match books.ledger.charge(key, bytes, clock::now()) {
-                Verdict::Granted => Poll::Ready(Ok(())),
-                Verdict::Refused => Poll::Ready(Err(Evicted)),
-                Verdict::Wait => {
-                    books.wait(cx);
+        self.with_state(
+            |state| match state.ledger.charge(key, bytes, clock::now()) {
+                Decision::Granted => Poll::Ready(Ok(())),
+                Decision::Refused => Poll::Ready(Err(Evicted)),
+                Decision::Wait => {
+                    state.wait(cx);
                     Poll::Pending
                 }
             },
         )
     }
 
-    /// Waits until a request that arrived whole may be decoded.
-    pub(super) fn poll_adopt(&self, cx: &Context<'_>) -> Poll<()> {
-        let mut books = self.books.lock().expect("intake lock");
-        if books.ledger.may_adopt() {
+    /// Waits until a request that arrived completely may be decoded.
+    pub(super) fn poll_may_decode(&self, cx: &Context<'_>) -> Poll<()> {
+        let mut state = self.state.lock().expect("intake lock");
+        if state.ledger.may_decode() {
             return Poll::Ready(());
         }
-        books.wait(cx);
+        state.wait(cx);
         Poll::Pending
     }
 
-    /// Changes the ledger and tells the connections that must give way.
+    /// Changes the ledger and tells the connections that must be closed.
     pub(super) fn with<R>(&self, change: impl FnOnce(&mut Ledger) -> R) -> R {
-        self.books_with(|books| change(&mut books.ledger))
+        self.with_state(|state| change(&mut state.ledger))
     }
 
     /// Gives bytes back by `change` and wakes the tasks that wait for them.
     pub(super) fn give_back(&self, change: impl FnOnce(&mut Ledger)) {
-        let waiting = self.books_with(|books| {
-            change(&mut books.ledger);
-            std::mem::take(&mut books.waiting)
+        let waiting = self.with_state(|state| {
+            change(&mut state.ledger);
+            std::mem::take(&mut state.waiting)
         });
         waiting.into_iter().for_each(std::task::Waker::wake);
     }
 
     pub(super) fn remove(&self, key: Key) {
-        let mut books = self.books.lock().expect("intake lock");
-        books.seats.remove(key);
-        drop(books);
+        let mut state = self.state.lock().expect("intake lock");
+        state.connections.remove(key);
+        drop(state);
         self.give_back(|ledger| ledger.remove(key));
     }
 
     /// Counts and logs a connection whose head hyper found to be too long.
     pub(super) fn report_long_head(&self, port: Port) {
-        let mut books = self.books.lock().expect("intake lock");
-        let unlogged = books.throttle.note(port, Cause::LongHead, clock::now());
-        let used = books.ledger.used();
-        drop(books);
+        let mut state = self.state.lock().expect("intake lock");
+        let unlogged = state.throttle.note(port, Cause::LongHead, clock::now());
+        let used = state.ledger.used();
+        drop(state);
         report(port, Cause::LongHead, unlogged, used);
     }
 
-    fn books_with<R>(&self, change: impl FnOnce(&mut Books) -> R) -> R {
-        let mut books = self.books.lock().expect("intake lock");
-        let result = change(&mut books);
-        let told = books.tell();
+    fn with_state<R>(&self, change: impl FnOnce(&mut State) -> R) -> R {
+        let mut state = self.state.lock().expect("intake lock");
+        let result = change(&mut state);
+        let told = state.notify_evicted();
         // Those that wait may be among the evicted.
         let woken = match told.is_empty() {
             true => Vec::new(),
-            false => std::mem::take(&mut books.waiting),
+            false => std::mem::take(&mut state.waiting),
         };
-        let used = books.ledger.used();
-        drop(books);
+        let used = state.ledger.used();
+        drop(state);
         woken.into_iter().for_each(std::task::Waker::wake);
         for (port, cause, unlogged) in told {
             report(port, cause, unlogged, used);
--- a/src/intake/held.rs
+++ b/src/intake/response_body.rs
@@ -7,12 +7,12 @@
 
 /// Body of an answer that ends its exchange.
 #[derive(Debug)]
-pub(super) struct Held<B> {
+pub(super) struct ResponseBody<B> {
     body: B,
     _exchange: Exchange,
 }
 
-impl<B> Held<B> {
+impl<B> ResponseBody<B> {
     pub(super) fn new(body: B, exchange: Exchange) -> Self {
         Self {
             body,
@@ -21,7 +21,7 @@
     }
 }
 
-impl<B: Body + Unpin> Body for Held<B> {
+impl<B: Body + Unpin> Body for ResponseBody<B> {
     type Data = B::Data;
     type Error = B::Error;
 
--- a/src/intake/serve.rs
+++ b/src/intake/serve.rs
@@ -12,57 +12,57 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::held::Held;
-use super::{Evicted, Gate, Port, Seat, Stage, Stream};
+use super::response_body::ResponseBody;
+use super::{Connection, Evicted, Port, Registry, Stage, Stream};
 
 /// Delay after a connection that could not be accepted.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Time for the refusal of a request whose body gives way.
+/// Time for the refusal of a request whose connection is evicted.
 const REFUSAL_TIME: Duration = Duration::from_millis(250);
 
 /// Largest answer that the charge for a connection covers.
 const ANSWER_BYTES: u64 = 4 << 10;
 
 /// Serves a port until the process ends, each connection in its own task.
-pub async fn serve<F, R, B>(gate: Arc<Gate>, port: Port, listener: TcpListener, respond: F)
+pub async fn serve<F, R, B>(registry: Arc<Registry>, port: Port, listener: TcpListener, respond: F)
 where
-    F: Fn(Request<Incoming>, Arc<Seat>) -> R + Clone + Send + Sync + 'static,
+    F: Fn(Request<Incoming>, Arc<Connection>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Unpin + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let (_open, closing) = watch::channel(false);
-    serve_until(gate, port, listener, closing, respond).await;
+    serve_until(registry, port, listener, closing, respond).await;
 }
 
 /// Serves a port like [`serve`] until `closing` is true. From then on each connection completes only
 /// its current request.
 pub async fn serve_until<F, R, B>(
-    gate: Arc<Gate>,
+    registry: Arc<Registry>,
     port: Port,
     listener: TcpListener,
     mut closing: watch::Receiver<bool>,
     respond: F,
 ) where
-    F: Fn(Request<Incoming>, Arc<Seat>) -> R + Clone + Send + Sync + 'static,
+    F: Fn(Request<Incoming>, Arc<Connection>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Unpin + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     loop {
         let accepted = tokio::select! {
-            accepted = accept(&gate, port, &listener) => accepted,
+            accepted = accept(&registry, port, &listener) => accepted,
             () = wait_closing(&mut closing) => return,
         };
         match accepted {
-            Ok((stream, seat)) => {
-                let connection = Connection {
-                    gate: gate.clone(),
+            Ok((stream, connection)) => {
+                let task = Task {
+                    registry: registry.clone(),
                     port,
-                    seat,
+                    connection,
                 };
-                tokio::spawn(connection.serve(stream, closing.clone(), respond.clone()));
+                tokio::spawn(task.serve(stream, closing.clone(), respond.clone()));
             }
             Err(error) => {
                 log::warn!(event = "accept-failed", port = port.name(), error:% = error; "");
@@ -74,25 +74,25 @@
 
 /// Accepts a connection and waits until it has a place. The next ones stay in the backlog.
 async fn accept(
-    gate: &Arc<Gate>,
+    registry: &Arc<Registry>,
     port: Port,
     listener: &TcpListener,
-) -> std::io::Result<(TcpStream, Arc<Seat>)> {
+) -> std::io::Result<(TcpStream, Arc<Connection>)> {
     let (stream, _) = listener.accept().await?;
-    Ok((stream, gate.admit(port).await))
+    Ok((stream, registry.admit(port).await))
 }
 
-/// A connection with a place at the gate.
-struct Connection {
-    gate: Arc<Gate>,
+/// A connection that has been admitted.
+struct Task {
+    registry: Arc<Registry>,
     port: Port,
-    seat: Arc<Seat>,
+    connection: Arc<Connection>,
 }
 
-impl Connection {
+impl Task {
     async fn serve<F, R, B>(self, stream: TcpStream, mut closing: watch::Receiver<bool>, respond: F)
     where
-        F: Fn(Request<Incoming>, Arc<Seat>) -> R,
+        F: Fn(Request<Incoming>, Arc<Connection>) -> R,
         R: Future<Output = Response<B>>,
         B: Body<Data = Bytes> + Unpin + 'static,
         B::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -102,38 +102,38 @@
             log::debug!(event = "nodelay-failed", port, error:% = error; "");
         }
         let service = service_fn(|request| {
-            let (seat, exchange) = (self.seat.clone(), self.seat.open());
-            let response = respond(request, seat.clone());
+            let (connection, exchange) = (self.connection.clone(), self.connection.open());
+            let response = respond(request, connection.clone());
             async move {
                 let mut response = response.await;
                 let length = response.body().size_hint().lower();
                 if length > ANSWER_BYTES {
-                    seat.charge_answer(length as usize).await?;
+                    connection.charge_answer(length as usize).await?;
                 }
-                if seat.is_evicted() {
+                if connection.is_evicted() {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
-                Ok::<_, Evicted>(response.map(|body| Held::new(body, exchange)))
+                Ok::<_, Evicted>(response.map(|body| ResponseBody::new(body, exchange)))
             }
         });
-        let limits = self.gate.limits();
-        let connection = http1::Builder::new()
+        let limits = self.registry.limits();
+        let http = http1::Builder::new()
             .timer(TokioTimer::new())
             // The ledger tells idle connections from heads that do not end.
             .header_read_timeout(None)
             .max_buf_size(limits.head_bytes)
             .serve_connection(
-                TokioIo::new(Stream::new(stream, self.seat.clone())),
+                TokioIo::new(Stream::new(stream, self.connection.clone())),
                 service,
             );
-        tokio::pin!(connection);
+        tokio::pin!(http);
         let (mut stopping, mut leaving) = (false, false);
         let result = loop {
             tokio::select! {
-                result = connection.as_mut() => break result,
-                () = self.seat.evicted(), if !leaving => {
-                    if self.seat.stage() != Some(Stage::Body) {
+                result = http.as_mut() => break result,
+                () = self.connection.evicted(), if !leaving => {
+                    if self.connection.stage() != Some(Stage::Body) {
                         return;
                     }
                     leaving = true;
@@ -141,13 +141,13 @@
                 () = tokio::time::sleep(REFUSAL_TIME), if leaving => return,
                 () = wait_closing(&mut closing), if !stopping => {
                     stopping = true;
-                    connection.as_mut().graceful_shutdown();
+                    http.as_mut().graceful_shutdown();
                 }
             }
         };
         if let Err(error) = result {
             if error.is_parse_too_large() {
-                self.gate.report_long_head(self.port);
+                self.registry.report_long_head(self.port);
             }
             log::debug!(event = "connection-ended", port, error:% = error; "");
         }
--- a/src/intake/stage.rs
+++ b/src/intake/stage.rs
@@ -7,6 +7,6 @@
     Head,
     /// The body of a request is arriving.
     Body,
-    /// A request has arrived whole and is served or answered.
+    /// A request has arrived completely and is served or answered.
     Answer,
 }
--- a/src/intake/stream.rs
+++ b/src/intake/stream.rs
@@ -6,7 +6,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-use super::{READ_BYTES, Seat, Stage};
+use super::{Connection, READ_BYTES, Stage};
 
 /// Buffers of a head double as they grow, so a byte of a head may take two.
 const HEAD_FACTOR: usize = 2;
@@ -16,39 +16,39 @@
 #[derive(Debug)]
 pub struct Stream {
     socket: TcpStream,
-    seat: Arc<Seat>,
+    connection: Arc<Connection>,
     /// Bytes of a head that arrived and are not charged yet.
-    debt: usize,
+    uncharged: usize,
     /// Whether the socket did not take all that was written to it.
     blocked: bool,
 }
 
 impl Stream {
-    /// Makes a stream for a connection with a place at the gate.
-    pub fn new(socket: TcpStream, seat: Arc<Seat>) -> Self {
+    /// Makes a stream for a connection that has been admitted.
+    pub fn new(socket: TcpStream, connection: Arc<Connection>) -> Self {
         Self {
             socket,
-            seat,
-            debt: 0,
+            connection,
+            uncharged: 0,
             blocked: false,
         }
     }
 
     /// Returns the socket and its place, for what is read without being kept.
-    pub fn into_parts(self) -> (TcpStream, Arc<Seat>) {
-        (self.socket, self.seat)
+    pub fn into_parts(self) -> (TcpStream, Arc<Connection>) {
+        (self.socket, self.connection)
     }
 
     /// Returns the place of the connection.
-    pub fn seat(&self) -> &Arc<Seat> {
-        &self.seat
+    pub fn connection(&self) -> &Arc<Connection> {
+        &self.connection
     }
 
     fn note_write<T>(&mut self, written: &Poll<io::Result<T>>) {
         let blocked = written.is_pending();
         if blocked != self.blocked {
             self.blocked = blocked;
-            self.seat.set_blocked(blocked);
+            self.connection.set_blocked(blocked);
         }
     }
 }
@@ -64,21 +64,22 @@
             // The task is woken when the socket takes more.
             return Poll::Pending;
         }
-        if this.debt > 0 && this.seat.stage() == Some(Stage::Idle) {
+        if this.uncharged > 0 && this.connection.stage() == Some(Stage::Idle) {
             // The exchange of the head has ended.
-            this.debt = 0;
+            this.uncharged = 0;
         }
-        if this.debt > 0 {
-            ready!(this.seat.poll_charge_head(this.debt, cx)).map_err(io::Error::other)?;
-            this.debt = 0;
+        if this.uncharged > 0 {
+            ready!(this.connection.poll_charge_head(this.uncharged, cx))
+                .map_err(io::Error::other)?;
+            this.uncharged = 0;
         }
         let most = buf.remaining().min(READ_BYTES);
         let mut part = ReadBuf::new(buf.initialize_unfilled_to(most));
         ready!(Pin::new(&mut this.socket).poll_read(cx, &mut part))?;
         let length = part.filled().len();
         buf.advance(length);
-        if length > 0 && this.seat.arrived(length) == Some(Stage::Head) {
-            this.debt = length * HEAD_FACTOR;
+        if length > 0 && this.connection.arrived(length) == Some(Stage::Head) {
+            this.uncharged = length * HEAD_FACTOR;
         }
         Poll::Ready(Ok(()))
     }
@@ -111,7 +112,7 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.socket).poll_flush(cx))?;
-        self.seat.flushed();
+        self.connection.flushed();
         Poll::Ready(Ok(()))
     }
 
--- a/tests/intake/bytes.rs
+++ b/tests/intake/bytes.rs
@@ -1,4 +1,4 @@
-use coriandernotch::intake::{Admission, CONNECTION_BYTES, Cause, Limits, Port, Stage, Verdict};
+use coriandernotch::intake::{Admission, CONNECTION_BYTES, Cause, Decision, Limits, Port, Stage};
 
 use crate::scene::{BODY, Scene};
 
@@ -14,10 +14,10 @@
         scene.ledger.arrived(*key, 20_000, scene.now);
         assert_eq!(
             scene.ledger.charge(*key, 40_000, scene.now),
-            Verdict::Granted
+            Decision::Granted
         );
         scene.ledger.open(*key, scene.now);
-        assert_eq!(scene.send(*key, 4_096), Verdict::Granted);
+        assert_eq!(scene.send(*key, 4_096), Decision::Granted);
     }
     let large = scene.begin(BODY);
     assert_eq!(scene.evicted(), []);
@@ -47,14 +47,17 @@
     scene.wait_ms(3_000);
     let asks = scene.begin(100_000);
     assert_eq!(scene.evicted(), []);
-    assert_eq!(scene.send(asks, 100_000), Verdict::Wait);
+    assert_eq!(scene.send(asks, 100_000), Decision::Wait);
     assert_eq!(scene.evicted(), [(stalled, Cause::Memory)]);
     // Its bytes count until it has given them back.
-    assert_eq!(scene.ledger.charge(asks, 100_000, scene.now), Verdict::Wait);
+    assert_eq!(
+        scene.ledger.charge(asks, 100_000, scene.now),
+        Decision::Wait
+    );
     scene.ledger.remove(stalled);
     assert_eq!(
         scene.ledger.charge(asks, 100_000, scene.now),
-        Verdict::Granted
+        Decision::Granted
     );
     assert_eq!(scene.evicted(), []);
 }
@@ -69,10 +72,10 @@
     for _ in 0..29 {
         scene.wait_ms(100);
         scene.send(drips, 1);
-        assert_eq!(scene.send(even, BODY / 30), Verdict::Granted);
+        assert_eq!(scene.send(even, BODY / 30), Decision::Granted);
     }
     let third = scene.open();
-    assert_eq!(scene.send(third, 70_000), Verdict::Wait);
+    assert_eq!(scene.send(third, 70_000), Decision::Wait);
     assert_eq!(scene.evicted(), [(drips, Cause::Memory)]);
 }
 
@@ -83,13 +86,13 @@
     let served = scene.begin(BODY);
     scene.ledger.complete(served, scene.now);
     let waits = scene.begin(131_000);
-    assert_eq!(scene.send(waits, 250_000), Verdict::Wait);
+    assert_eq!(scene.send(waits, 250_000), Decision::Wait);
     scene.wait_ms(4_000);
     let stalled = scene.open();
-    assert_eq!(scene.send(stalled, 30_000), Verdict::Granted);
+    assert_eq!(scene.send(stalled, 30_000), Decision::Granted);
     scene.wait_ms(3_000);
     let asks = scene.open();
-    assert_eq!(scene.send(asks, 90_000), Verdict::Wait);
+    assert_eq!(scene.send(asks, 90_000), Decision::Wait);
     assert_eq!(scene.evicted()[0], (stalled, Cause::Memory));
 }
 
@@ -104,9 +107,9 @@
         .iter()
         .for_each(|key| assert!(scene.ledger.complete(*key, scene.now)));
     let next = scene.open();
-    assert_eq!(scene.send(next, 100_000), Verdict::Wait);
+    assert_eq!(scene.send(next, 100_000), Decision::Wait);
     let small = scene.open();
-    assert_eq!(scene.send(small, 20_000), Verdict::Granted);
+    assert_eq!(scene.send(small, 20_000), Decision::Granted);
     assert_eq!(scene.evicted(), []);
 }
 
@@ -119,10 +122,10 @@
     scene.wait_ms(60_000);
     scene.ledger.sweep(scene.now);
     let asks = scene.open();
-    assert_eq!(scene.send(asks, 200_000), Verdict::Wait);
+    assert_eq!(scene.send(asks, 200_000), Decision::Wait);
     assert_eq!(scene.evicted(), []);
     // What it needs to be stored is charged without a limit.
-    scene.ledger.adopt(whole, 4 * BODY);
+    scene.ledger.charge_decoded(whole, 4 * BODY);
     assert!(scene.ledger.used() > scene.ledger.limits().bytes);
     assert_eq!(scene.evicted(), []);
 }
@@ -135,11 +138,11 @@
     let keys = [scene.begin(150_000), scene.begin(150_000)];
     keys.iter()
         .for_each(|key| assert!(scene.ledger.complete(*key, scene.now)));
-    assert!(scene.ledger.may_adopt());
-    scene.ledger.adopt(keys[0], 4 * BODY);
-    assert!(!scene.ledger.may_adopt());
+    assert!(scene.ledger.may_decode());
+    scene.ledger.charge_decoded(keys[0], 4 * BODY);
+    assert!(!scene.ledger.may_decode());
     scene.ledger.release(keys[0], 4 * BODY);
-    assert!(scene.ledger.may_adopt());
+    assert!(scene.ledger.may_decode());
 }
 
 /// Guards against a request that can never fit and waits for ever, or drives all others out.
@@ -149,9 +152,9 @@
     let other = scene.begin(10_000);
     scene.wait_ms(5_000);
     let asks = scene.open();
-    assert_eq!(scene.send(asks, 4 * BODY), Verdict::Refused);
+    assert_eq!(scene.send(asks, 4 * BODY), Decision::Refused);
     assert_eq!(scene.evicted(), [(asks, Cause::Memory)]);
-    assert_eq!(scene.ledger.charge(asks, 1, scene.now), Verdict::Refused);
+    assert_eq!(scene.ledger.charge(asks, 1, scene.now), Decision::Refused);
     scene.ledger.remove(other);
 }
 
@@ -164,7 +167,7 @@
     scene.wait_ms(3_000);
     let asks = scene.open();
     for _ in 0..10 {
-        assert_eq!(scene.send(asks, 70_000), Verdict::Wait);
+        assert_eq!(scene.send(asks, 70_000), Decision::Wait);
     }
     assert_eq!(scene.evicted(), [(stalled[0], Cause::Memory)]);
 }
@@ -178,16 +181,16 @@
         let stalled = scene.begin(BODY);
         scene.wait_ms(3_000);
         let asks = scene.open();
-        assert_eq!(scene.send(asks, 200_000), Verdict::Wait);
+        assert_eq!(scene.send(asks, 200_000), Decision::Wait);
         assert_eq!(scene.evicted(), [(stalled, Cause::Memory)]);
         scene.ledger.release(stalled, BODY);
         assert_eq!(
             scene.ledger.charge(asks, 200_000, scene.now),
-            Verdict::Granted
+            Decision::Granted
         );
         scene.ledger.remove(stalled);
         scene.ledger.complete(asks, scene.now);
-        scene.ledger.adopt(asks, 1_000_000);
+        scene.ledger.charge_decoded(asks, 1_000_000);
         scene.ledger.release(asks, 1_000_000);
         scene.ledger.remove(asks);
         assert_eq!(scene.ledger.used(), 0);
@@ -223,7 +226,7 @@
     let _second = scene.begin(150_000);
     scene.wait_ms(10);
     let third = scene.open();
-    assert_eq!(scene.send(third, 150_000), Verdict::Refused);
+    assert_eq!(scene.send(third, 150_000), Decision::Refused);
     assert_eq!(scene.evicted(), [(third, Cause::Memory)]);
 }
 
@@ -238,7 +241,7 @@
     scene.wait_ms(60_000);
     scene.ledger.sweep(scene.now);
     assert_eq!(scene.evicted(), [(key, Cause::UnreadAnswer)]);
-    scene.ledger.adopt(key, 5_000);
+    scene.ledger.charge_decoded(key, 5_000);
     scene.ledger.release(key, 1_000);
     scene.ledger.release(key, 5_000);
     scene.ledger.remove(key);
@@ -257,7 +260,7 @@
     assert_eq!(scene.evicted(), [(key, Cause::SlowBody)]);
     let _stalled = scene.begin(50_000);
     scene.wait_ms(3_000);
-    assert_eq!(scene.send(key, 490_000), Verdict::Refused);
+    assert_eq!(scene.send(key, 490_000), Decision::Refused);
     assert_eq!(scene.evicted(), [], "nobody gives way to it");
 }
 
--- a/tests/intake/exact.rs
+++ b/tests/intake/exact.rs
@@ -1,5 +1,5 @@
 use coriandernotch::collections::Map;
-use coriandernotch::intake::{Admission, CONNECTION_BYTES, Key, Port, Verdict};
+use coriandernotch::intake::{Admission, CONNECTION_BYTES, Decision, Key, Port};
 use coriandernotch::random::Random;
 
 use crate::scene::{BODY, Scene};
@@ -32,7 +32,7 @@
                 }
                 (2..=4, Some(key)) => {
                     let bytes = random.below(100_000) as usize;
-                    if scene.send(key, bytes) == Verdict::Granted {
+                    if scene.send(key, bytes) == Decision::Granted {
                         *held.get_mut(&key).unwrap() += bytes;
                     }
                 }
@@ -87,7 +87,7 @@
         scene.ledger.arrived(asks, bytes, scene.now);
         let mut verdict = scene.ledger.charge(asks, bytes, scene.now);
         for _ in 0..10 {
-            if verdict != Verdict::Wait {
+            if verdict != Decision::Wait {
                 break;
             }
             let evicted = scene.evicted();
@@ -96,6 +96,6 @@
                 .for_each(|(key, _)| scene.ledger.remove(*key));
             verdict = scene.ledger.charge(asks, bytes, scene.now);
         }
-        assert_ne!(verdict, Verdict::Wait, "seed {seed}");
+        assert_ne!(verdict, Decision::Wait, "seed {seed}");
     }
 }
--- a/tests/intake/scene.rs
+++ b/tests/intake/scene.rs
@@ -2,7 +2,7 @@
 
 use coriandernotch::clock::{self, Instant};
 use coriandernotch::intake::{
-    Admission, CONNECTION_BYTES, Cause, Key, Ledger, Limits, Port, Verdict,
+    Admission, CONNECTION_BYTES, Cause, Decision, Key, Ledger, Limits, Port,
 };
 
 /// Bytes of the largest legal body.
@@ -58,7 +58,7 @@
     }
 
     /// Lets bytes of a body arrive and asks for as many.
-    pub(crate) fn send(&mut self, key: Key, bytes: usize) -> Verdict {
+    pub(crate) fn send(&mut self, key: Key, bytes: usize) -> Decision {
         self.ledger.arrived(key, bytes, self.now);
         self.ledger.charge(key, bytes, self.now)
     }
@@ -66,7 +66,7 @@
     /// Opens a request of which `bytes` arrive at once.
     pub(crate) fn begin(&mut self, bytes: usize) -> Key {
         let key = self.open();
-        assert_eq!(self.send(key, bytes), Verdict::Granted);
+        assert_eq!(self.send(key, bytes), Decision::Granted);
         key
     }
 
--- a/tests/intake/unread_answers.rs
+++ b/tests/intake/unread_answers.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use coriandernotch::intake::{self, Gate, Limits, Port};
+use coriandernotch::intake::{self, Limits, Port, Registry};
 use http_body_util::Full;
 use hyper::Response;
 use hyper::body::Bytes;
@@ -23,15 +23,20 @@
         write_time: Duration::from_secs(3_600),
         ..Limits::new(Some(512), None)
     };
-    let gate = Gate::new(limits);
+    let registry = Registry::new(limits);
     let listener = intake::listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(gate.clone().sweep());
-    tokio::spawn(intake::serve(gate, Port::Callers, listener, |_, seat| {
-        seat.complete();
-        let body = Full::new(Bytes::from(vec![0; ANSWER_BYTES]));
-        std::future::ready(Response::new(body))
-    }));
+    tokio::spawn(registry.clone().sweep());
+    tokio::spawn(intake::serve(
+        registry,
+        Port::Callers,
+        listener,
+        |_, connection| {
+            connection.complete();
+            let body = Full::new(Bytes::from(vec![0; ANSWER_BYTES]));
+            std::future::ready(Response::new(body))
+        },
+    ));
     let mut clients = Vec::new();
     for _ in 0..2 {
         let mut client = TcpStream::connect(address).await.unwrap();
