--- a/tests/intake/places.rs
+++ b/tests/intake/places.rs
@@ -1,4 +1,4 @@
-use coriandernotch::intake::{Admission, Cause, Limits, Port};
+use coriandernotch::intake::{Admission, CONNECTION_BYTES, Cause, Limits, Port};
 
 use crate::scene::{BODY, Scene};
 
@@ -12,7 +12,7 @@
     let served = [scene.open(), scene.open()];
     served
         .iter()
-        .for_each(|key| scene.ledger.complete(*key, scene.now));
+        .for_each(|key| assert!(scene.ledger.complete(*key, scene.now)));
     assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
     assert_eq!(scene.evicted(), [(idle, Cause::Connections)]);
     assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
@@ -42,7 +42,7 @@
     let mut scene = Scene::new(2, 2 * BODY);
     let keys = [scene.open(), scene.open()];
     keys.iter()
-        .for_each(|key| scene.ledger.complete(*key, scene.now));
+        .for_each(|key| assert!(scene.ledger.complete(*key, scene.now)));
     scene.ledger.set_blocked(keys[1], true, scene.now);
     assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
     assert_eq!(scene.evicted(), []);
@@ -70,7 +70,7 @@
     let mut scene = Scene::new(2, 64 * BODY);
     let keys = [scene.open(), scene.open()];
     keys.iter()
-        .for_each(|key| scene.ledger.complete(*key, scene.now));
+        .for_each(|key| assert!(scene.ledger.complete(*key, scene.now)));
     let side = scene.ledger.limits().side_connections;
     for _ in 0..side {
         assert!(matches!(
@@ -155,3 +155,52 @@
         assert_eq!(limits.connections, connections, "{memory_mb} {descriptors}");
     }
 }
+
+/// Guards against an instance that is taken for dead: callers hold the whole budget with requests that
+/// wait for the store, and the balancer's question for readiness is not accepted.
+#[test]
+fn readiness_is_admitted_when_callers_hold_the_whole_budget() {
+    let mut scene = Scene::new(4, 0);
+    for _ in 0..4 {
+        let key = scene.open();
+        scene.ledger.complete(key, scene.now);
+    }
+    let Admission::Admitted(key) = scene.try_admit(Port::Readiness) else {
+        panic!("there is a place");
+    };
+    assert_eq!(scene.ledger.used(), 5 * CONNECTION_BYTES);
+    scene.ledger.remove(key);
+    assert_eq!(scene.ledger.used(), 4 * CONNECTION_BYTES);
+    assert_eq!(scene.evicted(), []);
+}
+
+/// Guards against health checks that fail because callers need bytes: a connection of another port
+/// was closed between two questions.
+#[test]
+fn callers_do_not_drive_out_connections_of_other_ports() {
+    let mut scene = Scene::new(4, 0);
+    let Admission::Admitted(_readiness) = scene.try_admit(Port::Readiness) else {
+        panic!("there is a place");
+    };
+    scene.wait_ms(1_000);
+    for _ in 0..3 {
+        let key = scene.open();
+        scene.ledger.complete(key, scene.now);
+    }
+    assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
+    assert_eq!(scene.evicted(), []);
+}
+
+/// Guards against a caller that loses the rest of its answer on a slow link: the answer was written in
+/// part, and the connection counted as one without a request.
+#[test]
+fn a_connection_that_is_being_answered_does_not_give_way() {
+    let mut scene = Scene::new(1, 2 * BODY);
+    let key = scene.open();
+    scene.ledger.complete(key, scene.now);
+    scene.ledger.close(key, scene.now);
+    scene.ledger.set_blocked(key, true, scene.now);
+    scene.wait_ms(100);
+    assert_eq!(scene.try_admit(Port::Callers), Admission::Wait);
+    assert_eq!(scene.evicted(), []);
+}
