Count submissions in flight as possibly stored

An id whose first transaction was in flight was not counted as uncertain, so a repeat at the same instance could be refused with 503 while the write could still take effect: at its deadline, at a stop, or when too many waited. The queue now knows the ids in flight.

Both new tests failed before the change (Refused in place of Unknown).

--- a/src/job_store/queue.rs
+++ b/src/job_store/queue.rs
@@ -47,6 +47,8 @@
     lanes: Map<Partition, Lane>,
     /// Calls of this instance that write to the store.
     pub window: Window,
+    /// Ids of the transactions that are in flight.
+    in_flight: Set<Arc<str>>,
     /// Ids of transactions without an answer, and until when these may take effect.
     uncertain: Map<Arc<str>, Instant>,
     /// When the instance ends, if it stops.
@@ -73,6 +75,7 @@
             bytes: 0,
             lanes: Map::default(),
             window: Window::default(),
+            in_flight: Set::default(),
             uncertain: Map::default(),
             ends_at: None,
         }
@@ -104,10 +107,11 @@
         Some(key)
     }
 
-    /// Returns whether an earlier transaction with a job may take effect, so that no submission of it
-    /// may be called refused.
+    /// Returns whether a transaction with a job is in flight, or an earlier one may take effect, so
+    /// that no submission of it may be called refused.
     pub fn is_uncertain(&self, id: &str, now: Instant) -> bool {
-        self.uncertain.get(id).is_some_and(|until| now < *until)
+        let until = self.uncertain.get(id);
+        self.in_flight.contains(id) || until.is_some_and(|until| now < *until)
     }
 
     /// Sets when the instance ends. Submissions that are not sent are refused before that.
@@ -212,6 +216,11 @@
                 Vec::new()
             }
         };
+        for key in keys {
+            if let Some(waiting) = self.submissions.get(*key) {
+                self.in_flight.remove(&waiting.id);
+            }
+        }
         for key in keys.iter().rev() {
             let (Some(lane), Some(waiting)) = (
                 self.lanes.get_mut(&batch.partition),
@@ -336,6 +345,7 @@
             }
         }
         lane.begin(is_uncertain);
+        self.in_flight.extend(ids);
         self.window.begin();
         let timeout = self.window.expected(now) * TIMEOUT_FACTOR;
         let timeout = timeout.clamp(MIN_TIMEOUT, MAX_TIMEOUT);
--- a/tests/job_store/queue.rs
+++ b/tests/job_store/queue.rs
@@ -69,6 +69,36 @@
     assert!(queue.is_empty());
 }
 
+/// Guards against calling a repeat refused while the first transaction with its id is in flight: the
+/// write may still take effect. The caller of the repeat may leave less time than that call takes.
+#[test]
+fn never_refuses_a_repeat_of_a_submission_in_flight() {
+    for wait in [WAIT, Duration::from_millis(250)] {
+        let (mut queue, mut now) = (Queue::default(), start());
+        queue.submit("a", 1, now + WAIT, now).unwrap();
+        let first = next_batch(&mut queue, now);
+        assert!(queue.is_uncertain("a", now), "it may be stored");
+        let repeat = queue.submit("a", 1, now + wait, now).unwrap();
+        let reply = advance(&mut queue, &mut now);
+        assert_eq!(reply, Action::Reply(repeat, Acceptance::Unknown));
+        // A refusal had no effect, so nothing is stored afterwards.
+        queue.record(&first, &Answer::Busy, CALL, now);
+        assert!(!queue.is_uncertain("a", now));
+    }
+}
+
+/// Guards against the same after an instance began to stop.
+#[test]
+fn never_refuses_a_repeat_in_flight_while_the_instance_stops() {
+    let (mut queue, mut now) = (Queue::default(), start());
+    queue.submit("a", 1, now + WAIT, now).unwrap();
+    let _first = next_batch(&mut queue, now);
+    let repeat = queue.submit("a", 1, now + WAIT, now).unwrap();
+    queue.close(now + Duration::from_millis(300));
+    let reply = advance(&mut queue, &mut now);
+    assert_eq!(reply, Action::Reply(repeat, Acceptance::Unknown));
+}
+
 /// Guards against a caller that gets no refusal in time, and against one refusal of the store that
 /// ends a submission although its caller has time.
 #[test]
