Give up the tasks of an entry that no row takes

The entry of one worker with more than about 1,000 tasks exceeds a row, so the store refused each renewal or resignation that listed it. Such an entry now always loses its list of tasks. The limit of lists, which stood twice, is in batch/limits.rs.

The new test, one worker of 5,000 tasks, failed before the change.

--- a/src/batch/leader_rows.rs
+++ b/src/batch/leader_rows.rs
@@ -1,10 +1,6 @@
 use std::sync::Arc;
 
-use super::{Leader, LeaderPart, row_bytes};
-
-/// Size that the lists of one row take at most, in bytes. The rest of the 64 KiB of a row is left for
-/// its other fields.
-const MAX_LIST_BYTES: usize = 60_000;
+use super::{Leader, LeaderPart, MAX_LIST_BYTES, row_bytes};
 
 /// Number of machines of a wave that stay together.
 const MACHINES_PER_ENTRY: usize = 50;
--- a/src/batch/limits.rs
+++ b/src/batch/limits.rs
@@ -7,6 +7,10 @@
 /// transactions of 1 MB, in which contents are written in Base64 and each row has a key.
 pub const MAX_TRANSACTION_BYTES: usize = 700_000;
 
+/// Size that the lists of one row take at most, in bytes. The rest of a row is left for its other
+/// fields.
+pub(crate) const MAX_LIST_BYTES: usize = 60_000;
+
 /// Returns the size of a value in a row, in bytes.
 ///
 /// ```
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -74,6 +74,7 @@
 pub use leader_part::LeaderPart;
 pub use leader_rows::LeaderRows;
 pub use leadership::{Leadership, Role};
+pub(crate) use limits::MAX_LIST_BYTES;
 pub use limits::{MAX_ROW_BYTES, MAX_TRANSACTION_BYTES, row_bytes};
 pub use load::Load;
 pub use machine::Machine;
--- a/src/batch/occupancy.rs
+++ b/src/batch/occupancy.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{TaskId, row_bytes};
+use super::{MAX_LIST_BYTES, TaskId, row_bytes};
 
 /// A worker that may have runs, as one leader hands it over to the next.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +50,7 @@
     /// Reduces a list to `limit` bytes, as far as possible, by giving up lists of tasks: any task of
     /// the service may then be running on these workers. Workers that answer come first, since their
     /// lists are known again after one poll, then those with the longest lists. No worker is left out.
+    /// An entry that is too large for a row always loses its tasks.
     ///
     /// ```
     /// use coriandernotch::batch::{Occupancy, TaskId};
@@ -61,6 +62,10 @@
     /// assert!(!list[0].unknown && list[1].unknown && list[1].tasks.is_empty());
     /// ```
     pub fn shrink(list: &mut [Self], limit: usize) {
+        let is_too_large = |worker: &&mut Self| row_bytes(*worker) >= MAX_LIST_BYTES;
+        list.iter_mut()
+            .filter(is_too_large)
+            .for_each(Self::give_up_tasks);
         let mut bytes: usize = list.iter().map(|worker| row_bytes(worker) + 1).sum();
         let mut order: Vec<usize> = (0..list.len()).collect();
         order.sort_by_key(|position| {
@@ -76,9 +81,14 @@
                 continue;
             }
             bytes -= row_bytes(worker);
-            worker.tasks.clear();
-            worker.unknown = true;
+            worker.give_up_tasks();
             bytes += row_bytes(worker);
         }
     }
+
+    /// Replaces the list of tasks by the statement that any task of the service may be running.
+    fn give_up_tasks(&mut self) {
+        self.tasks.clear();
+        self.unknown = true;
+    }
 }
--- a/src/entry/handover.rs
+++ b/src/entry/handover.rs
@@ -1,16 +1,12 @@
 use serde::{Deserialize, Serialize};
 
 use super::row::{self, LEADERS};
-use crate::batch::{Leader, MAX_TRANSACTION_BYTES, Occupancy, row_bytes};
+use crate::batch::{Leader, MAX_LIST_BYTES, MAX_TRANSACTION_BYTES, Occupancy, row_bytes};
 use crate::platform::api::Transaction;
 
 /// Prefix of the keys of [`Handover`] rows in the table of leaders.
 const KEY_PREFIX: &str = "runs/";
 
-/// Largest size of the list in one [`Handover`] row, in bytes. The rest of the 64 KiB of a row is left
-/// for its other fields.
-const MAX_LIST_BYTES: usize = 60_000;
-
 /// Row with a part of the list of runs that a leader hands over when it resigns. The list of a
 /// large fleet exceeds the maximum size of a row.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/tests/batch/leader_rows.rs
+++ b/tests/batch/leader_rows.rs
@@ -84,6 +84,24 @@
     assert_eq!(LeaderRows::join(&owner, &parts), Some(leader));
 }
 
+/// Guards against one worker with so many tasks that no row takes its entry: all renewals, and the
+/// resignation, were refused.
+#[test]
+fn a_worker_with_many_tasks_fits_into_a_row() {
+    let mut busy = vec![occupancy(0, 3), occupancy(1, 5_000), occupancy(2, 3)];
+    Occupancy::shrink(&mut busy, MAX_TRANSACTION_BYTES);
+    let tasks: Vec<usize> = busy.iter().map(|worker| worker.tasks.len()).collect();
+    assert_eq!(
+        tasks,
+        [3, 0, 3],
+        "only the one that does not fit is shortened"
+    );
+    assert!(busy[1].unknown, "any task may run there");
+    let LeaderRows { owner, parts } = LeaderRows::divide(&largest_leader(busy));
+    assert!(row_bytes(&owner) <= MAX_ROW_BYTES);
+    assert!(parts.iter().all(|part| row_bytes(part) <= MAX_ROW_BYTES));
+}
+
 /// Guards against a successor that takes parts of two lists as one: a worker that is in neither would
 /// count as one without runs (rule TWICE).
 #[test]
