Renew without other rows after a refusal

A member row that the store refuses for good made the whole renewal fail, once every 400 ms until the member was found, and a refused row of the leader or of the learned run times barred members that were not at fault. After such a refusal the rows of the leader go alone and at once. Only if they are stored, the changes of members are halved, or the run times wait for 30 s.

--- a/src/batch/engine/members.rs
+++ b/src/batch/engine/members.rs
@@ -122,10 +122,9 @@
         changes
     }
 
-    /// Records that the store refused the changes taken last for good. Fewer are taken next, and one
-    /// that is refused alone is not sent again.
-    fn refuse(&mut self) {
-        let changes = std::mem::take(&mut self.pending);
+    /// Records that the store refuses changes for good. Fewer are taken next, and one that is refused
+    /// alone is not sent again.
+    fn refuse(&mut self, changes: MemberChanges) {
         let count = changes.added.len() + changes.removed.len();
         self.limit = Some((count / 2).max(1));
         if count == 1 {
@@ -134,6 +133,11 @@
         }
     }
 
+    /// Takes back the changes taken last, which were not written. They are taken again.
+    fn withdraw(&mut self) -> MemberChanges {
+        std::mem::take(&mut self.pending)
+    }
+
     /// Records that the changes taken last are stored, and returns them.
     fn confirm(&mut self) -> MemberChanges {
         let changes = std::mem::take(&mut self.pending);
@@ -178,10 +182,16 @@
             .take_changes(self.workers.values(), |id| uncontacted.contains_key(id))
     }
 
-    /// Records that the store refused the changes taken last for good, in a transaction that had no
-    /// effect.
-    pub fn refuse_member_changes(&mut self) {
-        self.members.refuse();
+    /// Takes back the changes taken last, whose transaction had no effect. They are taken again, and do
+    /// not count as stored with the next renewal.
+    pub fn withdraw_member_changes(&mut self) -> MemberChanges {
+        self.members.withdraw()
+    }
+
+    /// Records that the store refuses changes for good, which were withdrawn: a renewal without them
+    /// was stored.
+    pub fn refuse_member_changes(&mut self, changes: MemberChanges) {
+        self.members.refuse(changes);
     }
 
     /// Records that the changes taken last are stored.
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -18,24 +18,52 @@
 /// [`STORE_TIMEOUT`].
 pub(super) const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time after which learned run times are stored again that the store may have refused for good.
+const ESTIMATES_DELAY: Duration = Duration::from_secs(30);
+
+/// What a renewal contained that the store refused for good, besides the rows of the leader.
+struct Withdrawn {
+    members: MemberChanges,
+    has_estimates: bool,
+}
+
 impl Candidate {
     /// Renews the leadership until the term ends, this instance stops or a stronger one asks for the
     /// lead. Returns that request.
     pub(super) async fn renew_until_end(&mut self, term: &Term) -> Option<Transfer> {
         let loaded_at = clock::now();
         let mut timeout = STORE_TIMEOUT;
+        let mut withdrawn: Option<Withdrawn> = None;
+        let mut estimates_from: Option<Instant> = None;
         while !term.has_ended() && !self.shared.is_stopping() {
             let sent = clock::now();
             let leader = self.next_row(term);
-            let mut changes = member_transaction(&term.engine().take_member_changes());
-            let (members, leader_bytes) = (changes.puts.len(), row_bytes(&leader));
-            let estimates = term.engine().take_outdated_estimates(sent);
+            // The rows of the leader go alone after a refusal, which may be due to any of the others.
+            let is_alone = withdrawn.is_some();
+            let mut changes = if is_alone {
+                Transaction::default()
+            } else {
+                member_transaction(&term.engine().take_member_changes())
+            };
+            let (members, removed) = (changes.puts.len(), changes.deletes.len());
+            let leader_bytes = row_bytes(&leader);
+            let may_store_estimates = !is_alone && estimates_from.is_none_or(|from| sent >= from);
+            let estimates = may_store_estimates
+                .then(|| term.engine().take_outdated_estimates(sent))
+                .flatten();
             let stores_estimates = estimates.is_some();
             let estimates = estimates.iter().map(row::encode);
             (changes.puts).extend(estimates.map(|row| (LEADERS, ESTIMATES_KEY.into(), row)));
             timeout = match self.write(leader, changes, timeout).await {
                 Ok(true) => {
                     self.record_renewal(term, sent);
+                    if let Some(withdrawn) = withdrawn.take() {
+                        if withdrawn.has_estimates {
+                            estimates_from = Some(sent + ESTIMATES_DELAY);
+                        } else {
+                            term.engine().refuse_member_changes(withdrawn.members);
+                        }
+                    }
                     let is_behind = term.is_behind(clock::now());
                     if let Some(request) = self.granted_request(is_behind, Some(loaded_at)) {
                         return Some(request);
@@ -52,14 +80,19 @@
                     return None;
                 }
                 Err(fault) => {
-                    if fault.is_permanent() {
-                        term.engine().refuse_member_changes();
-                    }
                     log::warn!(event = "renewal-failed", fault:% = fault, members,
                         leader_bytes; "");
                     if stores_estimates {
                         term.engine().record_unstored_estimates();
                     }
+                    timeout = STORE_TIMEOUT;
+                    if fault.is_permanent() && (members + removed > 0 || stores_estimates) {
+                        withdrawn = Some(Withdrawn {
+                            members: term.engine().withdraw_member_changes(),
+                            has_estimates: stores_estimates,
+                        });
+                        continue;
+                    }
                     STORE_TIMEOUT
                 }
             };
--- a/tests/entry/bounded_rows.rs
+++ b/tests/entry/bounded_rows.rs
@@ -8,8 +8,11 @@
 use serde_json::json;
 
 use crate::instance::{request_until, send_request, start_instance, wait_until};
-use crate::platform::{ONE, THREE, TWO, id, job, start_platform, store_job, store_progress};
+use crate::platform::{
+    ONE, THREE, TWO, id, job, register, start_platform, store_job, store_progress,
+};
 use crate::store::Store;
+use crate::worker::Worker;
 
 /// Workers that did not answer the previous leader: a third of the target size.
 const SILENT_WORKERS: usize = 767;
@@ -23,6 +26,12 @@
 /// Token of the leader that resigned.
 const TOKEN: u64 = 5;
 
+/// Number of workers that become members at the same time: one of them is found after seven refusals.
+const MEMBERS: usize = 64;
+
+/// Three times the interval of renewals. A leader that is silent for 1.8 s loses the lead.
+const LONGEST_GAP: Duration = Duration::from_millis(1_200);
+
 /// Number of workers in one row of the list that it left.
 const WORKERS_PER_ROW: usize = 40;
 
@@ -123,6 +132,48 @@
     assert!(refused > 0);
 }
 
+/// Guards against the loss of the lead because the row of one member is refused: the whole renewal was
+/// refused until the member was found, for longer than a leader may be silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_member_does_not_end_the_lead() {
+    let (store, address, _worker) = start_platform().await;
+    store.refuse_key("i-040");
+    let instance = start_instance("refused-member", address);
+    wait_until("a member is stored", || {
+        store.read("members", "i-1").is_some()
+    })
+    .await;
+    let mut workers = Vec::new();
+    for number in 0..MEMBERS {
+        let worker = Worker::new(&format!("i-{number:03}"));
+        workers.push((worker.start().await, worker));
+    }
+    for (number, (address, _)) in workers.iter().enumerate() {
+        register(&store, &format!("i-{number:03}"), *address);
+    }
+    let is_member = |number: usize| store.read("members", &format!("i-{number:03}")).is_some();
+    wait_until("all others are members", || {
+        (0..MEMBERS).all(|n| n == 40 || is_member(n))
+    })
+    .await;
+    assert!(store.refused() > 0 && !is_member(40));
+    let refused = store.refused();
+    instance.submit(ONE, "10").await;
+    instance.wait_for_state(ONE, "completed").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(store.refused() <= refused + 1, "it is sent without end");
+    let tokens: Vec<u64> = store
+        .leader_writes()
+        .iter()
+        .map(|write| write.token)
+        .collect();
+    assert!(tokens.iter().all(|token| *token == tokens[0]), "{tokens:?}");
+    let writes = store.leader_writes();
+    let gaps = writes.windows(2).map(|pair| pair[1].at - pair[0].at);
+    let longest = gaps.max().unwrap();
+    assert!(longest < LONGEST_GAP, "{longest:?}");
+}
+
 /// Guards against a job inside the limits of a body whose row the store does not take: its caller was
 /// told to try again, without end, and so were the callers of the jobs in the same transaction.
 #[tokio::test(flavor = "multi_thread")]
