Do not store the jobs of callers that have gone

A submission whose caller had disconnected was still sent later, while another instance could have answered the repeat with 503. Before each decision the submissions whose reply channel is closed are withdrawn, unless a transaction with them is in flight or may take effect.

--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -81,7 +81,7 @@
     /// meanwhile.
     pub(super) async fn next_batch(&self) -> Batch {
         loop {
-            let action = self.state().queue.next(clock::now());
+            let action = self.state().next(clock::now());
             match action {
                 Action::Send(batch) => return batch,
                 Action::Reply(key, acceptance) => self.state().reply(key, acceptance),
@@ -146,6 +146,15 @@
 }
 
 impl State {
+    /// Decides what is to be done next. Submissions whose callers have gone are not sent: another
+    /// instance may have told them that their jobs are refused.
+    fn next(&mut self, now: Instant) -> Action {
+        let queue = &mut self.queue;
+        (self.submissions)
+            .retain(|key, submission| !(submission.reply.is_closed() && queue.withdraw(*key)));
+        queue.next(now)
+    }
+
     fn reply(&mut self, key: SubmissionKey, acceptance: Acceptance) {
         let Some(submission) = self.submissions.remove(&key) else {
             return;
--- a/src/job_store/queue.rs
+++ b/src/job_store/queue.rs
@@ -107,6 +107,20 @@
         Some(key)
     }
 
+    /// Removes a submission whose caller has gone, unless a transaction with it is in flight or may take
+    /// effect. Returns whether it is removed.
+    pub fn withdraw(&mut self, key: SubmissionKey) -> bool {
+        let Some(waiting) = self.submissions.get(key) else {
+            return false;
+        };
+        let lane = self.lanes.get(&waiting.partition);
+        let is_fresh = lane.is_some_and(|lane| lane.fresh.contains(&key));
+        if is_fresh {
+            self.remove(key);
+        }
+        is_fresh
+    }
+
     /// Returns whether a transaction with a job is in flight, or an earlier one may take effect, so
     /// that no submission of it may be called refused.
     pub fn is_uncertain(&self, id: &str, now: Instant) -> bool {
@@ -247,14 +261,7 @@
         acceptance: Acceptance,
         now: Instant,
     ) -> Option<(SubmissionKey, Acceptance)> {
-        let waiting = self.submissions.remove(key)?;
-        self.bytes = self.bytes.saturating_sub(waiting.bytes);
-        if let Some(lane) = self.lanes.get_mut(&waiting.partition) {
-            lane.remove(key);
-            if lane.is_empty() {
-                self.lanes.remove(&waiting.partition);
-            }
-        }
+        let waiting = self.remove(key)?;
         let may_be_stored = waiting.may_be_stored || self.is_uncertain(&waiting.id, now);
         let acceptance = match acceptance {
             Acceptance::Refused if may_be_stored => Acceptance::Unknown,
@@ -267,6 +274,18 @@
         Some((key, acceptance))
     }
 
+    fn remove(&mut self, key: SubmissionKey) -> Option<Waiting> {
+        let waiting = self.submissions.remove(key)?;
+        self.bytes = self.bytes.saturating_sub(waiting.bytes);
+        if let Some(lane) = self.lanes.get_mut(&waiting.partition) {
+            lane.remove(key);
+            if lane.is_empty() {
+                self.lanes.remove(&waiting.partition);
+            }
+        }
+        Some(waiting)
+    }
+
     /// Returns the submissions that are not in a transaction.
     fn idle_keys(&self) -> impl Iterator<Item = SubmissionKey> {
         let lanes = self.lanes.values();
--- a/tests/entry/short_store.rs
+++ b/tests/entry/short_store.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 use crate::instance::{send_request, start_instance};
@@ -28,3 +30,29 @@
     instance.wait_for_state(TWO, "completed").await;
     assert_eq!(worker.starts_of(id(TWO)), 1);
 }
+
+/// Guards against a job that is stored although its caller has gone and may have been told by another
+/// instance that it is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn does_not_store_the_job_of_a_caller_that_has_gone() {
+    let (store, address, _worker) = start_platform().await;
+    let instance = start_instance("gone-caller", address);
+    instance.submit(TWO, "10").await;
+    store.set_mode(Mode::RateLimited);
+    let body = job("10", 1).to_string();
+    let head = format!(
+        "POST {ONE} HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer key-1\r\n\
+         x-deadline-ms: 3000\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut caller = TcpStream::connect(instance.callers).await.unwrap();
+    caller.write_all((head + &body).as_bytes()).await.unwrap();
+    sleep(SHORTAGE).await;
+    drop(caller);
+    sleep(Duration::from_millis(100)).await;
+    store.set_mode(Mode::Normal);
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(store.read("jobs", id(ONE)), None);
+    instance.submit(ONE, "10").await;
+    assert!(store.read("jobs", id(ONE)).is_some());
+}
