Repeat only the failed read when all jobs are read again

After the history of the feed had expired, one failed read of 258 aborted the others, and all began again; a store that refuses some calls never let it end. Loading and reading again now share one function that repeats each read by itself.

The new test, with one of 20 reads refused, failed before the change.

--- a/src/entry/follow_jobs.rs
+++ b/src/entry/follow_jobs.rs
@@ -1,13 +1,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::stream::{self, StreamExt, TryStreamExt};
-
-use super::load::{self, Jobs, MAX_CONCURRENT_READS};
+use super::load;
 use super::row::JOBS;
 use super::shared::Shared;
 use super::term::Term;
-use crate::job_store::Partition;
 use crate::platform::api::{Fault, Feed, Row};
 
 /// Time for which one call of the change feed waits for new jobs.
@@ -37,7 +34,7 @@
         match shared.store.feed(JOBS, *version, FEED_WAIT).await? {
             Feed::Gone => {
                 log::info!(event = "jobs-history-expired", version = *version; "");
-                *version = read_all(shared, term).await?;
+                *version = read_all(shared, term).await;
             }
             Feed::Changes(rows, next) => {
                 *version = next;
@@ -64,17 +61,13 @@
 
 /// Reads all jobs again, because the engine may have missed some. The others are unchanged: the
 /// engine knows those in progress and all ended ones that may still be read.
-async fn read_all(shared: &Shared, term: &Term) -> Result<u64, Fault> {
-    let partitions: Vec<Jobs> = stream::iter(Partition::all_of_jobs())
-        .map(|partition| load::read_jobs(shared, partition))
-        .buffer_unordered(MAX_CONCURRENT_READS)
-        .try_collect()
-        .await?;
+async fn read_all(shared: &Shared, term: &Term) -> u64 {
+    let partitions = load::read_all_jobs(shared).await;
     {
         let mut engine = term.engine();
         load::load_jobs(&mut engine, &mut term.deletions(), &partitions, &[]);
     }
     term.placement_wake.notify_one();
     let versions = partitions.iter().map(|jobs| jobs.version);
-    Ok(versions.min().unwrap_or_default())
+    versions.min().unwrap_or_default()
 }
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -25,7 +25,7 @@
 
 /// Maximum number of partitions of jobs that are read at the same time. All of them then take three
 /// times the duration of a call.
-pub(super) const MAX_CONCURRENT_READS: usize = 88;
+const MAX_CONCURRENT_READS: usize = 88;
 
 /// Maximum number of rows that one transaction deletes besides its condition.
 const MAX_DELETED_ROWS: usize = 98;
@@ -58,10 +58,7 @@
         let name = partition.name();
         async move { retry(|| read(shared, PROGRESS, &name)).await.0 }
     });
-    let jobs = stream::iter(Partition::all_of_jobs())
-        .map(|partition| async move { retry(|| read_jobs(shared, partition)).await })
-        .buffer_unordered(MAX_CONCURRENT_READS)
-        .collect::<Vec<_>>();
+    let jobs = read_all_jobs(shared);
     let workers = retry(|| read(shared, Store::WORKERS, ""));
     let members = retry(|| read(shared, MEMBERS, ""));
     let estimates = read_estimates(shared);
@@ -181,8 +178,17 @@
     pub(super) version: u64,
 }
 
+/// Reads the jobs of all partitions without their progress. Each read is repeated until it succeeds.
+pub(super) async fn read_all_jobs(shared: &Shared) -> Vec<Jobs> {
+    stream::iter(Partition::all_of_jobs())
+        .map(|partition| async move { retry(|| read_jobs(shared, partition)).await })
+        .buffer_unordered(MAX_CONCURRENT_READS)
+        .collect()
+        .await
+}
+
 /// Reads the jobs of a partition without their progress.
-pub(super) async fn read_jobs(shared: &Shared, partition: Partition) -> Result<Jobs, Fault> {
+async fn read_jobs(shared: &Shared, partition: Partition) -> Result<Jobs, Fault> {
     let partition = partition.name();
     let (rows, version) = read(shared, JOBS, &partition).await?;
     Ok(Jobs {
--- a/tests/entry/mode.rs
+++ b/tests/entry/mode.rs
@@ -10,6 +10,8 @@
     RateLimited,
     /// Refuses every other transaction of a partition with status 429.
     ShortOfWrites,
+    /// Refuses some reads of rows with status 429, more than one of those of all partitions.
+    ShortOfReads,
     /// Applies transactions but closes the connection without a response.
     ResponseLost,
     /// Sends no response to transactions that are applied, and keeps their connections open.
--- a/tests/entry/short_store.rs
+++ b/tests/entry/short_store.rs
@@ -6,11 +6,14 @@
 
 use crate::instance::{send_request, start_instance};
 use crate::mode::Mode;
-use crate::platform::{ONE, TWO, id, job, start_platform};
+use crate::platform::{ONE, TWO, id, job, start_platform, store_job};
 
 /// Time for which the store refuses calls, well within the time of a caller.
 const SHORTAGE: Duration = Duration::from_millis(500);
 
+/// Time after which no call of a feed that began before is under way.
+const FEED_TIME: Duration = Duration::from_millis(1_200);
+
 /// Guards against a submission that is refused because the store refused one call, although its
 /// caller had time for another.
 #[tokio::test(flavor = "multi_thread")]
@@ -56,3 +59,20 @@
     instance.submit(ONE, "10").await;
     assert!(store.read("jobs", id(ONE)).is_some());
 }
+
+/// Guards against a leader that never knows a job because one refused read of a partition makes it read
+/// all of them again.
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_all_jobs_again_from_a_store_that_refuses_some_reads() {
+    let (store, address, _worker) = start_platform().await;
+    let instance = start_instance("short-of-reads", address);
+    instance.submit(ONE, "10").await;
+    instance.wait_for_state(ONE, "completed").await;
+    store.set_failing_feed(Some("jobs"));
+    sleep(FEED_TIME).await;
+    store_job(&store, TWO, "10");
+    store.expire_feeds();
+    store.set_mode(Mode::ShortOfReads);
+    store.set_failing_feed(None);
+    instance.wait_for_state(TWO, "completed").await;
+}
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -22,6 +22,9 @@
 const MAX_TRANSACTION_ROWS: usize = 100;
 const MAX_TRANSACTION_BYTES: usize = 1_000_000;
 
+/// In [`Mode::ShortOfReads`] each read with a multiple of this number is refused.
+const READS_PER_REFUSAL: u64 = 20;
+
 /// Table, partition and key of a row.
 type Key = (String, String, String);
 
@@ -52,6 +55,8 @@
     partition_writes: u64,
     /// Time after which transactions that store jobs are applied without an answer, if it is set.
     submission_delay: Option<Duration>,
+    /// Number of reads of rows in [`Mode::ShortOfReads`].
+    reads: u64,
     /// Writes of the leader row, in their order.
     leader_writes: Vec<LeaderWrite>,
     /// Key of a row that transactions may not put, or an empty text.
@@ -125,9 +130,13 @@
 
     /// Deletes a row outside of any partition, as the store does when a registration expires.
     pub(crate) fn remove(&self, table: &str, key: &str) {
+        self.remove_in_partition(table, "", key);
+    }
+
+    pub(crate) fn remove_in_partition(&self, table: &str, part: &str, key: &str) {
         let mut state = self.state.lock().unwrap();
         state.version += 1;
-        let (version, key) = (state.version, (table.into(), String::new(), key.into()));
+        let (version, key) = (state.version, (table.into(), part.into(), key.into()));
         state.rows.remove(&key);
         state.history.push((version, key, true));
         drop(state);
@@ -206,8 +215,10 @@
                 return None;
             }
             Mode::ShortOfWrites if self.refuses_write(&call) => return Some((429, "{}".into())),
+            Mode::ShortOfReads if self.refuses_read(&call) => return Some((429, "{}".into())),
             Mode::Normal
             | Mode::ShortOfWrites
+            | Mode::ShortOfReads
             | Mode::SilentWrites
             | Mode::ResponseLost
             | Mode::Unanswered
@@ -241,6 +252,16 @@
         state.partition_writes.is_multiple_of(2)
     }
 
+    /// Returns whether a call is a read of rows that is refused.
+    fn refuses_read(&self, call: &Call) -> bool {
+        if call.path != "/api/rows-get" {
+            return false;
+        }
+        let mut state = self.state.lock().unwrap();
+        state.reads += 1;
+        state.reads.is_multiple_of(READS_PER_REFUSAL)
+    }
+
     fn transact(&self, call: &Call) -> (u16, Value) {
         let mut state = self.state.lock().unwrap();
         let mut puts = call.body["puts"].as_array().into_iter().flatten();
@@ -262,7 +283,7 @@
         if !expected.iter().all(is_current) {
             let rows: Vec<Value> = expected
                 .iter()
-                .filter_map(|e| Some(row(&key(e), state.rows.get(&key(e))?)))
+                .filter_map(|e| state.row_or_deletion(&key(e)))
                 .collect();
             return (412, json!({"rows": rows, "ver": state.version, "nowMs": 1}));
         }
@@ -358,6 +379,19 @@
 }
 
 impl State {
+    /// Returns the text of a row, or of its deletion with the version of that.
+    fn row_or_deletion(&self, key: &Key) -> Option<Value> {
+        if let Some(found) = self.rows.get(key) {
+            return Some(row(key, found));
+        }
+        let mut changes = self.history.iter().rev();
+        let (version, ..) = changes.find(|(_, changed, _)| changed == key)?;
+        Some(
+            json!({"table": key.0, "part": key.1, "key": key.2, "ver": version,
+            "tombstone": true}),
+        )
+    }
+
     fn put(&mut self, key: Key, value: String) {
         if key.0 == "leaders" && key.2 == "owner" {
             self.leader_writes.extend(LeaderWrite::decode(&value));
