Do not count calls cut short by their callers as silence

A caller with a short deadline had its call given up early, which halved the window of calls of the whole instance.

The new test failed before the change.

--- a/src/job_store/queue.rs
+++ b/src/job_store/queue.rs
@@ -217,7 +217,11 @@
                 }
             }
             Answer::Unknown => {
-                self.window.record_silence(took, now);
+                if batch.timeout < MIN_TIMEOUT && took >= batch.timeout {
+                    self.window.record_abandoned();
+                } else {
+                    self.window.record_silence(took, now);
+                }
                 lane.record_silence(now);
                 for key in keys {
                     if let Some(waiting) = self.submissions.get_mut(*key) {
--- a/src/job_store/window.rs
+++ b/src/job_store/window.rs
@@ -146,6 +146,12 @@
         self.reduce(UNANSWERED_FACTOR, 1.0, now);
     }
 
+    /// Records that a call was given up for the sake of its caller, before the store can be said not to
+    /// answer.
+    pub fn record_abandoned(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
     fn finish(&mut self, took: Duration, now: Instant) {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.mean = if self.expected(now).is_zero() {
--- a/tests/job_store/queue.rs
+++ b/tests/job_store/queue.rs
@@ -122,6 +122,24 @@
     assert!(now.since(start()) <= WAIT / 2, "{:?}", now.since(start()));
 }
 
+/// Guards against a caller with a short deadline whose call is given up early, and which then counts as
+/// a store that does not answer: the window of the whole instance was halved.
+#[test]
+fn a_call_cut_short_by_its_caller_says_nothing_of_the_store() {
+    let short = Duration::from_millis(250);
+    for (wait, is_halved) in [(short, false), (WAIT, true)] {
+        let (mut queue, now) = (Queue::default(), start());
+        queue.submit("a", 1, now + wait, now).unwrap();
+        let batch = next_batch(&mut queue, now);
+        let before = queue.window.limit();
+        let (took, at) = (batch.timeout, now + batch.timeout);
+        queue.record(&batch, &Answer::Unknown, took, at);
+        assert_eq!(queue.window.limit() < before, is_halved, "{wait:?}");
+        assert_eq!(queue.window.in_flight(), 0);
+        assert!(queue.is_uncertain("a", at), "it may be stored all the same");
+    }
+}
+
 /// Guards against a batch of unknown outcome that holds up those behind it for 2.6 s.
 #[test]
 fn an_unknown_outcome_holds_up_others_for_one_call() {
