Do not take a listed deletion for a stored row

Rows of a conflict were judged by version only, so a deleted job that the store lists with a version counted as stored and the caller got 200.

The new test failed before the change (200 in place of 503).

--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -197,7 +197,9 @@
 
     /// Returns what the rows of a conflict show.
     fn conflict(&self, batch: &Batch, rows: &[Row]) -> Answer {
-        let exists = |key: &str| rows.iter().any(|row| &*row.key == key && row.version > 0);
+        // A deletion is listed with a version too.
+        let is_stored = |row: &Row| row.version > 0 && row.content.is_some();
+        let exists = |key: &str| rows.iter().any(|row| &*row.key == key && is_stored(row));
         let (mut stored, mut cancelled) = (Vec::new(), Vec::new());
         for key in &batch.submissions {
             match self.submissions.get(key) {
--- a/src/entry/delete.rs
+++ b/src/entry/delete.rs
@@ -97,7 +97,8 @@
     /// Continues with the jobs that are as expected or were deleted by an earlier attempt.
     fn resolve_conflict(&mut self, rows: &[Row]) {
         self.jobs.retain_mut(|(job, version)| {
-            let found = rows.iter().find(|row| row.key == *job);
+            let is_stored = |row: &&Row| row.key == *job && row.content.is_some();
+            let found = rows.iter().find(is_stored);
             let found = found.map_or(0, |row| row.version);
             let is_other = found != 0 && found != *version;
             if is_other {
--- a/tests/entry/cancelled_submissions.rs
+++ b/tests/entry/cancelled_submissions.rs
@@ -4,7 +4,7 @@
 use tokio::time::sleep;
 
 use crate::instance::{request_until, send_request, start_instance};
-use crate::platform::{ONE, TWO, id, job, start_platform};
+use crate::platform::{ONE, TWO, id, job, part_of, start_platform};
 
 /// Time after which the store carries out the write of a job, without an answer.
 const STORED_AFTER: Duration = Duration::from_secs(1);
@@ -39,3 +39,19 @@
     assert_eq!(status, 410);
     assert_eq!(worker.starts_of(id(ONE)), 0);
 }
+
+/// Guards against a job that is reported as stored because the store lists the deletion of its row,
+/// which has a version like a row.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deleted_row_is_not_taken_for_a_stored_job() {
+    let (store, address, _worker) = start_platform().await;
+    let instance = start_instance("deleted-row", address);
+    instance.submit(TWO, "50").await;
+    instance.wait_for_state(TWO, "completed").await;
+    let (part, cancellation) = (part_of(ONE), format!("{}.cancel", id(ONE)));
+    store.write_in_partition("jobs", part, id(ONE), b"{}");
+    store.remove_in_partition("jobs", part, id(ONE));
+    store.write_in_partition("jobs", part, &cancellation, b"{}");
+    let (status, answer) = send_request(instance.callers, "POST", ONE, &job("50", 1)).await;
+    assert_eq!(status, 503, "the job is cancelled: {answer}");
+}
