Ignore the progress of an earlier job of the same id

When a leader ended between the deletion of a job and that of its progress, and the id was submitted again meanwhile, the next leader took the new job for ended, and it was lost. A final progress that ended more than half of the retention time before the job arrived is now ignored; the other half is left for differences of clocks.

--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -270,6 +270,10 @@
             return;
         }
         deletions.record_row(&row.key, partition, row.version);
+        let progress = progress.filter(|progress| {
+            !(progress.state.is_final()
+                && deletions.is_of_earlier_job(progress.ended_ms, record.arrived_ms))
+        });
         engine.load_job(&row.key, record, progress, unix_time_ms(), clock::now());
     }
 }
--- a/src/job_store/deletions.rs
+++ b/src/job_store/deletions.rs
@@ -22,6 +22,7 @@
 /// would look like a new one.
 #[derive(Debug)]
 pub struct Deletions {
+    retention: Duration,
     max_delay: Duration,
     places: Map<Arc<str>, Place>,
     /// Jobs with all rows, and when each was added.
@@ -40,6 +41,7 @@
     /// ```
     pub fn new(retention: Duration) -> Self {
         Self {
+            retention,
             max_delay: retention * MAX_DELAY_RETENTIONS,
             places: Map::default(),
             waiting: Map::default(),
@@ -47,6 +49,21 @@
         }
     }
 
+    /// Returns whether progress that ended at a time belongs to an earlier job of the same id than one
+    /// that arrived at another time, both in milliseconds since 1970. The rows of the earlier one can
+    /// only be deleted after the retention time, half of which is left for differences of clocks.
+    ///
+    /// ```
+    /// let retention = std::time::Duration::from_secs(120);
+    /// let deletions = coriandernotch::job_store::Deletions::new(retention);
+    /// assert!(deletions.is_of_earlier_job(1_000, 121_000));
+    /// assert!(!deletions.is_of_earlier_job(1_000, 2_000));
+    /// ```
+    pub fn is_of_earlier_job(&self, ended_ms: u64, arrived_ms: u64) -> bool {
+        let margin = u64::try_from(self.retention.as_millis() / 2).unwrap_or(u64::MAX);
+        ended_ms > 0 && arrived_ms > ended_ms.saturating_add(margin)
+    }
+
     /// Returns whether there is progress to delete.
     ///
     /// ```
