Delete the other jobs of a batch that the store refuses

A deletion refused for good ended those of all jobs in the same transaction until the next leader. Each job is then deleted alone, and only one that is refused alone is logged and given up.

--- a/src/entry/delete.rs
+++ b/src/entry/delete.rs
@@ -53,29 +53,49 @@
 
 impl Batch {
     /// Deletes the rows, and retries until the outcome is known.
-    async fn delete(mut self, shared: &Shared, term: &Term) {
-        while !self.jobs.is_empty() {
-            let transaction = self.transaction();
+    async fn delete(self, shared: &Shared, term: &Term) {
+        let mut waiting = vec![self];
+        while let Some(mut batch) = waiting.pop() {
+            if batch.jobs.is_empty() {
+                continue;
+            }
+            let transaction = batch.transaction();
             match shared.store.transact(&transaction, STORE_TIMEOUT).await {
                 Ok(Outcome::Applied(version)) => {
-                    let jobs = self.jobs.into_iter().map(|(job, _)| job).collect();
-                    return term.deletions().record_cleared(jobs, version);
+                    let jobs = batch.jobs.into_iter().map(|(job, _)| job).collect();
+                    term.deletions().record_cleared(jobs, version);
                 }
-                Ok(Outcome::Conflict(rows)) => self.resolve_conflict(&rows),
-                Err(fault @ Fault::Refused { status: 400, .. }) => {
-                    // Sent again, it would be refused again. The next leader finds these jobs anew.
-                    let (part, jobs) = (transaction.part, self.jobs.len());
-                    log::error!(event = "deletion-rejected", part, jobs, fault:% = fault; "");
-                    return;
+                Ok(Outcome::Conflict(rows)) => {
+                    batch.resolve_conflict(&rows);
+                    waiting.push(batch);
                 }
+                Err(fault) if fault.is_permanent() => waiting.extend(batch.split(&fault)),
                 Err(fault) => {
                     log::debug!(event = "deletion-failed", fault:% = fault; "");
+                    waiting.push(batch);
                     sleep(INTERVAL).await;
                 }
             }
         }
     }
 
+    /// Divides a batch that the store refuses for good into one for each job. A job that was refused
+    /// alone is given up; the next leader finds it anew.
+    fn split(self, fault: &Fault) -> Vec<Self> {
+        let partition = self.partition;
+        if let [(job, _)] = &self.jobs[..] {
+            log::error!(event = "deletion-rejected", job = &**job, part = partition.name(),
+                fault:% = fault; "");
+            return Vec::new();
+        }
+        let jobs = self.jobs.into_iter();
+        let alone = jobs.map(|job| Self {
+            partition,
+            jobs: vec![job],
+        });
+        alone.collect()
+    }
+
     /// The condition keeps a late deletion from another job of the same id that was stored later.
     fn transaction(&self) -> Transaction {
         let expected = self.jobs.iter().map(|(job, version)| Precondition {
--- a/tests/entry/retention.rs
+++ b/tests/entry/retention.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use coriandernotch::batch::{Progress, State};
+use coriandernotch::job_store::Partition;
 use serde_json::json;
 
 use crate::instance::{start_with_retention, wait_until};
@@ -55,3 +56,29 @@
     let _instance = start_with_retention("resubmitted", address, 60);
     wait_until("the job runs", || worker.starts_of(id(ONE)) == 1).await;
 }
+
+/// Guards against ended jobs that are never deleted because the store refuses the deletion of another
+/// one in the same transaction.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_deletion_holds_up_no_other() {
+    let (store, address, _worker) = start_platform().await;
+    let partition = Partition::of_job(id(ONE));
+    let is_beside = |path: &String| Partition::of_job(id(path)) == partition;
+    let other = (0..)
+        .map(|n| format!("/q/{n:016x}"))
+        .find(is_beside)
+        .unwrap();
+    store.refuse_deletion(id(ONE));
+    let instance = start_with_retention("refused-deletion", address, RETENTION_S);
+    for path in [ONE, &other] {
+        instance.submit(path, "10").await;
+    }
+    for path in [ONE, &other] {
+        instance.wait_for_state(path, "completed").await;
+    }
+    wait_until("the other job is deleted", || {
+        store.read("progress", id(&other)).is_none()
+    })
+    .await;
+    assert!(store.read("jobs", id(ONE)).is_some() && store.refused() > 0);
+}
--- a/tests/entry/store.rs
+++ b/tests/entry/store.rs
@@ -61,6 +61,8 @@
     leader_writes: Vec<LeaderWrite>,
     /// Key of a row that transactions may not put, or an empty text.
     refused_key: String,
+    /// Key of a job that transactions may not delete, or an empty text.
+    refused_deletion: String,
     /// Number of transactions that were refused as too large or for their key.
     refused: u64,
 }
@@ -172,6 +174,11 @@
         key.clone_into(&mut self.state.lock().unwrap().refused_key);
     }
 
+    /// Refuses all transactions that delete a job.
+    pub(crate) fn refuse_deletion(&self, job: &str) {
+        job.clone_into(&mut self.state.lock().unwrap().refused_deletion);
+    }
+
     /// Returns the number of transactions that were refused for good.
     pub(crate) fn refused(&self) -> u64 {
         self.state.lock().unwrap().refused
@@ -267,7 +274,10 @@
         let mut puts = call.body["puts"].as_array().into_iter().flatten();
         let has_refused_key = !state.refused_key.is_empty()
             && puts.any(|put| put["table"] != "jobs" && put["key"] == *state.refused_key);
-        if has_refused_key || !is_within_limits(&call.body) {
+        let mut deletes = call.body["deletes"].as_array().into_iter().flatten();
+        let has_refused_deletion = !state.refused_deletion.is_empty()
+            && deletes.any(|row| row["table"] == "jobs" && row["key"] == *state.refused_deletion);
+        if has_refused_key || has_refused_deletion || !is_within_limits(&call.body) {
             state.refused += 1;
             return (400, json!({}));
         }
