Read jobs from fewer partitions at once while loading

88 answers at once can exceed the timeout of a call together on a slow link and are then all read again, and all rows were decoded in one piece, so no renewal went out meanwhile. 32 partitions are read at once, and the task yields after each 200 rows. No test shows the former behaviour; the tests of loading pass.

--- a/src/entry/follow_jobs.rs
+++ b/src/entry/follow_jobs.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::task::yield_now;
+
 use super::load;
 use super::row::JOBS;
 use super::shared::Shared;
@@ -63,9 +65,14 @@
 /// engine knows those in progress and all ended ones that may still be read.
 async fn read_all(shared: &Shared, term: &Term) -> u64 {
     let partitions = load::read_all_jobs(shared).await;
-    {
-        let mut engine = term.engine();
-        load::load_jobs(&mut engine, &mut term.deletions(), &partitions, &[]);
+    for rows in load::in_order(&partitions).chunks(load::ROWS_PER_TURN) {
+        {
+            let (mut engine, mut deletions) = (term.engine(), term.deletions());
+            for (row, partition) in rows {
+                load::apply_job_row(&mut engine, &mut deletions, row, partition, None);
+            }
+        }
+        yield_now().await;
     }
     term.placement_wake.notify_one();
     let versions = partitions.iter().map(|jobs| jobs.version);
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -4,6 +4,7 @@
 use futures_util::StreamExt;
 use futures_util::future::{join_all, join5};
 use futures_util::stream;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use super::row::{
@@ -23,9 +24,13 @@
 /// Delay after a call that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Maximum number of partitions of jobs that are read at the same time. All of them then take three
-/// times the duration of a call.
-const MAX_CONCURRENT_READS: usize = 88;
+/// Maximum number of partitions of jobs that are read at the same time. All of them then take nine
+/// times the duration of a call. More answers at once may together exceed the timeout of a call on a
+/// link of 10 Mbit/s, and would all be read again.
+const MAX_CONCURRENT_READS: usize = 32;
+
+/// Number of rows that are decoded before other work of the process, such as renewals, gets a turn.
+pub(super) const ROWS_PER_TURN: usize = 200;
 
 /// Maximum number of rows that one transaction deletes besides its condition.
 const MAX_DELETED_ROWS: usize = 98;
@@ -66,7 +71,7 @@
     let (progress, jobs, (rows, _), (members, _), estimates) = reads.await;
     let mut deletions = Deletions::new(tuning(shared).retention);
     let version = jobs.iter().map(|jobs| jobs.version).min();
-    load_jobs(&mut engine, &mut deletions, &jobs, &progress);
+    load_jobs(&mut engine, &mut deletions, &jobs, &progress).await;
     delete_orphans(shared, &fences, &jobs, &progress).await;
     let profiles = rows
         .iter()
@@ -198,25 +203,34 @@
     })
 }
 
-/// Passes jobs to the engine, cancellations after the jobs that they cancel.
-pub(super) fn load_jobs(
+/// Returns the rows of jobs, each with its partition, cancellations after the jobs that they cancel.
+pub(super) fn in_order(jobs: &[Jobs]) -> Vec<(&Row, &str)> {
+    let rows = jobs.iter();
+    let rows = rows.flat_map(|jobs| jobs.rows.iter().map(|row| (row, &*jobs.partition)));
+    // A cancellation may be in another partition than its job.
+    let is_cancellation = |(row, _): &(&Row, &str)| row::cancelled_job(&row.key).is_some();
+    let (cancellations, mut ordered): (Vec<_>, Vec<_>) = rows.partition(is_cancellation);
+    ordered.extend(cancellations);
+    ordered
+}
+
+/// Passes jobs with their progress to the engine.
+async fn load_jobs(
     engine: &mut Engine,
     deletions: &mut Deletions,
     jobs: &[Jobs],
     progress: &[Vec<Row>],
 ) {
-    let decode = |row: &Row| row::decode(&row.key, row.content.as_ref()?);
-    let progress: Map<&Arc<str>, Progress> = (progress.iter().flatten())
-        .filter_map(|row| Some((&row.key, decode(row)?)))
+    let progress: Map<&Arc<str>, &Row> = (progress.iter().flatten())
+        .map(|row| (&row.key, row))
         .collect();
-    let rows = jobs.iter();
-    let rows = rows.flat_map(|jobs| jobs.rows.iter().map(|row| (row, &*jobs.partition)));
-    // A cancellation may be in another partition than its job.
-    let is_cancellation = |(row, _): &(&Row, &str)| row::cancelled_job(&row.key).is_some();
-    let (cancellations, submissions): (Vec<_>, Vec<_>) = rows.partition(is_cancellation);
-    for (row, partition) in submissions.into_iter().chain(cancellations) {
-        let progress = progress.get(&row.key).cloned();
-        apply_job_row(engine, deletions, row, partition, progress);
+    for rows in in_order(jobs).chunks(ROWS_PER_TURN) {
+        for (row, partition) in rows {
+            let progress = progress.get(&row.key);
+            let progress = progress.and_then(|row| row::decode(&row.key, row.content.as_ref()?));
+            apply_job_row(engine, deletions, row, partition, progress);
+        }
+        yield_now().await;
     }
 }
 
