--- a/src/batch/engine/members.rs
+++ b/src/batch/engine/members.rs
@@ -124,7 +124,7 @@
 
     /// Records that the store refuses changes for good. Fewer are taken next, and one that is refused
     /// alone is not sent again.
-    fn refuse(&mut self, changes: MemberChanges) {
+    fn refuse(&mut self, changes: &MemberChanges) {
         let count = changes.added.len() + changes.removed.len();
         self.limit = Some((count / 2).max(1));
         if count == 1 {
@@ -190,7 +190,7 @@
 
     /// Records that the store refuses changes for good, which were withdrawn: a renewal without them
     /// was stored.
-    pub fn refuse_member_changes(&mut self, changes: MemberChanges) {
+    pub fn refuse_member_changes(&mut self, changes: &MemberChanges) {
         self.members.refuse(changes);
     }
 
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -61,7 +61,7 @@
                         if withdrawn.has_estimates {
                             estimates_from = Some(sent + ESTIMATES_DELAY);
                         } else {
-                            term.engine().refuse_member_changes(withdrawn.members);
+                            term.engine().refuse_member_changes(&withdrawn.members);
                         }
                     }
                     let is_behind = term.is_behind(clock::now());
