Hold the rows of a transaction once while its answer is awaited

The JSON value with all rows in Base64 lived beside its text until the answer came. It is now dropped before. No test measures the memory.

--- a/src/platform/api/store.rs
+++ b/src/platform/api/store.rs
@@ -93,6 +93,8 @@
             "deletes": deletes.collect::<Vec<_>>(),
         });
         let call = Call::post(step, "/api/rows-tx", body.to_string(), timeout);
+        // The rows are not held twice while the answer is awaited.
+        drop(body);
         let response = self.link.exchange(call).await?;
         match response.status {
             200 => self
