--- a/src/job_store/queue.rs
+++ b/src/job_store/queue.rs
@@ -47,6 +47,8 @@
     lanes: Map<Partition, Lane>,
     /// Calls of this instance that write to the store.
     pub window: Window,
+    /// Ids of the transactions that are in flight.
+    in_flight: Set<Arc<str>>,
     /// Ids of transactions without an answer, and until when these may take effect.
     uncertain: Map<Arc<str>, Instant>,
     /// When the instance ends, if it stops.
@@ -73,6 +75,7 @@
             bytes: 0,
             lanes: Map::default(),
             window: Window::default(),
+            in_flight: Set::default(),
             uncertain: Map::default(),
             ends_at: None,
         }
@@ -104,10 +107,25 @@
         Some(key)
     }
 
-    /// Returns whether an earlier transaction with a job may take effect, so that no submission of it
-    /// may be called refused.
+    /// Removes a submission whose caller has gone, unless a transaction with it is in flight or may take
+    /// effect. Returns whether it is removed.
+    pub fn withdraw(&mut self, key: SubmissionKey) -> bool {
+        let Some(waiting) = self.submissions.get(key) else {
+            return false;
+        };
+        let lane = self.lanes.get(&waiting.partition);
+        let is_fresh = lane.is_some_and(|lane| lane.fresh.contains(&key));
+        if is_fresh {
+            self.remove(key);
+        }
+        is_fresh
+    }
+
+    /// Returns whether a transaction with a job is in flight, or an earlier one may take effect, so
+    /// that no submission of it may be called refused.
     pub fn is_uncertain(&self, id: &str, now: Instant) -> bool {
-        self.uncertain.get(id).is_some_and(|until| now < *until)
+        let until = self.uncertain.get(id);
+        self.in_flight.contains(id) || until.is_some_and(|until| now < *until)
     }
 
     /// Sets when the instance ends. Submissions that are not sent are refused before that.
@@ -199,7 +217,11 @@
                 }
             }
             Answer::Unknown => {
-                self.window.record_silence(took, now);
+                if batch.timeout < MIN_TIMEOUT && took >= batch.timeout {
+                    self.window.record_abandoned();
+                } else {
+                    self.window.record_silence(took, now);
+                }
                 lane.record_silence(now);
                 for key in keys {
                     if let Some(waiting) = self.submissions.get_mut(*key) {
@@ -212,6 +234,11 @@
                 Vec::new()
             }
         };
+        for key in keys {
+            if let Some(waiting) = self.submissions.get(*key) {
+                self.in_flight.remove(&waiting.id);
+            }
+        }
         for key in keys.iter().rev() {
             let (Some(lane), Some(waiting)) = (
                 self.lanes.get_mut(&batch.partition),
@@ -238,14 +265,7 @@
         acceptance: Acceptance,
         now: Instant,
     ) -> Option<(SubmissionKey, Acceptance)> {
-        let waiting = self.submissions.remove(key)?;
-        self.bytes = self.bytes.saturating_sub(waiting.bytes);
-        if let Some(lane) = self.lanes.get_mut(&waiting.partition) {
-            lane.remove(key);
-            if lane.is_empty() {
-                self.lanes.remove(&waiting.partition);
-            }
-        }
+        let waiting = self.remove(key)?;
         let may_be_stored = waiting.may_be_stored || self.is_uncertain(&waiting.id, now);
         let acceptance = match acceptance {
             Acceptance::Refused if may_be_stored => Acceptance::Unknown,
@@ -258,6 +278,18 @@
         Some((key, acceptance))
     }
 
+    fn remove(&mut self, key: SubmissionKey) -> Option<Waiting> {
+        let waiting = self.submissions.remove(key)?;
+        self.bytes = self.bytes.saturating_sub(waiting.bytes);
+        if let Some(lane) = self.lanes.get_mut(&waiting.partition) {
+            lane.remove(key);
+            if lane.is_empty() {
+                self.lanes.remove(&waiting.partition);
+            }
+        }
+        Some(waiting)
+    }
+
     /// Returns the submissions that are not in a transaction.
     fn idle_keys(&self) -> impl Iterator<Item = SubmissionKey> {
         let lanes = self.lanes.values();
@@ -336,6 +368,7 @@
             }
         }
         lane.begin(is_uncertain);
+        self.in_flight.extend(ids);
         self.window.begin();
         let timeout = self.window.expected(now) * TIMEOUT_FACTOR;
         let timeout = timeout.clamp(MIN_TIMEOUT, MAX_TIMEOUT);
--- a/tests/job_store/queue.rs
+++ b/tests/job_store/queue.rs
@@ -69,6 +69,36 @@
     assert!(queue.is_empty());
 }
 
+/// Guards against calling a repeat refused while the first transaction with its id is in flight: the
+/// write may still take effect. The caller of the repeat may leave less time than that call takes.
+#[test]
+fn never_refuses_a_repeat_of_a_submission_in_flight() {
+    for wait in [WAIT, Duration::from_millis(250)] {
+        let (mut queue, mut now) = (Queue::default(), start());
+        queue.submit("a", 1, now + WAIT, now).unwrap();
+        let first = next_batch(&mut queue, now);
+        assert!(queue.is_uncertain("a", now), "it may be stored");
+        let repeat = queue.submit("a", 1, now + wait, now).unwrap();
+        let reply = advance(&mut queue, &mut now);
+        assert_eq!(reply, Action::Reply(repeat, Acceptance::Unknown));
+        // A refusal had no effect, so nothing is stored afterwards.
+        queue.record(&first, &Answer::Busy, CALL, now);
+        assert!(!queue.is_uncertain("a", now));
+    }
+}
+
+/// Guards against the same after an instance began to stop.
+#[test]
+fn never_refuses_a_repeat_in_flight_while_the_instance_stops() {
+    let (mut queue, mut now) = (Queue::default(), start());
+    queue.submit("a", 1, now + WAIT, now).unwrap();
+    let _first = next_batch(&mut queue, now);
+    let repeat = queue.submit("a", 1, now + WAIT, now).unwrap();
+    queue.close(now + Duration::from_millis(300));
+    let reply = advance(&mut queue, &mut now);
+    assert_eq!(reply, Action::Reply(repeat, Acceptance::Unknown));
+}
+
 /// Guards against a caller that gets no refusal in time, and against one refusal of the store that
 /// ends a submission although its caller has time.
 #[test]
@@ -92,6 +122,24 @@
     assert!(now.since(start()) <= WAIT / 2, "{:?}", now.since(start()));
 }
 
+/// Guards against a caller with a short deadline whose call is given up early, and which then counts as
+/// a store that does not answer: the window of the whole instance was halved.
+#[test]
+fn a_call_cut_short_by_its_caller_says_nothing_of_the_store() {
+    let short = Duration::from_millis(250);
+    for (wait, is_halved) in [(short, false), (WAIT, true)] {
+        let (mut queue, now) = (Queue::default(), start());
+        queue.submit("a", 1, now + wait, now).unwrap();
+        let batch = next_batch(&mut queue, now);
+        let before = queue.window.limit();
+        let (took, at) = (batch.timeout, now + batch.timeout);
+        queue.record(&batch, &Answer::Unknown, took, at);
+        assert_eq!(queue.window.limit() < before, is_halved, "{wait:?}");
+        assert_eq!(queue.window.in_flight(), 0);
+        assert!(queue.is_uncertain("a", at), "it may be stored all the same");
+    }
+}
+
 /// Guards against a batch of unknown outcome that holds up those behind it for 2.6 s.
 #[test]
 fn an_unknown_outcome_holds_up_others_for_one_call() {
