Add the setting far-factor

The platform says by which factor a task takes longer away from its data or its gang. The bounds take it as far-factor (default 1) and the engine as a percentage. Nothing uses it yet.

--- a/src/batch/tuning.rs
+++ b/src/batch/tuning.rs
@@ -17,6 +17,9 @@
     pub retention: Duration,
     /// Whether run times are learned from ended runs and used in place of the declared ones.
     pub learn_estimates: bool,
+    /// Run time of a task away from its data or its gang in percent of that near it. At 100 or less,
+    /// no task waits for a near place.
+    pub far_percent: u32,
     /// Largest size of the list of silent workers that is written with each renewal, in bytes. A
     /// worker without its tasks takes about 180 bytes, so a third of 2,300 workers fit into the
     /// default.
@@ -33,6 +36,7 @@
             relocation: Duration::from_millis(1_500),
             retention: Duration::from_secs(120),
             learn_estimates: false,
+            far_percent: 100,
             silent_list_bytes: 150_000,
         }
     }
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -106,6 +106,7 @@
         relocation: Duration::from_secs_f64(bounds.move_s.max(0.0)),
         retention: Duration::from_secs(bounds.status_s),
         learn_estimates: shared.settings.learn_estimates,
+        far_percent: (bounds.far_factor * 100.0).round() as u32,
         ..Tuning::default()
     }
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -47,7 +47,7 @@
     pub log: Level,
 }
 
-/// Durations that the platform guarantees or requires.
+/// Durations and factors that the platform guarantees or requires.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(rename_all = "kebab-case", default, deny_unknown_fields)]
 pub struct Bounds {
@@ -68,6 +68,9 @@
     pub config_ms: u64,
     /// Time between SIGTERM and SIGKILL, in seconds.
     pub grace_s: f64,
+    /// Factor by which a task takes longer away from its data or its gang. At 1 or less, no task
+    /// waits for a near place.
+    pub far_factor: f64,
 }
 
 fn spread_jobs() -> bool {
@@ -89,6 +92,7 @@
             status_s: 120,
             config_ms: 2_000,
             grace_s: 6.0,
+            far_factor: 1.0,
         }
     }
 }
