--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -12,6 +12,8 @@
 mod leader_rows;
 mod learned;
 mod learning;
+mod locality;
+mod locality_replay;
 mod lost_workers;
 mod maintenance;
 mod members;
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -67,6 +67,15 @@
     pub(crate) run_ms: u64,
     /// Run times of tasks that differ from that, by the description of their work.
     pub(crate) run_ms_of: Map<Arc<str>, u64>,
+    /// Run time away from the data or the gang in percent of that near it.
+    pub(crate) far_percent: u64,
+    /// Racks of data, by the description of the work. Work of the rack `gang` runs near if all of its
+    /// tasks are in the same rack.
+    pub(crate) racks: Map<Arc<str>, Arc<str>>,
+    /// Last label of each worker.
+    rack_of_worker: Map<Arc<str>, Arc<str>>,
+    /// Milliseconds of run time that ended or is yet to end.
+    pub(crate) work_ms: u64,
 }
 
 pub(crate) fn route(name: &str, service: &str) -> Route {
@@ -143,6 +152,24 @@
             stored: Map::default(),
             run_ms: 500,
             run_ms_of: Map::default(),
+            far_percent: 100,
+            racks: Map::default(),
+            rack_of_worker: Map::default(),
+            work_ms: 0,
+        }
+    }
+
+    /// Creates a simulation in which tasks take longer away from their data or their gang. The engine
+    /// knows that, or not.
+    pub(crate) fn with_racks(token: u64, config: Config, far_percent: u32, knows: bool) -> Self {
+        let tuning = Tuning {
+            far_percent: if knows { far_percent } else { 100 },
+            ..Tuning::default()
+        };
+        Self {
+            engine: Engine::new(tuning, token, Arc::new(config.clone())),
+            far_percent: far_percent.into(),
+            ..Self::new(token, config)
         }
     }
 
@@ -170,6 +197,9 @@
 
     pub(crate) fn add(&mut self, profile: Profile) {
         self.workers.entry(profile.id.clone()).or_default();
+        if let Some(rack) = profile.labels.last() {
+            (self.rack_of_worker).insert(profile.id.clone(), rack.clone());
+        }
         self.engine.update_worker(profile);
     }
 
@@ -303,14 +333,28 @@
                 worker.lease_ms = worker.lease_ms.max(lease);
                 let lasting = launch.payload.contains("lasting");
                 let run_ms = self.run_ms_of.get(&launch.payload).unwrap_or(&self.run_ms);
-                let duration = Duration::from_millis(if worker.fails { 20 } else { *run_ms });
+                let rack = self.racks.get(&launch.payload);
+                let is_gang = rack.is_some_and(|rack| &**rack == "gang");
+                let is_far = !is_gang && rack.is_some_and(|rack| *rack != self.rack_of_worker[id]);
+                let percent = if is_far { self.far_percent } else { 100 };
+                let run_ms = if worker.fails {
+                    20
+                } else {
+                    *run_ms * percent / 100
+                };
+                let duration = Duration::from_millis(run_ms);
+                self.work_ms += if lasting { 0 } else { run_ms };
                 worker.running.push(Run {
                     task: launch.task.clone(),
                     number: launch.number,
                     ends_at: (!lasting).then(|| self.now + duration),
                     load: 0,
                 });
+                let task = launch.task.clone();
                 self.starts.push((id.clone(), launch.task, launch.number));
+                if is_gang {
+                    self.slow_down_if_apart(&task, run_ms);
+                }
                 self.engine
                     .record_start_outcome(run, &Reply::Started, None, self.now);
             }
@@ -330,6 +374,26 @@
         }
     }
 
+    /// Lets the tasks of a gang take longer if they are not all in the same rack.
+    fn slow_down_if_apart(&mut self, task: &TaskId, run_ms: u64) {
+        let is_member = |run: &Run| run.task.job == task.job && run.task.step == task.step;
+        let workers = self.workers.iter();
+        let workers = workers.filter(|(_, worker)| worker.running.iter().any(is_member));
+        let mut racks: Vec<&Arc<str>> = workers.map(|(id, _)| &self.rack_of_worker[id]).collect();
+        racks.sort();
+        racks.dedup();
+        if racks.len() < 2 {
+            return;
+        }
+        let far_ms = run_ms * self.far_percent / 100;
+        let ends_at = Some(self.now + Duration::from_millis(far_ms));
+        let runs = self.workers.values_mut().flat_map(|w| &mut w.running);
+        for run in runs.filter(|run| is_member(run) && run.ends_at != ends_at) {
+            run.ends_at = ends_at;
+            self.work_ms += far_ms - run_ms;
+        }
+    }
+
     /// Returns whether a worker does not answer.
     pub(crate) fn is_silent(&self, key: WorkerKey) -> bool {
         let addresses = self.engine.worker_addresses();
