Let tasks wait for room near their data or their gang

A near place was only preferred among the free ones, so a task took the free place elsewhere, where it runs far-factor times as long, although a near place would have been free soon. A type of its own now weighs the expected time until a near place frees against what the near place saves, within the objective of the job; the wait counts from the time at which the task was ready. Nothing is reserved.

--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -134,7 +134,7 @@
         self.mark_changed(key, false);
         if complete {
             self.remove_ready_stage(stage_key);
-            self.mark_ready_stages(key);
+            self.mark_ready_stages(key, Some(wall_ms));
             self.complete_if_done(key, wall_ms, now);
         }
     }
--- a/src/batch/engine/learn.rs
+++ b/src/batch/engine/learn.rs
@@ -57,7 +57,7 @@
     }
 
     /// Returns whether a run is in the rack of its data and in that of its gang, if it has any.
-    fn is_near(&self, run: &Run, step: &Step) -> bool {
+    pub(super) fn is_near(&self, run: &Run, step: &Step) -> bool {
         let Some(worker) = self.workers.get(run.worker) else {
             return false;
         };
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{Engine, StageKey};
+use super::{Engine, Round, StageKey};
 use crate::batch::{JobKey, Order, Step, WorkerKey};
 use crate::clock::Instant;
 use crate::jobs::Size;
@@ -58,14 +58,15 @@
             ranked.sort_by_key(|(rank, _)| *rank);
             let workers = self.startable_workers(&service, now);
             let mut largest = self.largest_free_capacity(&workers);
+            let mut round = Round::new(now, wall_ms, workers);
             for (_, stage_key) in ranked {
                 if !self.may_fit(stage_key, largest) {
                     continue;
                 }
                 let runs = self.runs.len();
-                self.place_stage(stage_key, &workers, now);
+                self.place_stage(stage_key, &mut round);
                 if self.runs.len() != runs {
-                    largest = self.largest_free_capacity(&workers);
+                    largest = self.largest_free_capacity(&round.workers);
                 }
             }
         }
@@ -128,13 +129,16 @@
         }
     }
 
-    /// Starts the waiting tasks of a step on `workers`, those of its service, as far as they have
-    /// room.
-    fn place_stage(&mut self, stage_key: StageKey, workers: &[WorkerKey], now: Instant) {
+    /// Starts the waiting tasks of a step as far as the workers of its service have room. A task
+    /// whose data is near workers without room may wait for one of them.
+    fn place_stage(&mut self, stage_key: StageKey, round: &mut Round) {
+        let now = round.now;
         let step = self.jobs[stage_key.job].record.spec.steps[stage_key.step as usize].clone();
         if step.gang {
-            return self.place_gang(stage_key, &step, workers, now);
+            return self.place_gang(stage_key, &step, round);
         }
+        let may_wait = self.has_near_place(stage_key, &step);
+        let choice = may_wait.then(|| self.choice(stage_key, &step, round));
         for index in 0..step.count {
             let stage = self.stage(stage_key.job, stage_key.occurrence, stage_key.step);
             let Some(task) = stage.map(|s| &s.tasks[index as usize]) else {
@@ -143,12 +147,24 @@
             if !task.is_waiting(now) || self.may_have_other_run(stage_key, index, now) {
                 continue;
             }
+            if let Some(choice) = &choice
+                && self.waits_near_data(stage_key, index, &step, choice, round)
+            {
+                continue;
+            }
             let worker = self
-                .choose(stage_key, index, &step, None, workers, now)
+                .choose(stage_key, index, &step, None, &round.workers, now)
                 .or_else(|| self.choose_last_resort(stage_key, index, &step, now));
             let Some(worker) = worker else {
                 return;
             };
+            if choice.is_some() {
+                let rack = step.data_rack.iter();
+                let near = rack
+                    .into_iter()
+                    .all(|rack| self.workers[worker].has_label(rack));
+                self.record_place(stage_key, index, near, now);
+            }
             self.start_run(stage_key, index, &step, worker, None, now);
         }
     }
@@ -173,14 +189,9 @@
         self.choose(stage_key, index, step, None, &workers, now)
     }
 
-    /// Starts all tasks of a gang, or none of them.
-    fn place_gang(
-        &mut self,
-        stage_key: StageKey,
-        step: &Step,
-        workers: &[WorkerKey],
-        now: Instant,
-    ) {
+    /// Starts all tasks of a gang, or none of them. One that should share a rack may wait for that.
+    fn place_gang(&mut self, stage_key: StageKey, step: &Step, round: &mut Round) {
+        let now = round.now;
         let Some(stage) = self.stage(stage_key.job, stage_key.occurrence, stage_key.step) else {
             return;
         };
@@ -193,19 +204,19 @@
         let latest = stage.tasks.iter().map(|task| task.number).max();
         let number = self.next_run_number(latest.unwrap_or_default());
         let saved = stage.tasks.iter().find_map(|task| task.saved.clone());
-        let mut racks: Vec<Option<std::sync::Arc<str>>> = Vec::new();
-        if step.same_rack {
-            racks.extend(
-                self.racks_by_free_processors(stage_key)
-                    .into_iter()
-                    .map(Some),
-            );
-        }
-        racks.push(None);
-        for rack in racks {
+        let racks = if step.same_rack {
+            self.racks_by_free_processors(stage_key)
+        } else {
+            Vec::new()
+        };
+        let may_wait = self.has_near_place(stage_key, step);
+        for rack in racks.iter().map(Some).chain([None]) {
+            if rack.is_none() && may_wait && self.gang_waits(stage_key, step, &racks, round) {
+                return;
+            }
             let mut runs = Vec::new();
             for index in 0..step.count {
-                let Some(worker) = self.choose(stage_key, index, step, rack.as_ref(), workers, now)
+                let Some(worker) = self.choose(stage_key, index, step, rack, &round.workers, now)
                 else {
                     break;
                 };
@@ -224,6 +235,11 @@
                     let worker = self.runs[run].worker;
                     self.orders.push((worker, Order::Start(run)));
                 }
+                if may_wait {
+                    (0..step.count).for_each(|index| {
+                        self.record_place(stage_key, index, rack.is_some(), now);
+                    });
+                }
                 return;
             }
             for run in runs {
--- a/src/batch/engine/schedule.rs
+++ b/src/batch/engine/schedule.rs
@@ -49,7 +49,7 @@
             let newly_complete = newly_complete.map(|o| o.number);
             job.complete_occurrences = complete.iter().chain(newly_complete).collect();
         }
-        self.mark_ready_stages(key);
+        self.mark_ready_stages(key, None);
     }
 
     /// Begins the occurrences that are due, as far as their jobs may have further unfinished tasks.
@@ -74,7 +74,7 @@
                 job.occurrences.push(occurrence);
                 job.next_occurrence += 1;
             }
-            self.mark_ready_stages(key);
+            self.mark_ready_stages(key, None);
         }
     }
 
@@ -92,11 +92,12 @@
             job.occurrences.push(occurrence);
         }
         job.next_occurrence = number + 1;
-        self.mark_ready_stages(key);
+        self.mark_ready_stages(key, None);
     }
 
-    /// Marks the stages as ready whose dependencies are complete.
-    pub(super) fn mark_ready_stages(&mut self, key: JobKey) {
+    /// Marks the stages as ready whose dependencies are complete, the last of them at `ready_ms` if
+    /// that is known.
+    pub(super) fn mark_ready_stages(&mut self, key: JobKey, ready_ms: Option<u64>) {
         let job = &mut self.jobs[key];
         for occurrence in &mut job.occurrences {
             let unfinished: Vec<usize> = occurrence.stages.iter().map(|s| s.unfinished).collect();
@@ -106,7 +107,7 @@
                 if stage.ready || stage.unfinished == 0 || !dependencies_complete {
                     continue;
                 }
-                stage.ready = true;
+                (stage.ready, stage.ready_ms) = (true, ready_ms);
                 let step = u32::try_from(position).expect("the number of steps fits in a u32");
                 let stage_key = StageKey {
                     job: key,
--- a/src/batch/engine/stage.rs
+++ b/src/batch/engine/stage.rs
@@ -20,6 +20,9 @@
     pub(super) unfinished: usize,
     /// Whether all steps that it depends on are complete.
     pub(super) ready: bool,
+    /// When the last of these steps ended under this leader, in milliseconds since 1970. Without it,
+    /// the stage counts as ready since its job arrived or its occurrence was due.
+    pub(super) ready_ms: Option<u64>,
     /// Ticket of each worker that may run the step, and when it expires.
     pub(super) tickets: Map<WorkerKey, (std::sync::Arc<str>, Instant)>,
     /// Workers that may not run the step.
@@ -35,6 +38,7 @@
             tasks: vec![Task::default(); step.count as usize],
             unfinished: step.count as usize,
             ready: false,
+            ready_ms: None,
             tickets: Map::default(),
             denials: Map::default(),
             asked_at: None,
--- a/src/batch/engine/task.rs
+++ b/src/batch/engine/task.rs
@@ -22,6 +22,8 @@
     /// logged.
     pub(super) idle_since: Option<Instant>,
     pub(super) idle_logged_at: Option<Instant>,
+    /// Since when it has waited for room near its data or its gang.
+    pub(super) waits_since: Option<Instant>,
     /// Workers on which it failed or stalled, or that rejected its start.
     pub(super) avoided_workers: Vec<WorkerKey>,
 }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -23,6 +23,7 @@
 mod leadership;
 mod limits;
 mod load;
+pub mod locality;
 mod machine;
 mod member;
 mod member_changes;
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -6,10 +6,12 @@
 
 mod job;
 mod limit;
+mod near;
 mod order;
 mod recorder;
 
 pub use job::count_job;
 pub use limit::Limit;
+pub use near::count_near;
 pub use order::{OrderInFlight, count_order, record_start_time};
 pub use recorder::{install, render};
--- a/tests/batch/cost.rs
+++ b/tests/batch/cost.rs
@@ -4,6 +4,7 @@
 use coriandernotch::batch::Step;
 use coriandernotch::jobs::Size;
 
+use crate::locality::in_rack;
 use crate::simulation::{Simulation, config, profile, record, step};
 
 /// Number of measurements of which the shortest counts, so that other programs on the machine do
@@ -82,6 +83,50 @@
     assert!(many_workers < few_workers * 2);
 }
 
+/// Guards against a look at every worker for each task that waits for room near its data, and against
+/// rounds that take longer with a factor for far runs although nothing has a near place.
+#[test]
+fn placement_of_tasks_that_wait_for_a_rack_takes_no_longer_with_more_workers() {
+    let leader = |others: usize, near: bool| {
+        let mut sim = Simulation::with_racks(1, config(), 300, true);
+        sim.add(in_rack("near", "a"));
+        let workers = (0..others).map(|number| in_rack(&format!("i-{number}"), "b"));
+        workers.for_each(|worker| sim.add(worker));
+        sim.run(50);
+        let size = Size::new(4_000, 100, 0);
+        let data_rack = near.then(|| "a".into());
+        let large = |estimate_ms| Step {
+            size,
+            estimate_ms,
+            ..step(1)
+        };
+        let mut first = record(vec![large(500)]);
+        first.spec.steps[0].data_rack = Some("a".into());
+        sim.accept("first", first);
+        sim.run(20);
+        for number in 0..500 {
+            let mut waiting = record(vec![large(500)]);
+            // All of them together fit into what the run on the near worker frees.
+            waiting.spec.steps[0].data_rack.clone_from(&data_rack);
+            waiting.spec.steps[0].size = Size::new(if near { 1 } else { 5_000 }, 100, 0);
+            sim.accept(&format!("j-{number}"), waiting);
+        }
+        sim
+    };
+    let mut few = leader(20, true);
+    let mut many = leader(400, true);
+    for sim in [&mut few, &mut many] {
+        place(sim);
+        assert!(sim.engine.take_orders().is_empty(), "all tasks wait");
+    }
+    let (many, few) = shortest_times(|| place(&mut many), || place(&mut few));
+    assert!(many < few * 2);
+    let mut unknown = crowded_leader(100, 500);
+    let mut known = leader(99, false);
+    let (known, unknown) = shortest_times(|| place(&mut known), || place(&mut unknown));
+    assert!(known < unknown * 2);
+}
+
 /// Guards against applying the configuration in force to all jobs again in every scheduling round.
 #[test]
 fn a_configuration_in_force_is_not_applied_again() {
--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -1,6 +1,7 @@
 //! Scheduling of jobs with simulated workers and simulated time.
 
 mod advice;
+mod choice;
 mod contender;
 mod cost;
 mod declared_sizes;
