Test the guards of waits for near places

Each fails without its guard or its rule: places taken by tasks before, quota, lasting tasks, racks of small workers, far runs, later steps.

--- a/tests/batch/locality.rs
+++ b/tests/batch/locality.rs
@@ -6,7 +6,7 @@
 use coriandernotch::batch::{Advice, Config, Member, Profile, Record, Step};
 use coriandernotch::jobs::Size;
 
-use crate::simulation::{Simulation, config, limited, profile, record, route, step};
+use crate::simulation::{Simulation, config, lasting, limited, profile, record, route, step};
 use crate::takeover::running_progress;
 
 /// Run time of a far task in percent of that of a near one.
@@ -185,7 +185,10 @@
 /// that counts as one that will take a near place: the task of another workspace went far for it.
 #[test]
 fn a_task_above_the_quota_does_not_count() {
-    let mut sim = two_racks(limited(Size::new(1_000, 0, 0)), FAR_PERCENT);
+    let mut settings = limited(Size::new(1_000, 0, 0));
+    // With a small weight, its tasks are ranked after those of the other workspace.
+    settings.workspaces.get_mut("w").unwrap().weight = 1_000;
+    let mut sim = two_racks(settings, FAR_PERCENT);
     let mut fill = arriving(&sim, near_a(4));
     fill.workspace = "another".into();
     sim.accept("fill", fill);
@@ -275,3 +278,108 @@
         assert_eq!(worker_of(&sim, "j").is_some(), goes_far, "{waited_ms} ms");
     }
 }
+
+/// Guards against a later step whose wait counts from the arrival of its job: it went far although
+/// room near was free soon after the step before.
+#[test]
+fn the_wait_of_a_later_step_counts_from_the_end_of_the_step_before() {
+    let mut sim = two_racks(config(), FAR_PERCENT);
+    sim.run_ms_of.insert("long".into(), 2_000);
+    let first = Step {
+        label: Some("b".into()),
+        estimate_ms: 2_000,
+        ..step(1)
+    };
+    let second = Step {
+        after: vec![0],
+        ..near_a(1)
+    };
+    let mut job = arriving(&sim, first);
+    job.spec.payload = "long".into();
+    job.spec.steps.push(second);
+    sim.accept("j", job);
+    sim.run(1_700);
+    fill_a(&mut sim, 100);
+    sim.run(250);
+    assert_eq!(sim.starts_of("j", 1, 0), 0);
+    sim.run(200);
+    assert_eq!(sim.starts_of("j", 1, 0), 1);
+    assert_eq!(worker_of(&sim, "j").as_deref(), Some("near"));
+}
+
+/// Guards against a lasting task that does not run although there is room.
+#[test]
+fn a_lasting_task_does_not_wait() {
+    let mut sim = two_racks(config(), FAR_PERCENT);
+    fill_a(&mut sim, 300);
+    let mut job = lasting(1);
+    job.arrived_ms = sim.wall_ms();
+    job.spec.steps[0].data_rack = Some("a".into());
+    job.spec.steps[0].estimate_ms = 60_000;
+    sim.accept("j", job);
+    sim.run(20);
+    assert_eq!(worker_of(&sim, "j").as_deref(), Some("other"));
+}
+
+/// Guards against a wait for runs that are far from their own data as if they were to end soon.
+#[test]
+fn far_runs_are_expected_to_take_longer() {
+    let mut sim = two_racks(config(), FAR_PERCENT);
+    let far = Step {
+        label: Some("a".into()),
+        data_rack: Some("z".into()),
+        ..step(4)
+    };
+    sim.racks.insert("far".into(), "z".into());
+    let mut fill = arriving(&sim, far);
+    fill.spec.payload = "far".into();
+    sim.accept("fill", fill);
+    sim.run(600);
+    let record = arriving(&sim, near_a(1));
+    sim.accept("j", record);
+    sim.run(20);
+    assert_eq!(worker_of(&sim, "j").as_deref(), Some("other"));
+}
+
+/// Guards against tasks that all wait for the same few places.
+#[test]
+fn only_as_many_tasks_wait_as_the_rack_has_places() {
+    let mut sim = two_racks(config(), FAR_PERCENT);
+    fill_a(&mut sim, 300);
+    for number in 0..8 {
+        let record = arriving(&sim, near_a(1));
+        sim.accept(&format!("j-{number}"), record);
+    }
+    sim.run(20);
+    assert_eq!(sim.workers["other"].running.len(), 4);
+    sim.run(250);
+    assert_eq!(sim.workers["near"].running.len(), 4);
+}
+
+/// Guards against a wait for a rack whose workers are too small for the task or the gang, although
+/// their runs free enough processors in all.
+#[test]
+fn nothing_waits_for_a_rack_of_small_workers() {
+    for (count, processors) in [(1, 5_000), (3, 2_500)] {
+        let mut sim = two_racks(config(), FAR_PERCENT);
+        sim.add(in_rack("near-2", "a"));
+        sim.run(50);
+        let fill = Step {
+            label: Some("a".into()),
+            ..step(8)
+        };
+        let record = arriving(&sim, fill);
+        sim.accept("fill", record);
+        sim.run(300);
+        let mut large = in_rack("large", "c");
+        large.capacity = Size::new(5_000, 8_000, 0);
+        sim.add(large);
+        sim.run(20);
+        let wanted = if count == 1 { near_a(1) } else { gang(count) };
+        let size = Size::new(processors, 100, 0);
+        let record = arriving(&sim, Step { size, ..wanted });
+        sim.accept("j", record);
+        sim.run(20);
+        assert!(worker_of(&sim, "j").is_some(), "{count} tasks");
+    }
+}
