--- a/tests/batch/main.rs
+++ b/tests/batch/main.rs
@@ -1,6 +1,7 @@
 //! Scheduling of jobs with simulated workers and simulated time.
 
 mod advice;
+mod choice;
 mod contender;
 mod cost;
 mod declared_sizes;
@@ -12,6 +13,8 @@
 mod leader_rows;
 mod learned;
 mod learning;
+mod locality;
+mod locality_replay;
 mod lost_workers;
 mod maintenance;
 mod members;
