Learn the images of each workspace separately

Cause: images were keyed by name only, so one workspace could teach wrong run times for the images of another, and a caller with a new name in each job replaced all images in use.

Change: an image is known by workspace and name, also in the stored row. A workspace keeps at most a quarter of the images. Images with fewer than three runs give way first, and are neither logged nor stored. Long names are refused before they are hashed. The row moves to the table estimates, which instances do not follow.

The tests a_workspace_takes_a_quarter_of_the_images and an_image_with_few_runs_gives_way_first failed with the limit and the order of eviction switched off. Tests of one workspace with 256 images use five workspaces now; indexes into rows are shifted by the new field.

--- a/src/batch/engine/expectation.rs
+++ b/src/batch/engine/expectation.rs
@@ -12,11 +12,11 @@
 const MAX_WORK: u64 = 1 << 44;
 
 impl Engine {
-    /// Returns how long a task of a step is expected to run.
-    pub(super) fn forecast(&self, step: &Step) -> Forecast {
+    /// Returns how long a task of a step of a job is expected to run.
+    pub(super) fn forecast(&self, job: &Job, step: &Step) -> Forecast {
         let image = step.image.as_deref();
         let image = image.filter(|_| self.tuning.learn_estimates && !step.lasting);
-        let key = image.and_then(|image| self.estimator.key(image));
+        let key = image.and_then(|image| self.estimator.key(&job.record.workspace, image));
         self.estimator.forecast(key, step.estimate())
     }
 
@@ -33,7 +33,7 @@
             return granted;
         };
         let declared = spec.critical_path();
-        let expected = spec.critical_path_by(|step| self.forecast(step).expected);
+        let expected = spec.critical_path_by(|step| self.forecast(job, step).expected);
         (granted + expected.mul_f64(stretch)).saturating_sub(declared.mul_f64(stretch))
     }
 
@@ -41,7 +41,7 @@
     /// processor times milliseconds, at most [`MAX_WORK`].
     pub(super) fn expected_work(&self, job: &Job) -> u64 {
         let steps = job.record.spec.steps.iter().filter(|step| !step.lasting);
-        let work = steps.map(|step| self.task_work(step) * f64::from(step.count));
+        let work = steps.map(|step| self.task_work(job, step) * f64::from(step.count));
         (work.sum::<f64>() as u64).min(MAX_WORK)
     }
 
@@ -49,7 +49,7 @@
     pub(super) fn remaining_time(&self, job: &Job) -> Duration {
         let unfinished = steps_in_progress(job).filter(|(stage, _)| stage.unfinished > 0);
         unfinished
-            .map(|(_, step)| self.forecast(step).expected)
+            .map(|(_, step)| self.forecast(job, step).expected)
             .sum()
     }
 
@@ -57,13 +57,13 @@
     /// times milliseconds.
     pub(super) fn remaining_work(&self, job: &Job) -> f64 {
         let work = steps_in_progress(job)
-            .map(|(stage, step)| self.task_work(step) * stage.unfinished as f64);
+            .map(|(stage, step)| self.task_work(job, step) * stage.unfinished as f64);
         work.sum()
     }
 
     /// Returns the expected work of a task, in thousandths of a processor times milliseconds.
-    fn task_work(&self, step: &Step) -> f64 {
-        let milliseconds = self.forecast(step).expected.as_nanos() as f64 / 1_000_000.0;
+    fn task_work(&self, job: &Job, step: &Step) -> f64 {
+        let milliseconds = self.forecast(job, step).expected.as_nanos() as f64 / 1_000_000.0;
         step.reserved().processors as f64 * milliseconds
     }
 }
--- a/src/batch/engine/learn.rs
+++ b/src/batch/engine/learn.rs
@@ -37,12 +37,13 @@
         let Some(took) = self.run_time(run, now) else {
             return;
         };
+        let workspace = job.record.workspace.clone();
         let observation = Observation {
             declared: step.estimate(),
             took,
             worker: run.worker,
         };
-        self.estimator.observe(&image, observation);
+        self.estimator.observe(&workspace, &image, observation);
     }
 
     /// Returns how long a run took that was first listed as ended at `now`, if that is known well.
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -110,7 +110,7 @@
         let objective_ms = u64::try_from(self.objective(job).as_millis()).unwrap_or(u64::MAX / 4);
         let remaining: Duration = spec.steps[stage_key.step as usize..]
             .iter()
-            .map(|step| self.forecast(step).expected)
+            .map(|step| self.forecast(job, step).expected)
             .sum();
         let remaining_ms = i64::try_from(remaining.mul_f64(REMAINING_TIME_FACTOR).as_millis())
             .unwrap_or(i64::MAX / 4);
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -120,7 +120,9 @@
         } else {
             // A task that takes longer than declared makes progress meanwhile, so a learned time
             // never delays this.
-            let time = step.estimate().min(self.forecast(step).tail);
+            let time = step
+                .estimate()
+                .min(self.forecast(&self.jobs[run.job], step).tail);
             unchanged_for > time.mul_f64(STALL_FACTOR).max(MIN_STALL_TIME)
         }
     }
@@ -191,7 +193,8 @@
     /// Returns whether a run takes much longer than expected and than other tasks of its step.
     fn is_slow(&self, run: &Run, now: Instant) -> bool {
         let age = now.since(run.decided_at);
-        let forecast = self.step_of(run).map(|step| self.forecast(step));
+        let job = &self.jobs[run.job];
+        let forecast = self.step_of(run).map(|step| self.forecast(job, step));
         forecast.is_some_and(|Forecast { expected, tail }| {
             let slow_after = expected.mul_f64(COPY_AGE_FACTOR);
             age > slow_after.max(tail.mul_f64(COPY_TAIL_FACTOR))
--- a/src/batch/estimate/image.rs
+++ b/src/batch/estimate/image.rs
@@ -8,6 +8,7 @@
 /// What was learned about the tasks of an image.
 #[derive(Clone, Debug)]
 pub(super) struct Image {
+    pub(super) workspace: Arc<str>,
     pub(super) name: Arc<str>,
     window: Window,
     durations: Quartiles,
@@ -20,23 +21,24 @@
 }
 
 impl Image {
-    pub(super) fn new(name: Arc<str>) -> Self {
-        Self::with_window(name, Window::default())
+    pub(super) fn new(workspace: Arc<str>, name: Arc<str>) -> Self {
+        Self::with_window(workspace, name, Window::default())
     }
 
     /// Restores an image from its stored form.
     pub(super) fn restored(row: &Row) -> Self {
-        let Row(name, runs, durations, ratios) = row;
+        let Row(workspace, name, runs, durations, ratios) = row;
         let window = Window::restored(*durations, *ratios, *runs);
-        let mut image = Self::with_window(name.clone(), window);
+        let mut image = Self::with_window(workspace.clone(), name.clone(), window);
         (image.durations, image.ratios) = (*durations, *ratios);
         image.logged = Some(durations.middle);
         image.stored = image.logged;
         image
     }
 
-    fn with_window(name: Arc<str>, window: Window) -> Self {
+    fn with_window(workspace: Arc<str>, name: Arc<str>, window: Window) -> Self {
         Self {
+            workspace,
             name,
             window,
             durations: Quartiles::default(),
@@ -50,7 +52,13 @@
     /// Returns the stored form.
     pub(super) fn row(&self) -> Row {
         let runs = u32::try_from(self.window.len()).unwrap_or(u32::MAX);
-        Row(self.name.clone(), runs, self.durations, self.ratios)
+        Row(
+            self.workspace.clone(),
+            self.name.clone(),
+            runs,
+            self.durations,
+            self.ratios,
+        )
     }
 
     /// Adds a run. Returns whether the tasks of the image have changed.
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -6,9 +6,7 @@
 use futures_util::stream;
 use tokio::time::sleep;
 
-use super::row::{
-    self, ESTIMATES_END, ESTIMATES_KEY, JOBS, LEADERS, MEMBERS, OWNER_KEY, PROGRESS, TERMS,
-};
+use super::row::{self, ESTIMATES, ESTIMATES_KEY, JOBS, MEMBERS, OWNER_KEY, PROGRESS, TERMS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use super::term::Term;
 use crate::batch::estimate::Estimates;
@@ -132,7 +130,7 @@
         return None;
     }
     let store = &shared.store;
-    let read = || store.read(LEADERS, "", ESTIMATES_KEY, ESTIMATES_END, STORE_TIMEOUT);
+    let read = || store.read(ESTIMATES, "", "", "", STORE_TIMEOUT);
     let (rows, _) = retry(read).await;
     let row = rows.iter().find(|row| &*row.key == ESTIMATES_KEY)?;
     row::decode(ESTIMATES_KEY, row.content.as_ref()?)
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::candidate::Candidate;
-use super::row::{self, ESTIMATES_KEY, LEADERS, MEMBERS};
+use super::row::{self, ESTIMATES, ESTIMATES_KEY, MEMBERS};
 use super::shared::STORE_TIMEOUT;
 use super::term::Term;
 use crate::batch::{Leader, MemberChanges, Role, Transfer, row_bytes};
@@ -32,7 +32,7 @@
             let estimates = term.engine().take_outdated_estimates(sent);
             let stores_estimates = estimates.is_some();
             let estimates = estimates.iter().map(row::encode);
-            (changes.puts).extend(estimates.map(|row| (LEADERS, ESTIMATES_KEY.into(), row)));
+            (changes.puts).extend(estimates.map(|row| (ESTIMATES, ESTIMATES_KEY.into(), row)));
             timeout = match self.write(leader, changes, timeout).await {
                 Ok(true) => {
                     self.record_renewal(term, sent);
--- a/src/entry/row.rs
+++ b/src/entry/row.rs
@@ -6,7 +6,7 @@
 pub(super) const PROGRESS: &str = "progress";
 /// Table of the rows that fence the partitions.
 pub(super) const TERMS: &str = "terms";
-/// Table of the leader row, of the runs that a leader hands over and of the learned run times.
+/// Table of the leader row and of the runs that a leader hands over.
 pub(super) const LEADERS: &str = "leaders";
 
 /// Table of the workers on which the leader starts tasks.
@@ -19,11 +19,12 @@
 /// Key of the leader row in [`LEADERS`], and of the fence row of each partition in [`TERMS`].
 pub(super) const OWNER_KEY: &str = "owner";
 
-/// Key of the row of learned run times in [`LEADERS`].
-pub(super) const ESTIMATES_KEY: &str = "estimates";
+/// Table of the learned run times. Instances follow the changes of [`LEADERS`], and only one that
+/// takes over needs these.
+pub(super) const ESTIMATES: &str = "estimates";
 
-/// Key after [`ESTIMATES_KEY`] and before those of the other rows in [`LEADERS`].
-pub(super) const ESTIMATES_END: &str = "estimates~";
+/// Key of the row of learned run times in [`ESTIMATES`].
+pub(super) const ESTIMATES_KEY: &str = "learned";
 
 /// Suffix of the keys of cancellations in [`JOBS`].
 const CANCEL_SUFFIX: &str = ".cancel";
--- a/tests/batch/estimator.rs
+++ b/tests/batch/estimator.rs
@@ -12,6 +12,7 @@
 const MAX_ROW_BYTES: usize = 64 * 1024;
 
 const IMAGE: &str = "resize";
+const WORKSPACE: &str = "media";
 
 /// An estimator with the workers whose runs teach it.
 struct Pupil {
@@ -37,13 +38,25 @@
     }
 
     fn end_on(&mut self, worker: usize, image: &str, declared_ms: u64, took_ms: u64) {
+        self.end_in(WORKSPACE, worker, image, declared_ms, took_ms);
+    }
+
+    fn end_in(
+        &mut self,
+        workspace: &str,
+        worker: usize,
+        image: &str,
+        declared_ms: u64,
+        took_ms: u64,
+    ) {
         self.runs += 1;
         let observation = Observation {
             declared: Duration::from_millis(declared_ms),
             took: Duration::from_millis(took_ms),
             worker: self.workers[worker],
         };
-        self.estimator.observe(&image.into(), observation);
+        let (workspace, image) = (workspace.into(), image.into());
+        self.estimator.observe(&workspace, &image, observation);
     }
 
     fn forecast(&self, declared_ms: u64) -> Forecast {
@@ -57,7 +70,17 @@
 }
 
 fn forecast(estimator: &Estimator, image: &str, declared_ms: u64) -> Forecast {
-    estimator.forecast(estimator.key(image), Duration::from_millis(declared_ms))
+    forecast_in(estimator, WORKSPACE, image, declared_ms)
+}
+
+fn forecast_in(estimator: &Estimator, workspace: &str, image: &str, declared_ms: u64) -> Forecast {
+    let key = estimator.key(workspace, image);
+    estimator.forecast(key, Duration::from_millis(declared_ms))
+}
+
+/// Returns the workspace of the image with a number. None has as many as it may.
+fn workspace_of(number: usize) -> String {
+    format!("workspace-{}", number % 5)
 }
 
 fn is_close(factor: f64, tolerance: f64) -> bool {
@@ -179,13 +202,60 @@
     let mut pupil = Pupil::new(2);
     for number in 0..2_000 {
         pupil.end(1_000, 3_000);
-        pupil.end_on(0, &format!("other-{number}"), 1_000, 2_000);
+        let workspace = workspace_of(number);
+        pupil.end_in(&workspace, 0, &format!("other-{number}"), 1_000, 2_000);
         pupil.end_on(0, &"x".repeat(100_000), 1_000, 2_000);
+        pupil.end_in(&"x".repeat(100_000), 0, IMAGE, 1_000, 2_000);
+    }
+    assert_eq!(pupil.estimator.image_count(), 256);
+    assert!(is_close(pupil.error(1_000, 3_000), 1.05));
+    let key = |number| {
+        pupil
+            .estimator
+            .key(&workspace_of(number), &format!("other-{number}"))
+    };
+    assert_eq!(key(1_700), None);
+    assert!(key(1_999).is_some());
+}
+
+/// Guards against a workspace with many images that takes the place of those of all others.
+#[test]
+fn a_workspace_takes_a_quarter_of_the_images() {
+    let mut pupil = Pupil::new(2);
+    (0..4).for_each(|_| pupil.end(1_000, 3_000));
+    for number in 0..1_000 {
+        let image = format!("other-{number}");
+        (0..4).for_each(|run| pupil.end_in("large", run % 2, &image, 1_000, 2_000));
+    }
+    assert_eq!(pupil.estimator.image_count(), 1 + 64);
+    assert!(is_close(pupil.error(1_000, 3_000), 1.05));
+    assert!(pupil.estimator.key("large", "other-999").is_some());
+}
+
+/// Guards against callers who name a new image with each job and so replace the ones in use.
+#[test]
+fn an_image_with_few_runs_gives_way_first() {
+    let mut pupil = Pupil::new(2);
+    (0..4).for_each(|_| pupil.end(1_000, 3_000));
+    for number in 0..2_000 {
+        let workspace = workspace_of(number);
+        pupil.end_in(&workspace, 0, &format!("other-{number}"), 1_000, 2_000);
     }
     assert_eq!(pupil.estimator.image_count(), 256);
     assert!(is_close(pupil.error(1_000, 3_000), 1.05));
-    assert_eq!(pupil.estimator.key("other-1700"), None);
-    assert!(pupil.estimator.key("other-1999").is_some());
+    assert_eq!(pupil.estimator.estimates().images.len(), 1);
+}
+
+/// Guards against a workspace that teaches wrong run times for an image of another one.
+#[test]
+fn learns_the_images_of_each_workspace_separately() {
+    let mut pupil = Pupil::new(2);
+    (0..4).for_each(|run| pupil.end_in("other", run % 2, IMAGE, 1_000, 9_000));
+    assert_eq!(pupil.forecast(1_000).expected, Duration::from_secs(1));
+    (0..4).for_each(|_| pupil.end(1_000, 3_000));
+    assert!(is_close(pupil.error(1_000, 3_000), 1.05));
+    let other = forecast_in(&pupil.estimator, "other", IMAGE, 1_000);
+    assert!(is_close(other.expected.as_secs_f64() / 9.0, 1.05));
 }
 
 /// Guards against a successor that starts from declared times although its predecessor knew better,
@@ -196,8 +266,12 @@
     let names: Vec<String> = (0..256)
         .map(|number| format!("registry/team/image:{number}"))
         .collect();
-    for (name, factor) in names.iter().zip(1..) {
-        (0..8).for_each(|run| pupil.end_on(run % 4, name, 10_000, 40 * factor + 7 * run as u64));
+    for (number, name) in names.iter().enumerate() {
+        let (workspace, factor) = (workspace_of(number), number as u64 + 1);
+        for run in 0..8 {
+            let took_ms = 40 * factor + 7 * run as u64;
+            pupil.end_in(&workspace, run % 4, name, 10_000, took_ms);
+        }
     }
     let row = serde_json::to_vec(&pupil.estimator.estimates()).unwrap();
     println!("{} bytes", row.len());
@@ -206,17 +280,18 @@
     let mut restored = Estimator::default();
     restored.restore(&estimates);
     assert_eq!(restored.image_count(), 256);
-    for name in &names {
-        let before = forecast(&pupil.estimator, name, 10_000);
-        let after = forecast(&restored, name, 10_000);
+    for (number, name) in names.iter().enumerate() {
+        let workspace = workspace_of(number);
+        let before = forecast_in(&pupil.estimator, &workspace, name, 10_000);
+        let after = forecast_in(&restored, &workspace, name, 10_000);
         let factor = after.expected.as_secs_f64() / before.expected.as_secs_f64();
         assert!(is_close(factor, 1.03), "{name}: {before:?}, {after:?}");
         let factor = after.tail.as_secs_f64() / before.tail.as_secs_f64();
         assert!(is_close(factor, 1.03), "{name}: {before:?}, {after:?}");
     }
     assert_eq!(
-        restored.estimates().images[0].0,
-        pupil.estimator.estimates().images[0].0
+        restored.estimates().images[0].1,
+        pupil.estimator.estimates().images[0].1
     );
 }
 
@@ -227,13 +302,14 @@
         let mut pupil = Pupil::new(1);
         for number in 0..256 {
             let name = format!("{}{number}", letter.repeat(90));
-            (0..3).for_each(|_| pupil.end_on(0, &name, 1, 1_000_000_000));
+            let workspace = workspace_of(number);
+            (0..3).for_each(|_| pupil.end_in(&workspace, 0, &name, 1, 1_000_000_000));
         }
         let estimates = pupil.estimator.estimates();
         assert!(!estimates.images.is_empty());
         assert!(serde_json::to_vec(&estimates).unwrap().len() < MAX_ROW_BYTES / 2);
         assert!(
-            estimates.images[0].0.ends_with("255"),
+            estimates.images[0].1.ends_with("255"),
             "the latest comes first"
         );
     }
@@ -252,8 +328,9 @@
     for durations in extremes {
         for ratios in extremes {
             for runs in [0, 1, u32::MAX] {
-                let row = serde_json::json!({"images": [["", 3, durations, ratios],
-                    [IMAGE, runs, durations, ratios], [IMAGE, runs, durations, ratios]]});
+                let row = serde_json::json!({"images": [["", "", 3, durations, ratios],
+                    [WORKSPACE, IMAGE, runs, durations, ratios],
+                    [WORKSPACE, IMAGE, runs, durations, ratios]]});
                 let estimates: Estimates = serde_json::from_value(row).unwrap();
                 let mut pupil = Pupil::new(4);
                 pupil.estimator.restore(&estimates);
@@ -279,6 +356,8 @@
     let at = |ms: u64| Instant::from_start(Duration::from_millis(100_000 + ms));
     let mut pupil = Pupil::new(2);
     assert_eq!(pupil.estimator.take_outdated(at(0)), None);
+    (0..2).for_each(|_| pupil.end(1_000, 3_000));
+    assert_eq!(pupil.estimator.take_outdated(at(0)), None, "few runs");
     pupil.end(1_000, 3_000);
     assert!(pupil.estimator.take_outdated(at(0)).is_some());
     pupil.estimator.record_unstored();
@@ -288,6 +367,6 @@
     assert_eq!(pupil.estimator.take_outdated(at(20_000)), None);
     (0..20).for_each(|_| pupil.end(1_000, 9_000));
     let stored = pupil.estimator.take_outdated(at(20_000)).unwrap();
-    assert_eq!(stored.images[0].0, Arc::from(IMAGE));
+    assert_eq!(stored.images[0].1, Arc::from(IMAGE));
     assert_eq!(pupil.estimator.take_outdated(at(40_000)), None);
 }
--- a/tests/batch/learning.rs
+++ b/tests/batch/learning.rs
@@ -68,13 +68,31 @@
         let estimates = learned_from(&mut sim, &task_of(IMAGE, 2_000));
         assert_eq!(estimates.images.len(), usize::from(is_on));
         for row in &estimates.images {
-            assert_eq!((&*row.0, row.1), (IMAGE, 4));
-            let milliseconds = row.2.middle.exp2();
+            assert_eq!((&*row.0, &*row.1, row.2), ("w", IMAGE, 4));
+            let milliseconds = row.3.middle.exp2();
             assert!((480.0..550.0).contains(&milliseconds), "{milliseconds} ms");
         }
     }
 }
 
+/// Guards against a workspace that teaches wrong run times for the images of another one.
+#[test]
+fn an_image_of_another_workspace_is_unknown() {
+    let mut sim = learning(1, true);
+    for (number, workspace) in ["w", "w", "w", "v", "v", "v"].into_iter().enumerate() {
+        sim.run_ms = if workspace == "w" { 300 } else { 900 };
+        let mut record = job(&sim, "x", task_of(IMAGE, 600));
+        record.workspace = workspace.into();
+        sim.accept(&format!("j-{number}"), record);
+        sim.run(1_200);
+    }
+    let estimates = sim.engine.take_outdated_estimates(sim.now).unwrap();
+    let rows = estimates.images.iter();
+    let learned = rows.map(|row| (&*row.0, &*row.1, (row.3.middle.exp2() / 300.0).round()));
+    let learned: Vec<_> = learned.collect();
+    assert_eq!(learned, [("v", IMAGE, 3.0), ("w", IMAGE, 1.0)]);
+}
+
 /// Guards against runs that say nothing about their image: those without one, best-effort ones, and
 /// those in another rack than their data.
 #[test]
--- a/tests/entry/estimates.rs
+++ b/tests/entry/estimates.rs
@@ -23,8 +23,8 @@
 async fn wait_for_row(store: &Store) {
     let begun = Instant::now();
     let is_stored = || {
-        let row = store.read("leaders", "estimates")?;
-        (row["images"][0][0] == "resize").then_some(())
+        let row = store.read("estimates", "learned")?;
+        (row["images"][0][1] == "resize").then_some(())
     };
     while is_stored().is_none() {
         assert!(begun.elapsed() < TIMEOUT, "the row is not stored");
@@ -48,9 +48,9 @@
     wait_for_metric(&second, "estimate_images 1").await;
     terminate(&mut second).await;
     store.write_raw(
-        "leaders",
         "estimates",
-        br#"{"images": [["resize", -3, "x"]]}"#,
+        "learned",
+        br#"{"images": [["w", "resize", -3, "x"]]}"#,
     );
     let third = start_with_learning("estimates-3", address);
     third.wait_for_state(ONE, "completed").await;
@@ -67,5 +67,5 @@
     let mut instance = start_instance("estimates-off", address);
     run_job(&instance, ONE).await;
     terminate(&mut instance).await;
-    assert!(store.read("leaders", "estimates").is_none());
+    assert!(store.read("estimates", "learned").is_none());
 }
