Forecast tasks that declare no run time

Cause: a learned time was bounded by 16 times the declared one, at least 1 ms, so a task that declares 0 was expected to take at most 16 ms.

Change: without a declared time, the forecast is bounded by 37 hours.

--- a/src/batch/estimate/image.rs
+++ b/src/batch/estimate/image.rs
@@ -3,7 +3,9 @@
 
 use super::sample::Sample;
 use super::window::Window;
-use super::{FULL_WEIGHT_RUNS, Forecast, MAX_CORRECTION, Quartiles, Row, duration_of, log_ms};
+use super::{
+    FULL_WEIGHT_RUNS, Forecast, MAX_CORRECTION, MAX_LOG_MS, Quartiles, Row, duration_of, log_ms,
+};
 
 /// What was learned about the tasks of an image.
 #[derive(Clone, Debug)]
@@ -100,8 +102,14 @@
             }
         };
         let weight = self.window.len().min(FULL_WEIGHT_RUNS) as f32 / FULL_WEIGHT_RUNS as f32;
+        // Without a declared time, there is nothing that a learned one could be far from.
+        let max_correction = if declared.is_zero() {
+            MAX_LOG_MS
+        } else {
+            MAX_CORRECTION
+        };
         let estimate = |correction: f32| {
-            let correction = correction.clamp(-MAX_CORRECTION, MAX_CORRECTION);
+            let correction = correction.clamp(-max_correction, max_correction);
             duration_of(declared_log + weight * correction)
         };
         Forecast {
--- a/src/batch/estimate/mod.rs
+++ b/src/batch/estimate/mod.rs
@@ -32,6 +32,10 @@
 /// Binary logarithm of the largest factor between a learned and a declared time.
 const MAX_CORRECTION: f32 = 4.0;
 
+/// Binary logarithm of the longest run time, in milliseconds, that is expected of a task without a
+/// declared one: about 37 hours.
+const MAX_LOG_MS: f32 = 27.0;
+
 /// Binary logarithm of the smallest factor, 1.5, by which runs must differ from earlier ones to
 /// count as changed.
 const CHANGE: f32 = 0.585;
