Learn run times from polls that workers hold back

Cause: a worker holds back its answer to a poll for up to 1 s until a run ends. The end was taken to lie halfway between two answers and was not used if these were far apart, so runs of 0.25 to 2.5 s on a worker with few runs were never learned and longer ones were learned as too short.

Change: an answer before the end of the wait came with the end of the run. Of another answer, the time closest to the expected one is taken; if the gap is long, only if the run certainly took more or less than expected.

learns_the_time_of_runs_between_held_polls failed with the change switched off.

--- a/src/batch/engine/learn.rs
+++ b/src/batch/engine/learn.rs
@@ -34,7 +34,8 @@
         if is_done || !self.is_near(run, step) {
             return;
         }
-        let Some(took) = self.run_time(run, now) else {
+        let expected = self.forecast(job, step).expected;
+        let Some(took) = self.run_time(run, expected, now) else {
             return;
         };
         let workspace = job.record.workspace.clone();
@@ -47,14 +48,25 @@
     }
 
     /// Returns how long a run took that was first listed as ended at `now`, if that is known well.
-    fn run_time(&self, run: &Run, now: Instant) -> Option<Duration> {
+    ///
+    /// A worker holds back its answer to a poll until a run ends. An answer before the end of the
+    /// wait came with the end of the run, which can otherwise only lie between the previous answer
+    /// and the poll. Any other answer says only that the run ended after the previous answer: then
+    /// the time that is closest to the expected one is taken, unless it could be any within a gap
+    /// that is long.
+    fn run_time(&self, run: &Run, expected: Duration, now: Instant) -> Option<Duration> {
         let began = run.confirmed_at?;
-        let answered_before = self.workers.get(run.worker)?.answered_before?;
+        let worker = self.workers.get(run.worker)?;
+        let answered_before = worker.answered_before?;
         let longest = now.since(began);
-        // It ended between the two latest answers of the worker.
+        let is_known = |gap: Duration| gap <= MAX_GAP || gap <= longest / 3;
+        if worker.answered_early {
+            let unobserved = (worker.answered_poll_at).since(answered_before.max(began));
+            return is_known(unobserved).then_some(longest);
+        }
         let gap = now.since(answered_before).min(longest);
-        let took = longest - gap / 2;
-        (gap <= MAX_GAP || gap <= took / 2).then_some(took)
+        let took = expected.clamp(longest - gap, longest);
+        (is_known(gap) || took != expected && gap < longest).then_some(took)
     }
 
     /// Returns whether a run is in the rack of its data and in that of its gang, if it has any.
--- a/src/batch/engine/poll.rs
+++ b/src/batch/engine/poll.rs
@@ -53,6 +53,8 @@
         worker.polled_at = worker.polled_at.max(Some(sent_at));
         // Earlier leases were granted by the clock of this process, or its start was noticed above.
         worker.unverified_grant.take_if(|at| *at <= sent_at);
+        worker.answered_poll_at = sent_at;
+        worker.answered_early = now < sent_at + worker.poll_wait;
         self.record_answer(key, snapshot, now);
         for ended in &snapshot.ended {
             if ended.position > self.workers[key].last_end_position {
@@ -81,6 +83,13 @@
         self.pace_best_effort(key, now);
     }
 
+    /// Records for how long a worker may hold back its answer to the poll that is sent next.
+    pub fn set_poll_wait(&mut self, key: WorkerKey, wait: Duration) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.poll_wait = wait;
+        }
+    }
+
     /// Records that a worker answered, and what the answer tells about its process.
     fn record_answer(&mut self, key: WorkerKey, snapshot: &Snapshot, now: Instant) {
         let worker = &mut self.workers[key];
--- a/src/batch/engine/worker.rs
+++ b/src/batch/engine/worker.rs
@@ -37,6 +37,12 @@
     pub(super) answered_at: Option<Instant>,
     /// When it answered the poll before the one that it last answered.
     pub(super) answered_before: Option<Instant>,
+    /// Time for which it may hold back its answer to the latest poll until a run ends.
+    pub(super) poll_wait: Duration,
+    /// When the poll that it last answered was sent, and whether it answered before that time was
+    /// over.
+    pub(super) answered_poll_at: Instant,
+    pub(super) answered_early: bool,
     /// When it last responded to a poll or a start order.
     pub(super) responded_at: Option<Instant>,
     /// Address that the registration had when it last answered.
@@ -93,6 +99,9 @@
             first_answered_at: None,
             answered_at: None,
             answered_before: None,
+            poll_wait: Duration::ZERO,
+            answered_poll_at: Instant::default(),
+            answered_early: false,
             responded_at: None,
             answered_address: None,
             unreachable: false,
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -115,6 +115,7 @@
         let sent = clock::now();
         let plan = Plan::new(&term, key, is_repeated, last_sent, sent);
         last_sent = sent;
+        term.engine().set_poll_wait(key, plan.wait);
         let answer = worker.poll(plan.wait, plan.timeout, |opened_at| {
             renewal(&term, key, opened_at)
         });
--- a/tests/batch/learning.rs
+++ b/tests/batch/learning.rs
@@ -1,6 +1,7 @@
 //! What runs teach the engine about their image.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use coriandernotch::batch::estimate::Estimates;
 use coriandernotch::batch::{End, Record, Step};
@@ -75,6 +76,31 @@
     }
 }
 
+/// Guards against runs that are not learned, or learned as too short, because a worker holds back its
+/// answer to a poll until a run ends: the answers before and after the end lie far apart.
+#[test]
+fn learns_the_time_of_runs_between_held_polls() {
+    for run_ms in [300, 700, 1_500, 2_400] {
+        let mut sim = learning(1, true);
+        sim.poll_wait = Duration::from_millis(1_000);
+        sim.run_ms = run_ms;
+        for number in 0..4 {
+            let record = job(&sim, "x", task_of(IMAGE, 4_000));
+            sim.accept(&format!("j-{number}"), record);
+            sim.run(run_ms + 400);
+            assert!(sim.ended.contains_key(&*format!("j-{number}")));
+        }
+        let estimates = sim.engine.take_outdated_estimates(sim.now);
+        let row = &estimates.unwrap_or_default().images[0];
+        let milliseconds = f64::from(row.3.middle.exp2());
+        let factor = milliseconds / run_ms as f64;
+        assert!(
+            (0.95..1.05).contains(&factor),
+            "{run_ms} ms: {milliseconds} ms"
+        );
+    }
+}
+
 /// Guards against a workspace that teaches wrong run times for the images of another one.
 #[test]
 fn an_image_of_another_workspace_is_unknown() {
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use coriandernotch::batch::{
-    Config, End, Ended, Engine, MemberChanges, Order, Profile, Progress, Record, Reply, Route,
-    Running, Snapshot, Spec, Step, TaskId, Tuning, WorkerKey, Workspace,
+    Config, End, Ended, Engine, MemberChanges, Order, Profile, Progress, Record, Renewal, Reply,
+    Route, Running, Snapshot, Spec, Step, TaskId, Tuning, WorkerKey, Workspace,
 };
 use coriandernotch::clock::Instant;
 use coriandernotch::collections::Map;
@@ -65,6 +65,10 @@
     pub(crate) stored: Map<Arc<str>, Progress>,
     /// Run time of a task in milliseconds.
     pub(crate) run_ms: u64,
+    /// Time for which workers hold back the answer to a poll until a run ends, and the polls that
+    /// they have not answered yet: when each was sent, and what it renews.
+    pub(crate) poll_wait: Duration,
+    held_polls: Map<Arc<str>, (Instant, Renewal)>,
     /// Run times of tasks that differ from that, by the description of their work.
     pub(crate) run_ms_of: Map<Arc<str>, u64>,
 }
@@ -142,6 +146,8 @@
             ended: Map::default(),
             stored: Map::default(),
             run_ms: 500,
+            poll_wait: Duration::ZERO,
+            held_polls: Map::default(),
             run_ms_of: Map::default(),
         }
     }
@@ -255,12 +261,19 @@
             let how = if worker.fails { End::Failed } else { End::Done };
             worker.end(run, how);
         }
-        let renewal = self.engine.renewal(key, old_connection(), now);
+        let (sent, renewal) = self.held_polls.remove(id).unwrap_or_else(|| {
+            self.engine.set_poll_wait(key, self.poll_wait);
+            (now, self.engine.renewal(key, old_connection(), now))
+        });
         let acknowledged = renewal.position;
         worker.acknowledged = worker.acknowledged.max(acknowledged);
         worker.ended.retain(|ended| ended.position > acknowledged);
         let lease = renewal.deadline_ms.unwrap_or_default();
         worker.lease_ms = worker.lease_ms.max(lease);
+        if worker.ended.is_empty() && now < sent + self.poll_wait {
+            self.held_polls.insert(id.clone(), (sent, renewal));
+            return;
+        }
         let running = worker.running.iter().map(|run| Running {
             task: run.task.clone(),
             number: run.number,
@@ -283,7 +296,7 @@
             ended: worker.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
             has_more_ends: worker.ended.len() > MAX_LISTED_ENDS,
         };
-        self.engine.process_poll(key, &snapshot, now, wall, now);
+        self.engine.process_poll(key, &snapshot, sent, wall, now);
     }
 
     fn execute(&mut self, key: WorkerKey, id: &Arc<str>, order: Order) {
