Stop a task by its learned time once only

Cause: a run without progress is stopped after 1.5 times the learned time if that is shorter than the declared one. A task that in truth takes much longer than others of its image was stopped again and again.

Change: after the first such stop the declared time counts for the task.

a_task_is_stopped_once_by_the_learned_time failed with the change switched off: 15 starts instead of 2 in 25 s.

--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -99,6 +99,7 @@
             self.count_failure(worker, job, now);
             if let Some(task) = self.task_mut(job, &task) {
                 task.avoid(worker);
+                task.has_stalled = true;
             }
         }
     }
@@ -119,10 +120,15 @@
             run.percent < 100 && unchanged_for > self.tuning.notice
         } else {
             // A task that takes longer than declared makes progress meanwhile, so a learned time
-            // never delays this.
-            let time = step
-                .estimate()
-                .min(self.forecast(&self.jobs[run.job], step).tail);
+            // never delays this. A task that was stopped once may be longer than others of its
+            // image.
+            let has_stalled = (self.task(run.job, &run.task)).is_some_and(|task| task.has_stalled);
+            let time = if has_stalled {
+                step.estimate()
+            } else {
+                let learned = self.forecast(&self.jobs[run.job], step).tail;
+                step.estimate().min(learned)
+            };
             unchanged_for > time.mul_f64(STALL_FACTOR).max(MIN_STALL_TIME)
         }
     }
--- a/src/batch/engine/task.rs
+++ b/src/batch/engine/task.rs
@@ -14,6 +14,8 @@
     pub(super) number: u64,
     /// Numbers of the runs that failed.
     pub(super) failures: Vec<u64>,
+    /// Whether a run of it was stopped because it made no progress.
+    pub(super) has_stalled: bool,
     /// Latest saved progress.
     pub(super) saved: Option<Arc<str>>,
     /// Time before which it must not be started.
--- a/tests/batch/learned.rs
+++ b/tests/batch/learned.rs
@@ -124,6 +124,19 @@
     assert!(time < Duration::from_secs(3), "{time:?}");
 }
 
+/// Guards against a task that in truth takes much longer than others of its image and is stopped
+/// again and again: after the first time its declared time counts.
+#[test]
+fn a_task_is_stopped_once_by_the_learned_time() {
+    let mut sim = learning(2, true);
+    teach(&mut sim, "short", 20_000, 500);
+    time_to_stall(&mut sim, "short", 20_000);
+    sim.run(25_000);
+    assert_eq!(sim.starts_of("stalled", 0, 0), 2);
+    sim.run(10_000);
+    assert_eq!(sim.starts_of("stalled", 0, 0), 3);
+}
+
 /// Guards against a stalled run that is found later than without learning, because its image is
 /// unknown, or known to take longer than declared.
 #[test]
