Decide before a job is stored whether it can be of use

Cause: a job was refused only if the store did not take it, and Retry-After was always 1 s. In a burst beyond capacity, jobs were accepted that end after three times their objective.

Change: batch::admission holds the outlook that a leader makes of its queues, the decision of an instance by it, the delay for a refused caller, and what an instance remembers of earlier attempts. Nothing uses them yet.

--- /dev/null
+++ b/src/batch/admission/arrival.rs
@@ -0,0 +1,48 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::batch::{Spec, Step, Terms};
+
+/// A submitted job, as far as admission needs to know it.
+///
+/// ```
+/// use coriandernotch::batch::admission::Arrival;
+/// use coriandernotch::batch::{Spec, Terms};
+///
+/// let arrival = Arrival::new(&"w".into(), 0, &Spec::default(), &Terms::default());
+/// assert_eq!(arrival.work, 0);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Arrival {
+    /// Workspace of the caller.
+    pub workspace: Arc<str>,
+    /// Second of arrival, counted from 1970, by which the jobs of a workspace are compared with its
+    /// weight.
+    pub second: u64,
+    /// Time from arrival within which the job should complete.
+    pub objective: Duration,
+    /// Declared time of the longest chain of steps.
+    pub critical_path: Duration,
+    /// Declared work, in thousandths of a processor times milliseconds.
+    pub work: u64,
+    /// Whether a step runs until the job is cancelled.
+    pub lasting: bool,
+    /// Whether the job has start times.
+    pub scheduled: bool,
+}
+
+impl Arrival {
+    /// Describes a job that arrived at `arrived_ms`, in milliseconds since 1970.
+    pub fn new(workspace: &Arc<str>, arrived_ms: u64, spec: &Spec, terms: &Terms) -> Self {
+        let work = |step: &Step| step.task_work() * f64::from(step.count);
+        Self {
+            workspace: workspace.clone(),
+            second: arrived_ms / 1_000,
+            objective: terms.objective,
+            critical_path: spec.critical_path(),
+            work: spec.steps.iter().map(work).sum::<f64>() as u64,
+            lasting: spec.steps.iter().any(|step| step.lasting),
+            scheduled: spec.occurrences > 0,
+        }
+    }
+}
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -4,6 +4,7 @@
 //! caller carries out each [`Order`] and passes in each [`Snapshot`] and [`Reply`]. Nothing here
 //! depends on an encoding or a socket.
 
+pub mod admission;
 mod advice;
 mod answer_time;
 mod config;
--- /dev/null
+++ b/tests/admission/publication.rs
@@ -0,0 +1,53 @@
+use std::time::Duration;
+
+use coriandernotch::batch::admission::{Forecast, Outlook, Publication};
+
+use crate::fixture::{forecast, now, outlook, work};
+
+fn at(ms: u64) -> coriandernotch::clock::Instant {
+    now() + Duration::from_millis(ms)
+}
+
+/// Guards against an outlook by a new leader that has not heard all workers yet and sees too little
+/// capacity.
+#[test]
+fn a_new_leader_publishes_nothing_at_first() {
+    let publication = Publication::new(now());
+    assert!(!publication.is_due(&outlook(forecast()), at(2_999)));
+    assert!(publication.is_due(&outlook(forecast()), at(3_000)));
+}
+
+/// Guards against writes of outlooks that say the same or come too often.
+#[test]
+fn publishes_changes_and_refreshes() {
+    let mut publication = Publication::new(now());
+    publication.record(outlook(forecast()), at(5_000));
+    let similar = Forecast {
+        total: work(30) + work(30) / 20,
+        ..forecast()
+    };
+    assert!(!publication.is_due(&outlook(similar.clone()), at(5_500)));
+    assert!(publication.is_due(&outlook(similar), at(6_000)));
+    let longer = Forecast {
+        total: work(40),
+        ..forecast()
+    };
+    assert!(!publication.is_due(&outlook(longer.clone()), at(5_300)));
+    assert!(publication.is_due(&outlook(longer), at(5_400)));
+}
+
+/// Guards against writes while there is nothing to tell, and against a backlog that stays published
+/// after it is gone.
+#[test]
+fn publishes_the_end_of_a_backlog_once() {
+    let calm = Outlook {
+        token: outlook(forecast()).token,
+        ..Outlook::default()
+    };
+    let mut publication = Publication::new(now());
+    assert!(!publication.is_due(&calm, at(9_000)));
+    publication.record(outlook(forecast()), at(9_000));
+    assert!(publication.is_due(&calm, at(10_000)));
+    publication.record(calm.clone(), at(10_000));
+    assert!(!publication.is_due(&calm, at(60_000)));
+}
