Make an outlook of the queues in the engine

Cause: the leader knows what waits and runs, and nothing told it to others.

Change: Engine::outlook sums up the work of each service and priority, the processors that work it off, and the workspaces that have used up their weight.

--- a/src/batch/admission/admission.rs
+++ b/src/batch/admission/admission.rs
@@ -105,6 +105,12 @@
     } else {
         (forecast.within_objective, forecast.total)
     };
+    // What arrives goes before a job that is late, and most of it before one that is not.
+    let arrived = forecast.arriving_within(age);
+    let (before, total) = (
+        before.saturating_add(arrived),
+        total.saturating_add(arrived),
+    );
     let end_behind = |work: u64| {
         let wait = forecast.time_for(work).saturating_sub(age);
         wait.saturating_add(arrival.critical_path)
--- a/src/batch/admission/backlog.rs
+++ b/src/batch/admission/backlog.rs
@@ -1,7 +1,6 @@
 use std::ops::AddAssign;
 
 /// Work of the jobs of one service and priority, in thousandths of a processor times milliseconds.
-/// Jobs that can no longer end within three times their objective do not count unless they run.
 ///
 /// ```
 /// use coriandernotch::batch::admission::Backlog;
@@ -19,7 +18,7 @@
     kept: u64,
     /// Work of the largest of these.
     largest_kept: u64,
-    /// Waiting jobs that are deferred, or late and still useful.
+    /// Waiting jobs that are deferred or late.
     postponed: u64,
     /// Waiting jobs beyond the weight of their workspace.
     over_rate: u64,
@@ -37,7 +36,7 @@
         self.largest_kept = self.largest_kept.max(work);
     }
 
-    /// Adds a waiting job that is deferred, or late and still useful.
+    /// Adds a waiting job that is deferred or late.
     pub fn postpone(&mut self, work: u64) {
         self.postponed = self.postponed.saturating_add(work);
     }
--- a/src/batch/admission/forecast.rs
+++ b/src/batch/admission/forecast.rs
@@ -80,6 +80,12 @@
         Duration::from_millis(ms)
     }
 
+    /// Returns the work that arrives within a time.
+    pub fn arriving_within(&self, time: Duration) -> u64 {
+        let ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        self.arriving.saturating_mul(ms)
+    }
+
     /// Returns the work that is going to wait when the burst ends, or what waits now if its end is
     /// not known.
     pub fn total_after_burst(&self) -> u64 {
--- a/src/batch/engine/bursts.rs
+++ b/src/batch/engine/bursts.rs
@@ -71,6 +71,13 @@
         Some(end)
     }
 
+    /// Returns the time until the present burst ends if it lasts as long as the last one, or `None`
+    /// if there is none or no earlier one was observed.
+    pub(super) fn remaining_burst(&self, now: Instant) -> Option<Duration> {
+        let (start, end) = self.last_burst?;
+        Some((self.high_since? + end.since(start)).since(now))
+    }
+
     /// Returns the remaining time in which no burst is expected; zero if no burst has been
     /// observed.
     pub(super) fn quiet_time(&self, now: Instant) -> Duration {
--- a/src/batch/engine/end.rs
+++ b/src/batch/engine/end.rs
@@ -121,6 +121,7 @@
             }
         }
         let complete = stage.unfinished == 0;
+        self.count_completion(key, id.step as usize, now);
         if !whole_gang {
             other_runs
                 .into_iter()
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -28,6 +28,7 @@
 mod members;
 mod need;
 mod occurrence;
+mod outlook;
 mod overload;
 mod pace;
 mod place;
@@ -54,6 +55,7 @@
 
 use slotmap::SlotMap;
 
+use super::admission::Throughput;
 use super::{Config, JobKey, Order, RunKey, TaskId, Tuning, Wave, WorkerKey};
 use crate::clock::Instant;
 use crate::collections::{Map, Set};
@@ -111,6 +113,8 @@
     submissions: Submissions,
     /// Work that arrived recently, by service.
     demand: Map<Arc<str>, Demand>,
+    /// Work that was completed recently, by service.
+    completed: Map<Arc<str>, Throughput>,
     pools: Pools,
     /// Jobs that are deferred because of overload, by service.
     deferrals: Map<Arc<str>, Deferral>,
@@ -160,6 +164,7 @@
             waves: Vec::new(),
             submissions: Submissions::default(),
             demand: Map::default(),
+            completed: Map::default(),
             pools: Pools::default(),
             deferrals: Map::default(),
             orders: Vec::new(),
--- a/src/batch/engine/need.rs
+++ b/src/batch/engine/need.rs
@@ -102,7 +102,7 @@
         })
     }
 
-    fn arriving_processors(&self, service: &Arc<str>) -> u64 {
+    pub(super) fn arriving_processors(&self, service: &Arc<str>) -> u64 {
         let transfers = self.pools.transfers.iter();
         let transfers = transfers.filter(|(_, transfer)| transfer.to == *service);
         transfers
--- a/src/batch/engine/overload.rs
+++ b/src/batch/engine/overload.rs
@@ -100,7 +100,7 @@
 
 impl Job {
     /// Returns the sum of the declared times of all incomplete steps.
-    fn remaining_time(&self) -> Duration {
+    pub(super) fn remaining_time(&self) -> Duration {
         let stages = self
             .occurrences
             .iter()
@@ -111,7 +111,7 @@
     }
 
     /// Returns the declared work of all unfinished tasks.
-    fn remaining_work(&self) -> f64 {
+    pub(super) fn remaining_work(&self) -> f64 {
         let stages = self
             .occurrences
             .iter()
--- a/src/batch/engine/relocate.rs
+++ b/src/batch/engine/relocate.rs
@@ -21,7 +21,7 @@
 const RETURN_LEAD_TIME: Duration = Duration::from_millis(3_500);
 
 /// Shortest expected quiet period of a pool for which it lends machines.
-const MIN_QUIET_TO_LEND: Duration = Duration::from_millis(5_000);
+pub(super) const MIN_QUIET_TO_LEND: Duration = Duration::from_millis(5_000);
 
 /// Shortest expected quiet period of a pool for which machines are switched off. Two moves cost as
 /// much as 2.3 s of a machine, and it is unavailable during both.
@@ -29,10 +29,10 @@
 
 /// Fraction of its machines that a pool keeps in a quiet period, since a single wide job may arrive
 /// at any time.
-const KEPT_FRACTION: f64 = 0.5;
+pub(super) const KEPT_FRACTION: f64 = 0.5;
 
 /// Number of machines that any service may borrow, even if it has fewer of its own.
-const MIN_BORROWABLE: usize = 8;
+pub(super) const MIN_BORROWABLE: usize = 8;
 
 /// Preference for taking a machine for a service; the smallest is taken first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -188,7 +188,7 @@
     }
 
     /// Returns the remaining time in which no burst of a service is expected.
-    fn quiet_time_of(&self, service: &Arc<str>, now: Instant) -> Duration {
+    pub(super) fn quiet_time_of(&self, service: &Arc<str>, now: Instant) -> Duration {
         let demand = self.demand.get(service);
         demand.map_or(Duration::ZERO, |demand| demand.bursts.quiet_time(now))
     }
@@ -213,12 +213,12 @@
         }
     }
 
-    fn own_machines(&self, service: &Arc<str>) -> usize {
+    pub(super) fn own_machines(&self, service: &Arc<str>) -> usize {
         let machines = self.pools.machines.values();
         machines.filter(|m| self.pools.home(m) == service).count()
     }
 
-    fn borrowed_by(&self, service: &Arc<str>) -> usize {
+    pub(super) fn borrowed_by(&self, service: &Arc<str>) -> usize {
         let machines = self.pools.machines.values();
         // A machine in transit is already listed in its new pool.
         let lent = machines.filter(|m| m.pool == *service && self.pools.home(m) != service);
--- a/src/batch/engine/submissions.rs
+++ b/src/batch/engine/submissions.rs
@@ -19,6 +19,19 @@
         weight > 0 && *count > weight
     }
 
+    /// Returns the workspaces whose weight does not allow another job in a second.
+    pub(super) fn exhausted(
+        &self,
+        second: u64,
+        weight: impl Fn(&Arc<str>) -> u64,
+    ) -> impl Iterator<Item = Arc<str>> {
+        let counts = self.0.iter();
+        counts.filter_map(move |((workspace, at), count)| {
+            let weight = weight(workspace);
+            (*at == second && weight > 0 && *count >= weight).then(|| workspace.clone())
+        })
+    }
+
     /// Removes the counts of old submissions.
     pub(super) fn remove_old(&mut self, wall_ms: u64) {
         let oldest = wall_ms.saturating_sub(COUNTED_FOR_MS) / 1_000;
--- a/tests/admission/decisions.rs
+++ b/tests/admission/decisions.rs
@@ -88,6 +88,23 @@
     assert_eq!(verdict, Verdict::Accept(Reason::Useful));
 }
 
+/// Guards against a burst of jobs accepted between two outlooks.
+#[test]
+fn counts_what_has_arrived_since_the_outlook() {
+    let growing = Forecast {
+        within_objective: work(8),
+        total: work(8),
+        arriving: 5_000,
+        ..forecast()
+    };
+    let mut admission = Admission::default();
+    admission.receive(outlook(growing), now());
+    let at = |ms| admission.decide(&arrival(), "q", Some(TOKEN), Some(MADE_MS + ms), now());
+    assert_eq!(at(0), Verdict::Accept(Reason::Useful));
+    // One processor works off 1 s of the 5 s that have arrived.
+    assert!(!at(1_000).is_accept());
+}
+
 /// Guards against refusals by an outlook of a burst that may be over.
 #[test]
 fn accepts_by_an_old_outlook() {
