Refuse jobs before they are stored that end too late to be of use

Change: with the new setting refuse-hopeless, the leader writes the outlook with a renewal, and each instance decides by it. Before a refusal it looks the id up in the store; an id that it may have stored itself is not refused, nor any while the store leaves calls unanswered. The time of the first attempt at an instance is kept as the time of arrival.

--- /dev/null
+++ b/src/entry/admit.rs
@@ -0,0 +1,96 @@
+//! Admission of submitted jobs: what this instance knows of the job, what the outlook says, and what
+//! the store says before a refusal.
+
+use std::time::Duration;
+
+use metrics::counter;
+
+use super::partition;
+use super::row::{self, JOBS};
+use super::shared::Shared;
+use crate::batch::admission::{Arrival, Delay, Reason, Verdict};
+use crate::clock;
+
+/// Timeout of the look-up that precedes a refusal. A store that takes longer is in trouble, and a
+/// write by another instance may be delayed in it; the job is accepted then.
+const LOOK_UP_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Decides about a job that arrived at `arrived_ms`, in milliseconds since 1970. Returns the time of
+/// its first attempt if it is accepted, else the delay after which the caller is to return.
+pub(super) async fn admit(
+    shared: &Shared,
+    queue: &str,
+    id: &str,
+    arrival: &Arrival,
+    arrived_ms: u64,
+) -> Result<u64, Delay> {
+    if !shared.settings.refuse_hopeless {
+        return Ok(arrived_ms);
+    }
+    let now = clock::now();
+    let attempt = {
+        let mut attempts = shared.attempts.lock().expect("attempts lock");
+        attempts.add(id, arrived_ms, now)
+    };
+    let verdict = if attempt.may_be_stored() {
+        Verdict::Accept(Reason::Repeated)
+    } else {
+        decide(shared, queue, arrival, now)
+    };
+    let verdict = match verdict {
+        Verdict::Refuse { .. } => confirm(shared, id, verdict).await,
+        Verdict::Accept(_) => verdict,
+    };
+    match verdict {
+        Verdict::Accept(reason) => {
+            counter!("admissions_total", "verdict" => <&str>::from(reason)).increment(1);
+            Ok(attempt.first_ms.min(arrived_ms))
+        }
+        Verdict::Refuse { end, delay } => {
+            counter!("admissions_total", "verdict" => "refused").increment(1);
+            let delay = Delay::new(delay, id, attempt.count);
+            log::info!(event = "job-refused-early", job = id, route = queue,
+                workspace = arrival.workspace, expected_ms = end.as_millis(),
+                objective_ms = arrival.objective.as_millis(),
+                retry_after_s = delay.seconds(), attempt = attempt.count; "");
+            Err(delay)
+        }
+    }
+}
+
+/// Records that the store may carry out writes late, also those of other instances.
+pub(super) fn record_doubt(shared: &Shared) {
+    let mut admission = shared.admission.lock().expect("admission lock");
+    admission.record_doubt(clock::now());
+}
+
+fn decide(shared: &Shared, queue: &str, arrival: &Arrival, now: clock::Instant) -> Verdict {
+    let leader = {
+        let leader = shared.leader.lock().expect("leader lock");
+        leader.is_held().then_some(leader.token)
+    };
+    let leader = shared.term().map(|term| term.token).or(leader);
+    let store_ms = shared.store.clock_ms(now);
+    let admission = shared.admission.lock().expect("admission lock");
+    admission.decide(arrival, queue, leader, store_ms, now)
+}
+
+/// Looks a job up in the store before it is refused: an earlier attempt, at any instance, may have
+/// stored it. A cancelled job is left to the write, which finds the cancellation.
+async fn confirm(shared: &Shared, id: &str, refusal: Verdict) -> Verdict {
+    let partition = partition::of(id);
+    let end_key = row::end_key(id);
+    let rows = shared
+        .store
+        .read(JOBS, &partition, id, &end_key, LOOK_UP_TIMEOUT)
+        .await;
+    match rows {
+        Ok((rows, _)) if rows.iter().all(|row| row.content.is_none()) => refusal,
+        Ok(_) => Verdict::Accept(Reason::Repeated),
+        Err(fault) => {
+            record_doubt(shared);
+            log::debug!(event = "look-up-failed", job = id, fault:% = fault; "");
+            Verdict::Accept(Reason::Unknown)
+        }
+    }
+}
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -9,9 +9,12 @@
 use metrics::{counter, histogram};
 
 use super::acceptance::Acceptance;
+use super::admit;
 use super::partition;
 use super::row::{self, JOBS, PROGRESS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
+use super::write::Write;
+use crate::batch::admission::{Arrival, Delay};
 use crate::batch::{Config, Progress, Record, Route, State};
 use crate::clock;
 use crate::platform::api::{Fault, Operation, Outcome, Protocol, Transaction, decode_submission};
@@ -121,15 +124,23 @@
         Ok(spec) => spec,
         Err(reason) => return failure(StatusCode::BAD_REQUEST, &reason),
     };
+    let terms = route.terms(&spec);
+    let arrival = Arrival::new(&workspace, arrived_ms, &spec, &terms);
+    let arrived_ms = match admit::admit(shared, &route.name, id, &arrival, arrived_ms).await {
+        Ok(first_ms) => first_ms,
+        Err(delay) => return hopeless(delay),
+    };
     let record = Record {
         route: route.name.clone(),
         service: route.service.clone(),
-        terms: route.terms(&spec),
+        terms,
         workspace,
         arrived_ms,
         spec,
     };
+    let write = Write::begin(shared, id);
     let committed = shared.committer.commit(id, row::encode(&record)).await;
+    write.end(committed);
     log::info!(event = "job-submitted", job = id, route = route.name, workspace = record.workspace,
         result:? = committed; "");
     match committed {
@@ -240,9 +251,19 @@
 
 /// Refuses a request that had no effect and sets `Retry-After`.
 fn unavailable(reason: &str) -> HttpResponse {
+    refusal(reason, RETRY_AFTER_S)
+}
+
+/// Refuses a job that could only end when it is of no use, and tells its caller when a job like it
+/// is expected to be in time.
+fn hopeless(delay: Delay) -> HttpResponse {
+    refusal("the job would end too late to be of use", delay.seconds())
+}
+
+fn refusal(reason: &str, retry_after_s: u32) -> HttpResponse {
     let mut response = failure(StatusCode::SERVICE_UNAVAILABLE, reason);
     response
         .headers_mut()
-        .insert(RETRY_AFTER, RETRY_AFTER_S.into());
+        .insert(RETRY_AFTER, retry_after_s.into());
     response
 }
--- a/src/entry/candidate.rs
+++ b/src/entry/candidate.rs
@@ -20,6 +20,8 @@
     pub(super) requested: Option<Transfer>,
     /// Version of the leader row.
     row_version: u64,
+    /// Version of the outlook.
+    pub(super) outlook_version: u64,
     /// Number of the last write of the leader row by this process.
     last_write: u64,
     /// Version of the table up to which changes were read.
@@ -36,6 +38,7 @@
             contender: Contender::new(strength),
             requested: None,
             row_version: 0,
+            outlook_version: 0,
             last_write: 0,
             table_version: 0,
         }
@@ -69,6 +72,7 @@
     /// Records a changed row. The leader row is outside of any partition; the feed covers the whole
     /// table.
     pub(super) fn observe(&mut self, row: &Row) {
+        self.observe_outlook(row);
         let is_leader_row = row.part.is_empty() && &*row.key == OWNER_KEY;
         if !is_leader_row || row.version <= self.row_version {
             return;
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -47,6 +47,8 @@
         desired: Mutex::default(),
         committer,
         leader: Mutex::default(),
+        admission: Mutex::default(),
+        attempts: Mutex::default(),
         term: Mutex::default(),
         stopping: AtomicBool::new(false),
         stop: Notify::new(),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,6 +7,7 @@
 
 mod acceptance;
 mod admin_port;
+mod admit;
 mod advise;
 mod call;
 mod caller_port;
@@ -28,6 +29,7 @@
 mod load_term;
 mod maintenance;
 mod orders;
+mod outlook;
 mod partition;
 mod poll;
 mod reach;
@@ -45,6 +47,7 @@
 mod telemetry;
 mod term;
 mod transfer;
+mod write;
 
 pub use instance::run;
 pub use settings::{Bounds, Settings};
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use super::candidate::Candidate;
+use super::outlook;
 use super::row::{self, MEMBERS};
 use super::shared::STORE_TIMEOUT;
 use super::term::Term;
+use crate::batch::admission::Publication;
 use crate::batch::{Leader, MemberChanges, Role, Transfer};
 use crate::clock::{self, Instant};
 use crate::platform::api::Transaction;
@@ -23,14 +25,21 @@
     /// lead. Returns that request.
     pub(super) async fn renew_until_end(&mut self, term: &Term) -> Option<Transfer> {
         let loaded_at = clock::now();
+        let mut publication = Publication::new(loaded_at);
         let mut timeout = STORE_TIMEOUT;
         while !term.has_ended() && !self.shared.is_stopping() {
             let sent = clock::now();
             let leader = self.next_row(term);
-            let changes = member_transaction(&term.engine().take_member_changes());
+            let mut changes = member_transaction(&term.engine().take_member_changes());
+            let outlook = self.next_outlook(term, &publication, sent);
+            changes.puts.extend(outlook.as_ref().map(outlook::put));
             timeout = match self.write(leader, changes, timeout).await {
                 Ok(true) => {
                     self.record_renewal(term, sent);
+                    if let Some(outlook) = outlook {
+                        self.take_outlook(outlook.clone(), sent);
+                        publication.record(outlook, sent);
+                    }
                     let is_behind = term.is_behind(clock::now());
                     if let Some(request) = self.granted_request(is_behind, Some(loaded_at)) {
                         return Some(request);
--- a/src/entry/row.rs
+++ b/src/entry/row.rs
@@ -15,6 +15,9 @@
 /// Key of the leader row in [`LEADERS`], and of the fence row of each partition in [`TERMS`].
 pub(super) const OWNER_KEY: &str = "owner";
 
+/// Key of the outlook in [`LEADERS`], written by the leader.
+pub(super) const OUTLOOK_KEY: &str = "outlook";
+
 /// Suffix of the keys of cancellations in [`JOBS`].
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -23,6 +26,12 @@
     format!("{job}{CANCEL_SUFFIX}")
 }
 
+/// Returns the smallest key after those of a job and of its cancellation, as far as jobs have names
+/// of letters and digits.
+pub(super) fn end_key(job: &str) -> String {
+    format!("{job}/")
+}
+
 /// Returns the job that the key of a cancellation names, or `None` for another key.
 pub(super) fn cancelled_job(key: &str) -> Option<&str> {
     key.strip_suffix(CANCEL_SUFFIX)
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -32,6 +32,9 @@
     /// Processor time of the instance as a share of one processor.
     #[serde(default = "whole_processor")]
     pub processor_share: f64,
+    /// Whether jobs are refused that could only end when they are of no use to their caller.
+    #[serde(default)]
+    pub refuse_hopeless: bool,
     /// Durations that the platform guarantees or requires.
     #[serde(default)]
     pub bounds: Bounds,
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -9,6 +9,7 @@
 use super::settings::Settings;
 use super::term::Term;
 use crate::batch::Leader;
+use crate::batch::admission::{Admission, Attempts};
 use crate::clock::{self, Instant};
 use crate::platform::api::Store;
 
@@ -29,6 +30,10 @@
     pub(super) committer: Committer,
     /// Leader row as last read.
     pub(super) leader: Mutex<Leader>,
+    /// What this instance knows about the backlog of the queues.
+    pub(super) admission: Mutex<Admission>,
+    /// Jobs submitted here of late.
+    pub(super) attempts: Mutex<Attempts>,
     /// Current term of this instance while it leads.
     pub(super) term: Mutex<Option<Arc<Term>>>,
     /// Whether the instance is stopping.
--- a/src/entry/telemetry.rs
+++ b/src/entry/telemetry.rs
@@ -50,6 +50,11 @@
     gauge!("instance_ready").set(flag(shared.has_fresh_config(now) && !shared.is_stopping()));
     let term = shared.term();
     gauge!("instance_leads").set(flag(term.is_some()));
+    let outlook_age = {
+        let admission = shared.admission.lock().expect("admission lock");
+        admission.age(shared.store.clock_ms(now), now)
+    };
+    gauge!("outlook_age_seconds").set(outlook_age.map_or(f64::NAN, |age| age.as_secs_f64()));
     let config = shared.desired.lock().expect("desired lock").config();
     gauge!("config_version").set(config.map_or(0, |config| config.version) as f64);
     let Some(term) = term else {
--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -84,6 +84,18 @@
     instance
 }
 
+/// Starts an instance that refuses jobs which could only end when they are of no use, and whose log
+/// is printed if the test fails.
+pub(crate) fn start_refusing(name: &str, store: SocketAddr) -> Instance {
+    let log = Log::new(name);
+    let outputs = [log.create(), Stdio::inherit()];
+    let mut settings = settings(name, store, None, &bounds());
+    settings["refuse-hopeless"] = json!(true);
+    let mut instance = start_with_settings(name, store, &settings, outputs);
+    instance.log = Some(log);
+    instance
+}
+
 /// Starts an instance that deletes ended jobs after `retention_s` seconds.
 pub(crate) fn start_with_retention(name: &str, store: SocketAddr, retention_s: u64) -> Instance {
     let mut bounds = bounds();
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -29,6 +29,7 @@
 mod platform;
 mod port;
 mod process;
+mod refusal;
 mod refused_connections;
 mod retention;
 mod run;
