--- a/src/batch/admission/admission.rs
+++ b/src/batch/admission/gate.rs
@@ -18,22 +18,22 @@
 /// is accepted.
 ///
 /// ```
-/// use coriandernotch::batch::admission::{Admission, Arrival, Reason, Verdict};
+/// use coriandernotch::batch::admission::{Gate, Arrival, Reason, Verdict};
 /// use coriandernotch::clock::Instant;
 ///
-/// let admission = Admission::default();
-/// let verdict = admission.decide(&Arrival::default(), "q", Some(1), Some(5), Instant::default());
+/// let gate = Gate::default();
+/// let verdict = gate.decide(&Arrival::default(), "q", Some(1), Some(5), Instant::default());
 /// assert_eq!(verdict, Verdict::Accept(Reason::NoOutlook));
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct Admission {
+pub struct Gate {
     /// Latest outlook and when it was received.
     latest: Option<(Arc<Outlook>, Instant)>,
     /// When the store last left a write of a job without an outcome.
     doubted_at: Option<Instant>,
 }
 
-impl Admission {
+impl Gate {
     /// Age from which an outlook is not used. The burst that it shows may have ended.
     pub const MAX_AGE: Duration = Duration::from_secs(2);
 
--- a/src/batch/admission/mod.rs
+++ b/src/batch/admission/mod.rs
@@ -4,13 +4,13 @@
 //! whether a new job can still be of use to its caller. Whatever the outlook does not show is
 //! accepted.
 
-mod admission;
 mod arrival;
 mod attempt;
 mod attempts;
 mod backlog;
 mod delay;
 mod forecast;
+mod gate;
 mod outlook;
 mod publication;
 mod reason;
@@ -18,13 +18,13 @@
 mod throughput;
 mod verdict;
 
-pub use admission::Admission;
 pub use arrival::Arrival;
 pub use attempt::Attempt;
 pub use attempts::Attempts;
 pub use backlog::Backlog;
 pub use delay::Delay;
 pub use forecast::Forecast;
+pub use gate::Gate;
 pub use outlook::Outlook;
 pub use publication::Publication;
 pub use reason::Reason;
--- a/src/batch/admission/publication.rs
+++ b/src/batch/admission/publication.rs
@@ -8,7 +8,7 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(380);
 
 /// Time after which an outlook that lists queues is written again although it has not changed.
-/// Instances stop using it after [`super::Admission::MAX_AGE`].
+/// Instances stop using it after [`super::Gate::MAX_AGE`].
 const REFRESH_AFTER: Duration = Duration::from_millis(1_000);
 
 /// Time from the beginning of a term until the first outlook. Before, workers may not have answered
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -9,7 +9,7 @@
 use super::settings::Settings;
 use super::term::Term;
 use crate::batch::Leader;
-use crate::batch::admission::{Admission, Attempts};
+use crate::batch::admission::{Attempts, Gate};
 use crate::clock::{self, Instant};
 use crate::platform::api::Store;
 
@@ -31,7 +31,7 @@
     /// Leader row as last read.
     pub(super) leader: Mutex<Leader>,
     /// What this instance knows about the backlog of the queues.
-    pub(super) admission: Mutex<Admission>,
+    pub(super) admission: Mutex<Gate>,
     /// Jobs submitted here of late.
     pub(super) attempts: Mutex<Attempts>,
     /// Current term of this instance while it leads.
--- a/tests/admission/decisions.rs
+++ b/tests/admission/decisions.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use coriandernotch::batch::admission::{Admission, Arrival, Forecast, Reason, Verdict};
+use coriandernotch::batch::admission::{Arrival, Forecast, Gate, Reason, Verdict};
 use coriandernotch::batch::{Spec, Step, Terms};
 
 use crate::fixture::{MADE_MS, SECOND, TOKEN, arrival, decide, forecast, now, outlook, work};
@@ -97,9 +97,9 @@
         arriving: 5_000,
         ..forecast()
     };
-    let mut admission = Admission::default();
-    admission.receive(outlook(growing), now());
-    let at = |ms| admission.decide(&arrival(), "q", Some(TOKEN), Some(MADE_MS + ms), now());
+    let mut gate = Gate::default();
+    gate.receive(outlook(growing), now());
+    let at = |ms| gate.decide(&arrival(), "q", Some(TOKEN), Some(MADE_MS + ms), now());
     assert_eq!(at(0), Verdict::Accept(Reason::Useful));
     // One processor works off 1 s of the 5 s that have arrived.
     assert!(!at(1_000).is_accept());
@@ -108,10 +108,10 @@
 /// Guards against refusals by an outlook of a burst that may be over.
 #[test]
 fn accepts_by_an_old_outlook() {
-    let mut admission = Admission::default();
-    admission.receive(outlook(forecast()), now());
+    let mut gate = Gate::default();
+    gate.receive(outlook(forecast()), now());
     let age_ms = 2_000;
-    let at = |ms| admission.decide(&arrival(), "q", Some(TOKEN), Some(MADE_MS + ms), now());
+    let at = |ms| gate.decide(&arrival(), "q", Some(TOKEN), Some(MADE_MS + ms), now());
     assert!(!at(age_ms).is_accept());
     assert_eq!(at(age_ms + 1), Verdict::Accept(Reason::OldOutlook));
 }
@@ -119,19 +119,19 @@
 /// Guards against an outlook that seems new because the clock of the store was set back.
 #[test]
 fn accepts_by_an_outlook_received_long_ago() {
-    let mut admission = Admission::default();
-    admission.receive(outlook(forecast()), now());
+    let mut gate = Gate::default();
+    gate.receive(outlook(forecast()), now());
     let later = now() + Duration::from_millis(2_001);
-    let verdict = admission.decide(&arrival(), "q", Some(TOKEN), Some(1), later);
+    let verdict = gate.decide(&arrival(), "q", Some(TOKEN), Some(1), later);
     assert_eq!(verdict, Verdict::Accept(Reason::OldOutlook));
 }
 
 /// Guards against refusals by an outlook whose age is not known.
 #[test]
 fn accepts_without_the_clock_of_the_store() {
-    let mut admission = Admission::default();
-    admission.receive(outlook(forecast()), now());
-    let verdict = admission.decide(&arrival(), "q", Some(TOKEN), None, now());
+    let mut gate = Gate::default();
+    gate.receive(outlook(forecast()), now());
+    let verdict = gate.decide(&arrival(), "q", Some(TOKEN), None, now());
     assert_eq!(verdict, Verdict::Accept(Reason::OldOutlook));
     let mut unknown = outlook(forecast());
     unknown.made_ms = 0;
@@ -145,10 +145,10 @@
 /// publishes its own once it has loaded.
 #[test]
 fn accepts_without_the_leader_that_made_the_outlook() {
-    let mut admission = Admission::default();
-    admission.receive(outlook(forecast()), now());
+    let mut gate = Gate::default();
+    gate.receive(outlook(forecast()), now());
     for leader in [None, Some(TOKEN + 1)] {
-        let verdict = admission.decide(&arrival(), "q", leader, Some(MADE_MS), now());
+        let verdict = gate.decide(&arrival(), "q", leader, Some(MADE_MS), now());
         assert_eq!(verdict, Verdict::Accept(Reason::NoOutlook));
     }
 }
@@ -196,21 +196,21 @@
 /// Guards against the refusal of jobs of other queues.
 #[test]
 fn accepts_jobs_of_queues_that_are_not_listed() {
-    let mut admission = Admission::default();
-    admission.receive(outlook(forecast()), now());
-    let verdict = admission.decide(&arrival(), "r", Some(TOKEN), Some(MADE_MS), now());
+    let mut gate = Gate::default();
+    gate.receive(outlook(forecast()), now());
+    let verdict = gate.decide(&arrival(), "r", Some(TOKEN), Some(MADE_MS), now());
     assert_eq!(verdict, Verdict::Accept(Reason::NoBacklog));
 }
 
 /// Guards against refusals while the store may carry out writes of other instances late.
 #[test]
 fn accepts_while_the_store_leaves_writes_unanswered() {
-    let mut admission = Admission::default();
-    admission.record_doubt(now());
-    let later = now() + Admission::DOUBT;
-    let just_before = now() + (Admission::DOUBT - Duration::from_millis(1));
-    admission.receive(outlook(forecast()), later);
-    let at = |now| admission.decide(&arrival(), "q", Some(TOKEN), Some(MADE_MS), now);
+    let mut gate = Gate::default();
+    gate.record_doubt(now());
+    let later = now() + Gate::DOUBT;
+    let just_before = now() + (Gate::DOUBT - Duration::from_millis(1));
+    gate.receive(outlook(forecast()), later);
+    let at = |now| gate.decide(&arrival(), "q", Some(TOKEN), Some(MADE_MS), now);
     assert_eq!(at(just_before), Verdict::Accept(Reason::Unknown));
     assert!(!at(later).is_accept());
 }
--- a/tests/admission/fixture.rs
+++ b/tests/admission/fixture.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use coriandernotch::batch::admission::{Admission, Arrival, Forecast, Outlook, Verdict};
+use coriandernotch::batch::admission::{Arrival, Forecast, Gate, Outlook, Verdict};
 use coriandernotch::clock::Instant;
 
 /// Fencing token of the leader that made the outlook.
@@ -58,7 +58,7 @@
 
 /// Decides about a job by an outlook that was just made and received.
 pub(crate) fn decide(arrival: &Arrival, outlook: Outlook) -> Verdict {
-    let mut admission = Admission::default();
-    admission.receive(outlook, now());
-    admission.decide(arrival, "q", Some(TOKEN), Some(MADE_MS), now())
+    let mut gate = Gate::default();
+    gate.receive(outlook, now());
+    gate.decide(arrival, "q", Some(TOKEN), Some(MADE_MS), now())
 }
--- a/tests/batch/refusal.rs
+++ b/tests/batch/refusal.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coriandernotch::batch::admission::{
-    Admission, Arrival, Delay, Outlook, Publication, Reason, Verdict,
+    Arrival, Delay, Gate, Outlook, Publication, Reason, Verdict,
 };
 use coriandernotch::batch::{Config, Record, Route, Step};
 use coriandernotch::clock::Instant;
@@ -68,7 +68,7 @@
     sim: Simulation,
     callers: Callers,
     config: Config,
-    admission: Admission,
+    admission: Gate,
     publication: Publication,
     in_flight: Vec<(Instant, Outlook)>,
     moving: Vec<(Instant, Arc<str>, Arc<str>)>,
@@ -103,7 +103,7 @@
             sim,
             callers,
             config: fleet_config(),
-            admission: Admission::default(),
+            admission: Gate::default(),
             in_flight: Vec::new(),
             moving: Vec::new(),
             joined: 0,
