Count arrivals by priority, and start useful late jobs before useless ones

Cause: the work that arrives after an outlook counted arrivals of lower priority and beyond the weights of workspaces, which go behind.

Change: the engine counts arriving work within the weights by service and priority. Rank takes late jobs past three times their objective last; the outlook leaves them out.

--- a/src/batch/admission/backlog.rs
+++ b/src/batch/admission/backlog.rs
@@ -46,6 +46,11 @@
         self.over_rate = self.over_rate.saturating_add(work);
     }
 
+    /// Returns whether no work is known.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+
     /// Returns the work that goes before a new job which is to meet its objective.
     pub fn within_objective(&self) -> u64 {
         self.started.saturating_add(self.kept)
--- a/src/batch/admission/forecast.rs
+++ b/src/batch/admission/forecast.rs
@@ -43,7 +43,7 @@
     pub total: u64,
     /// Work of waiting jobs beyond the weight of their workspace, which only such jobs wait for.
     pub over_rate: u64,
-    /// Processors that the arriving work requires.
+    /// Processors that the arriving work which goes before a new job requires.
     pub arriving: u64,
     /// Time until the burst ends by the rhythm of the queue, in milliseconds; `None` if it has not
     /// been observed.
--- a/src/batch/admission/throughput.rs
+++ b/src/batch/admission/throughput.rs
@@ -3,13 +3,10 @@
 
 use crate::clock::Instant;
 
-/// Time over which completed work is averaged: several tasks of usual length.
-const WINDOW: Duration = Duration::from_secs(2);
-
-/// Time for which completions are added up in one entry, which bounds the number of entries.
+/// Time for which work is added up in one entry, which bounds the number of entries.
 const ENTRY: Duration = Duration::from_millis(100);
 
-/// Declared work that was completed recently for one service.
+/// Declared work that arrived or was completed recently for one service.
 ///
 /// ```
 /// use std::time::Duration;
@@ -17,19 +14,29 @@
 /// use coriandernotch::clock::Instant;
 ///
 /// let now = Instant::from_start(Duration::from_secs(9));
-/// let mut throughput = Throughput::default();
+/// let mut throughput = Throughput::over(Duration::from_secs(2));
 /// throughput.add(4_000, now);
 /// assert_eq!(throughput.processors(now), 2);
 /// assert_eq!(throughput.processors(now + Duration::from_secs(3)), 0);
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Throughput {
+    /// Time over which work is averaged.
+    window: Duration,
     /// Time and work, in thousandths of a processor times milliseconds.
     entries: VecDeque<(Instant, u64)>,
 }
 
 impl Throughput {
-    /// Adds completed work.
+    /// Creates an average over the last `window`.
+    pub fn over(window: Duration) -> Self {
+        Self {
+            window,
+            entries: VecDeque::new(),
+        }
+    }
+
+    /// Adds work.
     pub fn add(&mut self, work: u64, now: Instant) {
         match self.entries.back_mut() {
             Some((since, sum)) if now.since(*since) < ENTRY => *sum = sum.saturating_add(work),
@@ -38,15 +45,17 @@
         self.remove_old(now);
     }
 
-    /// Returns the processors, in thousandths, to which the completed work corresponds.
+    /// Returns the processors, in thousandths, to which the work corresponds.
     pub fn processors(&mut self, now: Instant) -> u64 {
         self.remove_old(now);
         let work = self.entries.iter().map(|(_, work)| *work);
-        work.fold(0, u64::saturating_add) / u64::try_from(WINDOW.as_millis()).unwrap_or(1)
+        work.fold(0, u64::saturating_add)
+            / u64::try_from(self.window.as_millis()).unwrap_or(1).max(1)
     }
 
     fn remove_old(&mut self, now: Instant) {
-        let is_old = |entry: &(Instant, u64)| now.since(entry.0) > WINDOW;
+        let window = self.window;
+        let is_old = |entry: &(Instant, u64)| now.since(entry.0) > window;
         while self.entries.front().is_some_and(is_old) {
             self.entries.pop_front();
         }
--- a/src/batch/engine/demand.rs
+++ b/src/batch/engine/demand.rs
@@ -6,7 +6,7 @@
 
 /// Time over which arriving work is averaged. A burst lasts several seconds, of which a machine
 /// needs two to join a pool.
-const AVERAGING_WINDOW: Duration = Duration::from_millis(800);
+pub(super) const AVERAGING_WINDOW: Duration = Duration::from_millis(800);
 
 /// Work that arrived recently for one service.
 #[derive(Clone, Debug, Default)]
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -113,6 +113,8 @@
     submissions: Submissions,
     /// Work that arrived recently, by service.
     demand: Map<Arc<str>, Demand>,
+    /// Work within the weights of the workspaces that arrived recently, by service and priority.
+    arrived: Map<(Arc<str>, u32), Throughput>,
     /// Work that was completed recently, by service.
     completed: Map<Arc<str>, Throughput>,
     pools: Pools,
@@ -164,6 +166,7 @@
             waves: Vec::new(),
             submissions: Submissions::default(),
             demand: Map::default(),
+            arrived: Map::default(),
             completed: Map::default(),
             pools: Pools::default(),
             deferrals: Map::default(),
--- a/src/batch/engine/need.rs
+++ b/src/batch/engine/need.rs
@@ -2,6 +2,8 @@
 use std::time::Duration;
 
 use super::Engine;
+use super::demand::AVERAGING_WINDOW;
+use crate::batch::admission::Throughput;
 use crate::batch::{JobKey, State};
 use crate::clock::Instant;
 use crate::collections::Map;
@@ -24,6 +26,12 @@
     pub(super) fn count_arrival(&mut self, key: JobKey, now: Instant) {
         let job = &self.jobs[key];
         let (service, work) = (job.service.clone(), job.declared_work());
+        if !job.over_rate && job.record.spec.occurrences == 0 {
+            let place = (service.clone(), job.terms.priority);
+            let arrived = self.arrived.entry(place);
+            let arrived = arrived.or_insert_with(|| Throughput::over(AVERAGING_WINDOW));
+            arrived.add(work, now);
+        }
         self.demand
             .entry(service)
             .or_default()
--- a/src/batch/engine/outlook.rs
+++ b/src/batch/engine/outlook.rs
@@ -3,13 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::place::USEFUL_FACTOR;
 use super::relocate::{KEPT_FRACTION, MIN_BORROWABLE, MIN_QUIET_TO_LEND};
 use super::{Engine, Job};
-use crate::batch::admission::{Backlog, Forecast, Outlook, Supply};
-use crate::batch::{JobKey, Step};
+use crate::batch::admission::{Backlog, Forecast, Outlook, Supply, Throughput};
+use crate::batch::{JobKey, Route, Step};
 use crate::clock::Instant;
 use crate::collections::Map;
 
+/// Time over which completed work is averaged: several tasks of usual length.
+const COMPLETION_WINDOW: Duration = Duration::from_secs(2);
+
 /// Work by service and priority.
 type Backlogs = Map<(Arc<str>, u32), Backlog>;
 
@@ -19,6 +23,7 @@
     pub fn outlook(&mut self, store_ms: u64, wall_ms: u64, now: Instant) -> Outlook {
         let backlogs = self.backlogs(wall_ms);
         let config = self.config.clone();
+        let lasting = self.lasting_use();
         let mut supplies: Map<Arc<str>, Supply> = Map::default();
         let mut queues = Vec::new();
         for route in &config.routes {
@@ -27,13 +32,19 @@
                 *service == route.service && *priority <= route.priority
             });
             before.for_each(|(_, part)| backlog += *part);
+            if backlog.is_empty() {
+                continue;
+            }
             let service = &route.service;
             if !supplies.contains_key(service) {
-                let supply = self.supply(service, now);
+                let supply = Supply {
+                    lasting: lasting.get(service).copied().unwrap_or(0),
+                    ..self.supply(service, now)
+                };
                 supplies.insert(service.clone(), supply);
             }
             let forecast = Forecast::new(&route.name, &backlog, &supplies[service]);
-            queues.extend(forecast.map(|forecast| self.add_rhythm(forecast, service, now)));
+            queues.extend(forecast.map(|forecast| self.add_rhythm(forecast, route, now)));
         }
         let second = wall_ms / 1_000;
         let weight = |workspace: &Arc<str>| {
@@ -62,23 +73,28 @@
             return;
         };
         let (service, work) = (job.service.clone(), step.task_work() as u64);
-        self.completed.entry(service).or_default().add(work, now);
+        let completed = self.completed.entry(service);
+        let completed = completed.or_insert_with(|| Throughput::over(COMPLETION_WINDOW));
+        completed.add(work, now);
     }
 
-    fn add_rhythm(&mut self, forecast: Forecast, service: &Arc<str>, now: Instant) -> Forecast {
-        let Some(demand) = self.demand.get_mut(service) else {
-            return forecast;
-        };
-        let burst = demand.bursts.remaining_burst(now);
+    /// Adds the arrivals that go before new jobs of a queue, and the rhythm of its service.
+    fn add_rhythm(&mut self, forecast: Forecast, route: &Route, now: Instant) -> Forecast {
+        let before = self.arrived.iter_mut().filter(|((service, priority), _)| {
+            *service == route.service && *priority <= route.priority
+        });
+        let arriving = before.map(|(_, arrived)| arrived.processors(now)).sum();
+        let demand = self.demand.get(&route.service);
+        let burst = demand.and_then(|demand| demand.bursts.remaining_burst(now));
         Forecast {
-            arriving: demand.required_processors(now),
+            arriving,
             burst_ms: burst.map(|burst| u64::try_from(burst.as_millis()).unwrap_or(u64::MAX)),
             ..forecast
         }
     }
 
     /// Sums up the remaining work of all jobs but lasting ones and those with start times. Waiting
-    /// jobs that are of no use any more count as late: placement takes the longest overdue first.
+    /// jobs that are of no use any more do not count: they are placed after all others.
     fn backlogs(&self, wall_ms: u64) -> Backlogs {
         // A run is on average half done.
         let mut done: Map<JobKey, u64> = Map::default();
@@ -99,7 +115,7 @@
             }
             let work = (job.remaining_work() as u64)
                 .saturating_sub(done.get(&key).copied().unwrap_or_default());
-            if !job.is_started() && self.waits_for_quota(job) {
+            if !job.is_started() && (self.waits_for_quota(job) || job.is_useless(wall_ms)) {
                 continue;
             }
             let place = (job.service.clone(), job.terms.priority);
@@ -122,7 +138,7 @@
         let job = &self.jobs[key];
         let deferral = self.deferrals.get(&job.service);
         let deferred = deferral.is_some_and(|deferral| deferral.jobs.contains(&key));
-        deferred || job.time_left(wall_ms) < job.remaining_time()
+        deferred || job.time_left(1, wall_ms) < job.remaining_time()
     }
 
     /// Returns whether the maximum of its workspace keeps a job from starting. It then takes no
@@ -135,6 +151,7 @@
         workspace.is_some_and(|w| steps.any(|step| !w.admits(usage, step.reserved())))
     }
 
+    /// Returns the processors that serve a service, without those of lasting tasks.
     fn supply(&mut self, service: &Arc<str>, now: Instant) -> Supply {
         let workers = self.workers_of(service);
         let startable = workers.filter(|(_, worker)| self.may_start(worker, now));
@@ -147,9 +164,9 @@
         Supply {
             processors,
             used,
-            lasting: self.lasting_use().get(service).copied().unwrap_or(0),
             reachable: self.reachable_processors(service, now),
             finished,
+            ..Supply::default()
         }
     }
 
@@ -185,9 +202,15 @@
 }
 
 impl Job {
-    /// Returns the time left until the objective; zero if it has passed.
-    fn time_left(&self, wall_ms: u64) -> Duration {
+    /// Returns whether a job can no longer end within three times its objective.
+    fn is_useless(&self, wall_ms: u64) -> bool {
+        self.time_left(USEFUL_FACTOR, wall_ms) < self.remaining_time()
+    }
+
+    /// Returns the time left until a multiple of the objective; zero if it has passed.
+    fn time_left(&self, factor: u32, wall_ms: u64) -> Duration {
         let elapsed = Duration::from_millis(wall_ms.saturating_sub(self.record.arrived_ms));
-        self.terms.objective.saturating_sub(elapsed)
+        let whole = self.terms.objective.saturating_mul(factor);
+        whole.saturating_sub(elapsed)
     }
 }
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -9,6 +9,9 @@
 /// lasts as long as the longest of its tasks.
 const REMAINING_TIME_FACTOR: f64 = 1.15;
 
+/// Multiple of its objective after which a job is of no use to its caller.
+pub(super) const USEFUL_FACTOR: u32 = 3;
+
 /// Time without a run after which a lasting task is placed on a worker that is being emptied. Most
 /// tasks moved off a machine start elsewhere within it; with the lease of a lost worker, which takes
 /// 4.6 s, it stays below the 9 s that a task with room may wait.
@@ -25,6 +28,9 @@
     over_rate: bool,
     /// Jobs that can no longer meet their objective come after those that can.
     unachievable: bool,
+    /// Late jobs that can no longer end within three times their objective come after those that can
+    /// still be of use.
+    useless: bool,
     /// Jobs deferred because of overload come after the others.
     deferred: bool,
     /// Jobs that have not started come after those that have, which hold capacity until they end.
@@ -116,12 +122,15 @@
             .unwrap_or(i64::MAX / 4);
         let left_ms = i64::try_from(start_ms.saturating_add(objective_ms)).unwrap_or(i64::MAX / 2)
             - i64::try_from(wall_ms).unwrap_or(i64::MAX / 2);
+        let useful_ms = i64::try_from(objective_ms.saturating_mul(u64::from(USEFUL_FACTOR - 1)));
+        let useful_ms = useful_ms.unwrap_or(i64::MAX / 2);
         let lasting = spec.steps[stage_key.step as usize].lasting;
         Rank {
             not_lasting: !lasting,
             priority: job.terms.priority,
             over_rate: job.over_rate && !lasting,
             unachievable: left_ms < remaining_ms,
+            useless: left_ms.saturating_add(useful_ms) < remaining_ms,
             deferred,
             not_started: !job.is_started(),
             slack_ms: left_ms.saturating_sub(remaining_ms),
