--- a/src/batch/engine/expectation.rs
+++ b/src/batch/engine/expectation.rs
@@ -62,7 +62,7 @@
     }
 
     /// Returns the expected work of a task, in thousandths of a processor times milliseconds.
-    fn task_work(&self, job: &Job, step: &Step) -> f64 {
+    pub(super) fn task_work(&self, job: &Job, step: &Step) -> f64 {
         let milliseconds = self.forecast(job, step).expected.as_nanos() as f64 / 1_000_000.0;
         step.reserved().processors as f64 * milliseconds
     }
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -30,6 +30,7 @@
 mod members;
 mod need;
 mod occurrence;
+mod outlook;
 mod overload;
 mod pace;
 mod place;
@@ -56,6 +57,7 @@
 
 use slotmap::SlotMap;
 
+use super::admission::Throughput;
 use super::estimate::Estimator;
 use super::{Config, JobKey, Order, RunKey, TaskId, Tuning, Wave, WorkerKey};
 use crate::clock::Instant;
@@ -114,6 +116,10 @@
     submissions: Submissions,
     /// Work that arrived recently, by service.
     demand: Map<Arc<str>, Demand>,
+    /// Work within the weights of the workspaces that arrived recently, by service and priority.
+    arrived: Map<(Arc<str>, u32), Throughput>,
+    /// Work that was completed recently, by service.
+    completed: Map<Arc<str>, Throughput>,
     pools: Pools,
     /// Run times learned from ended runs.
     estimator: Estimator,
@@ -165,6 +171,8 @@
             waves: Vec::new(),
             submissions: Submissions::default(),
             demand: Map::default(),
+            arrived: Map::default(),
+            completed: Map::default(),
             pools: Pools::default(),
             estimator: Estimator::default(),
             deferrals: Map::default(),
--- a/src/batch/engine/need.rs
+++ b/src/batch/engine/need.rs
@@ -2,6 +2,8 @@
 use std::time::Duration;
 
 use super::Engine;
+use super::demand::AVERAGING_WINDOW;
+use crate::batch::admission::Throughput;
 use crate::batch::{JobKey, State};
 use crate::clock::Instant;
 use crate::collections::Map;
@@ -24,6 +26,12 @@
     pub(super) fn count_arrival(&mut self, key: JobKey, now: Instant) {
         let job = &self.jobs[key];
         let (service, work) = (job.service.clone(), self.expected_work(job));
+        if !job.over_rate && job.record.spec.occurrences == 0 {
+            let place = (service.clone(), job.terms.priority);
+            let arrived = self.arrived.entry(place);
+            let arrived = arrived.or_insert_with(|| Throughput::over(AVERAGING_WINDOW));
+            arrived.add(work, now);
+        }
         self.demand
             .entry(service)
             .or_default()
@@ -102,7 +110,7 @@
         })
     }
 
-    fn arriving_processors(&self, service: &Arc<str>) -> u64 {
+    pub(super) fn arriving_processors(&self, service: &Arc<str>) -> u64 {
         let transfers = self.pools.transfers.iter();
         let transfers = transfers.filter(|(_, transfer)| transfer.to == *service);
         transfers
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 //! platform in [`crate::platform::api`].
 
 mod admin_port;
+mod admit;
 mod advise;
 mod call;
 mod caller_port;
@@ -29,6 +30,7 @@
 mod load_term;
 mod maintenance;
 mod orders;
+mod outlook;
 mod poll;
 mod reach;
 mod readiness;
@@ -45,6 +47,7 @@
 mod telemetry;
 mod term;
 mod transfer;
+mod write;
 
 pub use instance::run;
 pub use limits::Limits;
--- a/src/entry/row.rs
+++ b/src/entry/row.rs
@@ -25,6 +25,8 @@
 
 /// Key of the row of learned run times in [`ESTIMATES`].
 pub(super) const ESTIMATES_KEY: &str = "learned";
+/// Key of the outlook in [`LEADERS`], written by the leader.
+pub(super) const OUTLOOK_KEY: &str = "outlook";
 
 /// Suffix of the keys of cancellations in [`JOBS`].
 const CANCEL_SUFFIX: &str = ".cancel";
@@ -34,6 +36,12 @@
     format!("{job}{CANCEL_SUFFIX}")
 }
 
+/// Returns the smallest key after those of a job and of its cancellation, as far as jobs have names
+/// of letters and digits.
+pub(super) fn end_key(job: &str) -> String {
+    format!("{job}/")
+}
+
 /// Returns the job that the key of a cancellation names, or `None` for another key.
 pub(super) fn cancelled_job(key: &str) -> Option<&str> {
     key.strip_suffix(CANCEL_SUFFIX)
