Order late jobs by use only with early refusal on

Cause: jobs past three times their objective were placed after others also with the setting off, and among them lasting and best-effort tasks, which costs availability.

Change: only jobs without lasting or best-effort steps, only with refuse-hopeless, and after jobs that have started.

--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -25,13 +25,13 @@
     over_rate: bool,
     /// Jobs that can no longer meet their objective come after those that can.
     unachievable: bool,
-    /// Late jobs that can no longer end within three times their objective come after those that can
-    /// still be of use.
-    useless: bool,
     /// Jobs deferred because of overload come after the others.
     deferred: bool,
     /// Jobs that have not started come after those that have, which hold capacity until they end.
     not_started: bool,
+    /// With early refusal, late jobs that can no longer end within three times their objective come
+    /// after those that can still be of use. False for lasting and best-effort tasks.
+    useless: bool,
     /// Milliseconds left until the objective, minus the remaining time that the job needs.
     slack_ms: i64,
 }
@@ -121,15 +121,18 @@
             - i64::try_from(wall_ms).unwrap_or(i64::MAX / 2);
         let useful_ms = i64::try_from(objective_ms.saturating_mul(u64::from(USEFUL_FACTOR - 1)));
         let useful_ms = useful_ms.unwrap_or(i64::MAX / 2);
-        let lasting = spec.steps[stage_key.step as usize].lasting;
+        let step = &spec.steps[stage_key.step as usize];
+        let lasting = step.lasting;
+        let is_finite = spec.steps.iter().all(|step| !step.lasting && !step.filling);
+        let may_be_useless = self.tuning.refuse_hopeless && is_finite;
         Rank {
             not_lasting: !lasting,
             priority: job.terms.priority,
             over_rate: job.over_rate && !lasting,
             unachievable: left_ms < remaining_ms,
-            useless: left_ms.saturating_add(useful_ms) < remaining_ms,
             deferred,
             not_started: !job.is_started(),
+            useless: may_be_useless && left_ms.saturating_add(useful_ms) < remaining_ms,
             slack_ms: left_ms.saturating_sub(remaining_ms),
         }
     }
--- a/src/batch/tuning.rs
+++ b/src/batch/tuning.rs
@@ -17,6 +17,9 @@
     pub retention: Duration,
     /// Whether run times are learned from ended runs and used in place of the declared ones.
     pub learn_estimates: bool,
+    /// Whether jobs that can only end when they are of no use are refused, and placed after late ones
+    /// that can still be of use.
+    pub refuse_hopeless: bool,
     /// Largest size of the list of silent workers that is written with each renewal, in bytes. A
     /// worker without its tasks takes about 180 bytes, so a third of 2,300 workers fit into the
     /// default.
@@ -33,6 +36,7 @@
             relocation: Duration::from_millis(1_500),
             retention: Duration::from_secs(120),
             learn_estimates: false,
+            refuse_hopeless: false,
             silent_list_bytes: 150_000,
         }
     }
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -104,6 +104,7 @@
         relocation: Duration::from_secs_f64(bounds.move_s.max(0.0)),
         retention: Duration::from_secs(bounds.status_s),
         learn_estimates: shared.settings.learn_estimates,
+        refuse_hopeless: shared.settings.refuse_hopeless,
         ..Tuning::default()
     }
 }
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -164,6 +164,18 @@
         }
     }
 
+    /// Creates a simulation whose leader has early refusal on.
+    pub(crate) fn refusing(token: u64, config: Config) -> Self {
+        let tuning = Tuning {
+            refuse_hopeless: true,
+            ..Tuning::default()
+        };
+        Self {
+            engine: Engine::new(tuning, token, Arc::new(config.clone())),
+            ..Self::new(token, config)
+        }
+    }
+
     /// Creates a simulation with `count` workers of the service `s` that have answered.
     pub(crate) fn with_workers(count: usize) -> Self {
         let mut sim = Self::new(1, config());
