Keep further rows out of a renewal that follows a failed one

A renewal whose outlook is the cause of its failure carried one each time. The next one goes without, and after a refusal of its content none is added for 30 s.

--- a/src/batch/admission/publication.rs
+++ b/src/batch/admission/publication.rs
@@ -15,6 +15,9 @@
 /// the new leader, and the capacity would look smaller than it is.
 const SETTLED_AFTER: Duration = Duration::from_secs(3);
 
+/// Time without further rows after the store has refused the content of a renewal.
+const PAUSE_AFTER_REFUSAL: Duration = Duration::from_secs(30);
+
 /// What a leader has published of its outlook.
 ///
 /// ```
@@ -32,6 +35,10 @@
 pub struct Publication {
     begun: Instant,
     latest: Option<(Outlook, Instant)>,
+    /// Whether the last renewal failed.
+    has_failed: bool,
+    /// Time until which renewals carry no further rows, since the store has refused one for good.
+    paused_until: Instant,
 }
 
 impl Publication {
@@ -40,16 +47,38 @@
         Self {
             begun,
             latest: None,
+            has_failed: false,
+            paused_until: begun,
         }
     }
 
     /// Returns whether enough time has passed for another outlook. The leader makes none before.
     pub fn may_publish(&self, now: Instant) -> bool {
         let latest = self.latest.as_ref();
-        now.since(self.begun) >= SETTLED_AFTER
+        self.may_add_rows(now)
+            && now.since(self.begun) >= SETTLED_AFTER
             && latest.is_none_or(|(_, at)| now.since(*at) >= MIN_INTERVAL)
     }
 
+    /// Returns whether a renewal may carry rows that the leadership does not need. One that follows a
+    /// failed one does not: the rows may be the cause.
+    pub fn may_add_rows(&self, now: Instant) -> bool {
+        !self.has_failed && now >= self.paused_until
+    }
+
+    /// Records that a renewal succeeded.
+    pub fn record_success(&mut self) {
+        self.has_failed = false;
+    }
+
+    /// Records that a renewal failed, for good if the store refused its content.
+    pub fn record_failure(&mut self, is_permanent: bool, now: Instant) {
+        self.has_failed = true;
+        if is_permanent {
+            self.paused_until = now + PAUSE_AFTER_REFUSAL;
+        }
+    }
+
     /// Returns whether `outlook` is to be written.
     pub fn is_due(&self, outlook: &Outlook, now: Instant) -> bool {
         let is_worth_it = match &self.latest {
--- a/tests/admission/publication.rs
+++ b/tests/admission/publication.rs
@@ -51,3 +51,17 @@
     publication.record(calm.clone(), at(10_000));
     assert!(!publication.is_due(&calm, at(60_000)));
 }
+
+/// Guards against a renewal that fails again and again because of the rows that it carries.
+#[test]
+fn adds_no_rows_after_a_failure() {
+    let mut publication = Publication::new(now());
+    publication.record_failure(false, at(5_000));
+    assert!(!publication.is_due(&outlook(forecast()), at(9_000)));
+    publication.record_success();
+    assert!(publication.is_due(&outlook(forecast()), at(9_000)));
+    publication.record_failure(true, at(9_000));
+    publication.record_success();
+    assert!(!publication.may_add_rows(at(38_900)));
+    assert!(publication.may_add_rows(at(39_000)));
+}
