Count the objective of a returning job from its first attempt

Cause: the gate counted from this attempt and the scheduler from the first one, so a caller that returned as told was accepted and then placed last. The guard against late writes did not notice a store that is 50 times slower.

Change: the gate adds the time since the first attempt. If the return that the answer asks for comes when the job can no longer be of use, it is a new request with a time of its own, and the answer says so. A look-up may take 50 ms, and a transaction of a submission, a renewal or progress of 100 ms or more keeps the instance from refusing jobs for 10 s. A refused look-up does not.

--- a/src/batch/admission/attempts.rs
+++ b/src/batch/admission/attempts.rs
@@ -51,6 +51,14 @@
         first
     }
 
+    /// Counts a job from another time, in milliseconds since 1970, since it can no longer be of use
+    /// when counted from its first attempt.
+    pub fn restart(&mut self, job: &str, first_ms: u64) {
+        if let Some(known) = self.jobs.get_mut(job) {
+            known.first_ms = first_ms;
+        }
+    }
+
     /// Returns what is known of a job.
     pub fn get(&self, job: &str) -> Option<Attempt> {
         self.jobs.get(job).copied()
--- a/src/batch/admission/gate.rs
+++ b/src/batch/admission/gate.rs
@@ -27,7 +27,7 @@
     /// Latest outlook and when it was received.
     latest: Option<(Arc<Outlook>, Instant)>,
     /// When the store last left a write of a job without an outcome.
-    doubted_at: Option<Instant>,
+    unknown_outcome_at: Option<Instant>,
 }
 
 impl Gate {
@@ -36,7 +36,7 @@
 
     /// Time after a write without an outcome in which no job is refused. A write takes effect within
     /// some seconds if at all, and callers repeat a request for about as long.
-    pub const DOUBT: Duration = Duration::from_secs(10);
+    pub const UNKNOWN_FOR: Duration = Duration::from_secs(10);
 
     /// Takes an outlook.
     pub fn receive(&mut self, outlook: Outlook, now: Instant) {
@@ -45,8 +45,8 @@
 
     /// Records that the store left a write of a job without an outcome. Writes of other instances
     /// may then be carried out late too, after a look-up has not found their jobs.
-    pub fn record_doubt(&mut self, now: Instant) {
-        self.doubted_at = Some(now);
+    pub fn record_unknown_outcome(&mut self, now: Instant) {
+        self.unknown_outcome_at = Some(now);
     }
 
     /// Returns the age of the outlook, or `None` if there is none or its age is not known.
@@ -71,8 +71,8 @@
         if arrival.scheduled {
             return Verdict::Accept(Reason::Scheduled);
         }
-        let doubted_at = self.doubted_at;
-        if doubted_at.is_some_and(|at| now.since(at) < Self::DOUBT) {
+        let unknown_outcome_at = self.unknown_outcome_at;
+        if unknown_outcome_at.is_some_and(|at| now.since(at) < Self::UNKNOWN_FOR) {
             return Verdict::Accept(Reason::Unknown);
         }
         let Some((outlook, _)) = &self.latest else {
@@ -113,13 +113,15 @@
         wait.saturating_add(arrival.critical_path)
     };
     let own_share = forecast.time_for(before.saturating_add(arrival.work));
-    let fits = end_behind(before).max(own_share.saturating_sub(age)) <= arrival.objective;
-    if fits || (is_small && !over_rate) {
+    let left = arrival.objective.saturating_sub(arrival.waited);
+    let fits = end_behind(before).max(own_share.saturating_sub(age)) <= left;
+    // The selection of kept jobs has none that must miss their objective.
+    if fits || (is_small && !over_rate && arrival.critical_path <= left) {
         return Verdict::Accept(Reason::InTime);
     }
     let end = end_behind(total);
     let last_useful = arrival.objective.saturating_mul(USEFUL_FACTOR);
-    if end <= last_useful.mul_f64(SAFETY) {
+    if end.saturating_add(arrival.waited) <= last_useful.mul_f64(SAFETY) {
         return Verdict::Accept(Reason::Useful);
     }
     Verdict::Refuse {
--- a/src/entry/admit.rs
+++ b/src/entry/admit.rs
@@ -7,14 +7,17 @@
 
 use super::row::{self, JOBS};
 use super::shared::Shared;
-use crate::batch::admission::{Arrival, Delay, Reason, Verdict};
+use crate::batch::admission::{Arrival, Delay, Reason, Refusal, Verdict};
 use crate::clock;
 use crate::job_store::Partition;
 use crate::platform::api::Fault;
 
-/// Timeout of the look-up that precedes a refusal. A store that takes longer is in trouble, and a
-/// write by another instance may be delayed in it; the job is accepted then.
-const LOOK_UP_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of the look-up that precedes a refusal. An answer takes 4 ms. A store that takes
+/// much longer may delay a write by another instance as well; the job is accepted then.
+const LOOK_UP_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Time from which a call shows that the store is slow. A transaction takes 8 ms.
+const SLOW_CALL: Duration = Duration::from_millis(100);
 
 /// Decides about a job that arrived at `arrived_ms`, in milliseconds since 1970. Returns the time of
 /// its first attempt if it is accepted, else the delay after which the caller is to return.
@@ -24,15 +27,24 @@
     id: &str,
     arrival: Arrival,
     arrived_ms: u64,
-) -> Result<u64, Delay> {
+) -> Result<u64, Refusal> {
     if !shared.settings.refuse_hopeless {
         return Ok(arrived_ms);
     }
     let now = clock::now();
-    let attempt = {
+    let (attempt, first_ms) = {
         let mut attempts = shared.attempts.lock().expect("attempts lock");
-        attempts.add(id, arrived_ms, now)
+        let attempt = attempts.add(id, arrived_ms, now);
+        let first_ms = attempt.first_ms.min(arrived_ms);
+        let waited = Duration::from_millis(arrived_ms - first_ms);
+        if !attempt.may_be_stored() && arrival.is_new_after(waited) {
+            attempts.restart(id, arrived_ms);
+            (attempt, arrived_ms)
+        } else {
+            (attempt, first_ms)
+        }
     };
+    let arrival = arrival.counted_from(first_ms, arrived_ms);
     let verdict = if attempt.may_be_stored() {
         Verdict::Accept(Reason::Repeated)
     } else {
@@ -45,24 +57,37 @@
     match verdict {
         Verdict::Accept(reason) => {
             counter!("admissions_total", "verdict" => <&str>::from(reason)).increment(1);
-            Ok(attempt.first_ms.min(arrived_ms))
+            Ok(first_ms)
         }
         Verdict::Refuse { end, delay } => {
             counter!("admissions_total", "verdict" => "refused").increment(1);
             let delay = Delay::new(delay, id, attempt.count);
+            let pause = Duration::from_secs(delay.seconds().into());
+            let is_new = arrival.is_new_after(arrival.waited.saturating_add(pause));
+            if is_new {
+                let mut attempts = shared.attempts.lock().expect("attempts lock");
+                attempts.restart(id, arrived_ms + u64::from(delay.seconds()) * 1_000);
+            }
             log::info!(event = "job-refused-early", job = id, route = queue,
                 workspace = arrival.workspace, expected_ms = end.as_millis(),
                 objective_ms = arrival.objective.as_millis(),
-                retry_after_s = delay.seconds(), attempt = attempt.count; "");
-            Err(delay)
+                retry_after_s = delay.seconds(), is_new, attempt = attempt.count; "");
+            Err(Refusal { delay, is_new })
         }
     }
 }
 
 /// Records that the store may carry out writes late, also those of other instances.
-pub(super) fn record_doubt(shared: &Shared) {
+pub(super) fn record_unknown_outcome(shared: &Shared) {
     let mut admission = shared.admission.lock().expect("admission lock");
-    admission.record_doubt(clock::now());
+    admission.record_unknown_outcome(clock::now());
+}
+
+/// Records how long a call of the store took.
+pub(super) fn record_call(shared: &Shared, took: Duration) {
+    if took >= SLOW_CALL {
+        record_unknown_outcome(shared);
+    }
 }
 
 fn decide(shared: &Shared, queue: &str, arrival: &Arrival, now: clock::Instant) -> Verdict {
@@ -95,7 +120,9 @@
         Ok((false, false)) => refusal,
         Ok(_) => Verdict::Accept(Reason::Repeated),
         Err(fault) => {
-            record_doubt(shared);
+            if matches!(fault, Fault::Unknown { .. }) {
+                record_unknown_outcome(shared);
+            }
             log::debug!(event = "look-up-failed", job = id, fault:% = fault; "");
             Verdict::Accept(Reason::Unknown)
         }
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -12,7 +12,7 @@
 use super::row::{self, JOBS, PROGRESS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
 use super::write::Write;
-use crate::batch::admission::{self, Delay};
+use crate::batch::admission::{self, Refusal};
 use crate::batch::{Config, MAX_ROW_BYTES, Progress, Record, Route, State};
 use crate::clock::{self, Instant};
 use crate::intake::{self, Seat, Whole};
@@ -168,7 +168,7 @@
     let admitted = admit::admit(shared, &route.name, id, described, arrival.unix_ms).await;
     let arrived_ms = match admitted {
         Ok(first_ms) => first_ms,
-        Err(delay) => return hopeless(delay),
+        Err(refusal) => return hopeless(refusal),
     };
     let record = Record {
         route: route.name.clone(),
@@ -315,8 +315,13 @@
 
 /// Refuses a job that could only end when it is of no use, and tells its caller when a job like it
 /// is expected to be in time.
-fn hopeless(delay: Delay) -> HttpResponse {
-    refusal("the job would end too late to be of use", delay.seconds())
+fn hopeless(Refusal { delay, is_new }: Refusal) -> HttpResponse {
+    let reason = if is_new {
+        "the job would end too late to be of use; after the delay it counts as a new one"
+    } else {
+        "the job would end too late to be of use"
+    };
+    refusal(reason, delay.seconds())
 }
 
 fn refusal(reason: &str, retry_after_s: u32) -> HttpResponse {
--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -4,6 +4,7 @@
 
 use metrics::counter;
 
+use super::admit;
 use super::row::{self, JOBS, OWNER_KEY, PROGRESS, TERMS};
 use super::shared::{STORE_TIMEOUT, Shared};
 use super::term::Term;
@@ -260,7 +261,10 @@
         }
         loop {
             self.set_fence(transaction);
-            match shared.store.transact(transaction, STORE_TIMEOUT).await? {
+            let sent = clock::now();
+            let outcome = shared.store.transact(transaction, STORE_TIMEOUT).await;
+            admit::record_call(shared, clock::now().since(sent));
+            match outcome? {
                 Outcome::Applied(version) => {
                     self.writer.record_applied(version);
                     return Ok(true);
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::admit;
 use super::candidate::Candidate;
 use super::outlook;
 use super::row::{self, ESTIMATES, ESTIMATES_KEY, MEMBERS};
@@ -32,7 +33,11 @@
             let leader = self.next_row(term);
             let mut changes = member_transaction(&term.engine().take_member_changes());
             let (members, leader_bytes) = (changes.puts.len(), row_bytes(&leader));
-            let estimates = term.engine().take_outdated_estimates(sent);
+            let estimates = if publication.may_add_rows(sent) {
+                term.engine().take_outdated_estimates(sent)
+            } else {
+                None
+            };
             let stores_estimates = estimates.is_some();
             let estimates = estimates.iter().map(row::encode);
             (changes.puts).extend(estimates.map(|row| (ESTIMATES, ESTIMATES_KEY.into(), row)));
@@ -41,6 +46,8 @@
             timeout = match self.write(leader, changes, timeout).await {
                 Ok(true) => {
                     self.record_renewal(term, sent);
+                    admit::record_call(&self.shared, clock::now().since(sent));
+                    publication.record_success();
                     if let Some(outlook) = outlook {
                         self.take_outlook(outlook.clone(), sent);
                         publication.record(outlook, sent);
@@ -61,6 +68,8 @@
                     return None;
                 }
                 Err(fault) => {
+                    admit::record_call(&self.shared, clock::now().since(sent));
+                    publication.record_failure(fault.is_permanent(), clock::now());
                     if fault.is_permanent() {
                         term.engine().refuse_member_changes();
                     }
--- a/tests/admission/decisions.rs
+++ b/tests/admission/decisions.rs
@@ -206,9 +206,9 @@
 #[test]
 fn accepts_while_the_store_leaves_writes_unanswered() {
     let mut gate = Gate::default();
-    gate.record_doubt(now());
-    let later = now() + Gate::DOUBT;
-    let just_before = now() + (Gate::DOUBT - Duration::from_millis(1));
+    gate.record_unknown_outcome(now());
+    let later = now() + Gate::UNKNOWN_FOR;
+    let just_before = now() + (Gate::UNKNOWN_FOR - Duration::from_millis(1));
     gate.receive(outlook(forecast()), later);
     let at = |now| gate.decide(&arrival(), "q", Some(TOKEN), Some(MADE_MS), now);
     assert_eq!(at(just_before), Verdict::Accept(Reason::Unknown));
@@ -256,3 +256,23 @@
     // 30 s of work, and 2 s more for each of the 4 s that the burst goes on, less 1 s of wait.
     assert_eq!(delay, Duration::from_secs(37));
 }
+
+/// Guards against a returning job that is accepted and then placed last, because its objective counts
+/// from its first attempt.
+#[test]
+fn counts_the_objective_from_the_first_attempt() {
+    let backlog = |seconds| QueueForecast {
+        within_objective: work(seconds),
+        total: work(seconds),
+        ..forecast()
+    };
+    let verdict = |waited| {
+        let arrived_ms = SECOND * 1_000 + waited;
+        let arrival = arrival().counted_from(SECOND * 1_000, arrived_ms);
+        decide(&arrival, outlook(backlog(5)))
+    };
+    assert_eq!(verdict(0), Verdict::Accept(Reason::Useful));
+    assert!(!verdict(6_000).is_accept());
+    assert!(!arrival().is_new_after(Duration::from_secs(7)));
+    assert!(arrival().is_new_after(Duration::from_millis(7_001)));
+}
--- a/tests/admission/fixture.rs
+++ b/tests/admission/fixture.rs
@@ -48,6 +48,7 @@
     Arrival {
         workspace: "w".into(),
         second: SECOND,
+        waited: Duration::ZERO,
         objective: Duration::from_secs(3),
         critical_path: Duration::from_secs(2),
         work: work(2),
--- a/tests/batch/refusal.rs
+++ b/tests/batch/refusal.rs
@@ -91,7 +91,7 @@
 
 impl Replay {
     fn new(callers: Callers) -> Self {
-        let mut sim = Simulation::new(1, fleet_config());
+        let mut sim = Simulation::refusing(1, fleet_config());
         let mut machines = Vec::new();
         for number in 0..OWN_MACHINES * SERVICES.len() {
             let service = SERVICES[number % SERVICES.len()];
@@ -204,6 +204,7 @@
             &record.spec,
             &record.terms,
         );
+        let arrival = arrival.counted_from(record.arrived_ms, self.sim.wall_ms());
         let verdict = match self.callers {
             Callers::NeverRefused => Verdict::Accept(Reason::NoOutlook),
             Callers::Leave | Callers::Return => self.admission.decide(
@@ -225,6 +226,12 @@
                 if self.callers == Callers::Return && submission.attempt <= MAX_RETURNS =>
             {
                 let delay = Delay::new(delay, &submission.id, submission.attempt);
+                let pause = Duration::from_secs(delay.seconds().into());
+                let mut submission = submission;
+                if arrival.is_new_after(arrival.waited + pause) {
+                    submission.record.arrived_ms =
+                        self.sim.wall_ms() + u64::from(delay.seconds()) * 1_000;
+                }
                 self.submissions.push(Submission {
                     at: self.sim.now + Duration::from_secs(delay.seconds().into()),
                     attempt: submission.attempt + 1,
