Publish an outlook only after a noticeable change

The size of the largest kept job counted exactly, and the second of a workspace beyond its weight counted as a change, so that under load each renewal carried an outlook. The size counts by an eighth now, and the second not at all.

--- a/src/batch/admission/outlook.rs
+++ b/src/batch/admission/outlook.rs
@@ -82,10 +82,15 @@
         entries.any(|(name, at)| &**name == workspace && *at == second)
     }
 
+    /// Returns the workspaces that have used up their weight, whatever the second.
+    fn names_over_rate(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.over_rate.iter().map(|(name, _)| name)
+    }
+
     /// Returns whether jobs would be decided otherwise by this outlook than by an earlier one.
     pub fn differs_from(&self, earlier: &Self) -> bool {
         self.token != earlier.token
-            || self.over_rate != earlier.over_rate
+            || !self.names_over_rate().eq(earlier.names_over_rate())
             || self.queues.len() != earlier.queues.len()
             || self.queues.iter().any(|forecast| {
                 let before = earlier.forecast(&forecast.queue);
--- a/src/batch/admission/queue_forecast.rs
+++ b/src/batch/admission/queue_forecast.rs
@@ -107,9 +107,9 @@
             (self.over_rate, earlier.over_rate),
         ];
         let kept = |forecast: &Self| forecast.largest_kept.unwrap_or(u64::MAX);
-        kept(self) != kept(earlier)
-            || pairs
-                .into_iter()
-                .any(|(new, old)| new.abs_diff(old) > new.max(old) / 8)
+        pairs
+            .into_iter()
+            .chain([(kept(self), kept(earlier))])
+            .any(|(new, old)| new.abs_diff(old) > new.max(old) / 8)
     }
 }
--- a/tests/admission/publication.rs
+++ b/tests/admission/publication.rs
@@ -65,3 +65,20 @@
     assert!(!publication.may_add_rows(at(38_900)));
     assert!(publication.may_add_rows(at(39_000)));
 }
+
+/// Guards against a write with each renewal because the size of the largest job or the second of a
+/// workspace beyond its weight has changed a little.
+#[test]
+fn small_changes_are_not_published() {
+    let made = |kept, second| Outlook {
+        over_rate: vec![("w".into(), second)],
+        ..outlook(QueueForecast {
+            largest_kept: Some(kept),
+            ..forecast()
+        })
+    };
+    let mut publication = Publication::new(now());
+    publication.record(made(work(40), 1), at(5_000));
+    assert!(!publication.is_due(&made(work(41), 2), at(5_500)));
+    assert!(publication.is_due(&made(work(50), 1), at(5_500)));
+}
