--- a/src/batch/engine/near.rs
+++ b/src/batch/engine/near.rs
@@ -31,7 +31,7 @@
     pub(super) fn choice(&self, stage_key: StageKey, step: &Step, round: &mut Round) -> Choice {
         let job = &self.jobs[stage_key.job];
         let spec = &job.record.spec;
-        let near = self.forecast(step).expected;
+        let near = self.forecast(job, step).expected;
         let later = spec.steps.iter().skip(stage_key.step as usize + 1);
         let begun_ms = spec
             .due_ms(stage_key.occurrence)
@@ -44,7 +44,7 @@
         let choice = Choice {
             near,
             far: self.far_time(near),
-            rest: later.map(|step| self.forecast(step).expected).sum(),
+            rest: later.map(|step| self.forecast(job, step).expected).sum(),
             left: self.objective(job).checked_sub(since(begun_ms)),
             waited: since(ready_ms),
             crowded,
@@ -183,7 +183,7 @@
         let releases = runs.filter_map(|run| {
             let job = self.jobs.get(run.job)?;
             let step = job.record.spec.steps.get(run.task.step as usize)?;
-            let Forecast { expected, tail } = self.forecast(step);
+            let Forecast { expected, tail } = self.forecast(job, step);
             let forecast = if self.is_near(run, step) {
                 Forecast { expected, tail }
             } else {
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use super::{Engine, Round, StageKey};
+use crate::batch::admission::USEFUL_FACTOR;
 use crate::batch::{JobKey, Order, Step, WorkerKey};
 use crate::clock::Instant;
 use crate::jobs::Size;
@@ -8,7 +9,6 @@
 /// Ratio of the expected to the declared remaining time of a job. It is above 1 because a step
 /// lasts as long as the longest of its tasks.
 const REMAINING_TIME_FACTOR: f64 = 1.15;
-
 /// Time without a run after which a lasting task is placed on a worker that is being emptied. Most
 /// tasks moved off a machine start elsewhere within it; with the lease of a lost worker, which takes
 /// 4.6 s, it stays below the 9 s that a task with room may wait.
@@ -29,6 +29,9 @@
     deferred: bool,
     /// Jobs that have not started come after those that have, which hold capacity until they end.
     not_started: bool,
+    /// With early refusal, late jobs that can no longer end within three times their objective come
+    /// after those that can still be of use. False for lasting and best-effort tasks.
+    useless: bool,
     /// Milliseconds left until the objective, minus the remaining time that the job needs.
     slack_ms: i64,
 }
@@ -111,13 +114,18 @@
         let objective_ms = u64::try_from(self.objective(job).as_millis()).unwrap_or(u64::MAX / 4);
         let remaining: Duration = spec.steps[stage_key.step as usize..]
             .iter()
-            .map(|step| self.forecast(step).expected)
+            .map(|step| self.forecast(job, step).expected)
             .sum();
         let remaining_ms = i64::try_from(remaining.mul_f64(REMAINING_TIME_FACTOR).as_millis())
             .unwrap_or(i64::MAX / 4);
         let left_ms = i64::try_from(start_ms.saturating_add(objective_ms)).unwrap_or(i64::MAX / 2)
             - i64::try_from(wall_ms).unwrap_or(i64::MAX / 2);
-        let lasting = spec.steps[stage_key.step as usize].lasting;
+        let useful_ms = i64::try_from(objective_ms.saturating_mul(u64::from(USEFUL_FACTOR - 1)));
+        let useful_ms = useful_ms.unwrap_or(i64::MAX / 2);
+        let step = &spec.steps[stage_key.step as usize];
+        let lasting = step.lasting;
+        let is_finite = spec.steps.iter().all(|step| !step.lasting && !step.filling);
+        let may_be_useless = self.tuning.refuse_hopeless && is_finite;
         Rank {
             not_lasting: !lasting,
             priority: job.terms.priority,
@@ -125,6 +133,7 @@
             unachievable: left_ms < remaining_ms,
             deferred,
             not_started: !job.is_started(),
+            useless: may_be_useless && left_ms.saturating_add(useful_ms) < remaining_ms,
             slack_ms: left_ms.saturating_sub(remaining_ms),
         }
     }
--- a/src/batch/estimate/image.rs
+++ b/src/batch/estimate/image.rs
@@ -3,11 +3,14 @@
 
 use super::sample::Sample;
 use super::window::Window;
-use super::{FULL_WEIGHT_RUNS, Forecast, MAX_CORRECTION, Quartiles, Row, duration_of, log_ms};
+use super::{
+    FULL_WEIGHT_RUNS, Forecast, MAX_CORRECTION, MAX_LOG_MS, Quartiles, Row, duration_of, log_ms,
+};
 
 /// What was learned about the tasks of an image.
 #[derive(Clone, Debug)]
 pub(super) struct Image {
+    pub(super) workspace: Arc<str>,
     pub(super) name: Arc<str>,
     window: Window,
     durations: Quartiles,
@@ -20,23 +23,24 @@
 }
 
 impl Image {
-    pub(super) fn new(name: Arc<str>) -> Self {
-        Self::with_window(name, Window::default())
+    pub(super) fn new(workspace: Arc<str>, name: Arc<str>) -> Self {
+        Self::with_window(workspace, name, Window::default())
     }
 
     /// Restores an image from its stored form.
     pub(super) fn restored(row: &Row) -> Self {
-        let Row(name, runs, durations, ratios) = row;
+        let Row(workspace, name, runs, durations, ratios) = row;
         let window = Window::restored(*durations, *ratios, *runs);
-        let mut image = Self::with_window(name.clone(), window);
+        let mut image = Self::with_window(workspace.clone(), name.clone(), window);
         (image.durations, image.ratios) = (*durations, *ratios);
         image.logged = Some(durations.middle);
         image.stored = image.logged;
         image
     }
 
-    fn with_window(name: Arc<str>, window: Window) -> Self {
+    fn with_window(workspace: Arc<str>, name: Arc<str>, window: Window) -> Self {
         Self {
+            workspace,
             name,
             window,
             durations: Quartiles::default(),
@@ -50,7 +54,13 @@
     /// Returns the stored form.
     pub(super) fn row(&self) -> Row {
         let runs = u32::try_from(self.window.len()).unwrap_or(u32::MAX);
-        Row(self.name.clone(), runs, self.durations, self.ratios)
+        Row(
+            self.workspace.clone(),
+            self.name.clone(),
+            runs,
+            self.durations,
+            self.ratios,
+        )
     }
 
     /// Adds a run. Returns whether the tasks of the image have changed.
@@ -92,8 +102,14 @@
             }
         };
         let weight = self.window.len().min(FULL_WEIGHT_RUNS) as f32 / FULL_WEIGHT_RUNS as f32;
+        // Without a declared time, there is nothing that a learned one could be far from.
+        let max_correction = if declared.is_zero() {
+            MAX_LOG_MS
+        } else {
+            MAX_CORRECTION
+        };
         let estimate = |correction: f32| {
-            let correction = correction.clamp(-MAX_CORRECTION, MAX_CORRECTION);
+            let correction = correction.clamp(-max_correction, max_correction);
             duration_of(declared_log + weight * correction)
         };
         Forecast {
--- a/src/batch/tuning.rs
+++ b/src/batch/tuning.rs
@@ -20,6 +20,9 @@
     /// Run time of a task away from its data or its gang in percent of that near it. At 100 or less,
     /// no task waits for a near place.
     pub far_percent: u32,
+    /// Whether jobs that can only end when they are of no use are refused, and placed after late ones
+    /// that can still be of use.
+    pub refuse_hopeless: bool,
     /// Largest size of the list of silent workers that is written with each renewal, in bytes. A
     /// worker without its tasks takes about 180 bytes, so a third of 2,300 workers fit into the
     /// default.
@@ -37,6 +40,7 @@
             retention: Duration::from_secs(120),
             learn_estimates: false,
             far_percent: 100,
+            refuse_hopeless: false,
             silent_list_bytes: 150_000,
         }
     }
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -8,8 +8,11 @@
 use hyper::{Request, Response, StatusCode};
 use metrics::{counter, histogram};
 
+use super::admit;
 use super::row::{self, JOBS, PROGRESS};
 use super::shared::{STORE_TIMEOUT, Shared, unix_time_ms};
+use super::write::Write;
+use crate::batch::admission::{self, Refusal};
 use crate::batch::{Config, MAX_ROW_BYTES, Progress, Record, Route, State};
 use crate::clock::{self, Instant};
 use crate::intake::{self, CompleteBody, Connection};
@@ -181,12 +184,19 @@
         Err(reason) => return failure(StatusCode::BAD_REQUEST, &reason),
     };
     drop(body);
+    let terms = route.terms(&spec);
+    let described = admission::Arrival::new(&workspace, arrival.unix_ms, &spec, &terms);
+    let admitted = admit::admit(shared, &route.name, id, described, arrival.unix_ms).await;
+    let arrived_ms = match admitted {
+        Ok(first_ms) => first_ms,
+        Err(refusal) => return hopeless(refusal),
+    };
     let record = Record {
         route: route.name.clone(),
         service: route.service.clone(),
-        terms: route.terms(&spec),
+        terms,
         workspace,
-        arrived_ms: arrival.unix_ms,
+        arrived_ms,
         spec,
     };
     let workspace = record.workspace.clone();
@@ -199,10 +209,12 @@
         return failure(StatusCode::PAYLOAD_TOO_LARGE, reason);
     }
     let _charge = connection.charge_decoded(content.capacity());
+    let write = Write::begin(shared, id);
     let committed = shared
         .committer
         .commit(id, content, arrival.answer_by)
         .await;
+    write.end(committed);
     log::info!(event = "job-submitted", job = id, route = route.name, workspace,
         result:? = committed; "");
     match committed {
@@ -319,9 +331,24 @@
 
 /// Refuses a request that had no effect and sets `Retry-After`.
 fn unavailable(reason: &str) -> HttpResponse {
+    refusal(reason, RETRY_AFTER_S)
+}
+
+/// Refuses a job that could only end when it is of no use, and tells its caller when a job like it
+/// is expected to be in time.
+fn hopeless(Refusal { delay, is_new }: Refusal) -> HttpResponse {
+    let reason = if is_new {
+        "the job would end too late to be of use; after the delay it counts as a new one"
+    } else {
+        "the job would end too late to be of use"
+    };
+    refusal(reason, delay.seconds())
+}
+
+fn refusal(reason: &str, retry_after_s: u32) -> HttpResponse {
     let mut response = failure(StatusCode::SERVICE_UNAVAILABLE, reason);
     response
         .headers_mut()
-        .insert(RETRY_AFTER, RETRY_AFTER_S.into());
+        .insert(RETRY_AFTER, retry_after_s.into());
     response
 }
--- a/src/entry/renew.rs
+++ b/src/entry/renew.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use super::admit;
 use super::candidate::Candidate;
-use super::row::{self, ESTIMATES_KEY, LEADERS, MEMBERS};
+use super::outlook;
+use super::row::{self, ESTIMATES, ESTIMATES_KEY, MEMBERS};
 use super::shared::STORE_TIMEOUT;
 use super::term::Term;
+use crate::batch::admission::Publication;
 use crate::batch::{Leader, MemberChanges, Role, Transfer, row_bytes};
 use crate::clock::{self, Instant};
 use crate::platform::api::Transaction;
@@ -18,13 +21,12 @@
 /// [`STORE_TIMEOUT`].
 pub(super) const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time after which learned run times are stored again that the store may have refused for good.
-const ESTIMATES_DELAY: Duration = Duration::from_secs(30);
-
 /// What a renewal contained that the store refused for good, besides the rows of the leader.
 struct Withdrawn {
     members: MemberChanges,
-    has_estimates: bool,
+    /// Whether there were rows that the leadership does not need. They are held back for a while, so
+    /// the members are tried once more before any of them is blamed.
+    has_further_rows: bool,
 }
 
 impl Candidate {
@@ -32,9 +34,9 @@
     /// lead. Returns that request.
     pub(super) async fn renew_until_end(&mut self, term: &Term) -> Option<Transfer> {
         let loaded_at = clock::now();
+        let mut publication = Publication::new(loaded_at);
         let mut timeout = STORE_TIMEOUT;
         let mut withdrawn: Option<Withdrawn> = None;
-        let mut estimates_from: Option<Instant> = None;
         while !term.has_ended() && !self.shared.is_stopping() {
             let sent = clock::now();
             let leader = self.next_row(term);
@@ -47,22 +49,28 @@
             };
             let (members, removed) = (changes.puts.len(), changes.deletes.len());
             let leader_bytes = row_bytes(&leader);
-            let may_store_estimates = !is_alone && estimates_from.is_none_or(|from| sent >= from);
-            let estimates = may_store_estimates
-                .then(|| term.engine().take_outdated_estimates(sent))
-                .flatten();
+            let estimates = if publication.may_add_rows(sent) {
+                term.engine().take_outdated_estimates(sent)
+            } else {
+                None
+            };
             let stores_estimates = estimates.is_some();
             let estimates = estimates.iter().map(row::encode);
-            (changes.puts).extend(estimates.map(|row| (LEADERS, ESTIMATES_KEY.into(), row)));
+            (changes.puts).extend(estimates.map(|row| (ESTIMATES, ESTIMATES_KEY.into(), row)));
+            let outlook = self.next_outlook(term, &publication, sent);
+            changes.puts.extend(outlook.as_ref().map(outlook::put));
+            let has_further_rows = stores_estimates || outlook.is_some();
             timeout = match self.write(leader, changes, timeout).await {
                 Ok(true) => {
                     self.record_renewal(term, sent);
-                    if let Some(withdrawn) = withdrawn.take() {
-                        if withdrawn.has_estimates {
-                            estimates_from = Some(sent + ESTIMATES_DELAY);
-                        } else {
-                            term.engine().refuse_member_changes(&withdrawn.members);
-                        }
+                    admit::record_call(&self.shared, clock::now().since(sent));
+                    publication.record_success();
+                    if let Some(refused) = withdrawn.take().filter(|w| !w.has_further_rows) {
+                        term.engine().refuse_member_changes(&refused.members);
+                    }
+                    if let Some(outlook) = outlook {
+                        self.take_outlook(outlook.clone(), sent);
+                        publication.record(outlook, sent);
                     }
                     let is_behind = term.is_behind(clock::now());
                     if let Some(request) = self.granted_request(is_behind, Some(loaded_at)) {
@@ -80,16 +88,18 @@
                     return None;
                 }
                 Err(fault) => {
+                    admit::record_call(&self.shared, clock::now().since(sent));
+                    publication.record_failure(fault.is_permanent(), clock::now());
                     log::warn!(event = "renewal-failed", fault:% = fault, members,
                         leader_bytes; "");
                     if stores_estimates {
                         term.engine().record_unstored_estimates();
                     }
                     timeout = STORE_TIMEOUT;
-                    if fault.is_permanent() && (members + removed > 0 || stores_estimates) {
+                    if fault.is_permanent() && (members + removed > 0 || has_further_rows) {
                         withdrawn = Some(Withdrawn {
                             members: term.engine().withdraw_member_changes(),
-                            has_estimates: stores_estimates,
+                            has_further_rows,
                         });
                         continue;
                     }
--- a/src/entry/row.rs
+++ b/src/entry/row.rs
@@ -6,7 +6,7 @@
 pub(super) const PROGRESS: &str = "progress";
 /// Table of the rows that fence the partitions.
 pub(super) const TERMS: &str = "terms";
-/// Table of the leader row, of the runs that a leader hands over and of the learned run times.
+/// Table of the leader row and of the runs that a leader hands over.
 pub(super) const LEADERS: &str = "leaders";
 
 /// Table of the workers on which the leader starts tasks.
@@ -19,11 +19,14 @@
 /// Key of the leader row in [`LEADERS`], and of the fence row of each partition in [`TERMS`].
 pub(super) const OWNER_KEY: &str = "owner";
 
-/// Key of the row of learned run times in [`LEADERS`].
-pub(super) const ESTIMATES_KEY: &str = "estimates";
+/// Table of the learned run times. Instances follow the changes of [`LEADERS`], and only one that
+/// takes over needs these.
+pub(super) const ESTIMATES: &str = "estimates";
 
-/// Key after [`ESTIMATES_KEY`] and before those of the other rows in [`LEADERS`].
-pub(super) const ESTIMATES_END: &str = "estimates~";
+/// Key of the row of learned run times in [`ESTIMATES`].
+pub(super) const ESTIMATES_KEY: &str = "learned";
+/// Key of the outlook in [`LEADERS`], written by the leader.
+pub(super) const OUTLOOK_KEY: &str = "outlook";
 
 /// Suffix of the keys of cancellations in [`JOBS`].
 const CANCEL_SUFFIX: &str = ".cancel";
@@ -33,6 +36,12 @@
     format!("{job}{CANCEL_SUFFIX}")
 }
 
+/// Returns the smallest key after those of a job and of its cancellation, as far as jobs have names
+/// of letters and digits.
+pub(super) fn end_key(job: &str) -> String {
+    format!("{job}/")
+}
+
 /// Returns the job that the key of a cancellation names, or `None` for another key.
 pub(super) fn cancelled_job(key: &str) -> Option<&str> {
     key.strip_suffix(CANCEL_SUFFIX)
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -50,6 +50,9 @@
     /// Single limits on callers, in place of those that follow from memory and descriptors.
     #[serde(default)]
     pub limits: Limits,
+    /// Whether jobs are refused that could only end when they are of no use to their caller.
+    #[serde(default)]
+    pub refuse_hopeless: bool,
     /// Durations that the platform guarantees or requires.
     #[serde(default)]
     pub bounds: Bounds,
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -33,6 +33,7 @@
 mod platform;
 mod port;
 mod process;
+mod refusal;
 mod refused_connections;
 mod retention;
 mod run;
