Name the setting of early refusal refuse-late-jobs

Cause: refuse-hopeless and useless judge the job in place of saying what is decided. Change: the new setting refuse-hopeless becomes refuse-late-jobs before it is released; the rank field useless becomes expired. No change of behaviour.

--- a/src/batch/admission/queue_forecast.rs
+++ b/src/batch/admission/queue_forecast.rs
@@ -52,7 +52,7 @@
 
 impl QueueForecast {
     /// Makes the forecast of a queue from the jobs of its service that go before its own, or returns
-    /// `None` if every job is welcome or the jobs wait for something other than processors.
+    /// `None` if every job is accepted or the jobs wait for something other than processors.
     pub fn new(queue: &Arc<str>, backlog: &Backlog, supply: &Supply) -> Option<Self> {
         let forecast = Self {
             queue: queue.clone(),
--- a/src/batch/engine/outlook.rs
+++ b/src/batch/engine/outlook.rs
@@ -121,7 +121,7 @@
             }
             let work = (self.remaining_work(job) as u64)
                 .saturating_sub(done.get(&key).copied().unwrap_or_default());
-            if !job.is_started() && (self.waits_for_quota(job) || self.is_useless(job, wall_ms)) {
+            if !job.is_started() && (self.waits_for_quota(job) || self.is_expired(job, wall_ms)) {
                 continue;
             }
             let place = (job.service.clone(), job.terms.priority);
@@ -207,7 +207,7 @@
     }
 
     /// Returns whether a job can no longer end within three times its objective.
-    fn is_useless(&self, job: &Job, wall_ms: u64) -> bool {
+    fn is_expired(&self, job: &Job, wall_ms: u64) -> bool {
         self.time_left(job, USEFUL_FACTOR, wall_ms) < self.remaining_time(job)
     }
 
--- a/src/batch/engine/place.rs
+++ b/src/batch/engine/place.rs
@@ -31,7 +31,7 @@
     not_started: bool,
     /// With early refusal, late jobs that can no longer end within three times their objective come
     /// after those that can still be of use. False for lasting and best-effort tasks.
-    useless: bool,
+    expired: bool,
     /// Milliseconds left until the objective, minus the remaining time that the job needs.
     slack_ms: i64,
 }
@@ -125,7 +125,7 @@
         let step = &spec.steps[stage_key.step as usize];
         let lasting = step.lasting;
         let is_finite = spec.steps.iter().all(|step| !step.lasting && !step.filling);
-        let may_be_useless = self.tuning.refuse_hopeless && is_finite;
+        let may_expire = self.tuning.refuse_late_jobs && is_finite;
         Rank {
             not_lasting: !lasting,
             priority: job.terms.priority,
@@ -133,7 +133,7 @@
             unachievable: left_ms < remaining_ms,
             deferred,
             not_started: !job.is_started(),
-            useless: may_be_useless && left_ms.saturating_add(useful_ms) < remaining_ms,
+            expired: may_expire && left_ms.saturating_add(useful_ms) < remaining_ms,
             slack_ms: left_ms.saturating_sub(remaining_ms),
         }
     }
--- a/src/batch/tuning.rs
+++ b/src/batch/tuning.rs
@@ -22,7 +22,7 @@
     pub far_percent: u32,
     /// Whether jobs that can only end when they are of no use are refused, and placed after late ones
     /// that can still be of use.
-    pub refuse_hopeless: bool,
+    pub refuse_late_jobs: bool,
     /// Largest size of the list of silent workers that is written with each renewal, in bytes. A
     /// worker without its tasks takes about 180 bytes, so a third of 2,300 workers fit into the
     /// default.
@@ -40,7 +40,7 @@
             retention: Duration::from_secs(120),
             learn_estimates: false,
             far_percent: 100,
-            refuse_hopeless: false,
+            refuse_late_jobs: false,
             silent_list_bytes: 150_000,
         }
     }
--- a/src/entry/admit.rs
+++ b/src/entry/admit.rs
@@ -28,7 +28,7 @@
     arrival: Arrival,
     arrived_ms: u64,
 ) -> Result<u64, Refusal> {
-    if !shared.settings.refuse_hopeless {
+    if !shared.settings.refuse_late_jobs {
         return Ok(arrived_ms);
     }
     let now = clock::now();
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -189,7 +189,7 @@
     let admitted = admit::admit(shared, &route.name, id, described, arrival.unix_ms).await;
     let arrived_ms = match admitted {
         Ok(first_ms) => first_ms,
-        Err(refusal) => return hopeless(refusal),
+        Err(refusal) => return refused_early(refusal),
     };
     let record = Record {
         route: route.name.clone(),
@@ -336,7 +336,7 @@
 
 /// Refuses a job that could only end when it is of no use, and tells its caller when a job like it
 /// is expected to be in time.
-fn hopeless(Refusal { delay, is_new }: Refusal) -> HttpResponse {
+fn refused_early(Refusal { delay, is_new }: Refusal) -> HttpResponse {
     let reason = if is_new {
         "the job would end too late to be of use; after the delay it counts as a new one"
     } else {
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -107,7 +107,7 @@
         retention: Duration::from_secs(bounds.status_s),
         learn_estimates: shared.settings.learn_estimates,
         far_percent: (bounds.far_factor * 100.0).round() as u32,
-        refuse_hopeless: shared.settings.refuse_hopeless,
+        refuse_late_jobs: shared.settings.refuse_late_jobs,
         ..Tuning::default()
     }
 }
--- a/src/entry/outlook.rs
+++ b/src/entry/outlook.rs
@@ -22,7 +22,7 @@
         publication: &Publication,
         now: Instant,
     ) -> Option<Outlook> {
-        if !self.shared.settings.refuse_hopeless || !publication.may_publish(now) {
+        if !self.shared.settings.refuse_late_jobs || !publication.may_publish(now) {
             return None;
         }
         let store_ms = self.shared.store.clock_ms(now)?;
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -52,7 +52,7 @@
     pub limits: Limits,
     /// Whether jobs are refused that could only end when they are of no use to their caller.
     #[serde(default)]
-    pub refuse_hopeless: bool,
+    pub refuse_late_jobs: bool,
     /// Durations that the platform guarantees or requires.
     #[serde(default)]
     pub bounds: Bounds,
--- a/tests/batch/simulation.rs
+++ b/tests/batch/simulation.rs
@@ -194,7 +194,7 @@
     /// Creates a simulation whose leader has early refusal on.
     pub(crate) fn refusing(token: u64, config: Config) -> Self {
         let tuning = Tuning {
-            refuse_hopeless: true,
+            refuse_late_jobs: true,
             ..Tuning::default()
         };
         Self {
--- a/tests/entry/instance.rs
+++ b/tests/entry/instance.rs
@@ -111,7 +111,7 @@
     let log = Log::new(name);
     let outputs = [log.create(), Stdio::inherit()];
     let mut settings = settings(name, store, None, &bounds());
-    settings["refuse-hopeless"] = json!(true);
+    settings["refuse-late-jobs"] = json!(true);
     let mut instance = start_with_settings(name, store, &settings, outputs);
     instance.log = Some(log);
     instance
