Name the parts of the queue of submissions by what they are

Cause: lane, is_earlier and a class of renewals that nothing uses stop a reader. No change of behaviour.

--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -177,8 +177,8 @@
                     }
                     let mut deletions = term.deletions();
                     for (job, version) in changes.deleted {
-                        let is_earlier = deletions.place(&job).is_earlier;
-                        let version = if is_earlier {
+                        let is_beside_progress = deletions.place(&job).is_beside_progress;
+                        let version = if is_beside_progress {
                             self.writer.version()
                         } else {
                             version
@@ -235,7 +235,7 @@
         let transaction = &mut changes.transaction;
         for (id, _) in &deleted {
             transaction.deletes.push((PROGRESS, id.to_string()));
-            if deletions.place(id).is_earlier {
+            if deletions.place(id).is_beside_progress {
                 transaction.deletes.push((JOBS, id.to_string()));
                 transaction.deletes.push((JOBS, row::cancel_key(id)));
             }
--- a/src/job_store/deletions.rs
+++ b/src/job_store/deletions.rs
@@ -37,7 +37,7 @@
     ///
     /// ```
     /// let retention = std::time::Duration::from_secs(120);
-    /// assert!(!coriandernotch::job_store::Deletions::new(retention).place("a").is_earlier);
+    /// assert!(!coriandernotch::job_store::Deletions::new(retention).place("a").is_beside_progress);
     /// ```
     pub fn new(retention: Duration) -> Self {
         Self {
@@ -80,14 +80,17 @@
         if Partition::of_job(job).name() == partition {
             place.version = version;
         } else {
-            place.is_earlier = true;
+            place.is_beside_progress = true;
         }
     }
 
     /// Records the cancellation of a job that was read from a partition.
     pub fn record_cancellation(&mut self, job: &Arc<str>, partition: &str) {
         if Partition::of_job(job).name() != partition {
-            self.places.entry(job.clone()).or_default().is_earlier = true;
+            self.places
+                .entry(job.clone())
+                .or_default()
+                .is_beside_progress = true;
         }
     }
 
--- a/src/job_store/lane.rs
+++ b/src/job_store/partition_queue.rs
@@ -14,7 +14,7 @@
 
 /// Submissions for one partition, which get one transaction at a time.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Lane {
+pub(super) struct PartitionQueue {
     /// Submissions that no transaction can have stored.
     pub(super) fresh: VecDeque<SubmissionKey>,
     /// Submissions that an earlier transaction may have stored or may yet.
@@ -30,7 +30,7 @@
     was_uncertain: bool,
 }
 
-impl Lane {
+impl PartitionQueue {
     pub(super) fn is_empty(&self) -> bool {
         !self.is_busy && self.fresh.is_empty() && self.uncertain.is_empty()
     }
--- a/src/job_store/place.rs
+++ b/src/job_store/place.rs
@@ -5,5 +5,5 @@
     pub version: u64,
     /// Whether a row of the job or its cancellation is in the partition of its progress, where earlier
     /// versions store them.
-    pub is_earlier: bool,
+    pub is_beside_progress: bool,
 }
--- a/src/job_store/queue.rs
+++ b/src/job_store/queue.rs
@@ -3,7 +3,7 @@
 
 use slotmap::SlotMap;
 
-use super::lane::Lane;
+use super::partition_queue::PartitionQueue;
 use super::waiting::Waiting;
 use super::{Acceptance, Action, Answer, Batch, Class, Partition, SubmissionKey, Window};
 use crate::clock::Instant;
@@ -44,7 +44,7 @@
     submissions: SlotMap<SubmissionKey, Waiting>,
     /// Size of the rows of all submissions.
     bytes: usize,
-    lanes: Map<Partition, Lane>,
+    partitions: Map<Partition, PartitionQueue>,
     /// Calls of this instance that write to the store.
     pub window: Window,
     /// Ids of the transactions that are in flight.
@@ -73,7 +73,7 @@
             is_spread,
             submissions: SlotMap::default(),
             bytes: 0,
-            lanes: Map::default(),
+            partitions: Map::default(),
             window: Window::default(),
             in_flight: Set::default(),
             uncertain: Map::default(),
@@ -102,8 +102,8 @@
             answer_by,
             may_be_stored: false,
         });
-        let lane = self.lanes.entry(partition).or_default();
-        lane.fresh.push_back(key);
+        let pending = self.partitions.entry(partition).or_default();
+        pending.fresh.push_back(key);
         Some(key)
     }
 
@@ -113,8 +113,8 @@
         let Some(waiting) = self.submissions.get(key) else {
             return false;
         };
-        let lane = self.lanes.get(&waiting.partition);
-        let is_fresh = lane.is_some_and(|lane| lane.fresh.contains(&key));
+        let pending = self.partitions.get(&waiting.partition);
+        let is_fresh = pending.is_some_and(|pending| pending.fresh.contains(&key));
         if is_fresh {
             self.remove(key);
         }
@@ -157,12 +157,14 @@
             return Action::Reply(key, acceptance);
         }
         let may_send = self.window.may_send(Class::Awaited);
-        let due = self.due_lane(now).filter(|_| may_send);
+        let due = self.due_partition(now).filter(|_| may_send);
         if let Some((partition, is_uncertain)) = due {
             return Action::Send(self.begin(partition, is_uncertain, now));
         }
-        let lanes = self.lanes.values();
-        let times = lanes.filter_map(Lane::next_time).filter(|at| *at > now);
+        let partitions = self.partitions.values();
+        let times = partitions
+            .filter_map(PartitionQueue::next_time)
+            .filter(|at| *at > now);
         let refusals = self.idle_keys().map(|key| self.reply_time(key, now).0);
         Action::Wait(times.chain(refusals).min())
     }
@@ -177,7 +179,7 @@
         now: Instant,
     ) -> Vec<(SubmissionKey, Acceptance)> {
         let spread = f64::from(now.as_nanos() as u32 % 1_024) / 1_024.0;
-        let Some(lane) = self.lanes.get_mut(&batch.partition) else {
+        let Some(pending) = self.partitions.get_mut(&batch.partition) else {
             return Vec::new();
         };
         let keys = &batch.submissions;
@@ -185,7 +187,7 @@
         let replies: Vec<_> = match answer {
             Answer::Applied | Answer::Conflict { .. } => {
                 self.window.record_success(took, now);
-                lane.record_success();
+                pending.record_success();
                 match answer {
                     Answer::Conflict { stored, cancelled } => {
                         let stored = stored.iter().map(|key| (*key, Acceptance::Stored));
@@ -202,14 +204,14 @@
             }
             Answer::Busy => {
                 self.window.record_refusal(now);
-                lane.record_refusal(spread, now);
+                pending.record_refusal(spread, now);
                 Vec::new()
             }
             // One of several jobs may be the cause, so each is sent alone.
             Answer::Rejected => {
                 self.window.record_success(took, now);
-                lane.record_success();
-                lane.is_single = true;
+                pending.record_success();
+                pending.is_single = true;
                 if keys.len() == 1 {
                     all(Acceptance::Refused)
                 } else {
@@ -222,7 +224,7 @@
                 } else {
                     self.window.record_silence(took, now);
                 }
-                lane.record_silence(now);
+                pending.record_silence(now);
                 for key in keys {
                     if let Some(waiting) = self.submissions.get_mut(*key) {
                         waiting.may_be_stored = true;
@@ -240,16 +242,16 @@
             }
         }
         for key in keys.iter().rev() {
-            let (Some(lane), Some(waiting)) = (
-                self.lanes.get_mut(&batch.partition),
+            let (Some(pending), Some(waiting)) = (
+                self.partitions.get_mut(&batch.partition),
                 self.submissions.get(*key),
             ) else {
                 continue;
             };
             if waiting.may_be_stored {
-                lane.uncertain.push_front(*key);
+                pending.uncertain.push_front(*key);
             } else {
-                lane.fresh.push_front(*key);
+                pending.fresh.push_front(*key);
             }
         }
         let replies = replies.into_iter();
@@ -281,10 +283,10 @@
     fn remove(&mut self, key: SubmissionKey) -> Option<Waiting> {
         let waiting = self.submissions.remove(key)?;
         self.bytes = self.bytes.saturating_sub(waiting.bytes);
-        if let Some(lane) = self.lanes.get_mut(&waiting.partition) {
-            lane.remove(key);
-            if lane.is_empty() {
-                self.lanes.remove(&waiting.partition);
+        if let Some(pending) = self.partitions.get_mut(&waiting.partition) {
+            pending.remove(key);
+            if pending.is_empty() {
+                self.partitions.remove(&waiting.partition);
             }
         }
         Some(waiting)
@@ -292,8 +294,8 @@
 
     /// Returns the submissions that are not in a transaction.
     fn idle_keys(&self) -> impl Iterator<Item = SubmissionKey> {
-        let lanes = self.lanes.values();
-        lanes.flat_map(|lane| lane.fresh.iter().chain(&lane.uncertain).copied())
+        let partitions = self.partitions.values();
+        partitions.flat_map(|pending| pending.fresh.iter().chain(&pending.uncertain).copied())
     }
 
     /// Returns when a submission that is not in a transaction gets a reply, and which.
@@ -327,14 +329,14 @@
 
     /// Returns the partition whose submissions have the least time, and whether uncertain ones are
     /// sent.
-    fn due_lane(&self, now: Instant) -> Option<(Partition, bool)> {
-        let lanes = self.lanes.iter();
-        let due = lanes.filter_map(|(partition, lane)| {
-            let is_uncertain = lane.next_kind(now)?;
+    fn due_partition(&self, now: Instant) -> Option<(Partition, bool)> {
+        let partitions = self.partitions.iter();
+        let due = partitions.filter_map(|(partition, pending)| {
+            let is_uncertain = pending.next_kind(now)?;
             let keys = if is_uncertain {
-                &lane.uncertain
+                &pending.uncertain
             } else {
-                &lane.fresh
+                &pending.fresh
             };
             let first = self.submissions[*keys.front()?].answer_by;
             Some((first, *partition, is_uncertain))
@@ -345,13 +347,13 @@
 
     /// Takes the next transaction of a partition.
     fn begin(&mut self, partition: Partition, is_uncertain: bool, now: Instant) -> Batch {
-        let lane = self.lanes.entry(partition).or_default();
+        let pending = self.partitions.entry(partition).or_default();
         let keys = if is_uncertain {
-            &mut lane.uncertain
+            &mut pending.uncertain
         } else {
-            &mut lane.fresh
+            &mut pending.fresh
         };
-        let limit = if lane.is_single { 1 } else { MAX_BATCH_JOBS };
+        let limit = if pending.is_single { 1 } else { MAX_BATCH_JOBS };
         let (mut ids, mut bytes) = (Set::default(), 0);
         let mut submissions = Vec::new();
         let mut answer_by = now;
@@ -367,7 +369,7 @@
                 keys.push_back(key);
             }
         }
-        lane.begin(is_uncertain);
+        pending.begin(is_uncertain);
         self.in_flight.extend(ids);
         self.window.begin();
         let timeout = self.window.expected(now) * TIMEOUT_FACTOR;
--- a/src/job_store/window.rs
+++ b/src/job_store/window.rs
@@ -29,13 +29,13 @@
 /// at a time, and the submissions that are not sent can be refused.
 const UNANSWERED_FACTOR: f64 = 0.5;
 
-/// Shortest time between two reductions of the limit: calls that are in flight together tell the same.
+/// Shortest time between two reductions of the limit: answers to calls that were in flight together report the same event.
 const REDUCTION_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Weight of the last call in the mean duration.
 const WEIGHT: f64 = 0.25;
 
-/// Time without a call after which its mean duration tells nothing of the next one.
+/// Time without a call after which the mean duration no longer applies.
 const MEMORY: Duration = Duration::from_secs(2);
 
 /// Share of the limit that calls in the background may use.
@@ -76,7 +76,6 @@
     pub fn may_send(&self, class: Class) -> bool {
         let in_flight = self.in_flight as f64;
         match class {
-            Class::Renewal => true,
             Class::Awaited => in_flight + 1.0 <= self.limit.max(1.0),
             Class::Background => in_flight + 1.0 <= (self.limit * BACKGROUND_SHARE).max(1.0),
         }
