Pause before a deletion is sent again after a conflict

Cause: a store that reports the same conflict again was asked without a pause. Change: the delay of other failures. Not measured; found by review.

--- a/src/entry/delete.rs
+++ b/src/entry/delete.rs
@@ -68,6 +68,8 @@
                 Ok(Outcome::Conflict(rows)) => {
                     batch.resolve_conflict(&rows);
                     waiting.push(batch);
+                    // A store that reports the same conflict again must not be asked without a pause.
+                    sleep(INTERVAL).await;
                 }
                 Err(fault) if fault.is_permanent() => waiting.extend(batch.split(&fault)),
                 Err(fault) => {
