Read the state of a takeover with short first attempts

Cause: a takeover reads 258 partitions side by side, and while some connections to the store are silent about ten of these reads waited for 1.2 s. Change: reads of a load have a timeout of 0.4 s that doubles with each attempt and follows the time that reads take; one without an answer is repeated at once.

--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -14,7 +14,7 @@
 use crate::batch::{Engine, Fence, Leader, Leadership, Progress, Record, Tuning};
 use crate::clock::{self, Instant};
 use crate::collections::{Map, Set};
-use crate::job_store::{Deletions, Partition};
+use crate::job_store::{Deletions, Partition, ReadTimeout};
 use crate::platform::api::{
     Fault, Outcome, Precondition, Row, Store, Transaction, decode_registration,
 };
@@ -57,14 +57,15 @@
     // job whose progress is read is stored, unless it has been deleted.
     let fences: Option<Vec<u64>> = join_all(fences).await.into_iter().collect();
     let fences = fences?;
+    let timeout = &Mutex::new(ReadTimeout::new(STORE_TIMEOUT));
     let progress = Partition::all_of_progress().map(|partition| {
         let name = partition.name();
-        async move { retry(|| read(shared, PROGRESS, &name)).await.0 }
+        async move { read(shared, PROGRESS, &name, timeout).await.0 }
     });
     let jobs = read_all_jobs(shared);
-    let workers = retry(|| read(shared, Store::WORKERS, ""));
-    let members = retry(|| read(shared, MEMBERS, ""));
-    let estimates = read_estimates(shared);
+    let workers = read(shared, Store::WORKERS, "", timeout);
+    let members = read(shared, MEMBERS, "", timeout);
+    let estimates = read_estimates(shared, timeout);
     let reads = join5(join_all(progress), jobs, workers, members, estimates);
     let (progress, jobs, (rows, _), (members, _), estimates) = reads.await;
     let mut deletions = Deletions::new(tuning(shared).retention);
@@ -129,27 +130,49 @@
 
 /// Reads the learned run times, if they are used. `None` if no leader has stored any, or if the row
 /// is not readable: then declared run times hold until this leader has learned others.
-async fn read_estimates(shared: &Shared) -> Option<Estimates> {
+async fn read_estimates(shared: &Shared, timeout: &Mutex<ReadTimeout>) -> Option<Estimates> {
     if !shared.settings.learn_estimates {
         return None;
     }
-    let store = &shared.store;
-    let read = || store.read(ESTIMATES, "", "", "", STORE_TIMEOUT);
-    let (rows, _) = retry(read).await;
+    let (rows, _) = read(shared, ESTIMATES, "", timeout).await;
     let row = rows.iter().find(|row| &*row.key == ESTIMATES_KEY)?;
     row::decode(ESTIMATES_KEY, row.content.as_ref()?)
 }
 
-/// Reads all rows of a partition of a table, and the version of the table before.
-async fn read(shared: &Shared, table: &str, partition: &str) -> Result<(Vec<Row>, u64), Fault> {
-    let store = &shared.store;
-    store.read(table, partition, "", "", STORE_TIMEOUT).await
+/// Reads all rows of a partition of a table, and the version of the table before. Repeats the call
+/// until it succeeds, at once if it got no answer.
+async fn read(
+    shared: &Shared,
+    table: &str,
+    partition: &str,
+    timeout: &Mutex<ReadTimeout>,
+) -> (Vec<Row>, u64) {
+    let mut attempt = 0;
+    loop {
+        let limit = timeout.lock().expect("timeout lock").of(attempt);
+        let sent = clock::now();
+        match shared.store.read(table, partition, "", "", limit).await {
+            Ok(rows) => {
+                let took = clock::now().since(sent);
+                timeout.lock().expect("timeout lock").record(took);
+                return rows;
+            }
+            Err(fault) => {
+                log::warn!(event = "load-failed", table, partition, attempt, fault:% = fault; "");
+                if fault.had_no_effect() {
+                    sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+        attempt += 1;
+    }
 }
 
 /// Writes the fencing token of this leader into a partition, so that writes of older leaders fail.
 /// Returns the version of the fence row, or `None` if a newer leader has done so before.
 async fn fence(shared: &Shared, partition: &str, token: u64) -> Result<Option<u64>, Fault> {
-    let (rows, _) = read(shared, TERMS, partition).await?;
+    let store = &shared.store;
+    let (rows, _) = store.read(TERMS, partition, "", "", STORE_TIMEOUT).await?;
     let row = rows.iter().find(|r| &*r.key == OWNER_KEY);
     let (version, content) = row.map_or((0, None), |r| (r.version, r.content.as_ref()));
     let stored = content
@@ -185,22 +208,23 @@
 
 /// Reads the jobs of all partitions without their progress. Each read is repeated until it succeeds.
 pub(super) async fn read_all_jobs(shared: &Shared) -> Vec<Jobs> {
+    let timeout = &Mutex::new(ReadTimeout::new(STORE_TIMEOUT));
     stream::iter(Partition::all_of_jobs())
-        .map(|partition| async move { retry(|| read_jobs(shared, partition)).await })
+        .map(|partition| read_jobs(shared, partition, timeout))
         .buffer_unordered(MAX_CONCURRENT_READS)
         .collect()
         .await
 }
 
 /// Reads the jobs of a partition without their progress.
-async fn read_jobs(shared: &Shared, partition: Partition) -> Result<Jobs, Fault> {
+async fn read_jobs(shared: &Shared, partition: Partition, timeout: &Mutex<ReadTimeout>) -> Jobs {
     let partition = partition.name();
-    let (rows, version) = read(shared, JOBS, &partition).await?;
-    Ok(Jobs {
+    let (rows, version) = read(shared, JOBS, &partition, timeout).await;
+    Jobs {
         partition,
         rows,
         version,
-    })
+    }
 }
 
 /// Returns the rows of jobs, each with its partition, cancellations after the jobs that they cancel.
--- a/tests/job_store/main.rs
+++ b/tests/job_store/main.rs
@@ -3,4 +3,5 @@
 mod deletions;
 mod partition;
 mod queue;
+mod read_timeout;
 mod replay;
