--- a/review/world3.py
+++ b/review/world3.py
@@ -25,12 +25,14 @@
         self.file.flush()
 
 
-async def serve(handler):
+async def serve(handler, round_trip_s=0.0):
     """Serves HTTP/1.1 on a free port. handler(method, path, query, headers, body) returns status and
-    object, or None to leave the request without an answer."""
+    object, or None to leave the request without an answer. A connection and each request take a round
+    trip between the zones."""
 
     async def connection(reader, writer):
         try:
+            await asyncio.sleep(round_trip_s)
             while True:
                 line = await reader.readline()
                 if not line:
@@ -41,6 +43,7 @@
                     name, _, value = line.decode().partition(":")
                     headers[name.strip().lower()] = value.strip()
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
+                await asyncio.sleep(round_trip_s)
                 url = urlsplit(target)
                 query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
                 answer = await handler(method, url.path, query, headers, body)
@@ -189,17 +192,18 @@
         self.world, self.name, self.service, self.rack, self.zone = world, name, service, rack, zone
         self.capacity = {"cpu": cpu, "memMb": mem, "gpu": 0}
         self.machine = "m-" + name
-        self.speed, self.seq, self.dark = 1.0, 0, False
+        self.speed, self.seq, self.dark, self.round_trip_s = 1.0, 0, False, 0.0
         self.begin()
 
     def begin(self):
         self.born, self.clock_at = int(time.time() * 1000), now() - 1.0
         self.fence, self.deadline, self.position = 0, 0, 0
         self.running, self.ended, self.highest = {}, [], {}
+        self.unnoted = {}  # position of each `done` end that is not acknowledged, with its task and time
         self.changed = asyncio.Event()
 
     async def start(self):
-        self.port = await serve(self.handle)
+        self.port = await serve(self.handle, self.round_trip_s)
         asyncio.create_task(self.beat())
         asyncio.create_task(self.work())
 
@@ -232,7 +236,8 @@
             await asyncio.sleep(0.005)
             at = now()
             passed, last = at - last, at
-            if self.running and self.clock() > self.deadline:
+            if self.clock() > self.deadline:
+                self.unnoted.clear()  # these ends will not count as taken note of
                 for task in list(self.running):
                     self.end(task, "lapsed")
             for task, run in list(self.running.items()):
@@ -253,6 +258,8 @@
         self.position += 1
         self.highest[task] = max(self.highest.get(task, 0), run["run"])
         self.ended.append([self.position, task, run["run"], how, ""])
+        if how == "done":
+            self.unnoted[self.position] = (task, run["run"], now())
         self.world.ran(self, task, run["run"], how)
         self.changed.set()
         self.changed = asyncio.Event()
@@ -273,7 +280,11 @@
         if "deadlineMs" in call:
             self.deadline = max(self.deadline, min(call["deadlineMs"], self.clock() + 6000))
         if path == "/api/hold":
-            self.ended = [e for e in self.ended if e[0] > call.get("ackPosition", 0)]
+            position = call.get("ackPosition", 0)
+            for end in [p for p in self.unnoted if p <= position]:
+                task, run, at = self.unnoted.pop(end)
+                self.world.noted.append((now(), self.name, task, run, at))
+            self.ended = [e for e in self.ended if e[0] > position]
             end = now() + call.get("waitMs", 0) / 1000
             while not self.ended and now() < end:
                 try:
@@ -330,6 +341,8 @@
         self.advice_port, self.decide_ms, self.each_ms, self.valid_ms = None, 0, 0, 3000
         self.advice_locks = {}
         self.allows = lambda executor: True
+        # `done` ends that were taken note of: when, executor, task, run, and when it ended.
+        self.noted = []
 
     def started(self, executor, task, run, token):
         self.starts.append((now(), executor.name, task, run))
@@ -359,14 +372,16 @@
         self.record(f"advice on {call['step']}: {len(call['workers'])} executors named, {len(good)} good")
         return 200, {"good": good, "validMs": self.valid_ms}
 
-    async def start(self, services, config, racks=4):
-        """services: name and number of executors. config: the first op/config."""
+    async def start(self, services, config, racks=4, round_trips_s=(0.0,)):
+        """services: name and number of executors. config: the first op/config. round_trips_s: of the
+        zones, between which the executors take turns by rack."""
         await self.store.start()
         self.store.write("op", "config", config)
         number = 0
         for service, count in services:
             for _ in range(count):
                 executor = Executor(self, f"i-{number:02}", service, f"r1-{number // racks}")
+                executor.round_trip_s = round_trips_s[number // racks % len(round_trips_s)]
                 number += 1
                 self.executors.append(executor)
                 await executor.start()
@@ -391,9 +406,17 @@
         path = os.path.join(self.temporary.name, name + ".jsonc")
         with open(path, "w") as file:
             json.dump(settings, file)
-        log = open(os.path.join(self.temporary.name, name + ".log"), "w")
-        process = subprocess.Popen([PROGRAM, "entry", "--settings", path], stdout=log, stderr=log, cwd=ROOT)
-        self.entries.append((name, process, ports[0], ports[1]))
+        self.entries.append((name, self.spawn(name), ports[0], ports[1]))
+
+    def spawn(self, name):
+        path = os.path.join(self.temporary.name, name)
+        log = open(path + ".log", "a")
+        command = [PROGRAM, "entry", "--settings", path + ".jsonc"]
+        return subprocess.Popen(command, stdout=log, stderr=log, cwd=ROOT)
+
+    def restart_entry(self, index):
+        name, _, front, readiness = self.entries[index]
+        self.entries[index] = (name, self.spawn(name), front, readiness)
 
     async def ready(self, timeout=15):
         end = now() + timeout
@@ -423,6 +446,14 @@
                 return status, answer
         return status, answer
 
+    def doubled(self):
+        """Starts of a task after a run of it has ended `done`, if that end was taken note of."""
+        ended = {}
+        for _, executor, task, run, at in self.noted:
+            ended.setdefault(task, (at, executor, run))
+        return [(task, ended[task], (at, executor, run)) for at, executor, task, run in self.starts
+                if task in ended and at > ended[task][0]]
+
     def stop(self):
         for _, process, _, _ in self.entries:
             if process.poll() is None:
