Log how a conflict of a leader's write of progress is resolved

Cause: a leader that finds its own number in the fence row takes its write for stored and logs nothing, so the logs of review/11 cannot tell a lost answer from a write that another one with the same number replaced.

Change: each conflict is logged with the number that was sent, the one that was found and what follows from it.

--- a/src/batch/resolution.rs
+++ b/src/batch/resolution.rs
@@ -1,5 +1,8 @@
+use strum::IntoStaticStr;
+
 /// What a leader does after a conflict of its write to a partition.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Resolution {
     /// The write is stored already: an earlier attempt was applied, but its response was lost.
     Stored,
--- a/src/entry/flush.rs
+++ b/src/entry/flush.rs
@@ -164,6 +164,13 @@
     log::error!(event = "row-refused", table = PROGRESS, key, bytes, reason:% = reason; "");
 }
 
+/// Logs a conflict of a write with the fence row that was found, and what follows from it.
+fn log_conflict(part: &str, sent: Fence, found: Fence, resolution: Resolution) {
+    let resolution: &str = resolution.into();
+    log::info!(event = "write-conflict", part, token = sent.token, write = sent.write,
+        found_token = found.token, found_write = found.write, resolution; "");
+}
+
 impl Partition {
     /// Retries the changes of this partition until they are stored or the leadership ends.
     async fn flush(&mut self, shared: &Shared, term: &Term) {
@@ -273,7 +280,10 @@
                     let Some((version, fence)) = self.read_fence(shared).await? else {
                         return Ok(false);
                     };
-                    match self.writer.resolve_conflict(version, fence) {
+                    let sent = self.writer.next_fence();
+                    let resolution = self.writer.resolve_conflict(version, fence);
+                    log_conflict(&self.name, sent, fence, resolution);
+                    match resolution {
                         Resolution::Stored => return Ok(true),
                         Resolution::Superseded => return Ok(false),
                         Resolution::Resend => {}
