Take a new token when the tenure of the pool manager is not known

What operators would have seen: the manager takes a change of a pool for applied that is not stored, and sends the order that belongs to it.

Cause: after a conflict with its own late renewal the manager forgets its tenure with the count of operations. The next renewal kept the token and began a new count, so operations were given out again. A change without an answer is taken for applied if its row shows its operation.

Change: a holder that finds its name in the row without knowing the tenure takes the next token.

--- a/src/pools/lease.rs
+++ b/src/pools/lease.rs
@@ -151,6 +151,12 @@
         table.transact(vec![write]).await.map(drop)
     }
 
+    /// Returns a token if the tenure with it is known, also if it has expired.
+    fn known_token(&self, token: u64) -> Option<u64> {
+        let (tenure, _) = self.renewed.as_ref()?;
+        (tenure.token() == token).then_some(token)
+    }
+
     /// Returns the token and the condition of the write that takes or renews the lease, or `None`
     /// while another process may hold it.
     fn next_write(&mut self, now: Instant, row: Option<Row>) -> Option<(u64, Condition)> {
@@ -163,6 +169,8 @@
             .map_or((false, 0), |h| (h.holder == self.name, h.token));
         let condition = Condition::Version(row.version);
         if is_own {
+            // Without the tenure it is not known which operations of this token were given out.
+            let token = self.known_token(token).unwrap_or(token + 1);
             return Some((token, condition));
         }
         self.renewed = None;
--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -1,6 +1,8 @@
 //! Tests of pool membership, availability budgets, moves between pools and the manager's lease.
 
 mod bed;
+#[path = "bed/late_table.rs"]
+mod late_table;
 
 use std::time::Duration;
 
@@ -12,6 +14,7 @@
     RETURN_TIMEOUT, Refusal, Step, Tenure, commit,
 };
 use coriandernotch::standin::{Fault, Kind, Store};
+use late_table::LateTable;
 
 const DRAIN_FOR_REBOOT: Action = Action::Drain(Purpose::Reboot);
 
@@ -334,6 +337,31 @@
     assert_eq!(token(first.turn(expired, &a).await.unwrap()), None);
 }
 
+/// Guards against a lost write that is mistaken for an older one, because a holder that renewed its
+/// lease after a conflict with its own late renewal gave out the same operations again.
+#[tokio::test(start_paused = true)]
+async fn a_late_renewal_repeats_no_operation() {
+    let table = LateTable::new(Store::new().client("a"));
+    let mut lease = Lease::new("a-1");
+    let first = lease.turn(after(0), &table).await.unwrap().unwrap();
+    let used = first.next_operation();
+    table.hold_next();
+    assert!(lease.turn(after(1), &table).await.is_err());
+    // The renewal that was held back is stored before this one, which conflicts.
+    lease.turn(after(2), &table).await.unwrap();
+    let second = lease.turn(after(3), &table).await.unwrap().unwrap();
+    assert_ne!(second.next_operation(), used);
+}
+
+/// Guards against the same if a process creates its lease anew.
+#[tokio::test(start_paused = true)]
+async fn a_holder_without_its_tenure_repeats_no_operation() {
+    let table = Store::new().client("a");
+    let turn = async || Lease::new("a-1").turn(after(0), &table).await;
+    let used = turn().await.unwrap().unwrap().next_operation();
+    assert_ne!(turn().await.unwrap().unwrap().next_operation(), used);
+}
+
 /// Guards against a lost write that is mistaken for an older one with the same operation.
 #[tokio::test(start_paused = true)]
 async fn a_manager_that_reloads_does_not_reuse_operations() {
