Keep a job until its last run has stopped

Cause: complete occurrences are taken out of a scheduled job, although a copy that lost, or a member of a gang, may still have a run. When the job was stored it was taken for idle, since the runs were looked for in the occurrences that were left, and removed. The next review indexed the job of that run.

Change: a job counts its runs and is removed only when it has none. The two places that decided this share one function, which no longer looks at all tasks.

--- a/src/batch/engine/accept.rs
+++ b/src/batch/engine/accept.rs
@@ -39,6 +39,7 @@
             occurrences: Vec::new(),
             next_occurrence: 0,
             complete_occurrences: Ranges::default(),
+            run_count: 0,
             state: progress.state,
             ended_ms: 0,
             change_count: 0,
--- a/src/batch/engine/changes.rs
+++ b/src/batch/engine/changes.rs
@@ -52,11 +52,7 @@
             return;
         };
         job.stored_changes = job.stored_changes.max(change);
-        let idle = || {
-            let stages = job.occurrences.iter().flat_map(|o| &o.stages);
-            stages.flat_map(|s| &s.tasks).all(|t| t.runs.is_empty())
-        };
-        if job.state.is_final() && job.stored_changes == job.change_count && idle() {
+        if job.is_removable() {
             self.remove_job(key);
         }
     }
@@ -64,6 +60,7 @@
     /// Removes a job that has ended, is stored and has no runs.
     pub(super) fn remove_job(&mut self, key: JobKey) {
         if let Some(job) = self.jobs.remove(key) {
+            debug_assert_eq!(job.run_count, 0, "runs refer to their job");
             self.job_ids.remove(&job.id);
             self.job_memory.subtract(Self::memory_of(&job.record.spec));
             self.history.add(job.id, job.ended_ms);
--- a/src/batch/engine/job.rs
+++ b/src/batch/engine/job.rs
@@ -23,6 +23,8 @@
     pub(super) next_occurrence: u32,
     /// Numbers of the complete occurrences.
     pub(super) complete_occurrences: Ranges,
+    /// Number of its runs that may be present on workers, also of those in complete occurrences.
+    pub(super) run_count: usize,
     pub(super) state: State,
     /// When the job ended, in milliseconds since 1970.
     pub(super) ended_ms: u64,
@@ -44,6 +46,12 @@
         self.state != State::Queued
     }
 
+    /// Returns whether the job is needed no more: it has ended, its end is stored, and it has no runs,
+    /// which refer to it.
+    pub(super) fn is_removable(&self) -> bool {
+        self.state.is_final() && self.stored_changes == self.change_count && self.run_count == 0
+    }
+
     /// Returns whether the next scheduled occurrence is due. A job that has ended begins no further
     /// ones, although it is kept until its runs have stopped and its end is stored.
     pub(super) fn is_occurrence_due(&self, wall_ms: u64) -> bool {
--- a/src/batch/engine/review.rs
+++ b/src/batch/engine/review.rs
@@ -227,13 +227,7 @@
     }
 
     fn remove_ended_jobs(&mut self) {
-        let is_removable = |job: &super::Job| {
-            let stages = job.occurrences.iter().flat_map(|o| &o.stages);
-            job.state.is_final()
-                && job.stored_changes == job.change_count
-                && stages.flat_map(|s| &s.tasks).all(|t| t.runs.is_empty())
-        };
-        for key in keys_where(&self.jobs, is_removable) {
+        for key in keys_where(&self.jobs, super::Job::is_removable) {
             self.remove_job(key);
         }
     }
--- a/src/batch/engine/runs.rs
+++ b/src/batch/engine/runs.rs
@@ -18,6 +18,9 @@
         if let Some(usage) = self.usage.get_mut(&run.workspace) {
             *usage = *usage - run.size;
         }
+        if let Some(job) = self.jobs.get_mut(run.job) {
+            job.run_count -= 1;
+        }
         if let Some(task) = self.task_mut(run.job, &run.task) {
             task.runs.retain(|r| *r != key);
         }
@@ -35,6 +38,9 @@
             worker.runs.push(key);
             worker.used = worker.used + reserved;
         }
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.run_count += 1;
+        }
         if let Some(task) = self.task_mut(job, &task) {
             task.runs.push(key);
         }
--- a/tests/batch/occurrences.rs
+++ b/tests/batch/occurrences.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use coriandernotch::batch::{Record, Spec};
+use coriandernotch::batch::{Record, Spec, State, Step};
 
 use crate::simulation::{START_MS, Simulation, config, profile, record, step};
 use crate::takeover::running_progress;
@@ -101,3 +101,32 @@
     // The task fails three times, which is the limit, before the second occurrence is due.
     assert_eq!(starts_after_end(fail, 0), 3);
 }
+
+/// Guards against a job that is removed while a copy in a complete occurrence is being stopped. The
+/// engine panicked when it looked at that run, which ended the term (rule LOST).
+#[test]
+fn keeps_a_job_until_the_copies_in_complete_occurrences_have_stopped() {
+    let mut sim = Simulation::with_workers(2);
+    sim.run_ms = 1_300;
+    let mut job = record(vec![Step {
+        speculative: true,
+        ..step(1)
+    }]);
+    (job.spec.occurrences, job.spec.first_ms) = (1, START_MS);
+    sim.accept("j", job);
+    sim.run(1_250);
+    assert_eq!(sim.starts.len(), 2, "a copy was started");
+    let set_stops_late = |sim: &mut Simulation, stops_late| {
+        for worker in sim.workers.values_mut() {
+            worker.stops_late = stops_late;
+        }
+    };
+    set_stops_late(&mut sim, true);
+    sim.run(600);
+    assert!(sim.ended.contains_key("j"));
+    assert_eq!(sim.engine.state(&"j".into()), Some(State::Completed));
+    set_stops_late(&mut sim, false);
+    sim.run(5_000);
+    assert_eq!(sim.engine.state(&"j".into()), None);
+    assert_eq!(sim.starts.len(), 2);
+}
