Ask for advice until a whole gang has room

Cause: no further workers were asked about while any worker with a ticket had room for one task. A gang needs room for all of its tasks at once.

Change: for a gang, the places on all workers with tickets are counted, with the limit of its tasks on one worker. Whether one of them has a place is decided as before.

Result: asks_for_a_gang_until_all_of_its_tasks_have_room failed before (0 of 7 starts) and passes. A gang that no policy admits is asked about once per worker until the denials have expired, which a second test checks.

--- a/src/batch/engine/advise.rs
+++ b/src/batch/engine/advise.rs
@@ -67,23 +67,16 @@
         asked_at.map_or(known_since, |at| at + NEW_STEP_HEAD_START)
     }
 
-    /// Returns whether tasks of a step wait and no worker with a ticket has room for one.
+    /// Returns whether tasks of a step wait and workers with tickets have no room for its next start.
     fn needs_advice(&self, stage_key: StageKey, now: Instant) -> bool {
         let stage = self.stage(stage_key.job, stage_key.occurrence, stage_key.step);
         let Some(stage) = stage.filter(|_| self.needs_ticket(stage_key)) else {
             return false;
         };
         let step = &self.jobs[stage_key.job].record.spec.steps[stage_key.step as usize];
-        let has_room = |key: &WorkerKey| {
-            let worker = self.workers.get(*key);
-            worker.is_some_and(|worker| self.may_start(worker, now))
-                && self
-                    .step_exclusion(stage_key, step, *key, true, now)
-                    .is_none()
-        };
         stage.ask_from <= now
             && stage.tasks.iter().any(|task| task.is_waiting(now))
-            && !stage.tickets.keys().any(has_room)
+            && !self.has_ticketed_room(stage_key, step, now)
     }
 
     /// Lists the ids of some workers that may be able to run a step, and of which it is not known
--- a/src/batch/engine/choose.rs
+++ b/src/batch/engine/choose.rs
@@ -6,7 +6,7 @@
 
 /// Largest number of runs on one worker. Tasks that ask for nothing would otherwise all be started
 /// at once.
-const MAX_RUNS: usize = 1_000;
+pub(super) const MAX_RUNS: usize = 1_000;
 
 /// Maximum number of lasting tasks packed on one worker. More of them save machines, but each is
 /// moved by itself before the machine can be maintained.
@@ -201,14 +201,8 @@
     }
 
     fn is_below_worker_limit(&self, stage_key: StageKey, step: &Step, worker: &Worker) -> bool {
-        let is_same_step = |run: &&crate::batch::RunKey| {
-            let run = &self.runs[**run];
-            run.job == stage_key.job
-                && run.task.step == stage_key.step
-                && run.task.occurrence == stage_key.occurrence
-        };
         step.max_per_worker == 0
-            || worker.runs.iter().filter(is_same_step).count() < step.max_per_worker as usize
+            || self.count_runs_of_step(stage_key, worker) < step.max_per_worker as usize
     }
 
     fn fit_of(&self, stage_key: StageKey, step: &Step, worker: &Worker, untried: bool) -> Fit {
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -38,6 +38,7 @@
 mod overload;
 mod pace;
 mod place;
+mod places;
 mod poll;
 mod pools;
 mod queue_services;
--- a/src/jobs/size.rs
+++ b/src/jobs/size.rs
@@ -45,6 +45,29 @@
             && other.accelerators <= self.accelerators
     }
 
+    /// Returns how many of `other` fit into this size together; `usize::MAX` if `other` is empty.
+    ///
+    /// ```
+    /// use coriandernotch::jobs::Size;
+    ///
+    /// let free = Size::new(4_000, 1_000, 0);
+    /// assert_eq!(free.count_of(Size::new(1_500, 100, 0)), 2);
+    /// assert_eq!(free.count_of(Size::new(1_000, 100, 1)), 0);
+    /// assert_eq!(free.count_of(Size::ZERO), usize::MAX);
+    /// ```
+    pub fn count_of(self, other: Self) -> usize {
+        let amounts = [
+            (self.processors, other.processors),
+            (self.memory, other.memory),
+            (self.accelerators, other.accelerators),
+        ];
+        let counts = amounts
+            .into_iter()
+            .filter_map(|(all, one)| all.checked_div(one));
+        let count = counts.min().unwrap_or(u64::MAX);
+        usize::try_from(count).unwrap_or(usize::MAX)
+    }
+
     /// Returns the larger amount of each resource.
     #[must_use]
     pub fn max(self, other: Self) -> Self {
--- a/tests/batch/advice.rs
+++ b/tests/batch/advice.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coriandernotch::batch::{Advice, Question};
+use coriandernotch::batch::{Advice, Question, Step};
 
 use crate::simulation::{Simulation, config, profile, record, step};
 
@@ -135,3 +135,40 @@
     assert_eq!(advise(&mut sim, |_, id| id == "new"), 1);
     assert_eq!(&*sim.starts[0].0, "new");
 }
+
+/// Guards against a gang that never starts because workers with tickets have room for some of its
+/// tasks: no others were asked about (rule LOST).
+#[test]
+fn asks_for_a_gang_until_all_of_its_tasks_have_room() {
+    let mut sim = with_advice(40);
+    let gang = Step {
+        gang: true,
+        max_per_worker: 1,
+        ..step(7)
+    };
+    sim.accept("j", record(vec![gang]));
+    sim.run(50);
+    let first = sim.engine.next_question(sim.now).unwrap();
+    let known = first.workers[..6].to_vec();
+    answer(&mut sim, &first, |id| {
+        known.iter().any(|known| &**known == id)
+    });
+    assert_eq!(sim.starts.len(), 0, "a gang starts as a whole");
+    advise(&mut sim, |_, _| true);
+    assert_eq!(sim.starts.len(), 7);
+}
+
+/// Guards against asking without end about a gang of which no worker may run enough tasks.
+#[test]
+fn asks_about_a_gang_that_has_no_room_at_long_intervals() {
+    let mut sim = with_advice(3);
+    let gang = Step {
+        gang: true,
+        max_per_worker: 1,
+        ..step(3)
+    };
+    sim.accept("j", record(vec![gang]));
+    sim.run(50);
+    assert_eq!(advise(&mut sim, |_, id| id == "i-0"), 1);
+    assert_eq!(sim.starts.len(), 0);
+}
