Ask about all workers before asking again

Cause: answers of the advice service were forgotten when they expired, and the freest workers are asked about first. Where a round of questions takes longer than a denial counts (5 s), the same workers were named again and the last ones never.

Change: an answer is kept until the next one about the worker. Of the workers with room, those that were allowed are asked about first, then those that the service was not asked about, then the others, the oldest answer first.

--- a/src/batch/engine/advise.rs
+++ b/src/batch/engine/advise.rs
@@ -1,7 +1,9 @@
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::denial::Denial;
+use super::precedence::Precedence;
 use super::{Engine, StageKey, Worker};
 use crate::batch::{Question, TaskId, WorkerKey};
 use crate::clock::Instant;
@@ -80,8 +82,8 @@
     }
 
     /// Lists the ids of some workers that may be able to run a step, and of which it is not known
-    /// whether they are allowed to: those with room first, and of these the freest. If others are
-    /// allowed and only lack room, workers without room are left out.
+    /// whether they are allowed to: those with room first, of these by [`Precedence`], and then the
+    /// freest. If others are allowed and only lack room, workers without room are left out.
     fn workers_without_advice(&self, stage_key: StageKey, now: Instant) -> Vec<Arc<str>> {
         let Some(stage) = self.stage(stage_key.job, stage_key.occurrence, stage_key.step) else {
             return Vec::new();
@@ -106,17 +108,20 @@
             let worker = self.workers.get(*key);
             *until > now && worker.is_some_and(|worker| self.may_start(worker, now))
         });
-        let mut workers: Vec<(bool, u64, &Arc<str>)> = self
+        let mut workers: Vec<(bool, Precedence, u64, &Arc<str>)> = self
             .workers_of(&job.service)
             .filter(is_unknown)
             .map(|(key, worker)| {
                 let exclusion = self.step_exclusion(stage_key, step, key, false, now);
+                let precedence = Precedence::of(stage, key, worker);
                 let free = worker.free_capacity().processors;
-                (exclusion.is_none(), free, &worker.profile.id)
+                (exclusion.is_none(), precedence, free, &worker.profile.id)
             })
             .filter(|(has_room, ..)| *has_room || !others_are_allowed)
             .collect();
-        workers.sort_by_key(|(has_room, free, _)| std::cmp::Reverse((*has_room, *free)));
+        workers.sort_by_key(|(has_room, precedence, free, _)| {
+            (Reverse(*has_room), *precedence, Reverse(*free))
+        });
         let ids = workers.into_iter().map(|(.., id)| id.clone());
         ids.take(MAX_WORKERS_PER_QUESTION).collect()
     }
@@ -153,11 +158,13 @@
             occurrence: question.task.occurrence,
             step: question.task.step,
         };
-        if let Some(stage) = self.stage_mut(stage_key) {
-            stage.tickets.retain(|_, (_, until)| *until > now);
-            stage.tickets.extend(tickets);
-            stage.denials.retain(|_, denial| denial.until > now);
-            stage.denials.extend(denials);
+        let is_known = |key: &WorkerKey| self.workers.contains_key(*key);
+        let job = self.jobs.get_mut(stage_key.job);
+        let stage = job.and_then(|job| job.stage_mut(stage_key.occurrence, stage_key.step));
+        if let Some(stage) = stage {
+            stage.record_advice(tickets, denials);
+            stage.tickets.retain(|key, _| is_known(key));
+            stage.denials.retain(|key, _| is_known(key));
             // A step with more workers to ask about waits for its turn only.
             stage.ask_from = now;
         }
--- a/src/batch/engine/mod.rs
+++ b/src/batch/engine/mod.rs
@@ -41,6 +41,7 @@
 mod places;
 mod poll;
 mod pools;
+mod precedence;
 mod queue_services;
 mod release;
 mod relocate;
--- a/src/batch/engine/stage.rs
+++ b/src/batch/engine/stage.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use super::Task;
 use super::denial::Denial;
 use crate::batch::{JobKey, Step, WorkerKey};
@@ -23,9 +25,9 @@
     /// When the last of these steps ended under this leader, in milliseconds since 1970. Without it,
     /// the stage counts as ready since its job arrived or its occurrence was due.
     pub(super) ready_ms: Option<u64>,
-    /// Ticket of each worker that may run the step, and when it expires.
-    pub(super) tickets: Map<WorkerKey, (std::sync::Arc<str>, Instant)>,
-    /// Workers that may not run the step.
+    /// Ticket of each worker that may run the step, and when it expires or has expired.
+    pub(super) tickets: Map<WorkerKey, (Arc<str>, Instant)>,
+    /// Workers that may not run the step, by the last answer about them.
     pub(super) denials: Map<WorkerKey, Denial>,
     /// When the advice service was last asked, and from when it may be asked again.
     pub(super) asked_at: Option<Instant>,
@@ -45,4 +47,20 @@
             ask_from: Instant::default(),
         }
     }
+
+    /// Records which workers may run the step, with their tickets, and which may not.
+    pub(super) fn record_advice(
+        &mut self,
+        tickets: Vec<(WorkerKey, (Arc<str>, Instant))>,
+        denials: Vec<(WorkerKey, Denial)>,
+    ) {
+        for (key, ticket) in tickets {
+            self.denials.remove(&key);
+            self.tickets.insert(key, ticket);
+        }
+        for (key, denial) in denials {
+            self.tickets.remove(&key);
+            self.denials.insert(key, denial);
+        }
+    }
 }
--- a/tests/batch/advice.rs
+++ b/tests/batch/advice.rs
@@ -172,3 +172,42 @@
     assert_eq!(advise(&mut sim, |_, id| id == "i-0"), 1);
     assert_eq!(sim.starts.len(), 0);
 }
+
+/// Guards against asking again about workers whose denials have expired before others were asked about
+/// at all: in a large service, a step that only those may run was not started (rule LOST).
+#[test]
+fn asks_about_all_workers_before_it_asks_again() {
+    let mut sim = with_advice(300);
+    sim.accept("j", record(vec![step(1)]));
+    sim.run(50);
+    let mut named: Vec<Arc<str>> = Vec::new();
+    for _ in 0..10 {
+        let question = sim.engine.next_question(sim.now).unwrap();
+        answer(&mut sim, &question, |_| false);
+        named.extend(question.workers);
+    }
+    named.sort();
+    named.dedup();
+    assert_eq!(named.len(), 300);
+}
+
+/// Guards against asking about all workers of a service anew before those that are known to be allowed,
+/// after their tickets have expired.
+#[test]
+fn asks_first_about_workers_that_were_allowed() {
+    let mut sim = with_advice(60);
+    sim.run_ms = 60_000;
+    sim.accept("j", record(vec![step(1)]));
+    sim.run(50);
+    let denied = sim.engine.next_question(sim.now).unwrap();
+    answer(&mut sim, &denied, |_| false);
+    let question = sim.engine.next_question(sim.now).unwrap();
+    let allowed = question.workers[0].clone();
+    // The ticket has expired when the answer arrives.
+    sim.run(RESPONSE_MS);
+    let good = [(allowed.clone(), "ticket".into())];
+    (sim.engine).record_tickets(&question, &good, sim.now, sim.now);
+    sim.run(6_000);
+    let again = sim.engine.next_question(sim.now).unwrap();
+    assert_eq!(again.workers[0], allowed);
+}
