Split the writing of progress and the stand-in of the store

Change: a partition and its changes have files of their own beside the task that stores them; the stand-in of the store is divided into its settings, its state and how it answers calls.

--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -44,6 +44,8 @@
 mod slow_load;
 mod standin;
 mod store;
+mod store_calls;
+mod store_state;
 mod takeover;
 mod transfer;
 mod withdrawn;
--- a/tests/flood/main.rs
+++ b/tests/flood/main.rs
@@ -57,5 +57,9 @@
 mod standin;
 #[path = "../entry/store.rs"]
 mod store;
+#[path = "../entry/store_calls.rs"]
+mod store_calls;
+#[path = "../entry/store_state.rs"]
+mod store_state;
 #[path = "../entry/worker.rs"]
 mod worker;
--- a/tests/takeover_model/flush.rs
+++ b/tests/takeover_model/flush.rs
@@ -1,4 +1,4 @@
-//! How a leader stores changes of jobs, as `src/entry/flush.rs` does.
+//! How a leader stores changes of jobs, as `src/entry/flush.rs` and `src/entry/partition.rs` do.
 
 use std::time::Duration;
 
