--- a/tests/batch/advice.rs
+++ b/tests/batch/advice.rs
@@ -24,6 +24,15 @@
     sim
 }
 
+/// Builds the step of a gang whose tasks run on different workers.
+fn spread_gang(count: u32) -> Step {
+    Step {
+        gang: true,
+        max_per_worker: 1,
+        ..step(count)
+    }
+}
+
 /// Answers a question after the response time of the service: of the workers that it names, those in
 /// `good` get a ticket.
 fn answer(sim: &mut Simulation, question: &Question, good: impl Fn(&str) -> bool) {
@@ -141,12 +150,7 @@
 #[test]
 fn asks_for_a_gang_until_all_of_its_tasks_have_room() {
     let mut sim = with_advice(40);
-    let gang = Step {
-        gang: true,
-        max_per_worker: 1,
-        ..step(7)
-    };
-    sim.accept("j", record(vec![gang]));
+    sim.accept("j", record(vec![spread_gang(7)]));
     sim.run(50);
     let first = sim.engine.next_question(sim.now).unwrap();
     let known = first.workers[..6].to_vec();
@@ -162,12 +166,7 @@
 #[test]
 fn asks_about_a_gang_that_has_no_room_at_long_intervals() {
     let mut sim = with_advice(3);
-    let gang = Step {
-        gang: true,
-        max_per_worker: 1,
-        ..step(3)
-    };
-    sim.accept("j", record(vec![gang]));
+    sim.accept("j", record(vec![spread_gang(3)]));
     sim.run(50);
     assert_eq!(advise(&mut sim, |_, id| id == "i-0"), 1);
     assert_eq!(sim.starts.len(), 0);
