Play scheduled jobs with copies and gangs in the takeover model

Change: the kind of a job of the model tells whether its tasks last, are copied or run together; the latter two are due at scheduled times. Rules about single runs do not hold for tasks that may be copied.

--- a/tests/takeover_model/audit.rs
+++ b/tests/takeover_model/audit.rs
@@ -32,10 +32,17 @@
     completed: Map<Arc<str>, Instant>,
     /// Jobs whose end is stored. Their rows may have been deleted since.
     ended: Set<Arc<str>>,
+    /// Jobs whose tasks may have several runs.
+    copied: Set<Arc<str>>,
     pub(crate) violation: Option<Violation>,
 }
 
 impl Audit {
+    /// Allows several runs of each task of a job.
+    pub(crate) fn allow_copies(&mut self, job: &Arc<str>) {
+        self.copied.insert(job.clone());
+    }
+
     /// Records a start whose order was sent at `sent`, by an instance that could reach the store if
     /// `in_touch`.
     pub(crate) fn record_start(
@@ -51,13 +58,17 @@
         let history = self.tasks.entry(task.clone()).or_default();
         history.starts += 1;
         history.running.push((worker, number));
-        let violation = if let [(_, first), .., (_, last)] = history.running[..] {
-            Some(Violation::Twice(task.clone(), first, last))
-        } else if in_touch && was_shown {
-            Some(Violation::StartAfterCompletion(task.clone(), number))
-        } else {
-            history.find_late_start(task, number)
-        };
+        let is_copied = self.copied.contains(&task.job);
+        let violation =
+            if let ([(_, first), .., (_, last)], false) = (&history.running[..], is_copied) {
+                Some(Violation::Twice(task.clone(), *first, *last))
+            } else if in_touch && was_shown {
+                Some(Violation::StartAfterCompletion(task.clone(), number))
+            } else if is_copied {
+                None
+            } else {
+                history.find_late_start(task, number)
+            };
         self.violation = self.violation.take().or(violation);
     }
 
@@ -89,6 +100,9 @@
             End::Failed => history.failed.push(starts),
             End::Stopped | End::Lapsed | End::Broken | End::Alone => return,
         }
+        if self.copied.contains(&task.job) {
+            return;
+        }
         let violation = history.find_late_start(task, number);
         self.violation = self.violation.take().or(violation);
     }
--- a/tests/takeover_model/history.rs
+++ b/tests/takeover_model/history.rs
@@ -3,6 +3,7 @@
 use crate::action::Action;
 use crate::cases::check_all;
 use crate::job::Job;
+use crate::kind::Kind;
 use crate::scenario::{SHORT_RETENTION, Scenario, ms};
 
 /// Guards against a start of an ended job whose rows are deleted while the jobs are read again. The
@@ -14,7 +15,7 @@
         tasks,
         steps: 1,
         run_time,
-        lasting: false,
+        kind: Kind::Plain,
     };
     let first_jobs = [job(ms(4_000), 1, ms(200)); 6];
     let last_jobs = [job(ms(4_300), 1, ms(6_500)); 2];
--- a/tests/takeover_model/job.rs
+++ b/tests/takeover_model/job.rs
@@ -3,9 +3,14 @@
 use coriandernotch::batch::{Record, Spec, Step};
 use coriandernotch::jobs::Size;
 
+use crate::kind::Kind;
 use crate::random::Random;
 use crate::scenario::ELECTED_AFTER;
 
+/// Number of occurrences of a scheduled job, and the time between two of them in milliseconds.
+const OCCURRENCES: u32 = 2;
+const INTERVAL_MS: u64 = 700;
+
 /// A job that a caller submits.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Job {
@@ -13,10 +18,10 @@
     pub(crate) tasks: u32,
     /// Number of steps, each of which waits for the one before.
     pub(crate) steps: u32,
-    /// Time that each task runs, unless it is lasting.
+    /// Time that each task runs, unless it is lasting. A slow run of one that may be copied takes
+    /// longer.
     pub(crate) run_time: Duration,
-    /// Whether the tasks run until the job is cancelled, which never happens here.
-    pub(crate) lasting: bool,
+    pub(crate) kind: Kind,
 }
 
 impl Job {
@@ -26,7 +31,7 @@
             tasks: 1 + random.below(3) as u32,
             steps: random.pick(&[1, 1, 2]),
             run_time: random.ms(100..5_000),
-            lasting: false,
+            kind: Kind::Plain,
         }
     }
 
@@ -37,7 +42,16 @@
             tasks: 1 + random.below(2) as u32,
             steps: 1,
             run_time: random.ms(100..400),
-            lasting: false,
+            kind: Kind::Plain,
+        }
+    }
+
+    /// Returns a job whose tasks are due at scheduled times, and are copied or run together.
+    pub(crate) fn random_scheduled(random: &mut Random) -> Self {
+        Self {
+            run_time: random.ms(200..900),
+            kind: random.pick(&[Kind::Copied, Kind::Gang]),
+            ..Self::random(random)
         }
     }
 
@@ -48,7 +62,7 @@
             tasks,
             steps: 1,
             run_time: Duration::ZERO,
-            lasting: true,
+            kind: Kind::Lasting,
         }
     }
 
@@ -59,7 +73,9 @@
             size: Size::new(500, 100, 0),
             estimate_ms: self.run_time.as_millis() as u64,
             after: (0..number).collect(),
-            lasting: self.lasting,
+            lasting: self.kind == Kind::Lasting,
+            speculative: self.kind == Kind::Copied,
+            gang: self.kind == Kind::Gang,
             ..Step::default()
         };
         Record {
@@ -68,9 +84,15 @@
             workspace: "w".into(),
             arrived_ms,
             spec: Spec {
+                occurrences: if self.kind.is_scheduled() {
+                    OCCURRENCES
+                } else {
+                    0
+                },
+                first_ms: arrived_ms,
+                interval_ms: INTERVAL_MS,
                 payload: "x".into(),
                 steps: (0..self.steps).map(step).collect(),
-                ..Spec::default()
             },
             ..Record::default()
         }
--- a/tests/takeover_model/lasting.rs
+++ b/tests/takeover_model/lasting.rs
@@ -7,6 +7,7 @@
 
 use crate::idle_log;
 use crate::key::Key;
+use crate::kind::Kind;
 use crate::partition::job_key;
 use crate::violation::Violation;
 use crate::world::World;
@@ -60,7 +61,7 @@
     /// Returns the lasting tasks and the times of their submission.
     fn lasting_tasks(&self) -> Vec<(TaskId, Instant)> {
         let jobs = self.scenario.jobs.iter().enumerate();
-        let lasting = jobs.filter(|(_, job)| job.lasting);
+        let lasting = jobs.filter(|(_, job)| job.kind == Kind::Lasting);
         let tasks = lasting.flat_map(|(index, job)| {
             let submitted = self.start + job.at;
             (0..job.tasks).map(move |task| (lasting_task(index, task), submitted))
--- a/tests/takeover_model/lasting_cases.rs
+++ b/tests/takeover_model/lasting_cases.rs
@@ -6,6 +6,7 @@
 use crate::cases::check_all;
 use crate::fault::Fault;
 use crate::job::Job;
+use crate::kind::Kind;
 use crate::scenario::{ELECTED_AFTER, Scenario, ms};
 
 /// The worker that is lost or cut off.
@@ -92,7 +93,7 @@
                 tasks: 4,
                 steps: 1,
                 run_time: ms(100),
-                lasting: false,
+                kind: Kind::Plain,
             };
             Scenario {
                 seed: ended_after,
@@ -135,7 +136,7 @@
         tasks: 12,
         steps: 1,
         run_time: ms(11_000),
-        lasting: false,
+        kind: Kind::Plain,
     };
     check_all((0..40).map(|seed| Scenario {
         seed,
--- a/tests/takeover_model/main.rs
+++ b/tests/takeover_model/main.rs
@@ -28,6 +28,7 @@
 mod instance;
 mod job;
 mod key;
+mod kind;
 mod lasting;
 mod lasting_cases;
 mod load;
--- a/tests/takeover_model/new_worker.rs
+++ b/tests/takeover_model/new_worker.rs
@@ -1,5 +1,6 @@
 use crate::action::Action;
 use crate::job::Job;
+use crate::kind::Kind;
 use crate::scenario::{Scenario, ms};
 use crate::world::World;
 
@@ -15,7 +16,7 @@
         tasks: 1,
         steps: 1,
         run_time: ms(8_000),
-        lasting: false,
+        kind: Kind::Plain,
     };
     let scenario = Scenario {
         jobs: vec![job],
--- a/tests/takeover_model/platform.rs
+++ b/tests/takeover_model/platform.rs
@@ -9,6 +9,7 @@
 use crate::content::Content;
 use crate::event::Event;
 use crate::key::Key;
+use crate::kind::Kind;
 use crate::worker::Worker;
 use crate::worker_answer::WorkerAnswer;
 use crate::worker_call::WorkerCall;
@@ -24,6 +25,10 @@
 /// Longest times for which a worker holds back the answer to a poll, in milliseconds.
 const MAX_HOLD_MS: [u64; 2] = [20, 500];
 
+/// Of the runs of a task that may be copied, one of so many is slow, and by this factor.
+const SLOW_RUNS: u64 = 3;
+const SLOW_FACTOR: u32 = 4;
+
 /// Longest time that a stop takes, in milliseconds.
 const MAX_STOP_MS: u64 = 300;
 
@@ -229,7 +234,11 @@
         let index = launch.task.job.rsplit('-').next();
         let index: usize = index.and_then(|n| n.parse().ok()).expect("a known job");
         let job = &self.scenario.jobs[index];
-        (!job.lasting).then_some(job.run_time)
+        match job.kind {
+            Kind::Lasting => None,
+            Kind::Copied if launch.number % SLOW_RUNS == 1 => Some(job.run_time * SLOW_FACTOR),
+            Kind::Copied | Kind::Plain | Kind::Gang => Some(job.run_time),
+        }
     }
 
     /// Plans the end of a new run.
--- a/tests/takeover_model/restart.rs
+++ b/tests/takeover_model/restart.rs
@@ -6,6 +6,7 @@
 use crate::cases::check_all;
 use crate::fault::Fault;
 use crate::job::Job;
+use crate::kind::Kind;
 use crate::scenario::{Scenario, ms};
 
 /// The worker that restarts. Of two workers that are equally free, tasks start on it.
@@ -44,7 +45,7 @@
         tasks,
         steps,
         run_time,
-        lasting: false,
+        kind: Kind::Plain,
     }
 }
 
--- a/tests/takeover_model/restart_before_cut.rs
+++ b/tests/takeover_model/restart_before_cut.rs
@@ -4,6 +4,7 @@
 use crate::cases::check_all;
 use crate::fault::Fault;
 use crate::job::Job;
+use crate::kind::Kind;
 use crate::random::Random;
 use crate::scenario::{Scenario, ms};
 
@@ -22,7 +23,7 @@
         tasks,
         steps: 1,
         run_time: ms(run_time),
-        lasting: false,
+        kind: Kind::Plain,
     }
 }
 
--- a/tests/takeover_model/scenario.rs
+++ b/tests/takeover_model/scenario.rs
@@ -5,6 +5,7 @@
 use crate::action::Action;
 use crate::incident::{INCIDENTS, Incident};
 use crate::job::Job;
+use crate::kind::Kind;
 use crate::random::Random;
 
 /// Number of failures of a task after which its job fails.
@@ -39,6 +40,9 @@
 /// Distinguishes the random numbers for a store that is slow while leaders resign.
 const SLOW_SALT: u64 = 0x510e;
 
+/// Distinguishes the random numbers for scheduled jobs.
+const SCHEDULED_SALT: u64 = 0x5c4e;
+
 /// Sizes of the lists that leaders leave, in bytes: all workers with their tasks, some without them,
 /// and none that the successor knows otherwise.
 const SILENT_LIST_BYTES: [usize; 3] = [150_000, 700, 0];
@@ -76,7 +80,7 @@
             tasks,
             steps: 1,
             run_time: Duration::from_millis(600),
-            lasting: false,
+            kind: Kind::Plain,
         };
         Self {
             seed: 1,
@@ -175,6 +179,18 @@
         scenario
     }
 
+    /// Creates the random scenario of a seed with scheduled jobs, whose tasks are copied if they are
+    /// slow or run together.
+    pub(crate) fn random_scheduled(seed: u64) -> Self {
+        let mut random = Random::new(seed ^ SCHEDULED_SALT);
+        let mut scenario = Self::random(seed);
+        scenario.failing_percent = 0;
+        for job in &mut scenario.jobs {
+            *job = Job::random_scheduled(&mut random);
+        }
+        scenario
+    }
+
     /// Creates the random scenario of a seed with lasting tasks. In most, workers are lost for good
     /// around changes of leader; in half of these, the faults of [`Scenario::random`] come too.
     pub(crate) fn random_lasting(seed: u64) -> Self {
--- a/tests/takeover_model/seeded.rs
+++ b/tests/takeover_model/seeded.rs
@@ -40,6 +40,13 @@
     check_seeds(Scenario::random_slow_store);
 }
 
+/// Guards against a leader whose task panics at the run of a job that is gone, and against scheduled
+/// jobs with copies or gangs that do not end, in random coincidences of faults.
+#[test]
+fn scheduled_jobs_end_after_random_faults() {
+    check_seeds(Scenario::random_scheduled);
+}
+
 /// Guards against lasting tasks that have no run although nothing disturbs the system any more, in
 /// random coincidences of faults and losses of workers.
 #[test]
--- a/tests/takeover_model/world.rs
+++ b/tests/takeover_model/world.rs
@@ -11,6 +11,7 @@
 use crate::idle_log;
 use crate::instance::Instance;
 use crate::key::Key;
+use crate::kind::Kind;
 use crate::partition::job_key;
 use crate::process::Process;
 use crate::queue::Queue;
@@ -221,8 +222,13 @@
 
     pub(crate) fn submit(&mut self, index: usize) {
         self.steps.get_or_insert(0);
-        let record = self.scenario.jobs[index].record(self.wall_ms());
-        self.store.put(job_key(index), Content::Job(record));
+        let job = self.scenario.jobs[index];
+        let key = job_key(index);
+        if let (Kind::Copied, Key::Job(_, id)) = (job.kind, &key) {
+            self.audit.allow_copies(id);
+        }
+        self.store
+            .put(key, Content::Job(job.record(self.wall_ms())));
     }
 
     /// Returns the jobs that the store does not show as ended.
@@ -235,7 +241,7 @@
         };
         let indices = 0..self.scenario.jobs.len();
         indices
-            .filter(|index| !self.scenario.jobs[*index].lasting)
+            .filter(|index| self.scenario.jobs[*index].kind != Kind::Lasting)
             .filter(is_unfinished)
             .map(|index| format!("{:?}", job_key(index)))
             .collect()
