Name the task that stores changes apart from its module

Cause: in src/entry/lead.rs a variable and a module were both named flush. Change: the variable is flush_task.

--- a/src/entry/lead.rs
+++ b/src/entry/lead.rs
@@ -152,19 +152,19 @@
         *self.shared.term.lock().expect("term lock") = Some(term.clone());
         let mut tasks = JoinSet::new();
         schedule::spawn(&self.shared, &term, &mut tasks);
-        let mut flush = JoinSet::new();
-        flush.spawn(flush::flush(self.shared.clone(), term.clone()));
+        let mut flush_task = JoinSet::new();
+        flush_task.spawn(flush::flush(self.shared.clone(), term.clone()));
         let granted = tokio::select! {
             granted = self.renew_until_end(&term) => granted,
             () = await_panic(&mut tasks) => end_after_panic(&term),
-            () = await_panic(&mut flush) => end_after_panic(&term),
+            () = await_panic(&mut flush_task) => end_after_panic(&term),
         };
         *self.shared.term.lock().expect("term lock") = None;
         // Ends all other tasks first: nothing may start a run after the list for the next leader is
         // made.
         tasks.shutdown().await;
         let resigns = (self.shared.is_stopping() || granted.is_some()) && !term.has_ended();
-        if resigns && finish_flush(&term, &mut flush).await {
+        if resigns && finish_flush(&term, &mut flush_task).await {
             self.resign(&term, granted).await;
         }
         self.leadership.end(clock::now());
@@ -211,9 +211,9 @@
 
 /// Waits until all changes are stored. Returns false if the term has ended before that: then the list
 /// for the next leader would not be complete.
-async fn finish_flush(term: &Term, flush: &mut JoinSet<()>) -> bool {
+async fn finish_flush(term: &Term, flush_task: &mut JoinSet<()>) -> bool {
     term.begin_resignation();
-    let result = flush.join_next().await;
+    let result = flush_task.join_next().await;
     result.is_some_and(|result| result.is_ok()) && !term.has_ended()
 }
 
